--- /dev/null
+++ b/src/decisions/RunLedger.cpp
@@ -0,0 +1,63 @@
+#include "decisions/RunLedger.h"
+
+namespace Coltsfootwell {
+
+RunLedger::RunLedger(DaemonId self) : m_self(std::move(self)) { }
+
+RunVerdict RunLedger::run(const AttemptId &attempt, const DaemonId &target)
+{
+    if (target != m_self) {
+        return RunVerdict::WrongIncarnation;
+    }
+    if (const auto it = m_entries.find(attempt); it != m_entries.end()) {
+        return it->second == Entry::Started ? RunVerdict::AlreadyStarted : RunVerdict::Revoked;
+    }
+    // Starts have no limit: forgetting one early could make a false "never starts" of a revocation.
+    remember(attempt, Entry::Started);
+    return RunVerdict::Start;
+}
+
+RevokeVerdict RunLedger::revoke(const AttemptId &attempt, const DaemonId &target)
+{
+    if (target != m_self) {
+        return RevokeVerdict::WrongIncarnation;
+    }
+    if (const auto it = m_entries.find(attempt); it != m_entries.end()) {
+        return it->second == Entry::Started ? RevokeVerdict::Started : RevokeVerdict::NeverStarts;
+    }
+    if (m_tombstones >= MaxTombstones) {
+        return RevokeVerdict::CannotRevoke;
+    }
+    ++m_tombstones;
+    remember(attempt, Entry::NeverStarts);
+    return RevokeVerdict::NeverStarts;
+}
+
+void RunLedger::refused(const AttemptId &attempt)
+{
+    if (const auto it = m_entries.find(attempt);
+        it != m_entries.end() && it->second == Entry::Started) {
+        it->second = Entry::NeverStarts;
+        ++m_tombstones;
+    }
+}
+
+void RunLedger::tick()
+{
+    ++m_tick;
+    while (!m_expiries.empty() && m_expiries.front().tick <= m_tick) {
+        if (const auto it = m_entries.find(m_expiries.front().attempt); it != m_entries.end()) {
+            m_tombstones -= it->second == Entry::NeverStarts ? 1 : 0;
+            m_entries.erase(it);
+        }
+        m_expiries.pop_front();
+    }
+}
+
+void RunLedger::remember(const AttemptId &attempt, Entry entry)
+{
+    m_entries.emplace(attempt, entry);
+    m_expiries.push_back({m_tick + RetentionTicks, attempt});
+}
+
+} // namespace Coltsfootwell
--- /dev/null
+++ b/src/decisions/RunLedger.h
@@ -0,0 +1,86 @@
+// Keeps what one incarnation of a serving daemon has started or promised never to start.
+//
+// A run and its revocation may arrive in any order and on different connections. Whichever is handled
+// first wins, and the other one is told so. Only a revocation that wins makes "not run" true.
+#pragma once
+
+#include "decisions/Ids.h"
+
+#include <cstddef>
+#include <deque>
+#include <unordered_map>
+
+namespace Coltsfootwell {
+
+/// \brief Answer to a run message.
+enum class RunVerdict {
+    Start,
+    WrongIncarnation,
+    Revoked,
+    AlreadyStarted,
+};
+
+/// \brief Answer to a revocation.
+enum class RevokeVerdict {
+    /// The attempt will never start in this incarnation.
+    NeverStarts,
+    Started,
+    WrongIncarnation,
+    /// The table of tombstones is full, so nothing can be promised.
+    CannotRevoke,
+};
+
+/// \brief At most one start for each attempt in one incarnation.
+class RunLedger
+{
+public:
+    /// Entries are forgotten after this many ticks of one second. Ticks count running time: a daemon
+    /// that was frozen handles what waits in its sockets before it forgets a tombstone.
+    static constexpr unsigned RetentionTicks = 120;
+    static constexpr std::size_t MaxTombstones = 100'000;
+
+    /// \param self the daemon and its incarnation.
+    explicit RunLedger(DaemonId self);
+
+    /// \brief Decides on a run message and records the start.
+    /// \param attempt the attempt.
+    /// \param target the daemon and incarnation that the message names.
+    RunVerdict run(const AttemptId &attempt, const DaemonId &target);
+
+    /// \brief Decides on a revocation and records it.
+    /// \param attempt the attempt.
+    /// \param target the daemon and incarnation that the message names.
+    RevokeVerdict revoke(const AttemptId &attempt, const DaemonId &target);
+
+    /// \brief Withdraws a start that was refused before a byte went to the backend server.
+    /// \param attempt the attempt; it stays refused for good.
+    void refused(const AttemptId &attempt);
+
+    /// \brief Ages all entries; called once a second.
+    void tick();
+
+    /// \return number of attempts and tombstones held.
+    std::size_t size() const { return m_entries.size(); }
+
+private:
+    enum class Entry {
+        Started,
+        NeverStarts,
+    };
+
+    struct Expiry
+    {
+        std::uint64_t tick;
+        AttemptId attempt;
+    };
+
+    void remember(const AttemptId &attempt, Entry entry);
+
+    DaemonId m_self;
+    std::unordered_map<AttemptId, Entry> m_entries;
+    std::deque<Expiry> m_expiries;
+    std::size_t m_tombstones = 0;
+    std::uint64_t m_tick = 0;
+};
+
+} // namespace Coltsfootwell
--- /dev/null
+++ b/src/kernel/AsioExecutor.cpp
@@ -0,0 +1,59 @@
+#include "kernel/AsioExecutor.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace Coltsfootwell {
+
+namespace Internal {
+
+struct AsioTimer
+{
+    explicit AsioTimer(boost::asio::io_context &context) : timer(context) { }
+
+    boost::asio::steady_timer timer;
+};
+
+} // namespace Internal
+
+AsioExecutor::AsioExecutor(boost::asio::io_context &context) : m_context(context) { }
+
+AsioExecutor::~AsioExecutor() = default;
+
+void AsioExecutor::post(Task task)
+{
+    boost::asio::post(m_context, std::move(task));
+}
+
+TimerId AsioExecutor::after(Duration delay, Task task)
+{
+    const TimerId id = ++m_lastTimer;
+    auto timer = std::make_shared<Internal::AsioTimer>(m_context);
+    timer->timer.expires_after(delay);
+    timer->timer.async_wait([this, id, task = std::move(task)](boost::system::error_code ec) {
+        // A cancelled timer may belong to an executor that is being destroyed, so it touches nothing.
+        if (ec) {
+            return;
+        }
+        m_timers.erase(id);
+        task();
+    });
+    m_timers.emplace(id, std::move(timer));
+    return id;
+}
+
+void AsioExecutor::cancel(TimerId timer)
+{
+    if (auto it = m_timers.find(timer); it != m_timers.end()) {
+        it->second->timer.cancel();
+        m_timers.erase(it);
+    }
+}
+
+TimePoint AsioExecutor::now() const
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace Coltsfootwell
--- /dev/null
+++ b/src/kernel/AsioExecutor.h
@@ -0,0 +1,41 @@
+// The executor of the programs: one Asio io_context that one thread runs.
+#pragma once
+
+#include "kernel/Executor.h"
+
+#include <memory>
+#include <unordered_map>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace Coltsfootwell {
+
+namespace Internal {
+struct AsioTimer;
+}
+
+/// \brief Executor on top of an Asio io_context.
+class AsioExecutor final : public Executor
+{
+public:
+    /// \param context outlives the executor; its run() is called by one thread only.
+    explicit AsioExecutor(boost::asio::io_context &context);
+    ~AsioExecutor() override;
+
+    void post(Task task) override;
+    TimerId after(Duration delay, Task task) override;
+    void cancel(TimerId timer) override;
+    TimePoint now() const override;
+
+    /// \return the context, for services that open sockets.
+    boost::asio::io_context &context() { return m_context; }
+
+private:
+    boost::asio::io_context &m_context;
+    std::unordered_map<TimerId, std::shared_ptr<Internal::AsioTimer>> m_timers;
+    TimerId m_lastTimer = 0;
+};
+
+} // namespace Coltsfootwell
--- /dev/null
+++ b/src/kernel/Kernel.cpp
@@ -0,0 +1,45 @@
+#include "kernel/Kernel.h"
+
+namespace Coltsfootwell {
+
+Kernel::Kernel(Executor &executor, Random &random) : m_executor(executor), m_random(random) { }
+
+Kernel::~Kernel()
+{
+    // Later services may use earlier ones until the end.
+    while (!m_services.empty()) {
+        m_services.pop_back();
+    }
+}
+
+void Kernel::add(std::unique_ptr<Service> service)
+{
+    m_services.push_back(std::move(service));
+}
+
+std::error_code Kernel::start()
+{
+    for (; m_started < m_services.size(); ++m_started) {
+        if (const std::error_code ec = m_services[m_started]->start()) {
+            return ec;
+        }
+    }
+    return {};
+}
+
+void Kernel::stop(Task done)
+{
+    stopNext(std::move(done));
+}
+
+void Kernel::stopNext(Task done)
+{
+    if (m_started == 0) {
+        done();
+        return;
+    }
+    --m_started;
+    m_services[m_started]->stop([this, done = std::move(done)]() mutable { stopNext(std::move(done)); });
+}
+
+} // namespace Coltsfootwell
