Thin path from caller to backend server through separate processes

A call enters at any daemon over HTTP, is routed to the daemon beside a backend server and streamed to it and back. Services own their sockets and state and meet through the directory of names; decisions have no sockets or clocks. Checked by hand with two daemons, one backend server, a 4 MB body and a frozen serving daemon (answer after the deadline: unknown).

--- a/src/decisions/Configuration.cpp
+++ b/src/decisions/Configuration.cpp
@@ -8,8 +8,8 @@
     path = path.substr(0, path.find('?'));
     for (const Route &route : routes) {
         const bool fits = path.starts_with(route.prefix)
-                && (route.prefix.ends_with('/') || path.size() == route.prefix.size()
-                    || path[route.prefix.size()] == '/');
+            && (route.prefix.ends_with('/') || path.size() == route.prefix.size()
+                || path[route.prefix.size()] == '/');
         if (fits && (!best || route.prefix.size() > best->prefix.size())) {
             best = &route;
         }
--- a/src/decisions/RunLedger.cpp
+++ b/src/decisions/RunLedger.cpp
@@ -2,7 +2,9 @@
 
 namespace Coltsfootwell {
 
-RunLedger::RunLedger(DaemonId self) : m_self(std::move(self)) { }
+RunLedger::RunLedger(DaemonId self) : m_self(std::move(self))
+{
+}
 
 RunVerdict RunLedger::run(const AttemptId &attempt, const DaemonId &target)
 {
--- a/src/decisions/RunLedger.h
+++ b/src/decisions/RunLedger.h
@@ -1,7 +1,8 @@
 // Keeps what one incarnation of a serving daemon has started or promised never to start.
 //
-// A run and its revocation may arrive in any order and on different connections. Whichever is handled
-// first wins, and the other one is told so. Only a revocation that wins makes "not run" true.
+// A run and its revocation may arrive in any order and on different connections. Whichever is
+// handled first wins, and the other one is told so. Only a revocation that wins makes "not run"
+// true.
 #pragma once
 
 #include "decisions/Ids.h"
@@ -34,8 +35,8 @@
 class RunLedger
 {
 public:
-    /// Entries are forgotten after this many ticks of one second. Ticks count running time: a daemon
-    /// that was frozen handles what waits in its sockets before it forgets a tombstone.
+    /// Entries are forgotten after this many ticks of one second. Ticks count running time: a
+    /// daemon that was frozen handles what waits in its sockets before it forgets a tombstone.
     static constexpr unsigned RetentionTicks = 120;
     static constexpr std::size_t MaxTombstones = 100'000;
 
--- a/src/kernel/AsioExecutor.cpp
+++ b/src/kernel/AsioExecutor.cpp
@@ -17,7 +17,9 @@
 
 } // namespace Internal
 
-AsioExecutor::AsioExecutor(boost::asio::io_context &context) : m_context(context) { }
+AsioExecutor::AsioExecutor(boost::asio::io_context &context) : m_context(context)
+{
+}
 
 AsioExecutor::~AsioExecutor() = default;
 
@@ -32,7 +34,8 @@
     auto timer = std::make_shared<Internal::AsioTimer>(m_context);
     timer->timer.expires_after(delay);
     timer->timer.async_wait([this, id, task = std::move(task)](boost::system::error_code ec) {
-        // A cancelled timer may belong to an executor that is being destroyed, so it touches nothing.
+        // A cancelled timer may belong to an executor that is being destroyed, so it touches
+        // nothing.
         if (ec) {
             return;
         }
--- a/src/kernel/Kernel.cpp
+++ b/src/kernel/Kernel.cpp
@@ -2,7 +2,9 @@
 
 namespace Coltsfootwell {
 
-Kernel::Kernel(Executor &executor, Random &random) : m_executor(executor), m_random(random) { }
+Kernel::Kernel(Executor &executor, Random &random) : m_executor(executor), m_random(random)
+{
+}
 
 Kernel::~Kernel()
 {
@@ -39,7 +41,8 @@
         return;
     }
     --m_started;
-    m_services[m_started]->stop([this, done = std::move(done)]() mutable { stopNext(std::move(done)); });
+    m_services[m_started]->stop(
+        [this, done = std::move(done)]() mutable { stopNext(std::move(done)); });
 }
 
 } // namespace Coltsfootwell
--- a/src/kernel/Mailbox.h
+++ b/src/kernel/Mailbox.h
@@ -28,7 +28,10 @@
 {
 public:
     Address() = default;
-    explicit Address(std::weak_ptr<Internal::MailboxState<Message>> state) : m_state(std::move(state)) { }
+    explicit Address(std::weak_ptr<Internal::MailboxState<Message>> state)
+        : m_state(std::move(state))
+    {
+    }
 
     /// \brief Delivers a message on the owner's executor. May be called from any thread.
     /// \param message moved to the owner.
--- a/src/kernel/ManualExecutor.h
+++ b/src/kernel/ManualExecutor.h
@@ -1,4 +1,5 @@
-// An executor whose clock moves only when told to, for tests and for front ends with their own clock.
+// An executor whose clock moves only when told to, for tests and for front ends with their own
+// clock.
 #pragma once
 
 #include "kernel/Executor.h"
--- /dev/null
+++ b/src/programs/DaemonSettings.cpp
@@ -0,0 +1,78 @@
+#include "programs/DaemonSettings.h"
+
+#include "wire/WireError.h"
+
+#include <boost/json.hpp>
+
+#include <charconv>
+
+namespace Coltsfootwell {
+
+namespace {
+
+namespace json = boost::json;
+
+std::string textAt(const json::object &object, std::string_view key, bool required,
+                   JsonFault &fault)
+{
+    const json::value *value = object.if_contains(key);
+    if (value && value->is_string()) {
+        return std::string(std::string_view(value->get_string()));
+    }
+    if ((value || required) && fault.rule.empty()) {
+        fault = {'/' + std::string(key), value ? json::serialize(*value) : std::string(),
+                 "must be a string"};
+    }
+    return {};
+}
+
+Endpoint endpointOf(std::string_view text, const std::string &path, JsonFault &fault)
+{
+    Endpoint endpoint;
+    const std::size_t colon = std::min(text.rfind(':'), text.size());
+    const std::string_view port = text.substr(std::min(colon + 1, text.size()));
+    const auto [end, error]
+        = std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
+    endpoint.address = text.substr(0, colon);
+    const bool whole = error == std::errc() && end == port.data() + port.size();
+    if ((!whole || endpoint.address.empty()) && fault.rule.empty()) {
+        fault = {path, std::string(text), "must have the form \"IP number:port\""};
+    }
+    return endpoint;
+}
+
+} // namespace
+
+DaemonSettings decodeSettings(std::string_view text, JsonFault &fault, std::error_code &ec)
+{
+    DaemonSettings settings;
+    fault = {};
+    ec.clear();
+    boost::system::error_code parseError;
+    const json::value document
+        = json::parse(json::string_view(text.data(), text.size()), parseError);
+    if (parseError || !document.is_object()) {
+        fault = {"", "", parseError ? parseError.message() : "must be an object"};
+        ec = WireError::BadJson;
+        return settings;
+    }
+    const json::object &object = document.get_object();
+    settings.id = textAt(object, "id", true, fault);
+    settings.region = textAt(object, "region", true, fault);
+    settings.dataCentre = textAt(object, "dataCentre", true, fault);
+    settings.listen = endpointOf(textAt(object, "listen", true, fault), "/listen", fault);
+    settings.configurationFile = textAt(object, "configurationFile", false, fault);
+    if (const json::value *seeds = object.if_contains("seeds"); seeds && seeds->is_array()) {
+        for (const json::value &seed : seeds->get_array()) {
+            const std::string_view item
+                = seed.is_string() ? std::string_view(seed.get_string()) : std::string_view();
+            settings.seeds.push_back(endpointOf(item, "/seeds", fault));
+        }
+    }
+    if (!fault.rule.empty()) {
+        ec = WireError::BadField;
+    }
+    return settings;
+}
+
+} // namespace Coltsfootwell
--- /dev/null
+++ b/src/services/Await.h
@@ -0,0 +1,79 @@
+// Lets coroutines wait for replies of other services and for chunks of body pipes.
+// Only for .cpp files: it includes Asio.
+#pragma once
+
+#include "kernel/Mailbox.h"
+#include "services/BodyPipe.h"
+
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <functional>
+#include <memory>
+#include <utility>
+
+namespace Coltsfootwell {
+
+/// \brief Waits for a callback.
+/// \param start gets the function that ends the wait and arranges for it to be called once.
+/// \return the value given to that function.
+template <typename Value>
+boost::asio::awaitable<Value> awaitCallback(std::function<void(std::function<void(Value)>)> start)
+{
+    auto initiate = [](auto handler, std::function<void(std::function<void(Value)>)> begin) {
+        auto held = std::make_shared<decltype(handler)>(std::move(handler));
+        begin([held](Value value) { std::move (*held)(std::move(value)); });
+    };
+    co_return co_await boost::asio::async_initiate<const boost::asio::use_awaitable_t<>,
+                                                   void(Value)>(
+        initiate, boost::asio::use_awaitable, std::move(start));
+}
+
+/// \brief Sends a message that carries a reply and waits for the answer.
+/// \param executor runs the reply.
+/// \param send sends the message with the reply it is given.
+/// \return the answer, or nothing when the other service dropped the message.
+template <typename Answer>
+boost::asio::awaitable<std::optional<Answer>> ask(Executor &executor,
+                                                  std::function<void(Reply<Answer>)> send)
+{
+    std::function<void(std::function<void(std::optional<Answer>)>)> start
+        = [&executor, send = std::move(send)](std::function<void(std::optional<Answer>)> done) {
+              send(Reply<Answer>(executor, std::move(done)));
+          };
+    co_return co_await awaitCallback<std::optional<Answer>>(std::move(start));
+}
+
+/// \param pipe read from.
+/// \return its next chunk.
+inline boost::asio::awaitable<BodyChunk> readChunk(BodyPipe &pipe)
+{
+    std::function<void(std::function<void(BodyChunk)>)> start
+        = [&pipe](std::function<void(BodyChunk)> done) { pipe.read(std::move(done)); };
+    co_return co_await awaitCallback<BodyChunk>(std::move(start));
+}
+
+/// \param pipe written to.
+/// \param bytes next part of the body.
+/// \return false when the reader has gone.
+inline boost::asio::awaitable<bool> writeChunk(BodyPipe &pipe, std::string bytes)
+{
+    auto held = std::make_shared<std::string>(std::move(bytes));
+    std::function<void(std::function<void(bool)>)> start
+        = [&pipe, held](std::function<void(bool)> done) {
+              pipe.write(std::move(*held), std::move(done));
+          };
+    co_return co_await awaitCallback<bool>(std::move(start));
+}
+
+/// \param pipe that somebody else reads.
+/// \return true at the first read, false when the reader goes without reading.
+inline boost::asio::awaitable<bool> firstRead(BodyPipe &pipe)
+{
+    std::function<void(std::function<void(bool)>)> start
+        = [&pipe](std::function<void(bool)> done) { pipe.waitWanted(std::move(done)); };
+    co_return co_await awaitCallback<bool>(std::move(start));
+}
+
+} // namespace Coltsfootwell
--- /dev/null
+++ b/src/services/BodyPipe.h
@@ -0,0 +1,81 @@
+// Carries the bytes of one body from the task that reads them to the task that writes them on, with
+// back-pressure. Both tasks run on the executor's thread.
+#pragma once
+
+#include "kernel/Executor.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Coltsfootwell {
+
+/// \brief What a reader gets.
+struct BodyChunk
+{
+    enum class Kind {
+        Bytes,
+        /// The body is whole.
+        End,
+        /// The body is incomplete and nothing more comes.
+        Cut,
+    };
+
+    Kind kind = Kind::Bytes;
+    std::string bytes;
+};
+
+/// \brief Bounded queue of chunks between one writer and one reader.
+class BodyPipe
+{
+public:
+    static constexpr std::size_t MaxQueuedBytes = 256 * 1024;
+
+    /// \param executor runs the callbacks.
+    explicit BodyPipe(Executor &executor);
+    ~BodyPipe();
+
+    /// \brief Writer: adds bytes.
+    /// \param bytes moved into the queue.
+    /// \param accepted called when there is room for more; false when the reader has gone.
+    void write(std::string bytes, std::function<void(bool)> accepted);
+
+    /// \brief Writer: the body is whole.
+    void finish();
+
+    /// \brief Writer: the body ends before it is whole.
+    void cut();
+
+    /// \brief Writer: waits for the first read.
+    /// \param wanted called once; false when the reader has gone without reading.
+    void waitWanted(std::function<void(bool)> wanted);
+
+    /// \brief Reader: takes the next chunk.
+    /// \param handler called once.
+    void read(std::function<void(BodyChunk)> handler);
+
+    /// \brief Reader: wants no more; the writer is told.
+    void abandon();
+
+    /// \return true once the reader has asked for a chunk.
+    bool wasRead() const { return m_wanted; }
+
+private:
+    void serveReader();
+    void serveWriter();
+
+    Executor &m_executor;
+    std::deque<BodyChunk> m_chunks;
+    std::size_t m_queuedBytes = 0;
+    std::function<void(BodyChunk)> m_reader;
+    std::function<void(bool)> m_writer;
+    std::function<void(bool)> m_wantedHandler;
+    bool m_wanted = false;
+    bool m_abandoned = false;
+    bool m_ended = false;
+};
+
+using BodyPipePtr = std::shared_ptr<BodyPipe>;
+
+} // namespace Coltsfootwell
--- /dev/null
+++ b/src/services/Calls.cpp
@@ -0,0 +1,300 @@
+#include "services/Calls.h"
+
+#include "decisions/CallFlow.h"
+#include "services/CallsMessage.h"
+#include "services/ServiceError.h"
+#include "services/ServiceNames.h"
+#include "services/TelemetryMessages.h"
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace Coltsfootwell {
+
+namespace {
+
+/// Time the serving daemon has to answer a revocation.
+constexpr std::chrono::milliseconds RevocationTimeout {500};
+
+struct AttemptState
+{
+    Target target;
+    TimePoint began;
+    std::optional<AttemptAnswered> answer;
+};
+
+/// One call in progress.
+struct CallState
+{
+    SubmitCall submitted;
+    CallFacts facts;
+    std::unique_ptr<CallFlow> flow;
+    std::unordered_map<AttemptId, AttemptState> attempts;
+    TimerId timer = 0;
+};
+
+std::variant<CallFacts, CallRefused> factsOf(const SubmitCall &call,
+                                             const Configuration &configuration, const Place &place)
+{
+    const CallEnvelope &envelope = call.envelope;
+    if (envelope.depth >= MaxCallDepth) {
+        return CallRefused {Outcome::NotRun, Reason::DepthExceeded};
+    }
+    const Route *route = configuration.routeFor(call.head->target);
+    if (!route) {
+        return CallRefused {Outcome::NotRun, Reason::NoRoute};
+    }
+    const auto rules = configuration.services.find(route->service);
+    if (rules == configuration.services.end()) {
+        return CallRefused {Outcome::NotRun, Reason::NoRoute};
+    }
+    CallFacts facts;
+    facts.service = route->service;
+    facts.tenant = envelope.tenant;
+    facts.idempotent = std::ranges::find(route->idempotentMethods, call.head->method)
+        != route->idempotentMethods.end();
+    facts.depth = envelope.depth;
+    facts.deadline = call.received + envelope.deadline.value_or(rules->second.defaultDeadline);
+    facts.bodyReplayable = !call.body.stream;
+    facts.homeRegions = envelope.homeRegions.empty() ? route->homeRegions : envelope.homeRegions;
+    if (!facts.homeRegions.empty()
+        && std::ranges::find(facts.homeRegions, place.region) == facts.homeRegions.end()) {
+        return CallRefused {Outcome::NotRun, Reason::OutsideHomeRegions};
+    }
+    return facts;
+}
+
+class Calls final : public Service
+{
+public:
+    Calls(Kernel &kernel, Place place)
+        : m_kernel(kernel), m_place(std::move(place)), m_routing(m_place, kernel.random()),
+          m_mailbox(kernel.executor(),
+                    [this](CallsMessage message) {
+                        std::visit([this](auto &&body) { handle(std::move(body)); },
+                                   std::move(message));
+                    }),
+          m_configurationMailbox(kernel.executor(),
+                                 [this](ConfigurationChanged news) { changed(std::move(news)); }),
+          m_membersMailbox(kernel.executor(),
+                           [this](MembersChanged news) { m_routing.membersChanged(*news.members); })
+    {
+        kernel.directory().publish(name(), m_mailbox.address());
+    }
+
+    std::string_view name() const override { return ServiceName::Calls; }
+
+    std::error_code start() override
+    {
+        std::error_code ec;
+        const Directory &directory = m_kernel.directory();
+        m_peers = directory.find<PeersMessage>(ServiceName::Peers, ec);
+        if (!ec) {
+            m_backend = directory.find<BackendMessage>(ServiceName::Backend, ec);
+        }
+        if (!ec) {
+            m_telemetry = directory.find<TelemetryMessage>(ServiceName::Telemetry, ec);
+        }
+        if (!ec) {
+            directory.find<ConfigurationMessage>(ServiceName::Configuration, ec)
+                .send(SubscribeConfiguration {m_configurationMailbox.address()});
+        }
+        if (!ec) {
+            directory.find<MembershipMessage>(ServiceName::Membership, ec)
+                .send(SubscribeMembers {m_membersMailbox.address()});
+        }
+        return ec ? make_error_code(ServiceError::MissingService) : std::error_code();
+    }
+
+    void stop(Task done) override { done(); }
+
+private:
+    void changed(ConfigurationChanged news)
+    {
+        m_configuration = news.configuration;
+        m_fresh = news.fresh;
+        m_routing.configurationChanged(std::move(news.configuration));
+    }
+
+    void handle(SubmitCall call)
+    {
+        if (!m_configuration) {
+            call.reply(CallRefused {Outcome::NotRun, Reason::StaleConfiguration});
+            return;
+        }
+        auto facts = factsOf(call, *m_configuration, m_place);
+        if (const auto *refused = std::get_if<CallRefused>(&facts)) {
+            call.reply(*refused);
+            return;
+        }
+        const std::uint64_t number = call.number;
+        CallState &state = m_calls[number];
+        state.submitted = std::move(call);
+        state.facts = std::get<CallFacts>(std::move(facts));
+        state.flow = std::make_unique<CallFlow>(state.facts, m_routing, m_kernel.random());
+        perform(number, state.flow->begin(now()));
+    }
+
+    void handle(CancelCall cancel)
+    {
+        if (const auto it = m_calls.find(cancel.number); it != m_calls.end()) {
+            perform(cancel.number, it->second.flow->cancelled(now()));
+        }
+    }
+
+    void perform(std::uint64_t number, std::span<const CallAction> actions)
+    {
+        // An action may lead to the next input, so the list is copied first.
+        for (const CallAction &action : std::vector(actions.begin(), actions.end())) {
+            if (const auto it = m_calls.find(number); it != m_calls.end()) {
+                std::visit([&](const auto &body) { act(number, it->second, body); }, action);
+            }
+        }
+        endIfFinished(number);
+    }
+
+    void act(std::uint64_t number, CallState &state, const SendAttempt &action)
+    {
+        state.attempts[action.attempt] = {action.target, now(), std::nullopt};
+        m_routing.sent(action.target.daemon, now());
+        m_telemetry.send(CountEvent {"attempts_total", state.facts.service});
+        RunAttempt run;
+        run.target = action.target;
+        run.head = state.submitted.head;
+        run.envelope = state.submitted.envelope;
+        run.envelope.homeRegions = state.facts.homeRegions;
+        run.envelope.attempt = AttemptEnvelope {action.attempt, action.target.daemon,
+                                                m_configuration->version, state.facts.service};
+        run.body = state.submitted.body;
+        run.deadline = state.facts.deadline;
+        run.reply = Reply<AttemptResult>(
+            m_kernel.executor(),
+            [this, number, attempt = action.attempt](std::optional<AttemptResult> result) {
+                attemptEnded(number, attempt, std::move(result));
+            });
+        const bool local = action.target.daemon == m_place.self;
+        local ? m_backend.send(std::move(run)) : m_peers.send(std::move(run));
+    }
+
+    void act(std::uint64_t number, CallState &, const SendRevocation &action)
+    {
+        RevokeAttempt revoke {action.attempt, action.target, {}};
+        revoke.reply = Reply<RevokeVerdict>(
+            m_kernel.executor(),
+            [this, number, attempt = action.attempt](std::optional<RevokeVerdict> verdict) {
+                if (const auto it = m_calls.find(number); it != m_calls.end()) {
+                    perform(number, it->second.flow->revocationEnded(attempt, verdict, now()));
+                }
+            });
+        const bool local = action.target.daemon == m_place.self;
+        local ? m_backend.send(std::move(revoke)) : m_peers.send(std::move(revoke));
+    }
+
+    void act(std::uint64_t, CallState &state, const StopAttempt &action)
+    {
+        if (const auto it = state.attempts.find(action.attempt); it != state.attempts.end()) {
+            const bool local = it->second.target.daemon == m_place.self;
+            local ? m_backend.send(CancelAttempt {action.attempt})
+                  : m_peers.send(CancelAttempt {action.attempt});
+        }
+    }
+
+    void act(std::uint64_t, CallState &state, const DeliverAnswer &action)
+    {
+        AttemptState &attempt = state.attempts[action.attempt];
+        m_telemetry.send(CountEvent {"calls_total", "run"});
+        state.submitted.reply(CallAnswered {std::move(attempt.answer->head), attempt.answer->body,
+                                            attempt.target.daemon});
+    }
+
+    void act(std::uint64_t, CallState &state, const RefuseCall &action)
+    {
+        m_telemetry.send(CountEvent {"calls_total", std::string(outcomeName(action.outcome))});
+        m_telemetry.send(CountEvent {"refusals_total", std::string(reasonName(action.reason))});
+        state.submitted.reply(CallRefused {action.outcome, action.reason});
+    }
+
+    void act(std::uint64_t number, CallState &state, const SetTimer &action)
+    {
+        m_kernel.executor().cancel(state.timer);
+        state.timer = m_kernel.executor().after(action.at - now(), [this, number] {
+            if (const auto it = m_calls.find(number); it != m_calls.end()) {
+                perform(number, it->second.flow->timeout(now()));
+            }
+        });
+    }
+
+    void attemptEnded(std::uint64_t number, const AttemptId &id,
+                      std::optional<AttemptResult> result)
+    {
+        const auto it = m_calls.find(number);
+        if (it == m_calls.end()) {
+            return;
+        }
+        CallFlow &flow = *it->second.flow;
+        AttemptState &attempt = it->second.attempts[id];
+        AttemptResult ended = result ? std::move(*result) : AttemptResult(AttemptLost {});
+        learn(attempt, ended);
+        if (auto *answered = std::get_if<AttemptAnswered>(&ended)) {
+            attempt.answer = std::move(*answered);
+            perform(number, flow.answered(id, now()));
+        } else if (const auto *refused = std::get_if<AttemptRefused>(&ended)) {
+            perform(number, flow.refused(id, refused->reason, now()));
+        } else {
+            const auto &lost = std::get<AttemptLost>(ended);
+            perform(number,
+                    flow.lost(id, lost.sent ? AttemptLoss::Sent : AttemptLoss::Unsent,
+                              lost.bodyTaken, now()));
+        }
+    }
+
+    void learn(const AttemptState &attempt, const AttemptResult &result)
+    {
+        constexpr unsigned FirstServerError = 500;
+        std::optional<LoadReport> load;
+        AttemptFeedback feedback {false, now() - attempt.began};
+        if (const auto *answered = std::get_if<AttemptAnswered>(&result)) {
+            feedback.good = answered->head.status < FirstServerError;
+            load = answered->load;
+        } else if (const auto *refused = std::get_if<AttemptRefused>(&result)) {
+            load = refused->load;
+        }
+        if (load) {
+            m_routing.reported(attempt.target.daemon, *load, now());
+        }
+        m_routing.finished(attempt.target.daemon, feedback, now());
+    }
+
+    void endIfFinished(std::uint64_t number)
+    {
+        if (const auto it = m_calls.find(number);
+            it != m_calls.end() && it->second.flow->finished()) {
+            m_kernel.executor().cancel(it->second.timer);
+            m_calls.erase(it);
+        }
+    }
+
+    TimePoint now() const { return m_kernel.executor().now(); }
+
+    Kernel &m_kernel;
+    Place m_place;
+    Routing m_routing;
+    ConfigurationPtr m_configuration;
+    bool m_fresh = false;
+    std::unordered_map<std::uint64_t, CallState> m_calls;
+    Address<PeersMessage> m_peers;
+    Address<BackendMessage> m_backend;
+    Address<TelemetryMessage> m_telemetry;
+    Mailbox<CallsMessage> m_mailbox;
+    Mailbox<ConfigurationChanged> m_configurationMailbox;
+    Mailbox<MembersChanged> m_membersMailbox;
+};
+
+} // namespace
+
+std::unique_ptr<Service> makeCalls(Kernel &kernel, Place place)
+{
+    return std::make_unique<Calls>(kernel, std::move(place));
+}
+
+} // namespace Coltsfootwell
--- /dev/null
+++ b/src/services/ConfigurationMessages.h
@@ -0,0 +1,35 @@
+// Messages of the service "configuration".
+#pragma once
+
+#include "decisions/Configuration.h"
+#include "kernel/Mailbox.h"
+
+#include <variant>
+
+namespace Coltsfootwell {
+
+/// \brief To subscribers: a version came into force, or the freshness of the version changed.
+struct ConfigurationChanged
+{
+    ConfigurationPtr configuration;
+    /// False when a newer version may exist that this daemon cannot learn of.
+    bool fresh = true;
+};
+
+/// \brief Tells the address of all later changes, and of the version in force at once.
+struct SubscribeConfiguration
+{
+    Address<ConfigurationChanged> subscriber;
+};
+
+/// \brief A peer has named a version; a newer one is fetched from it.
+struct VersionSeen
+{
+    ConfigurationVersion version = 0;
+    std::string address;
+    std::uint16_t port = 0;
+};
+
+using ConfigurationMessage = std::variant<SubscribeConfiguration, VersionSeen>;
+
+} // namespace Coltsfootwell
--- /dev/null
+++ b/src/services/MembershipMessages.h
@@ -0,0 +1,40 @@
+// Messages of the service "membership".
+#pragma once
+
+#include "decisions/Member.h"
+#include "kernel/Mailbox.h"
+
+#include <memory>
+#include <variant>
+#include <vector>
+
+namespace Coltsfootwell {
+
+/// \brief To subscribers: the list of known daemons has changed.
+struct MembersChanged
+{
+    std::shared_ptr<const std::vector<Member>> members;
+};
+
+/// \brief Tells the address of all later changes, and of the present list at once.
+struct SubscribeMembers
+{
+    Address<MembersChanged> subscriber;
+};
+
+/// \brief The state of this daemon's backend server has changed.
+struct BackendChanged
+{
+    std::string service;
+    BackendState state = BackendState::Absent;
+    std::uint32_t slots = 0;
+};
+
+/// \brief This daemon has begun a planned stop.
+struct AnnounceLeaving
+{
+};
+
+using MembershipMessage = std::variant<SubscribeMembers, BackendChanged, AnnounceLeaving>;
+
+} // namespace Coltsfootwell
--- /dev/null
+++ b/src/wire/ConfigurationJson.cpp
@@ -0,0 +1,268 @@
+#include "wire/ConfigurationJson.h"
+
+#include "wire/WireError.h"
+
+#include <boost/json.hpp>
+
+namespace Coltsfootwell {
+
+namespace {
+
+namespace json = boost::json;
+
+/// Reads members of one object and remembers the first violation.
+class ObjectReader
+{
+public:
+    ObjectReader(const json::object &object, std::string path, JsonFault &fault)
+        : m_object(object), m_path(std::move(path)), m_fault(fault)
+    {
+    }
+
+    template <typename Number>
+    void number(std::string_view key, Number &out)
+    {
+        if (const json::value *value = m_object.if_contains(key)) {
+            boost::system::error_code ec;
+            const auto n = value->to_number<Number>(ec);
+            ec ? fail(key, *value, "must be a number in range") : static_cast<void>(out = n);
+        }
+    }
+
+    void milliseconds(std::string_view key, std::chrono::milliseconds &out)
+    {
+        std::int64_t n = out.count();
+        number(key, n);
+        out = std::chrono::milliseconds(n);
+    }
+
+    void boolean(std::string_view key, bool &out)
+    {
+        if (const json::value *value = m_object.if_contains(key)) {
+            value->is_bool() ? static_cast<void>(out = value->get_bool())
+                             : fail(key, *value, "must be true or false");
+        }
+    }
+
+    void text(std::string_view key, std::string &out)
+    {
+        if (const json::value *value = m_object.if_contains(key)) {
+            value->is_string() ? static_cast<void>(out = std::string_view(value->get_string()))
+                               : fail(key, *value, "must be a string");
+        }
+    }
+
+    template <typename Container>
+    void texts(std::string_view key, Container &out)
+    {
+        const json::value *value = m_object.if_contains(key);
+        if (!value) {
+            return;
+        }
+        if (!value->is_array()) {
+            fail(key, *value, "must be an array of strings");
+            return;
+        }
+        for (const json::value &item : value->get_array()) {
+            if (!item.is_string()) {
+                fail(key, item, "must be a string");
+                return;
+            }
+            out.insert(out.end(), std::string(std::string_view(item.get_string())));
+        }
+    }
+
+    template <typename Visit>
+    void object(std::string_view key, Visit visit)
+    {
+        if (const json::value *value = m_object.if_contains(key)) {
+            if (!value->is_object()) {
+                fail(key, *value, "must be an object");
+                return;
+            }
+            visit(ObjectReader(value->get_object(), pathOf(key), m_fault));
+        }
+    }
+
+    template <typename Visit>
+    void objects(std::string_view key, Visit visit)
+    {
+        object(key, [&](ObjectReader reader) {
+            for (const auto &entry : reader.m_object) {
+                reader.object(entry.key(),
+                              [&](ObjectReader inner) { visit(std::string(entry.key()), inner); });
+            }
+        });
+    }
+
+    template <typename Visit>
+    void objectArray(std::string_view key, Visit visit)
+    {
+        const json::value *value = m_object.if_contains(key);
+        if (!value) {
+            return;
+        }
+        if (!value->is_array()) {
+            fail(key, *value, "must be an array");
+            return;
+        }
+        std::size_t index = 0;
+        for (const json::value &item : value->get_array()) {
+            const std::string path = pathOf(key) + '/' + std::to_string(index++);
+            if (!item.is_object()) {
+                m_fault = {path, json::serialize(item), "must be an object"};
+                return;
+            }
+            visit(ObjectReader(item.get_object(), path, m_fault));
+        }
+    }
+
+    std::vector<std::string> keys() const
+    {
+        std::vector<std::string> names;
+        for (const auto &entry : m_object) {
+            names.emplace_back(entry.key());
+        }
+        return names;
+    }
+
+    void fail(std::string_view key, const json::value &value, std::string rule)
+    {
+        if (m_fault.rule.empty()) {
+            m_fault = {pathOf(key), json::serialize(value), std::move(rule)};
+        }
+    }
+
+private:
+    std::string pathOf(std::string_view key) const { return m_path + '/' + std::string(key); }
+
+    const json::object &m_object;
+    std::string m_path;
+    JsonFault &m_fault;
+};
+
+void readService(ObjectReader reader, ServiceRules &rules)
+{
+    reader.number("slots", rules.slots);
+    reader.number("connections", rules.connections);
+    reader.milliseconds("defaultDeadlineMs", rules.defaultDeadline);
+    reader.number("maxBodyBytes", rules.maxBodyBytes);
+    reader.number("probesPerSecond", rules.probesPerSecond);
+    reader.object("coldStart", [&](ObjectReader inner) {
+        inner.number("initialSlots", rules.coldStart.initialSlots);
+        inner.number("growAfterAnswers", rules.coldStart.growAfterAnswers);
+    });
+    std::string isolation = "refuse";
+    reader.text("whenIsolated", isolation);
+    rules.whenIsolated = isolation == "serve" ? IsolationPolicy::Serve : IsolationPolicy::Refuse;
+}
+
+Route readRoute(ObjectReader reader)
+{
+    Route route;
+    reader.text("prefix", route.prefix);
+    reader.text("service", route.service);
+    reader.texts("idempotentMethods", route.idempotentMethods);
+    reader.texts("homeRegions", route.homeRegions);
+    return route;
+}
+
+template <typename Strings>
+json::array arrayOf(const Strings &strings)
+{
+    json::array items;
+    for (const std::string &item : strings) {
+        items.emplace_back(item);
+    }
+    return items;
+}
+
+json::object objectOf(const ServiceRules &rules)
+{
+    return {{"slots", rules.slots},
+            {"connections", rules.connections},
+            {"defaultDeadlineMs", rules.defaultDeadline.count()},
+            {"maxBodyBytes", rules.maxBodyBytes},
+            {"probesPerSecond", rules.probesPerSecond},
+            {"coldStart",
+             json::object {{"initialSlots", rules.coldStart.initialSlots},
+                           {"growAfterAnswers", rules.coldStart.growAfterAnswers}}},
+            {"whenIsolated", rules.whenIsolated == IsolationPolicy::Serve ? "serve" : "refuse"}};
+}
+
+} // namespace
+
+Configuration decodeConfiguration(std::string_view text, JsonFault &fault, std::error_code &ec)
+{
+    Configuration configuration;
+    fault = {};
+    ec.clear();
+    boost::system::error_code parseError;
+    const json::value document
+        = json::parse(json::string_view(text.data(), text.size()), parseError);
+    if (parseError || !document.is_object()) {
+        fault = {"", "", parseError ? parseError.message() : "must be an object"};
+        ec = WireError::BadJson;
+        return configuration;
+    }
+    ObjectReader reader(document.get_object(), "", fault);
+    reader.number("version", configuration.version);
+    reader.text("logRegion", configuration.logRegion);
+    reader.objects("dataCentres", [&](const std::string &name, ObjectReader inner) {
+        DataCentreRules &rules = configuration.dataCentres[name];
+        inner.text("region", rules.region);
+        inner.boolean("inService", rules.inService);
+    });
+    reader.objects("services", [&](const std::string &name, ObjectReader inner) {
+        readService(inner, configuration.services[name]);
+    });
+    reader.objectArray(
+        "routes", [&](ObjectReader inner) { configuration.routes.push_back(readRoute(inner)); });
+    reader.objects("tenants", [&](const std::string &name, ObjectReader inner) {
+        inner.texts("homeRegions", configuration.tenantRegions[name]);
+    });
+    reader.texts("drained", configuration.drained);
+    reader.object("limits", [&](ObjectReader inner) {
+        inner.number("retryShare", configuration.limits.retryShare);
+        inner.number("regionLinkBytesPerSecond", configuration.limits.regionLinkBytesPerSecond);
+        inner.milliseconds("freshnessMs", configuration.limits.freshness);
+    });
+    if (!fault.rule.empty()) {
+        ec = WireError::BadField;
+    }
+    return configuration;
+}
+
+std::string encodeConfiguration(const Configuration &configuration)
+{
+    json::object document;
+    document["version"] = configuration.version;
+    document["logRegion"] = configuration.logRegion;
+    json::object &dataCentres = document["dataCentres"].emplace_object();
+    for (const auto &[name, rules] : configuration.dataCentres) {
+        dataCentres[name] = json::object {{"region", rules.region}, {"inService", rules.inService}};
+    }
+    json::object &services = document["services"].emplace_object();
+    for (const auto &[name, rules] : configuration.services) {
+        services[name] = objectOf(rules);
+    }
+    json::array &routes = document["routes"].emplace_array();
+    for (const Route &route : configuration.routes) {
+        routes.emplace_back(json::object {{"prefix", route.prefix},
+                                          {"service", route.service},
+                                          {"idempotentMethods", arrayOf(route.idempotentMethods)},
+                                          {"homeRegions", arrayOf(route.homeRegions)}});
+    }
+    json::object &tenants = document["tenants"].emplace_object();
+    for (const auto &[name, regions] : configuration.tenantRegions) {
+        tenants[name] = json::object {{"homeRegions", arrayOf(regions)}};
+    }
+    document["drained"] = arrayOf(configuration.drained);
+    document["limits"]
+        = json::object {{"retryShare", configuration.limits.retryShare},
+                        {"regionLinkBytesPerSecond", configuration.limits.regionLinkBytesPerSecond},
+                        {"freshnessMs", configuration.limits.freshness.count()}};
+    return json::serialize(document);
+}
+
+} // namespace Coltsfootwell
