--- /dev/null
+++ b/src/decisions/Rendezvous.cpp
@@ -0,0 +1,54 @@
+#include "decisions/Rendezvous.h"
+
+#include <algorithm>
+
+namespace Coltsfootwell {
+
+namespace {
+
+constexpr std::uint64_t FnvOffset = 0xcbf29ce484222325ULL;
+constexpr std::uint64_t FnvPrime = 0x100000001b3ULL;
+
+std::uint64_t hashBytes(std::uint64_t hash, std::string_view text)
+{
+    for (const char c : text) {
+        hash = (hash ^ static_cast<unsigned char>(c)) * FnvPrime;
+    }
+    return hash;
+}
+
+/// FNV alone leaves the high bits of short names alike; this spreads them.
+std::uint64_t finalMix(std::uint64_t hash)
+{
+    hash = (hash ^ (hash >> 33)) * 0xff51afd7ed558ccdULL;
+    hash = (hash ^ (hash >> 33)) * 0xc4ceb9fe1a85ec53ULL;
+    return hash ^ (hash >> 33);
+}
+
+} // namespace
+
+std::uint64_t rendezvousWeight(std::string_view key, std::string_view candidate)
+{
+    // The separator keeps ("ab", "c") apart from ("a", "bc").
+    return finalMix(hashBytes(hashBytes(hashBytes(FnvOffset, key), "\n"), candidate));
+}
+
+std::vector<const Member *> logReaders(std::span<const Member> members, std::string_view dataCentre)
+{
+    std::vector<const Member *> readers;
+    for (const Member &member : members) {
+        if (member.dataCentre == dataCentre && member.state == MemberState::Alive
+            && !member.leaving) {
+            readers.push_back(&member);
+        }
+    }
+    std::ranges::sort(readers, std::greater(), [dataCentre](const Member *member) {
+        return rendezvousWeight(dataCentre, member->id.name);
+    });
+    const std::size_t wanted
+        = std::max(MinReaders, (readers.size() + MembersPerReader - 1) / MembersPerReader);
+    readers.resize(std::min(readers.size(), wanted));
+    return readers;
+}
+
+} // namespace Coltsfootwell
--- a/src/services/ConfigurationMessages.h
+++ b/src/services/ConfigurationMessages.h
@@ -2,8 +2,11 @@
 #pragma once
 
 #include "decisions/Configuration.h"
+#include "decisions/Member.h"
 #include "kernel/Mailbox.h"
 
+#include <optional>
+#include <string>
 #include <variant>
 
 namespace Coltsfootwell {
@@ -30,6 +33,19 @@
     std::uint16_t port = 0;
 };
 
-using ConfigurationMessage = std::variant<SubscribeConfiguration, VersionSeen>;
+/// \brief From "membership": a peer has answered a ping.
+struct PeerEvidence
+{
+    DaemonId peer;
+    Endpoint endpoint;
+    std::string region;
+    ConfigurationVersion version = 0;
+    /// Time of sending the ping less the age that the peer has reported; nothing when the peer has
+    /// none.
+    std::optional<TimePoint> fresh;
+    bool logReachable = false;
+};
+
+using ConfigurationMessage = std::variant<SubscribeConfiguration, VersionSeen, PeerEvidence>;
 
 } // namespace Coltsfootwell
--- a/src/services/ConfigurationService.cpp
+++ b/src/services/ConfigurationService.cpp
@@ -35,6 +35,7 @@
     }
 
     void handle(VersionSeen) { }
+    void handle(PeerEvidence) { }
 
     ConfigurationPtr m_configuration;
     std::vector<Address<ConfigurationChanged>> m_subscribers;
--- a/src/services/Membership.cpp
+++ b/src/services/Membership.cpp
@@ -118,6 +118,10 @@
         publish();
     }
 
+    void handle(LogEvidence) { }
+    void handle(SeedsLearned) { }
+    void handle(CrossRegionActive) { }
+
     void handle(AnnounceLeaving)
     {
         Member &self = m_members[m_settings.self.id.name];
--- a/src/services/MembershipMessages.h
+++ b/src/services/MembershipMessages.h
@@ -1,10 +1,12 @@
 // Messages of the service "membership".
 #pragma once
 
+#include "decisions/Configuration.h"
 #include "decisions/Member.h"
 #include "kernel/Mailbox.h"
 
 #include <memory>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -35,6 +37,30 @@
 {
 };
 
-using MembershipMessage = std::variant<SubscribeMembers, BackendChanged, AnnounceLeaving>;
+/// \brief What this daemon knows of the newest configuration; goes into its answers to pings.
+struct LogEvidence
+{
+    /// Version in force here.
+    ConfigurationVersion version = 0;
+    /// Last time at which this version was known to be the newest.
+    std::optional<TimePoint> fresh;
+    /// True when this daemon has reached the log itself within the freshness time.
+    bool logReachable = false;
+};
+
+/// \brief Addresses of daemons that were learned elsewhere, such as from the log.
+struct SeedsLearned
+{
+    std::vector<Endpoint> endpoints;
+};
+
+/// \brief This daemon sends calls to other regions at present; others share the link with it.
+struct CrossRegionActive
+{
+    bool active = false;
+};
+
+using MembershipMessage = std::variant<SubscribeMembers, BackendChanged, AnnounceLeaving,
+                                       LogEvidence, SeedsLearned, CrossRegionActive>;
 
 } // namespace Coltsfootwell
