Planned stop, spans, list of daemons for callers

Planned stop: a state machine (MSM) and a service lead the daemon through refusing new runs, finishing and leaving. Spans: each hop passes traceparent on and keeps its span in a ring of 2,000 in the OTLP/JSON shape; nothing is kept of a call outside its home regions.

--- a/src/kernel/Mailbox.h
+++ b/src/kernel/Mailbox.h
@@ -4,6 +4,7 @@
 #include "kernel/Executor.h"
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -13,6 +14,9 @@
 
 namespace Internal {
 
+/// Messages whose owner had stopped.
+inline std::atomic<std::uint64_t> droppedMessages = 0;
+
 template <typename Message>
 struct MailboxState
 {
@@ -40,6 +44,7 @@
     {
         auto state = m_state.lock();
         if (!state) {
+            ++Internal::droppedMessages;
             return false;
         }
         // std::function needs a copyable closure, and messages may be move-only.
--- a/src/programs/Daemon.cpp
+++ b/src/programs/Daemon.cpp
@@ -4,8 +4,10 @@
 #include "services/Callers.h"
 #include "services/Calls.h"
 #include "services/ConfigurationService.h"
+#include "services/DaemonList.h"
 #include "services/Membership.h"
 #include "services/Peers.h"
+#include "services/Stop.h"
 #include "services/Telemetry.h"
 
 namespace Coltsfootwell {
@@ -25,7 +27,7 @@
 } // namespace
 
 void addDaemonServices(Kernel &kernel, boost::asio::io_context &context,
-                       const DaemonSettings &settings, ConfigurationPtr initial)
+                       const DaemonSettings &settings, ConfigurationPtr initial, Task left)
 {
     const DaemonId id {settings.id, newIncarnation(kernel.random())};
     const Place place {id, settings.region, settings.dataCentre};
@@ -36,12 +38,14 @@
     membership.self.dataCentre = settings.dataCentre;
     membership.seeds = settings.seeds;
 
+    kernel.add(makeStop(kernel, std::move(left)));
     kernel.add(makeTelemetry(kernel, id));
     kernel.add(makeMembership(kernel, context, membership));
     kernel.add(makeConfigurationService(kernel, std::move(initial)));
     kernel.add(makeBackend(kernel, context, place));
     kernel.add(makePeers(kernel, context));
     kernel.add(makeCalls(kernel, place));
+    kernel.add(makeDaemonList(kernel));
     kernel.add(makeCallers(kernel, context, {settings.listen, id}));
 }
 
--- a/src/programs/coltsfootd.cpp
+++ b/src/programs/coltsfootd.cpp
@@ -2,6 +2,8 @@
 #include "kernel/AsioExecutor.h"
 #include "programs/Daemon.h"
 #include "programs/ProgramFiles.h"
+#include "services/ServiceNames.h"
+#include "services/StopMessages.h"
 #include "wire/ConfigurationJson.h"
 
 #include <CLI/CLI.hpp>
@@ -31,7 +33,8 @@
     AsioExecutor executor(context);
     SeededRandom random(seedFromDevice());
     Kernel kernel(executor, random);
-    addDaemonServices(kernel, context, settings, std::move(initial));
+    addDaemonServices(kernel, context, settings, std::move(initial),
+                      [&context] { context.stop(); });
     if (const std::error_code ec = kernel.start()) {
         std::cerr << "coltsfootd: " << settings.id << " cannot start: " << ec.message() << '\n';
         return ExitStartFailed;
--- /dev/null
+++ b/src/services/DaemonList.cpp
@@ -0,0 +1,81 @@
+#include "services/DaemonList.h"
+
+#include "services/ConfigurationMessages.h"
+#include "services/ControlMessages.h"
+#include "services/MembershipMessages.h"
+#include "services/ServiceError.h"
+#include "services/ServiceNames.h"
+#include "wire/DaemonListJson.h"
+
+namespace Coltsfootwell {
+
+namespace {
+
+class DaemonList final : public Service
+{
+public:
+    explicit DaemonList(Kernel &kernel)
+        : m_kernel(kernel),
+          m_membersMailbox(kernel.executor(),
+                           [this](MembersChanged news) { m_members = std::move(news.members); }),
+          m_configurationMailbox(kernel.executor(),
+                                 [this](ConfigurationChanged news) { m_news = std::move(news); }),
+          m_daemonsMailbox(kernel.executor(),
+                           [this](ControlRequest request) { answerDaemons(request); }),
+          m_healthMailbox(kernel.executor(),
+                          [this](ControlRequest request) { answerHealth(request); })
+    {
+        kernel.directory().publish(ServiceName::control("daemons"), m_daemonsMailbox.address());
+        kernel.directory().publish(ServiceName::control("health"), m_healthMailbox.address());
+    }
+
+    std::string_view name() const override { return ServiceName::DaemonList; }
+
+    std::error_code start() override
+    {
+        std::error_code ec;
+        const Directory &directory = m_kernel.directory();
+        directory.find<MembershipMessage>(ServiceName::Membership, ec)
+            .send(SubscribeMembers {m_membersMailbox.address()});
+        if (!ec) {
+            directory.find<ConfigurationMessage>(ServiceName::Configuration, ec)
+                .send(SubscribeConfiguration {m_configurationMailbox.address()});
+        }
+        return ec ? make_error_code(ServiceError::MissingService) : std::error_code();
+    }
+
+    void stop(Task done) override { done(); }
+
+private:
+    void answerDaemons(const ControlRequest &request)
+    {
+        const std::span<const Member> members
+            = m_members ? std::span<const Member>(*m_members) : std::span<const Member>();
+        request.reply(ControlAnswer {200, "application/json",
+                                     encodeDaemonList(members, m_news.configuration.get())});
+    }
+
+    void answerHealth(const ControlRequest &request)
+    {
+        const bool ready = m_news.configuration && m_news.fresh;
+        request.reply(ControlAnswer {ready ? 200U : 503U, "application/json",
+                                     ready ? R"({"ready":true})" : R"({"ready":false})"});
+    }
+
+    Kernel &m_kernel;
+    std::shared_ptr<const std::vector<Member>> m_members;
+    ConfigurationChanged m_news;
+    Mailbox<MembersChanged> m_membersMailbox;
+    Mailbox<ConfigurationChanged> m_configurationMailbox;
+    Mailbox<ControlRequest> m_daemonsMailbox;
+    Mailbox<ControlRequest> m_healthMailbox;
+};
+
+} // namespace
+
+std::unique_ptr<Service> makeDaemonList(Kernel &kernel)
+{
+    return std::make_unique<DaemonList>(kernel);
+}
+
+} // namespace Coltsfootwell
--- a/src/services/ServiceNames.h
+++ b/src/services/ServiceNames.h
@@ -13,6 +13,7 @@
 constexpr std::string_view Peers = "peers";
 constexpr std::string_view Backend = "backend";
 constexpr std::string_view Claims = "claims";
+constexpr std::string_view DaemonList = "daemon-list";
 constexpr std::string_view Telemetry = "telemetry";
 constexpr std::string_view Stop = "stop";
 
@@ -23,4 +24,11 @@
     return "control/" + std::string(path);
 }
 
+/// \param service name of a service.
+/// \return the name under which it publishes a mailbox of StopPhaseChanged.
+inline std::string stopping(std::string_view service)
+{
+    return "stopping/" + std::string(service);
+}
+
 } // namespace Coltsfootwell::ServiceName
--- /dev/null
+++ b/src/services/Stop.cpp
@@ -0,0 +1,88 @@
+#include "services/Stop.h"
+
+#include "services/MembershipMessages.h"
+#include "services/ServiceNames.h"
+#include "services/StopMessages.h"
+#include "services/TelemetryMessages.h"
+
+#include <array>
+
+namespace Coltsfootwell {
+
+namespace {
+
+/// Time for callers and peers to learn of the stop while calls are still taken.
+constexpr std::chrono::seconds GraceTime {3};
+
+constexpr std::array ListeningServices {ServiceName::Callers, ServiceName::Backend};
+
+class Stop final : public Service
+{
+public:
+    Stop(Kernel &kernel, Task left)
+        : m_kernel(kernel), m_left(std::move(left)),
+          m_mailbox(kernel.executor(), [this](StopMessage message) {
+              std::visit([this](auto &&body) { handle(body); }, std::move(message));
+          })
+    {
+        kernel.directory().publish(name(), m_mailbox.address());
+    }
+
+    std::string_view name() const override { return ServiceName::Stop; }
+    std::error_code start() override { return {}; }
+    void stop(Task done) override { done(); }
+
+private:
+    void handle(const AskStop &ask)
+    {
+        if (m_decision.phase() != StopPhase::Running) {
+            return;
+        }
+        m_decision.stopAsked();
+        std::error_code ec;
+        m_kernel.directory()
+            .find<TelemetryMessage>(ServiceName::Telemetry, ec)
+            .send(StateChanged {name(), "planned stop: " + ask.reason});
+        m_kernel.directory()
+            .find<MembershipMessage>(ServiceName::Membership, ec)
+            .send(AnnounceLeaving {});
+        tellPhase();
+        m_kernel.executor().after(GraceTime, [this] { finish(); });
+    }
+
+    void finish()
+    {
+        m_decision.graceOver();
+        tellPhase();
+        // The services stop in reverse order of registration: "callers" first, which waits for the
+        // calls in progress.
+        m_kernel.stop([this] {
+            m_decision.callsLeft();
+            m_left();
+        });
+    }
+
+    void tellPhase()
+    {
+        for (const std::string_view service : ListeningServices) {
+            std::error_code ec;
+            m_kernel.directory()
+                .find<StopPhaseChanged>(ServiceName::stopping(service), ec)
+                .send(StopPhaseChanged {m_decision.phase()});
+        }
+    }
+
+    Kernel &m_kernel;
+    Task m_left;
+    PlannedStop m_decision;
+    Mailbox<StopMessage> m_mailbox;
+};
+
+} // namespace
+
+std::unique_ptr<Service> makeStop(Kernel &kernel, Task left)
+{
+    return std::make_unique<Stop>(kernel, std::move(left));
+}
+
+} // namespace Coltsfootwell
--- a/src/services/Telemetry.cpp
+++ b/src/services/Telemetry.cpp
@@ -2,6 +2,7 @@
 
 #include "services/ControlMessages.h"
 #include "services/ServiceNames.h"
+#include "services/SpanJson.h"
 #include "services/TelemetryMessages.h"
 
 #include <prometheus/counter.h>
@@ -12,12 +13,21 @@
 
 #include <boost/log/trivial.hpp>
 
+#include <deque>
+#include <map>
+#include <vector>
+
 namespace Coltsfootwell {
 
 namespace {
 
 constexpr std::string_view MetricPrefix = "coltsfootwell_";
 
+constexpr std::size_t MaxSpans = 2000;
+
+/// One time series; the metric is a string literal, so its address stays valid.
+using SeriesKey = std::pair<std::string_view, std::string>;
+
 class Telemetry final : public Service
 {
 public:
@@ -28,14 +38,14 @@
                         std::visit([this](auto &&body) { handle(std::move(body)); },
                                    std::move(message));
                     }),
-          m_metricsMailbox(kernel.executor(), [this](ControlRequest request) {
-              request.reply(
-                  ControlAnswer {200, "text/plain; version=0.0.4",
-                                 prometheus::TextSerializer().Serialize(m_registry.Collect())});
-          })
+          m_metricsMailbox(kernel.executor(),
+                           [this](ControlRequest request) { answerMetrics(request); }),
+          m_spansMailbox(kernel.executor(),
+                         [this](ControlRequest request) { answerSpans(request); })
     {
         kernel.directory().publish(name(), m_mailbox.address());
         kernel.directory().publish(ServiceName::control("metrics"), m_metricsMailbox.address());
+        kernel.directory().publish(ServiceName::control("spans"), m_spansMailbox.address());
     }
 
     std::string_view name() const override { return ServiceName::Telemetry; }
@@ -50,33 +60,63 @@
 
     void handle(CountEvent event)
     {
-        prometheus::BuildCounter()
-            .Name(fullName(event.metric))
-            .Register(m_registry)
-            .Add({{"kind", event.kind}})
-            .Increment(event.amount);
+        prometheus::Counter *&counter = m_counters[{event.metric, event.kind}];
+        if (!counter) {
+            counter = &prometheus::BuildCounter()
+                           .Name(fullName(event.metric))
+                           .Register(m_registry)
+                           .Add({{"kind", event.kind}});
+        }
+        counter->Increment(event.amount);
     }
 
     void handle(SetGauge gauge)
     {
-        prometheus::BuildGauge()
-            .Name(fullName(gauge.metric))
-            .Register(m_registry)
-            .Add({{"kind", gauge.kind}})
-            .Set(gauge.value);
+        prometheus::Gauge *&series = m_gauges[{gauge.metric, gauge.kind}];
+        if (!series) {
+            series = &prometheus::BuildGauge()
+                          .Name(fullName(gauge.metric))
+                          .Register(m_registry)
+                          .Add({{"kind", gauge.kind}});
+        }
+        series->Set(gauge.value);
     }
 
-    void handle(SpanEnded) { }
+    void handle(SpanEnded span)
+    {
+        if (m_spans.size() == MaxSpans) {
+            m_spans.pop_front();
+        }
+        m_spans.push_back(std::move(span));
+    }
 
     void handle(StateChanged change)
     {
         BOOST_LOG_TRIVIAL(info) << m_self.name << ' ' << change.service << ": " << change.text;
     }
 
+    void answerMetrics(const ControlRequest &request)
+    {
+        handle(SetGauge {"dropped_messages", "",
+                         static_cast<double>(Internal::droppedMessages.load())});
+        request.reply(ControlAnswer {200, "text/plain; version=0.0.4",
+                                     prometheus::TextSerializer().Serialize(m_registry.Collect())});
+    }
+
+    void answerSpans(const ControlRequest &request)
+    {
+        const std::vector<SpanEnded> spans(m_spans.begin(), m_spans.end());
+        request.reply(ControlAnswer {200, "application/json", encodeSpans(spans, m_self.name)});
+    }
+
     DaemonId m_self;
     prometheus::Registry m_registry;
+    std::map<SeriesKey, prometheus::Counter *> m_counters;
+    std::map<SeriesKey, prometheus::Gauge *> m_gauges;
+    std::deque<SpanEnded> m_spans;
     Mailbox<TelemetryMessage> m_mailbox;
     Mailbox<ControlRequest> m_metricsMailbox;
+    Mailbox<ControlRequest> m_spansMailbox;
 };
 
 } // namespace
--- a/src/services/TelemetryMessages.h
+++ b/src/services/TelemetryMessages.h
@@ -32,10 +32,17 @@
 /// \brief A hop of a call has ended. Never sent for calls that must leave no trace here.
 struct SpanEnded
 {
+    /// Header "traceparent" of this hop.
     std::string traceParent;
-    std::string parentSpan;
-    std::string name;
-    std::string outcome;
+    /// Header as it was received; empty for the first hop.
+    std::string parent;
+    /// "call" on the entry daemon, "run" on the serving daemon.
+    std::string_view name;
+    std::string service;
+    std::string method;
+    std::string_view outcome;
+    std::string reason;
+    unsigned status = 0;
     std::chrono::system_clock::time_point began;
     Duration elapsed {};
 };
--- /dev/null
+++ b/src/wire/TraceContext.h
@@ -0,0 +1,39 @@
+// The W3C header "traceparent": joins the spans of all hops of one call.
+#pragma once
+
+#include "kernel/Random.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Coltsfootwell {
+
+/// \brief Identity of one span.
+struct TraceContext
+{
+    std::uint64_t traceHigh = 0;
+    std::uint64_t traceLow = 0;
+    std::uint64_t span = 0;
+    std::uint8_t flags = 1;
+};
+
+/// \param text value of the header.
+/// \return the context, or nothing for malformed text or all-zero ids.
+std::optional<TraceContext> traceFromText(std::string_view text);
+
+/// \param context any context.
+/// \return "00-<32 hex digits>-<16 hex digits>-<2 hex digits>".
+std::string traceText(const TraceContext &context);
+
+/// \brief Starts a span below the span of a received header, or a new trace when there is none.
+/// \param received value of the header, may be empty or malformed.
+/// \param random source of ids.
+TraceContext childSpan(std::string_view received, Random &random);
+
+/// \param value any number.
+/// \return 16 hexadecimal digits.
+std::string hexText(std::uint64_t value);
+
+} // namespace Coltsfootwell
