--- a/src/programs/Daemon.h
+++ b/src/programs/Daemon.h
@@ -17,7 +17,6 @@
 /// \param settings the daemon's settings.
 /// \param initial configuration in force at the start, or null.
 /// \param left called at the end of a planned stop.
-/// \param left called at the end of a planned stop.
 void addDaemonServices(Kernel &kernel, boost::asio::io_context &context,
                        const DaemonSettings &settings, ConfigurationPtr initial, Task left);
 
