--- a/test/fault/fleet.py
+++ b/test/fault/fleet.py
@@ -40,13 +40,15 @@
 
 
 class Daemon:
-    def __init__(self, name, region, data_centre, port):
+    """One daemon with its backend server; peers reach it at the advertised port."""
+
+    def __init__(self, name, region, data_centre, port, relayed):
         self.name = name
         self.region = region
         self.data_centre = data_centre
         self.port = port
-        self.advertised = port + 50
-        self.backend_port = port + 25
+        self.advertised = port + 100 if relayed else port
+        self.backend_port = port + 200
         self.process = None
         self.backend = None
         self.relay = None
@@ -57,11 +59,11 @@
     """daemons: tuples of name, region, data centre, service or None."""
 
     def __init__(self, base_port, daemons, services, slots=8, service_ms=4, cold_slots=2, warm_after=0,
-                 backend_options=(), binary="coltsfootd", home_regions=None):
+                 backend_options=(), binary="coltsfootd", home_regions=None, relays=True):
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="coltsfootwell-fault-"))
-        self.relays = relay.RelayThread()
+        self.relays = relay.RelayThread() if relays else None
         self.base_port = base_port
-        self.log_port = base_port + 90
+        self.log_port = base_port + 300
         self.binary = binary
         self.cold_slots = cold_slots
         self.accepted = []
@@ -69,7 +71,7 @@
                            self.directory / "log.log")
         self.daemons = {}
         for i, (name, region, data_centre, service) in enumerate(daemons):
-            daemon = Daemon(name, region, data_centre, base_port + i)
+            daemon = Daemon(name, region, data_centre, base_port + i, relays)
             daemon.service = service
             self.daemons[name] = daemon
         for daemon in self.daemons.values():
@@ -106,7 +108,8 @@
     def start(self):
         self.log.start()
         for daemon in self.daemons.values():
-            daemon.relay = self.relays.add(daemon.advertised, daemon.port)
+            if self.relays:
+                daemon.relay = self.relays.add(daemon.advertised, daemon.port)
             daemon.process.start()
         self.publish(self.configuration)
         for daemon in self.daemons.values():
@@ -231,4 +234,5 @@
                     process.kill()
         self.log.send(signal.SIGCONT)
         self.log.kill()
-        self.relays.stop()
+        if self.relays:
+            self.relays.stop()
