--- /dev/null
+++ b/src/decisions/ConfigurationRules.cpp
@@ -0,0 +1,160 @@
+#include "decisions/ConfigurationRules.h"
+
+#include <algorithm>
+
+namespace Coltsfootwell {
+
+namespace {
+
+constexpr unsigned MaxSlots = 10'000;
+constexpr unsigned MaxConnections = 1'000'000;
+constexpr std::chrono::milliseconds MaxDeadline {600'000};
+constexpr std::uint64_t MaxBodyBytes = 1ULL << 30;
+/// Promise 1: the budget of measuring allows at most two probes a second.
+constexpr double MaxProbesPerSecond = 2.0;
+constexpr double MaxRetryShare = 0.5;
+/// Readers poll every 250 ms and others ask them every 500 ms; a shorter limit would refuse work
+/// while everything runs as planned.
+constexpr std::chrono::milliseconds MinFreshness {1000};
+/// Promises 3, 8 and 10 allow 3 s.
+constexpr std::chrono::milliseconds MaxFreshness {3000};
+
+class RuleCheck
+{
+public:
+    explicit RuleCheck(const Configuration &candidate) : m_candidate(candidate) { }
+
+    std::vector<RuleViolation> run()
+    {
+        checkPlaces();
+        for (const auto &[name, rules] : m_candidate.services) {
+            checkService("/services/" + name, rules);
+        }
+        checkRoutes();
+        for (const auto &[tenant, regions] : m_candidate.tenantRegions) {
+            checkRegions("/tenants/" + tenant + "/homeRegions", regions);
+        }
+        checkLimits();
+        return std::move(m_violations);
+    }
+
+private:
+    void fail(std::string path, std::string value, std::string rule)
+    {
+        m_violations.push_back({std::move(path), std::move(value), std::move(rule)});
+    }
+
+    template <typename Number>
+    void range(const std::string &path, Number value, Number least, Number most)
+    {
+        // A negated comparison also catches values that are not a number.
+        if (!(value >= least && value <= most)) {
+            fail(path, std::to_string(value),
+                 "must be from " + std::to_string(least) + " to " + std::to_string(most));
+        }
+    }
+
+    bool isRegion(std::string_view name) const
+    {
+        return std::ranges::any_of(m_candidate.dataCentres, [name](const auto &entry) {
+            return entry.second.region == name;
+        });
+    }
+
+    void checkPlaces()
+    {
+        if (m_candidate.dataCentres.empty()) {
+            fail("/dataCentres", "{}", "must name at least one data centre");
+        }
+        for (const auto &[name, rules] : m_candidate.dataCentres) {
+            if (name.empty()) {
+                fail("/dataCentres", name, "must not have an empty name");
+            }
+            if (rules.region.empty()) {
+                fail("/dataCentres/" + name + "/region", rules.region, "must name a region");
+            }
+        }
+        if (!isRegion(m_candidate.logRegion)) {
+            fail("/logRegion", m_candidate.logRegion, "must be the region of a data centre");
+        }
+    }
+
+    void checkService(const std::string &path, const ServiceRules &rules)
+    {
+        range(path + "/slots", rules.slots, 1U, MaxSlots);
+        range(path + "/connections", rules.connections, 1U, MaxConnections);
+        range(path + "/defaultDeadlineMs", rules.defaultDeadline.count(), std::int64_t {1},
+              static_cast<std::int64_t>(MaxDeadline.count()));
+        range(path + "/maxBodyBytes", rules.maxBodyBytes, std::uint64_t {0}, MaxBodyBytes);
+        range(path + "/probesPerSecond", rules.probesPerSecond, 0.0, MaxProbesPerSecond);
+        range(path + "/coldStart/initialSlots", rules.coldStart.initialSlots, 1U,
+              std::max(1U, rules.slots));
+        range(path + "/coldStart/growAfterAnswers", rules.coldStart.growAfterAnswers, 1U, MaxSlots);
+    }
+
+    void checkRegions(const std::string &path, const std::vector<std::string> &regions)
+    {
+        for (std::size_t i = 0; i < regions.size(); ++i) {
+            if (!isRegion(regions[i])) {
+                fail(path + '/' + std::to_string(i), regions[i],
+                     "must be the region of a data centre");
+            }
+        }
+    }
+
+    void checkRoutes()
+    {
+        std::set<std::string_view> prefixes;
+        for (std::size_t i = 0; i < m_candidate.routes.size(); ++i) {
+            const Route &route = m_candidate.routes[i];
+            const std::string path = "/routes/" + std::to_string(i);
+            if (!route.prefix.starts_with('/')) {
+                fail(path + "/prefix", route.prefix, "must begin with \"/\"");
+            }
+            if (route.prefix.starts_with("/coltsfootwell")) {
+                fail(path + "/prefix", route.prefix, "must not begin with \"/coltsfootwell\"");
+            }
+            if (!prefixes.insert(route.prefix).second) {
+                fail(path + "/prefix", route.prefix, "must differ from all other prefixes");
+            }
+            if (!m_candidate.services.contains(route.service)) {
+                fail(path + "/service", route.service, "must name a service in /services");
+            }
+            checkRegions(path + "/homeRegions", route.homeRegions);
+        }
+    }
+
+    void checkLimits()
+    {
+        const Limits &limits = m_candidate.limits;
+        range("/limits/retryShare", limits.retryShare, 0.0, MaxRetryShare);
+        range("/limits/regionLinkBytesPerSecond", limits.regionLinkBytesPerSecond,
+              std::uint64_t {1}, std::uint64_t {1} << 40);
+        range("/limits/freshnessMs", limits.freshness.count(),
+              static_cast<std::int64_t>(MinFreshness.count()),
+              static_cast<std::int64_t>(MaxFreshness.count()));
+    }
+
+    const Configuration &m_candidate;
+    std::vector<RuleViolation> m_violations;
+};
+
+} // namespace
+
+std::vector<RuleViolation> checkConfiguration(const Configuration &candidate)
+{
+    return RuleCheck(candidate).run();
+}
+
+std::vector<RuleViolation> checkSuccessor(const Configuration &candidate, ConfigurationVersion base)
+{
+    std::vector<RuleViolation> violations = checkConfiguration(candidate);
+    if (candidate.version != base + 1) {
+        violations.push_back(
+            {"/version", std::to_string(candidate.version),
+             "must be " + std::to_string(base + 1) + ", the base version plus one"});
+    }
+    return violations;
+}
+
+} // namespace Coltsfootwell
--- /dev/null
+++ b/test/error/ConfigurationFaults.cpp
@@ -0,0 +1,110 @@
+// Guards against a faulty configuration that is accepted, or refused without naming the path, the
+// value and the rule.
+#include "decisions/ConfigurationRules.h"
+#include "support/ConfigurationSamples.h"
+#include "wire/ConfigurationJson.h"
+#include "wire/ConfigurationRecordJson.h"
+#include "wire/ConfigurationSchema.h"
+
+#include <doctest/doctest.h>
+
+using namespace Coltsfootwell;
+
+namespace {
+
+std::string sampleText()
+{
+    return encodeConfiguration(*sampleConfiguration(1));
+}
+
+std::string replaced(std::string text, std::string_view from, std::string_view to)
+{
+    const std::size_t at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+JsonFault onlyFault(SchemaKind kind, const std::string &text)
+{
+    std::error_code ec;
+    const auto faults = checkSchema(kind, text, ec);
+    CHECK(ec);
+    REQUIRE(faults.size() >= 1);
+    return faults.front();
+}
+
+} // namespace
+
+TEST_CASE("an encoded configuration keeps the schema and the rules")
+{
+    std::error_code ec;
+    CHECK(checkSchema(SchemaKind::Configuration, sampleText(), ec).empty());
+    CHECK_FALSE(ec);
+    CHECK(checkSuccessor(*sampleConfiguration(1), 0).empty());
+}
+
+TEST_CASE("the schema names path, value and rule")
+{
+    const JsonFault slots = onlyFault(SchemaKind::Configuration,
+                                      replaced(sampleText(), "\"slots\":4", "\"slots\":0"));
+    CHECK(slots.path == "/services/bookings/slots");
+    CHECK(slots.value == "0");
+    CHECK(slots.rule.find("1") != std::string::npos);
+    const JsonFault unknown
+        = onlyFault(SchemaKind::Configuration, replaced(sampleText(), "\"slots\":4", "\"slot\":4"));
+    CHECK(unknown.path == "/services/bookings");
+    CHECK(unknown.rule.find("slot") != std::string::npos);
+    const JsonFault missing = onlyFault(SchemaKind::Configuration,
+                                        replaced(sampleText(), "\"logRegion\":\"klang\",", ""));
+    CHECK(missing.rule.find("logRegion") != std::string::npos);
+}
+
+TEST_CASE("settings with an unknown field or a bad address are refused")
+{
+    const std::string good
+        = R"({"id":"a","region":"r","dataCentre":"d","listen":"127.0.0.1:13000"})";
+    std::error_code ec;
+    CHECK(checkSchema(SchemaKind::DaemonSettings, good, ec).empty());
+    CHECK(onlyFault(SchemaKind::DaemonSettings, replaced(good, "\"id\"", "\"ids\":1,\"id\""))
+              .rule.find("ids")
+          != std::string::npos);
+    CHECK(onlyFault(SchemaKind::DaemonSettings, replaced(good, "127.0.0.1:13000", "somewhere")).path
+          == "/listen");
+}
+
+TEST_CASE("the rules name path, value and rule")
+{
+    auto candidate = sampleConfiguration(5);
+    candidate->routes.front().service = "booking";
+    candidate->routes.front().homeRegions = {"klang", "perak"};
+    candidate->services["bookings"].coldStart.initialSlots = 9;
+    candidate->logRegion = "johor";
+    const auto violations = checkSuccessor(*candidate, 1);
+    std::map<std::string, std::string> found;
+    for (const RuleViolation &violation : violations) {
+        CHECK_FALSE(violation.rule.empty());
+        found[violation.path] = violation.value;
+    }
+    const std::map<std::string, std::string> expected {
+        {"/logRegion", "johor"},
+        {"/routes/0/homeRegions/1", "perak"},
+        {"/routes/0/service", "booking"},
+        {"/services/bookings/coldStart/initialSlots", "9"},
+        {"/version", "5"}};
+    CHECK(found == expected);
+}
+
+TEST_CASE("records survive encoding, and damaged ones are malformed")
+{
+    const std::string text = encodeRecord(samplePublish(3, "aisyah", 7));
+    const ConfigurationRecord record = decodeRecord(text);
+    const auto *publish = std::get_if<PublishRecord>(&record);
+    REQUIRE(publish);
+    CHECK(publish->base == 3);
+    CHECK(publish->configuration->services.at("bookings").slots == 7);
+    for (const std::string &damaged :
+         {std::string("{"), std::string("[]"), std::string(R"({"type":"publish"})"),
+          replaced(text, "\"slots\":7", "\"slots\":-7"), text.substr(0, text.size() / 2)}) {
+        CHECK(std::holds_alternative<MalformedRecord>(decodeRecord(damaged)));
+    }
+}
