Log client and server over gRPC, and the configuration service on the log

The service took its version from a file. The log in memory is one service that the stand-in program and a daemon with an embedded log share; gRPC's threads only post to the executor that owns it. An append counts as surely not appended only when the server says so in its trailer: gRPC's status codes cannot tell a lost answer from a lost request.

PeerEvidence gets the time of the ping, because a contact that a frozen daemon finds in its sockets afterwards must not count as recent.

Run by hand: coltsfoot-log and three daemons start, report version 0 as fresh, and stop.

--- a/src/decisions/Freshness.h
+++ b/src/decisions/Freshness.h
@@ -27,7 +27,7 @@
 {
     std::string name;
     std::string region;
-    /// When the question was sent or, if only the answer's time is known, a time before it.
+    /// When the question was sent.
     TimePoint asked;
     ConfigurationVersion version = 0;
     /// Time of the question less the age that the peer has reported.
--- a/src/programs/Daemon.cpp
+++ b/src/programs/Daemon.cpp
@@ -4,6 +4,8 @@
 #include "services/Callers.h"
 #include "services/Calls.h"
 #include "services/ConfigurationService.h"
+#include "services/LogClient.h"
+#include "services/LogServer.h"
 #include "services/Membership.h"
 #include "services/Peers.h"
 #include "services/Telemetry.h"
@@ -22,6 +24,19 @@
         + random.below(IncarnationsPerMillisecond);
 }
 
+ConfigurationSettings configurationSettings(const DaemonSettings &settings, const DaemonId &id,
+                                            ConfigurationPtr initial)
+{
+    ConfigurationSettings configuration;
+    configuration.self = id;
+    configuration.region = settings.region;
+    configuration.dataCentre = settings.dataCentre;
+    configuration.endpoint = settings.listen;
+    configuration.initial = std::move(initial);
+    configuration.retention = {settings.log.retention, settings.log.retentionRecords};
+    return configuration;
+}
+
 } // namespace
 
 void addDaemonServices(Kernel &kernel, boost::asio::io_context &context,
@@ -38,7 +53,17 @@
 
     kernel.add(makeTelemetry(kernel, id));
     kernel.add(makeMembership(kernel, context, membership));
-    kernel.add(makeConfigurationService(kernel, std::move(initial)));
+    if (settings.log.embedded) {
+        LogServerSettings log;
+        log.listen = settings.log.address;
+        log.retention = settings.log.retention;
+        log.maxRecords = settings.log.retentionRecords;
+        kernel.add(makeLogServer(kernel, log));
+    }
+    kernel.add(makeConfigurationService(
+        kernel, context, configurationSettings(settings, id, std::move(initial)),
+        settings.log.address.empty() ? nullptr
+                                     : makeGrpcLogClient(kernel.executor(), settings.log.address)));
     kernel.add(makeBackend(kernel, context, place));
     kernel.add(makePeers(kernel, context));
     kernel.add(makeCalls(kernel, place));
--- a/src/programs/DaemonSettings.cpp
+++ b/src/programs/DaemonSettings.cpp
@@ -1,5 +1,6 @@
 #include "programs/DaemonSettings.h"
 
+#include "wire/ConfigurationSchema.h"
 #include "wire/WireError.h"
 
 #include <boost/json.hpp>
@@ -41,6 +42,26 @@
     return endpoint;
 }
 
+/// The schema has been checked.
+LogSettings logSettingsOf(const json::object &log, JsonFault &fault)
+{
+    LogSettings settings;
+    const json::value *embedded = log.if_contains("embedded");
+    settings.embedded = embedded && embedded->get_bool();
+    const char *key = settings.embedded ? "listen" : "address";
+    settings.address = textAt(log, key, true, fault);
+    if (settings.address.empty()) {
+        fault.path = std::string("/log/") + key;
+    }
+    if (const json::value *seconds = log.if_contains("retentionSeconds")) {
+        settings.retention = std::chrono::seconds(seconds->to_number<std::int64_t>());
+    }
+    if (const json::value *records = log.if_contains("retentionRecords")) {
+        settings.retentionRecords = records->to_number<std::uint64_t>();
+    }
+    return settings;
+}
+
 } // namespace
 
 DaemonSettings decodeSettings(std::string_view text, JsonFault &fault, std::error_code &ec)
@@ -48,14 +69,11 @@
     DaemonSettings settings;
     fault = {};
     ec.clear();
-    boost::system::error_code parseError;
-    const json::value document
-        = json::parse(json::string_view(text.data(), text.size()), parseError);
-    if (parseError || !document.is_object()) {
-        fault = {"", "", parseError ? parseError.message() : "must be an object"};
-        ec = WireError::BadJson;
+    if (const auto faults = checkSchema(SchemaKind::DaemonSettings, text, ec); ec) {
+        fault = faults.front();
         return settings;
     }
+    const json::value document = json::parse(json::string_view(text.data(), text.size()));
     const json::object &object = document.get_object();
     settings.id = textAt(object, "id", true, fault);
     settings.region = textAt(object, "region", true, fault);
@@ -69,6 +87,9 @@
             settings.seeds.push_back(endpointOf(item, "/seeds", fault));
         }
     }
+    if (const json::value *log = object.if_contains("log")) {
+        settings.log = logSettingsOf(log->get_object(), fault);
+    }
     if (!fault.rule.empty()) {
         ec = WireError::BadField;
     }
--- a/src/programs/DaemonSettings.h
+++ b/src/programs/DaemonSettings.h
@@ -4,6 +4,7 @@
 #include "decisions/Member.h"
 #include "wire/JsonFault.h"
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -12,6 +13,18 @@
 
 namespace Coltsfootwell {
 
+/// \brief How a daemon reaches the log.
+struct LogSettings
+{
+    /// Address of the log service; empty for a daemon without a log.
+    std::string address;
+    /// True when this daemon runs the log of a single site, at `address`.
+    bool embedded = false;
+    std::chrono::seconds retention {24 * 3600};
+    /// Most records of a stream that the log keeps; 0 for no limit.
+    std::uint64_t retentionRecords = 0;
+};
+
 /// \brief One daemon's settings.
 struct DaemonSettings
 {
@@ -22,6 +35,7 @@
     std::vector<Endpoint> seeds;
     /// File with the configuration to start from; empty when it comes from the log.
     std::string configurationFile;
+    LogSettings log;
 };
 
 /// \brief Decodes settings.
--- a/src/services/ConfigurationMessages.h
+++ b/src/services/ConfigurationMessages.h
@@ -44,6 +44,8 @@
     /// none.
     std::optional<TimePoint> fresh;
     bool logReachable = false;
+    /// Time of sending the ping; the contact does not count as recent without it.
+    TimePoint asked {};
 };
 
 using ConfigurationMessage = std::variant<SubscribeConfiguration, VersionSeen, PeerEvidence>;
--- a/src/services/ConfigurationService.h
+++ b/src/services/ConfigurationService.h
@@ -1,16 +1,41 @@
-// The service "configuration": keeps the version in force and tells the other services of it.
+// The service "configuration": keeps the version in force and its freshness, and tells the other
+// services of both.
 #pragma once
 
-#include "decisions/Configuration.h"
+#include "decisions/ConfigurationFold.h"
+#include "decisions/Member.h"
 #include "kernel/Kernel.h"
+#include "services/LogClient.h"
 
 #include <memory>
+#include <string>
+
+namespace boost::asio {
+class io_context;
+}
 
 namespace Coltsfootwell {
 
+/// \brief Settings of the service.
+struct ConfigurationSettings
+{
+    DaemonId self;
+    std::string region;
+    std::string dataCentre;
+    /// Where this daemon can be reached.
+    Endpoint endpoint;
+    /// State before the first record of the log, or null.
+    ConfigurationPtr initial;
+    LogRetention retention;
+};
+
 /// \param kernel gives the executor and the directory.
-/// \param initial version in force at the start, or null.
+/// \param context runs connections to peers.
+/// \param settings this daemon and its start.
+/// \param log client of the log; null for a daemon without one, whose version is always fresh.
 /// \return the service, not started.
-std::unique_ptr<Service> makeConfigurationService(Kernel &kernel, ConfigurationPtr initial);
+std::unique_ptr<Service> makeConfigurationService(Kernel &kernel, boost::asio::io_context &context,
+                                                  ConfigurationSettings settings,
+                                                  std::unique_ptr<LogClient> log);
 
 } // namespace Coltsfootwell
--- a/src/services/ServiceNames.h
+++ b/src/services/ServiceNames.h
@@ -15,6 +15,7 @@
 constexpr std::string_view Claims = "claims";
 constexpr std::string_view Telemetry = "telemetry";
 constexpr std::string_view Stop = "stop";
+constexpr std::string_view Log = "log";
 
 /// \param path name of a path below "/coltsfootwell/".
 /// \return the name under which the owner of the path publishes a mailbox of ControlRequest.
