--- a/src/services/SnapshotFetcher.h
+++ b/src/services/SnapshotFetcher.h
@@ -40,8 +40,6 @@
     void stop();
 
 private:
-    void collect(std::shared_ptr<class BodyPipe> pipe, std::shared_ptr<std::string> text);
-
     boost::asio::io_context &m_context;
     Executor &m_executor;
     std::function<void(ConfigurationSnapshot)> m_learned;
