--- /dev/null
+++ b/src/decisions/MemberTable.h
@@ -0,0 +1,114 @@
+// The member list of one daemon: merges records, keeps the digest of the list and the records that
+// are still to be passed on.
+#pragma once
+
+#include "decisions/MemberRecord.h"
+#include "kernel/Random.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace Coltsfootwell {
+
+/// \brief All known members; the daemon itself is always the first.
+class MemberTable
+{
+public:
+    /// Members that are unreachable or have left are forgotten after this time.
+    static constexpr std::chrono::minutes DownRetention {10};
+
+    /// \param self the daemon's own record.
+    explicit MemberTable(Member self);
+
+    std::span<const Member> members() const { return m_members; }
+    const Member &self() const { return m_members.front(); }
+
+    /// \brief Replaces the daemon's own record and queues it for the others.
+    /// \param self has the same name and a higher incarnation or sequence.
+    void replaceSelf(Member self);
+
+    /// \brief Takes over a record of another daemon when it is newer.
+    /// \param record normalised.
+    /// \return true when the table has changed.
+    bool merge(const MemberRecord &record, TimePoint now);
+
+    /// \return index of a member in members(), or nothing.
+    std::optional<std::size_t> find(std::string_view name) const;
+
+    /// \return the record to pass on.
+    MemberRecord record(std::size_t index, TimePoint now) const;
+
+    const std::vector<std::string> &observers(std::size_t index) const;
+
+    /// \return time at which the member became suspect, unreachable or left.
+    TimePoint since(std::size_t index) const { return m_entries[index].since; }
+
+    /// \brief Lets every suspicion begin now.
+    void restartSuspicions(TimePoint now);
+
+    /// \brief Forgets members that have been down for too long.
+    void expire(TimePoint now);
+
+    /// \brief Chooses a member at random.
+    /// \param wanted called with indices.
+    /// \return nothing when no member is wanted.
+    std::optional<std::size_t> pick(Random &random,
+                                    const std::function<bool(std::size_t)> &wanted) const;
+
+    /// \brief Takes the records that were passed on least often.
+    /// \param bytes room in the datagram, in bytes.
+    /// \param records appended to, up to Datagram::MaxRecords.
+    void takeGossip(std::size_t bytes, std::vector<MemberRecord> &records, TimePoint now);
+
+    /// \return true while records wait to be passed on.
+    bool hasGossip() const { return !m_queue.empty(); }
+
+    /// \return hash of the names, incarnations and sequences of all members that are not down.
+    ///
+    /// Members that are down are left out since each daemon forgets them at its own time.
+    std::uint64_t digest() const { return m_digest; }
+
+    /// \return raised whenever something other than a sequence has changed.
+    std::uint64_t revision() const { return m_revision; }
+
+    /// \return number of members in the state Alive, this daemon included.
+    std::size_t aliveCount() const { return m_aliveCount; }
+
+private:
+    /// Number of times that a record was passed on, and a serial number.
+    using QueueKey = std::pair<unsigned, std::uint64_t>;
+
+    struct Entry
+    {
+        std::vector<std::string> observers;
+        TimePoint since {};
+        std::optional<QueueKey> queued;
+    };
+
+    void add(const MemberRecord &record, TimePoint now);
+    void replace(std::size_t index, const Member &member);
+    void enqueue(std::size_t index, unsigned sent);
+    void dequeue(std::size_t index);
+    void forget(std::size_t index);
+    void countIn(const Member &member);
+    void countOut(const Member &member);
+    unsigned maxTransmissions() const;
+
+    std::vector<Member> m_members;
+    std::vector<Entry> m_entries;
+    std::map<std::string, std::size_t, std::less<>> m_index;
+    std::map<QueueKey, std::size_t> m_queue;
+    std::uint64_t m_lastSerial = 0;
+    std::uint64_t m_digest = 0;
+    std::uint64_t m_revision = 0;
+    std::size_t m_aliveCount = 0;
+};
+
+/// \return upper bound of the encoded size, in bytes.
+std::size_t encodedBound(const MemberRecord &record);
+
+} // namespace Coltsfootwell
--- /dev/null
+++ b/src/decisions/Membership.cpp
@@ -0,0 +1,534 @@
+#include "decisions/Membership.h"
+
+#include "decisions/Rendezvous.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace Coltsfootwell {
+
+namespace {
+
+/// Fixed part of a datagram besides its records.
+constexpr std::size_t BodyBoundBytes = 136;
+/// Members that hear of the end of a planned stop from the daemon itself.
+constexpr std::size_t FarewellPings = 8;
+/// Comparisons of digests in a row that differ before a sync is made although news still spread.
+constexpr unsigned MaxMismatches = 3;
+/// Bounds the work that other daemons can ask of this one; each lasts for ProbeTimeout.
+constexpr std::size_t MaxRelays = 64;
+/// Smaller groups have the suspicion time of this many members.
+constexpr double MembersPerSuspicionTime = 10.0;
+
+} // namespace
+
+Membership::Membership(Member self, std::vector<Endpoint> seeds, Random &random)
+    : m_random(random), m_table(std::move(self))
+{
+    learnSeeds(seeds);
+}
+
+Membership::Outputs Membership::tick(TimePoint now)
+{
+    m_outputs.clear();
+    if (m_replaced) {
+        return m_outputs;
+    }
+    if (!m_started) {
+        // A random phase keeps daemons that start together from sending together.
+        const auto phase = std::chrono::milliseconds(m_random.below(PingPeriod.count()));
+        m_started = now;
+        m_nextPing = now + phase;
+        m_nextReaderPing = now + phase;
+        m_nextDigest = now + std::chrono::duration_cast<Duration>(DigestPeriod * m_random.unit());
+    } else if (now - m_lastTick > PauseTime) {
+        pause(now);
+    }
+    m_lastTick = now;
+    advanceProbes(now);
+    judgeSuspicions(now);
+    m_joined = m_joined || now - *m_started >= JoinTime;
+    pingMembers(now);
+    pingReader(now);
+    askSeeds(now);
+    wantFirstSync(now);
+    m_table.expire(now);
+    return m_outputs;
+}
+
+Membership::Outputs Membership::handle(const Datagram &datagram, const Endpoint &sender,
+                                       TimePoint now)
+{
+    m_outputs.clear();
+    if (m_replaced) {
+        return m_outputs;
+    }
+    if (m_started && now - m_lastTick > PauseTime) {
+        // Datagrams that waited during a pause may be handled before the next tick.
+        pause(now);
+        m_lastTick = now;
+    }
+    const Member &from = datagram.from.member;
+    if (from.id == m_table.self().id && from.endpoint == m_table.self().endpoint) {
+        return m_outputs; // The daemon is one of its own seeds.
+    }
+    learn(datagram.from, now);
+    for (const MemberRecord &record : datagram.records) {
+        learn(record, now);
+    }
+    if (!m_replaced) {
+        std::visit([&](const auto &body) { receive(datagram, body, sender, now); }, datagram.body);
+    }
+    return m_outputs;
+}
+
+void Membership::receive(const Datagram &datagram, const Ping &ping, const Endpoint &sender,
+                         TimePoint now)
+{
+    if (datagram.from.member.state == MemberState::Left) {
+        return; // A farewell; nobody waits for the answer.
+    }
+    Ack ack {ping.nonce, agedEvidence(now), {}};
+    if (ping.wantDigest) {
+        ack.digest = m_table.digest();
+    }
+    // A sender that is known as something newer learns of the doubt or of its replacement.
+    const auto known = m_table.find(datagram.from.member.id.name);
+    const bool behind = known && supersedes(m_table.members()[*known], datagram.from.member);
+    send(sender, ack, behind ? known : std::nullopt, now);
+}
+
+void Membership::receive(const Datagram &datagram, const Ack &ack, const Endpoint &sender,
+                         TimePoint now)
+{
+    const Member &from = datagram.from.member;
+    if (const auto it = std::ranges::find(m_relays, ack.nonce, &Relay::nonce);
+        it != m_relays.end()) {
+        if (it->target == from.id.name) {
+            send(it->origin, IndirectAck {it->originNonce, it->target}, m_table.find(it->target),
+                 now);
+        }
+        m_relays.erase(it);
+        return;
+    }
+    const auto it = std::ranges::find(m_probes, ack.nonce, &Probe::nonce);
+    if (it == m_probes.end() || (!it->target.empty() && it->target != from.id.name)) {
+        return;
+    }
+    ++m_counts.acks;
+    const AgedEvidence &evidence = ack.evidence;
+    std::optional<TimePoint> fresh;
+    if (evidence.age) {
+        fresh = it->sent - *evidence.age;
+    }
+    m_probes.erase(it);
+    m_outputs.emplace_back(PeerAnswered {from.id, from.endpoint, from.region, evidence.version,
+                                         fresh, evidence.logReachable});
+    if (ack.digest) {
+        compareDigest(*ack.digest, from.endpoint);
+    }
+}
+
+void Membership::receive(const Datagram &datagram, const IndirectPing &ping, const Endpoint &sender,
+                         TimePoint now)
+{
+    if (m_relays.size() >= MaxRelays) {
+        return;
+    }
+    const std::optional<std::size_t> target = m_table.find(ping.target);
+    const std::uint64_t nonce = m_random.next();
+    m_relays.push_back({nonce, ping.target, sender, ping.nonce, now});
+    ++m_counts.pings;
+    send(target ? m_table.members()[*target].endpoint : ping.endpoint, Ping {nonce, false}, target,
+         now);
+}
+
+void Membership::receive(const Datagram &datagram, const IndirectAck &ack, const Endpoint &sender,
+                         TimePoint now)
+{
+    std::erase_if(m_probes, [&ack](const Probe &probe) {
+        return probe.nonce == ack.nonce && probe.target == ack.target;
+    });
+}
+
+void Membership::learn(const MemberRecord &received, TimePoint now)
+{
+    if (received.member.id.name == m_table.self().id.name) {
+        learnOfSelf(normalised(received).member);
+        return;
+    }
+    MemberRecord record = normalised(received);
+    const std::size_t needed = std::min(ConfirmingObservers, m_table.aliveCount());
+    if (record.member.state == MemberState::Unreachable && record.observers.size() < needed) {
+        // A daemon that hears nobody needs one observer only; its view does not bind others.
+        record.member.state = MemberState::Suspect;
+        record = normalised(std::move(record));
+    }
+    m_table.merge(record, now);
+}
+
+void Membership::learnOfSelf(const Member &heard)
+{
+    Member self = m_table.self();
+    const bool twin = heard.id == self.id && heard.endpoint != self.endpoint
+        && (!m_joined || heard.endpoint > self.endpoint);
+    if (heard.id.incarnation > self.id.incarnation || twin) {
+        if (m_joined) {
+            m_replaced = true;
+        } else {
+            self.id.incarnation = heard.id.incarnation + 1;
+            self.sequence = 0;
+            m_table.replaceSelf(self);
+        }
+        m_outputs.emplace_back(IncarnationConflict {heard.id.incarnation, m_replaced});
+        return;
+    }
+    const bool wrong = heard.state != MemberState::Alive || heard.sequence > self.sequence;
+    if (heard.id == self.id && wrong && self.state != MemberState::Left
+        && supersedes(heard, self)) {
+        ++m_counts.refutations;
+        self.sequence = std::max(self.sequence, heard.sequence);
+        changeSelf(std::move(self));
+    }
+}
+
+void Membership::changeSelf(Member self)
+{
+    ++self.sequence;
+    m_table.replaceSelf(std::move(self));
+}
+
+void Membership::pause(TimePoint now)
+{
+    m_probes.clear();
+    m_relays.clear();
+    m_table.restartSuspicions(now);
+}
+
+void Membership::pingMembers(TimePoint now)
+{
+    if (now < m_nextPing) {
+        return;
+    }
+    m_nextPing = std::max(m_nextPing + PingPeriod, now);
+    const bool wantDigest = now >= m_nextDigest;
+    const auto live = m_table.pick(m_random, [this](std::size_t i) { return isPingable(i); });
+    if (live) {
+        ping(*live, wantDigest, now);
+        m_nextDigest = wantDigest ? now + DigestPeriod : m_nextDigest;
+    }
+    if (now < m_nextUnreachablePing) {
+        return;
+    }
+    m_nextUnreachablePing = now + UnreachablePingPeriod;
+    const auto lost = m_table.pick(m_random, [this](std::size_t i) {
+        return m_table.members()[i].state == MemberState::Unreachable;
+    });
+    if (lost) {
+        ping(*lost, false, now);
+    }
+}
+
+void Membership::pingReader(TimePoint now)
+{
+    if (now < m_nextReaderPing) {
+        return;
+    }
+    m_nextReaderPing = std::max(m_nextReaderPing + ReaderPingPeriod, now);
+    const Member &self = m_table.self();
+    std::vector<const Member *> readers = logReaders(m_table.members(), self.dataCentre);
+    const bool evident = m_fresh && m_logReachable && now - *m_fresh <= OldEvidence;
+    const auto own = std::ranges::find(readers, &self);
+    if (own != readers.end()) {
+        if (evident) {
+            return;
+        }
+        readers.erase(own);
+    }
+    if (!readers.empty()) {
+        const Member *reader = readers[m_readerTurn++ % readers.size()];
+        ping(static_cast<std::size_t>(reader - m_table.members().data()), false, now);
+    }
+}
+
+void Membership::askSeeds(TimePoint now)
+{
+    const auto others = m_table.members().subspan(1);
+    const auto isLive = [](const Member &member) { return !isDown(member); };
+    const bool alone = std::ranges::none_of(others, isLive);
+    const Duration period = alone ? Duration(SeedPeriod) : Duration(LostSeedPeriod);
+    if (m_table.self().state == MemberState::Left || (m_askedSeeds && now - *m_askedSeeds < period)) {
+        return;
+    }
+    m_askedSeeds = now;
+    for (const Endpoint &seed : m_seeds) {
+        const bool known = std::ranges::any_of(others, [&](const Member &member) {
+            return isLive(member) && member.endpoint == seed;
+        });
+        if (!known && seed != m_table.self().endpoint) {
+            m_probes.push_back({m_random.next(), {}, now, false});
+            ++m_counts.pings;
+            send(seed, Ping {m_probes.back().nonce, false}, {}, now);
+        }
+    }
+}
+
+void Membership::wantFirstSync(TimePoint now)
+{
+    if (m_synced || now < m_nextSync) {
+        return;
+    }
+    const auto with = m_table.pick(m_random, [this](std::size_t i) { return isPingable(i); });
+    if (with) {
+        m_nextSync = now + SeedPeriod;
+        m_outputs.emplace_back(SyncWanted {m_table.members()[*with].endpoint});
+    }
+}
+
+void Membership::advanceProbes(TimePoint now)
+{
+    std::vector<std::string> silent;
+    for (Probe &probe : m_probes) {
+        if (!probe.indirect && now - probe.sent >= DirectTimeout) {
+            probe.indirect = true;
+            askOthersToPing(probe, now);
+        }
+        if (now - probe.sent >= ProbeTimeout && !probe.target.empty()) {
+            silent.push_back(probe.target);
+        }
+    }
+    const auto isOver = [now](const auto &entry) { return now - entry.sent >= ProbeTimeout; };
+    std::erase_if(m_probes, isOver);
+    std::erase_if(m_relays, isOver);
+    for (const std::string &name : silent) {
+        suspect(name, now);
+    }
+}
+
+void Membership::askOthersToPing(const Probe &probe, TimePoint now)
+{
+    const std::optional<std::size_t> target = m_table.find(probe.target);
+    if (!target || isDown(m_table.members()[*target])) {
+        return;
+    }
+    std::vector<std::size_t> asked {*target};
+    while (asked.size() <= IndirectPings) {
+        const auto helper = m_table.pick(m_random, [&](std::size_t i) {
+            return i != 0 && m_table.members()[i].state == MemberState::Alive
+                && std::ranges::find(asked, i) == asked.end();
+        });
+        if (!helper) {
+            return;
+        }
+        asked.push_back(*helper);
+        send(m_table.members()[*helper].endpoint,
+             IndirectPing {probe.nonce, probe.target, m_table.members()[*target].endpoint}, target,
+             now);
+    }
+}
+
+void Membership::suspect(const std::string &name, TimePoint now)
+{
+    const std::optional<std::size_t> index = m_table.find(name);
+    if (!index || isDown(m_table.members()[*index])) {
+        return;
+    }
+    MemberRecord record = m_table.record(*index, now);
+    if (record.member.leaving) {
+        // A leaving member has said itself that it goes; it can still refute while it finishes.
+        record.member.state = MemberState::Left;
+    } else {
+        m_counts.suspicions += record.member.state == MemberState::Alive ? 1 : 0;
+        record.member.state = MemberState::Suspect;
+        record.observers.push_back(m_table.self().id.name);
+    }
+    m_table.merge(normalised(std::move(record)), now);
+}
+
+void Membership::judgeSuspicions(TimePoint now)
+{
+    for (std::size_t i = 1; i < m_table.members().size(); ++i) {
+        if (m_table.members()[i].state != MemberState::Suspect
+            || now - m_table.since(i) < suspicionTime()) {
+            continue;
+        }
+        const std::size_t needed = std::min(ConfirmingObservers, m_table.aliveCount());
+        if (m_table.observers(i).size() >= needed) {
+            MemberRecord record = m_table.record(i, now);
+            record.member.state = MemberState::Unreachable;
+            ++m_counts.unreachable;
+            m_table.merge(normalised(std::move(record)), now);
+        }
+    }
+}
+
+void Membership::compareDigest(std::uint64_t digest, const Endpoint &with)
+{
+    if (digest == m_table.digest()) {
+        m_mismatches = 0;
+        return;
+    }
+    // While news spread the lists differ for a moment, which gossip settles at a lower cost.
+    if (!m_table.hasGossip() || ++m_mismatches >= MaxMismatches) {
+        m_mismatches = 0;
+        m_outputs.emplace_back(SyncWanted {with});
+    }
+}
+
+void Membership::ping(std::size_t index, bool wantDigest, TimePoint now)
+{
+    const Member &target = m_table.members()[index];
+    const std::uint64_t nonce = m_random.next();
+    m_probes.push_back({nonce, target.id.name, now, false});
+    ++m_counts.pings;
+    // The target refutes a doubt about itself.
+    const bool doubted = target.state != MemberState::Alive;
+    send(target.endpoint, Ping {nonce, wantDigest}, doubted ? std::optional(index) : std::nullopt,
+         now);
+}
+
+void Membership::send(const Endpoint &to, std::variant<Ping, Ack, IndirectPing, IndirectAck> body,
+                      std::optional<std::size_t> about, TimePoint now)
+{
+    DatagramToSend out {to, {m_table.record(0, now), std::move(body), {}}};
+    std::size_t bytes = Datagram::MaxBytes - BodyBoundBytes - encodedBound(out.datagram.from);
+    if (about && *about != 0) {
+        out.datagram.records.push_back(m_table.record(*about, now));
+        bytes -= std::min(bytes, encodedBound(out.datagram.records.back()));
+    }
+    m_table.takeGossip(bytes, out.datagram.records, now);
+    m_outputs.emplace_back(std::move(out));
+}
+
+bool Membership::isPingable(std::size_t index) const
+{
+    return index != 0 && !isDown(m_table.members()[index]);
+}
+
+AgedEvidence Membership::agedEvidence(TimePoint now) const
+{
+    AgedEvidence evidence {m_version, {}, m_logReachable};
+    if (m_fresh) {
+        evidence.age = std::max<Duration>(now - *m_fresh, {});
+    }
+    return evidence;
+}
+
+Duration Membership::suspicionTime() const
+{
+    const double members
+        = std::max(static_cast<double>(m_table.members().size()), MembersPerSuspicionTime);
+    return std::chrono::duration_cast<Duration>(SuspicionTime * std::log10(members));
+}
+
+void Membership::changeBackend(std::string_view service, BackendState state, std::uint32_t slots)
+{
+    Member self = m_table.self();
+    self.service = service;
+    self.backend = state;
+    self.slots = slots;
+    if (self != m_table.self()) {
+        changeSelf(std::move(self));
+    }
+}
+
+void Membership::changeCrossRegion(bool active)
+{
+    Member self = m_table.self();
+    if (std::exchange(self.crossRegion, active) != active) {
+        changeSelf(std::move(self));
+    }
+}
+
+void Membership::leave()
+{
+    Member self = m_table.self();
+    if (!std::exchange(self.leaving, true)) {
+        changeSelf(std::move(self));
+    }
+}
+
+Membership::Outputs Membership::farewell(TimePoint now)
+{
+    m_outputs.clear();
+    if (m_replaced) {
+        return m_outputs;
+    }
+    Member self = m_table.self();
+    self.leaving = true;
+    self.state = MemberState::Left;
+    changeSelf(std::move(self));
+    std::vector<std::size_t> told;
+    while (told.size() < FarewellPings) {
+        const auto next = m_table.pick(m_random, [&](std::size_t i) {
+            return isPingable(i) && std::ranges::find(told, i) == told.end();
+        });
+        if (!next) {
+            break;
+        }
+        told.push_back(*next);
+        send(m_table.members()[*next].endpoint, Ping {m_random.next(), false}, {}, now);
+    }
+    return m_outputs;
+}
+
+void Membership::learnSeeds(std::span<const Endpoint> seeds)
+{
+    for (const Endpoint &seed : seeds) {
+        if (m_seeds.size() < MaxSeeds && std::ranges::find(m_seeds, seed) == m_seeds.end()) {
+            m_seeds.push_back(seed);
+        }
+    }
+}
+
+void Membership::setEvidence(ConfigurationVersion version, std::optional<TimePoint> fresh,
+                             bool logReachable)
+{
+    m_version = version;
+    m_fresh = fresh;
+    m_logReachable = logReachable;
+}
+
+std::vector<MemberRecord> Membership::allRecords(TimePoint now) const
+{
+    std::vector<MemberRecord> records;
+    for (std::size_t i = 0; i < m_table.members().size(); ++i) {
+        records.push_back(m_table.record(i, now));
+    }
+    return records;
+}
+
+Membership::Outputs Membership::answerSync(std::span<const MemberRecord> records,
+                                           std::vector<MemberRecord> &missing, TimePoint now)
+{
+    m_outputs.clear();
+    std::map<std::string_view, const Member *> theirs;
+    for (const MemberRecord &record : records) {
+        theirs.emplace(record.member.id.name, &record.member);
+    }
+    for (MemberRecord &record : allRecords(now)) {
+        const auto it = theirs.find(record.member.id.name);
+        if (it == theirs.end() || supersedes(record.member, *it->second)) {
+            missing.push_back(std::move(record));
+        }
+    }
+    for (const MemberRecord &record : records) {
+        learn(record, now);
+    }
+    return m_outputs;
+}
+
+Membership::Outputs Membership::finishSync(std::span<const MemberRecord> records, TimePoint now)
+{
+    m_outputs.clear();
+    for (const MemberRecord &record : records) {
+        learn(record, now);
+    }
+    ++m_counts.syncs;
+    m_synced = true;
+    m_joined = true;
+    return m_outputs;
+}
+
+} // namespace Coltsfootwell
--- /dev/null
+++ b/src/decisions/Membership.h
@@ -0,0 +1,225 @@
+// The SWIM protocol: every daemon pings random others, asks others to ping those that do not
+// answer, and passes news of members on with its datagrams.
+//
+// A member that does not answer becomes suspect, and unreachable once enough observers have said
+// so and it has not refuted within the suspicion time. Sockets, timers and encodings belong to
+// the caller of this class.
+#pragma once
+
+#include "decisions/Datagram.h"
+#include "decisions/MemberTable.h"
+
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Coltsfootwell {
+
+/// \brief Send a datagram.
+struct DatagramToSend
+{
+    Endpoint to;
+    Datagram datagram;
+};
+
+/// \brief Exchange all records with another daemon, then call finishSync().
+struct SyncWanted
+{
+    Endpoint with;
+};
+
+/// \brief A daemon has answered a ping.
+struct PeerAnswered
+{
+    DaemonId peer;
+    Endpoint endpoint;
+    std::string region;
+    ConfigurationVersion version = 0;
+    /// Time of sending the ping less the age in the answer, so that neither a pause of this
+    /// process nor a late answer makes the evidence look newer than it is.
+    std::optional<TimePoint> fresh;
+    bool logReachable = false;
+};
+
+/// \brief Another process with this daemon's name has the same or a higher incarnation.
+struct IncarnationConflict
+{
+    Incarnation heard = 0;
+    /// False while joining: this daemon has taken a higher incarnation. True afterwards: the other
+    /// process has replaced this daemon, which has to stop.
+    bool replaced = false;
+};
+
+using MembershipOutput
+    = std::variant<DatagramToSend, SyncWanted, PeerAnswered, IncarnationConflict>;
+
+/// \brief Events since the start.
+struct MembershipCounts
+{
+    std::uint64_t pings = 0;
+    std::uint64_t acks = 0;
+    std::uint64_t suspicions = 0;
+    std::uint64_t unreachable = 0;
+    std::uint64_t refutations = 0;
+    std::uint64_t syncs = 0;
+};
+
+/// \brief Membership of one daemon.
+class Membership
+{
+public:
+    /// Longest time between two calls of tick().
+    static constexpr std::chrono::milliseconds TickPeriod {100};
+    static constexpr std::chrono::milliseconds PingPeriod {200};
+    static constexpr std::chrono::milliseconds ReaderPingPeriod {500};
+    /// More than three round trips between regions (60 ms).
+    static constexpr std::chrono::milliseconds DirectTimeout {200};
+    static constexpr std::chrono::milliseconds ProbeTimeout {600};
+    /// Suspicion time for up to ten members; grows with the decimal logarithm of their number.
+    static constexpr std::chrono::seconds SuspicionTime {1};
+    static constexpr std::chrono::seconds DigestPeriod {10};
+    static constexpr std::chrono::seconds UnreachablePingPeriod {2};
+    /// A daemon that has heard of nobody for this time has joined, alone.
+    static constexpr std::chrono::seconds JoinTime {3};
+    /// Between questions to seeds while nobody else is known.
+    static constexpr std::chrono::seconds SeedPeriod {1};
+    /// Between questions to seeds that are not live members, which heals a split of any length.
+    static constexpr std::chrono::seconds LostSeedPeriod {30};
+    /// A later tick means that this process was paused, and missing answers prove nothing.
+    static constexpr std::chrono::seconds PauseTime {1};
+    /// A log reader whose own evidence is older pings other readers too.
+    static constexpr std::chrono::seconds OldEvidence {1};
+    static constexpr std::size_t IndirectPings = 3;
+    static constexpr std::size_t ConfirmingObservers = 2;
+    static constexpr std::size_t MaxSeeds = 64;
+
+    using Outputs = std::span<const MembershipOutput>;
+
+    /// \param self the daemon's own record.
+    /// \param seeds daemons to ask first.
+    /// \param random outlives this object.
+    Membership(Member self, std::vector<Endpoint> seeds, Random &random);
+
+    /// \brief Sends what is due and ends what has waited too long.
+    /// \return valid until the next call, as for all functions that return outputs.
+    Outputs tick(TimePoint now);
+
+    /// \param datagram received.
+    /// \param sender address to answer to.
+    Outputs handle(const Datagram &datagram, const Endpoint &sender, TimePoint now);
+
+    /// \brief Changes the part of the own record that describes the backend server.
+    void changeBackend(std::string_view service, BackendState state, std::uint32_t slots);
+
+    /// \brief Announces that this daemon sends calls to other regions, or has ceased to.
+    void changeCrossRegion(bool active);
+
+    /// \brief Announces a planned stop.
+    void leave();
+
+    /// \brief Announces the end of a planned stop to some members.
+    Outputs farewell(TimePoint now);
+
+    /// \brief Adds seeds; beyond MaxSeeds further ones are ignored.
+    void learnSeeds(std::span<const Endpoint> seeds);
+
+    /// \brief Sets what acks report.
+    /// \param fresh last time at which the version was known to be the newest.
+    void setEvidence(ConfigurationVersion version, std::optional<TimePoint> fresh,
+                     bool logReachable);
+
+    /// \return all records, for a full sync.
+    std::vector<MemberRecord> allRecords(TimePoint now) const;
+
+    /// \brief Answers a full sync.
+    /// \param records of the asker, which are taken over.
+    /// \param missing gets the records that the asker lacks or has in an older state.
+    Outputs answerSync(std::span<const MemberRecord> records, std::vector<MemberRecord> &missing,
+                       TimePoint now);
+
+    /// \brief Takes over the answer of a full sync.
+    Outputs finishSync(std::span<const MemberRecord> records, TimePoint now);
+
+    std::span<const Member> members() const { return m_table.members(); }
+    std::uint64_t revision() const { return m_table.revision(); }
+    std::uint64_t digest() const { return m_table.digest(); }
+    const MembershipCounts &counts() const { return m_counts; }
+    /// \return true once a higher incarnation of this daemon means that it was replaced.
+    bool hasJoined() const { return m_joined; }
+
+private:
+    struct Probe
+    {
+        std::uint64_t nonce = 0;
+        /// Empty for a seed whose name is not known.
+        std::string target;
+        TimePoint sent {};
+        bool indirect = false;
+    };
+
+    /// An indirect ping made for another daemon.
+    struct Relay
+    {
+        std::uint64_t nonce = 0;
+        std::string target;
+        Endpoint origin;
+        std::uint64_t originNonce = 0;
+        TimePoint sent {};
+    };
+
+    void receive(const Datagram &datagram, const Ping &ping, const Endpoint &sender, TimePoint now);
+    void receive(const Datagram &datagram, const Ack &ack, const Endpoint &sender, TimePoint now);
+    void receive(const Datagram &datagram, const IndirectPing &ping, const Endpoint &sender,
+                 TimePoint now);
+    void receive(const Datagram &datagram, const IndirectAck &ack, const Endpoint &sender,
+                 TimePoint now);
+
+    void learn(const MemberRecord &record, TimePoint now);
+    void learnOfSelf(const Member &heard);
+    void changeSelf(Member self);
+    void pause(TimePoint now);
+    void pingMembers(TimePoint now);
+    void pingReader(TimePoint now);
+    void askSeeds(TimePoint now);
+    void wantFirstSync(TimePoint now);
+    void advanceProbes(TimePoint now);
+    void askOthersToPing(const Probe &probe, TimePoint now);
+    void suspect(const std::string &name, TimePoint now);
+    void judgeSuspicions(TimePoint now);
+    void compareDigest(std::uint64_t digest, const Endpoint &with);
+    void ping(std::size_t index, bool wantDigest, TimePoint now);
+    void send(const Endpoint &to, std::variant<Ping, Ack, IndirectPing, IndirectAck> body,
+              std::optional<std::size_t> about, TimePoint now);
+    bool isPingable(std::size_t index) const;
+    AgedEvidence agedEvidence(TimePoint now) const;
+    Duration suspicionTime() const;
+
+    Random &m_random;
+    MemberTable m_table;
+    std::vector<Endpoint> m_seeds;
+    std::vector<Probe> m_probes;
+    std::vector<Relay> m_relays;
+    std::vector<MembershipOutput> m_outputs;
+    MembershipCounts m_counts;
+
+    ConfigurationVersion m_version = 0;
+    std::optional<TimePoint> m_fresh;
+    bool m_logReachable = false;
+
+    std::optional<TimePoint> m_started;
+    TimePoint m_lastTick {};
+    TimePoint m_nextPing {};
+    TimePoint m_nextReaderPing {};
+    TimePoint m_nextUnreachablePing {};
+    TimePoint m_nextDigest {};
+    std::optional<TimePoint> m_askedSeeds;
+    TimePoint m_nextSync {};
+    std::size_t m_readerTurn = 0;
+    unsigned m_mismatches = 0;
+    bool m_joined = false;
+    bool m_synced = false;
+    bool m_replaced = false;
+};
+
+} // namespace Coltsfootwell
--- a/src/programs/Daemon.cpp
+++ b/src/programs/Daemon.cpp
@@ -8,6 +8,8 @@
 #include "services/Peers.h"
 #include "services/Telemetry.h"
 
+#include <algorithm>
+
 namespace Coltsfootwell {
 
 namespace {
@@ -25,9 +27,11 @@
 } // namespace
 
 void addDaemonServices(Kernel &kernel, boost::asio::io_context &context,
-                       const DaemonSettings &settings, ConfigurationPtr initial)
+                       const DaemonSettings &settings, ConfigurationPtr initial,
+                       Incarnation minIncarnation,
+                       std::function<void(const IncarnationConflict &)> conflict)
 {
-    const DaemonId id {settings.id, newIncarnation(kernel.random())};
+    const DaemonId id {settings.id, std::max(newIncarnation(kernel.random()), minIncarnation)};
     const Place place {id, settings.region, settings.dataCentre};
     MembershipSettings membership;
     membership.self.id = id;
@@ -35,6 +39,7 @@
     membership.self.region = settings.region;
     membership.self.dataCentre = settings.dataCentre;
     membership.seeds = settings.seeds;
+    membership.conflict = std::move(conflict);
 
     kernel.add(makeTelemetry(kernel, id));
     kernel.add(makeMembership(kernel, context, membership));
--- a/src/programs/Daemon.h
+++ b/src/programs/Daemon.h
@@ -4,6 +4,7 @@
 #include "decisions/Configuration.h"
 #include "kernel/Kernel.h"
 #include "programs/DaemonSettings.h"
+#include "services/Membership.h"
 
 namespace boost::asio {
 class io_context;
@@ -16,7 +17,11 @@
 /// \param context runs their sockets.
 /// \param settings the daemon's settings.
 /// \param initial configuration in force at the start, or null.
+/// \param minIncarnation lowest incarnation to take.
+/// \param conflict called when another process with the daemon's name has a higher incarnation.
 void addDaemonServices(Kernel &kernel, boost::asio::io_context &context,
-                       const DaemonSettings &settings, ConfigurationPtr initial);
+                       const DaemonSettings &settings, ConfigurationPtr initial,
+                       Incarnation minIncarnation,
+                       std::function<void(const IncarnationConflict &)> conflict);
 
 } // namespace Coltsfootwell
--- a/src/programs/coltsfootd.cpp
+++ b/src/programs/coltsfootd.cpp
@@ -10,6 +10,7 @@
 
 #include <csignal>
 #include <iostream>
+#include <optional>
 #include <random>
 
 namespace {
@@ -18,6 +19,7 @@
 
 constexpr int ExitBadSettings = 2;
 constexpr int ExitStartFailed = 3;
+constexpr int ExitReplaced = 4;
 
 std::uint64_t seedFromDevice()
 {
@@ -25,22 +27,55 @@
     return (static_cast<std::uint64_t>(device()) << 32) | device();
 }
 
-int run(const DaemonSettings &settings, ConfigurationPtr initial)
+/// \brief How a run of the services has ended.
+struct RunResult
+{
+    int exitCode = 0;
+    /// Set when the services have to start again with a higher incarnation.
+    std::optional<Incarnation> taken;
+};
+
+RunResult runOnce(const DaemonSettings &settings, ConfigurationPtr initial, Random &random,
+                  Incarnation minIncarnation)
 {
     boost::asio::io_context context(1);
     AsioExecutor executor(context);
-    SeededRandom random(seedFromDevice());
     Kernel kernel(executor, random);
-    addDaemonServices(kernel, context, settings, std::move(initial));
+    RunResult result;
+    const auto stop = [&] { kernel.stop([&context] { context.stop(); }); };
+    const auto conflict = [&](const IncarnationConflict &heard) {
+        result.exitCode = heard.replaced ? ExitReplaced : 0;
+        result.taken = heard.replaced ? std::nullopt : std::optional(heard.heard);
+        executor.post(stop);
+    };
+    addDaemonServices(kernel, context, settings, std::move(initial), minIncarnation, conflict);
     if (const std::error_code ec = kernel.start()) {
         std::cerr << "coltsfootd: " << settings.id << " cannot start: " << ec.message() << '\n';
-        return ExitStartFailed;
+        return {ExitStartFailed, {}};
     }
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-    signals.async_wait(
-        [&](boost::system::error_code, int) { kernel.stop([&context] { context.stop(); }); });
+    signals.async_wait([&](boost::system::error_code ec, int) {
+        if (!ec) {
+            result.taken.reset();
+            stop();
+        }
+    });
     context.run();
-    return 0;
+    return result;
+}
+
+int run(const DaemonSettings &settings, const ConfigurationPtr &initial)
+{
+    SeededRandom random(seedFromDevice());
+    RunResult result = runOnce(settings, initial, random, 0);
+    while (result.taken) {
+        // All services know the incarnation from their start, so they start again.
+        result = runOnce(settings, initial, random, *result.taken + 1);
+    }
+    if (result.exitCode == ExitReplaced) {
+        std::cerr << "coltsfootd: " << settings.id << " was replaced by a later process\n";
+    }
+    return result.exitCode;
 }
 
 } // namespace
@@ -76,5 +111,5 @@
             return ExitBadSettings;
         }
     }
-    return run(settings, std::move(initial));
+    return run(settings, initial);
 }
--- a/src/services/Membership.cpp
+++ b/src/services/Membership.cpp
@@ -1,191 +1,336 @@
 #include "services/Membership.h"
 
+#include "services/ConfigurationMessages.h"
+#include "services/ControlMessages.h"
 #include "services/MembershipMessages.h"
 #include "services/ServiceError.h"
 #include "services/ServiceNames.h"
+#include "services/SyncExchange.h"
+#include "services/TelemetryMessages.h"
+#include "wire/MembershipCodec.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
-#include <boost/json.hpp>
 
 #include <array>
-#include <map>
 
 namespace Coltsfootwell {
 
 namespace {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 using asio::ip::udp;
 
-constexpr std::chrono::milliseconds AnnouncePeriod {200};
-constexpr std::size_t MaxDatagramBytes = 1200;
+/// Copies of the list cost; with 1,000 members many small changes become one message.
+constexpr std::chrono::milliseconds PublishPeriod {20};
+constexpr std::chrono::seconds CountPeriod {1};
+/// IPv4 and UDP headers of a datagram.
+constexpr std::size_t DatagramHeaderBytes = 28;
 
-json::object objectOf(const Member &member)
+/// \brief A counter of the decision and its value when it was last reported.
+struct ReportedCount
 {
-    return {{"name", member.id.name},
-            {"incarnation", member.id.incarnation},
-            {"sequence", member.sequence},
-            {"address", member.endpoint.address},
-            {"port", member.endpoint.port},
-            {"region", member.region},
-            {"dataCentre", member.dataCentre},
-            {"service", member.service},
-            {"backend", static_cast<int>(member.backend)},
-            {"slots", member.slots},
-            {"leaving", member.leaving}};
-}
+    std::string_view kind;
+    std::uint64_t MembershipCounts::*member;
+};
 
-std::optional<Member> memberOf(std::string_view text)
-{
-    try {
-        const json::value value = json::parse(json::string_view(text.data(), text.size()));
-        Member member;
-        member.id = {json::value_to<std::string>(value.at("name")),
-                     value.at("incarnation").to_number<Incarnation>()};
-        member.sequence = value.at("sequence").to_number<std::uint64_t>();
-        member.endpoint = {json::value_to<std::string>(value.at("address")),
-                           value.at("port").to_number<std::uint16_t>()};
-        member.region = json::value_to<std::string>(value.at("region"));
-        member.dataCentre = json::value_to<std::string>(value.at("dataCentre"));
-        member.service = json::value_to<std::string>(value.at("service"));
-        member.backend = static_cast<BackendState>(value.at("backend").to_number<std::uint8_t>());
-        member.slots = value.at("slots").to_number<std::uint32_t>();
-        member.leaving = value.at("leaving").as_bool();
-        return member;
-    } catch (const std::exception &) {
-        return std::nullopt;
-    }
-}
+constexpr std::array<ReportedCount, 6> ReportedCounts {{
+    {"pings", &MembershipCounts::pings},
+    {"acks", &MembershipCounts::acks},
+    {"suspicions", &MembershipCounts::suspicions},
+    {"unreachable", &MembershipCounts::unreachable},
+    {"refutations", &MembershipCounts::refutations},
+    {"syncs", &MembershipCounts::syncs},
+}};
 
-class Membership final : public Service
+class MembershipService final : public Service
 {
 public:
-    Membership(Kernel &kernel, asio::io_context &context, MembershipSettings settings)
-        : m_kernel(kernel), m_settings(std::move(settings)), m_socket(context),
-          m_mailbox(kernel.executor(), [this](MembershipMessage message) {
-              std::visit([this](auto &&body) { handle(std::move(body)); }, std::move(message));
-          })
+    MembershipService(Kernel &kernel, asio::io_context &context, MembershipSettings settings)
+        : m_kernel(kernel), m_settings(std::move(settings)),
+          m_membership(m_settings.self, m_settings.seeds, kernel.random()), m_socket(context),
+          m_sync(context, kernel.executor()),
+          m_mailbox(kernel.executor(),
+                    [this](MembershipMessage message) {
+                        std::visit([this](auto &&body) { handle(std::move(body)); },
+                                   std::move(message));
+                        listMayHaveChanged();
+                    }),
+          m_syncMailbox(kernel.executor(),
+                        [this](const ControlRequest &request) { answerSync(request); })
     {
         kernel.directory().publish(name(), m_mailbox.address());
-        m_members[m_settings.self.id.name] = m_settings.self;
+        kernel.directory().publish(ServiceName::control("sync"), m_syncMailbox.address());
     }
 
     std::string_view name() const override { return ServiceName::Membership; }
 
     std::error_code start() override
     {
-        boost::system::error_code ec;
-        const Endpoint &listen = m_settings.self.endpoint;
-        const auto address = asio::ip::make_address(listen.address, ec);
-        if (ec) {
-            return ServiceError::BadAddress;
+        std::error_code missing;
+        const Directory &directory = m_kernel.directory();
+        m_telemetry = directory.find<TelemetryMessage>(ServiceName::Telemetry, missing);
+        if (!missing) {
+            m_configuration
+                = directory.find<ConfigurationMessage>(ServiceName::Configuration, missing);
         }
-        const udp::endpoint endpoint(address, listen.port);
-        m_socket.open(endpoint.protocol(), ec);
-        m_socket.bind(endpoint, ec);
-        if (ec) {
-            return ServiceError::AddressInUse;
+        if (missing) {
+            return ServiceError::MissingService;
+        }
+        if (!canBeAnnounced()) {
+            return ServiceError::BadIdentity;
+        }
+        if (const std::error_code ec = openSocket()) {
+            return ec;
         }
         receive();
-        announce();
+        tick();
+        reportCounts();
         return {};
     }
 
     void stop(Task done) override
     {
-        m_kernel.executor().cancel(m_timer);
+        for (const TimerId timer : {m_tickTimer, m_publishTimer, m_countTimer}) {
+            m_kernel.executor().cancel(timer);
+        }
+        perform(m_membership.farewell(now()));
+        m_sync.cancel();
         boost::system::error_code ec;
         m_socket.close(ec);
         done();
     }
 
 private:
-    void handle(SubscribeMembers subscribe)
+    TimePoint now() const { return m_kernel.executor().now(); }
+
+    /// Others drop datagrams with a record that they cannot decode.
+    bool canBeAnnounced() const
     {
-        m_subscribers.push_back(subscribe.subscriber);
-        publish();
+        std::error_code ec;
+        decodeDatagram(encodeDatagram({{m_settings.self, {}, {}}, Ping {}, {}}), ec);
+        return !ec;
     }
 
-    void handle(BackendChanged changed)
+    std::error_code openSocket()
     {
-        Member &self = m_members[m_settings.self.id.name];
-        self.service = changed.service;
-        self.backend = changed.state;
-        self.slots = changed.slots;
-        ++self.sequence;
-        publish();
+        boost::system::error_code ec;
+        const Endpoint &listen = m_settings.self.endpoint;
+        const auto address = asio::ip::make_address(listen.address, ec);
+        if (ec) {
+            return ServiceError::BadAddress;
+        }
+        const udp::endpoint endpoint(address, listen.port);
+        m_socket.open(endpoint.protocol(), ec);
+        if (!ec) {
+            m_socket.bind(endpoint, ec);
+        }
+        if (!ec) {
+            m_socket.non_blocking(true, ec);
+        }
+        return ec ? make_error_code(ServiceError::AddressInUse) : std::error_code();
     }
 
-    void handle(LogEvidence) { }
-    void handle(SeedsLearned) { }
-    void handle(CrossRegionActive) { }
+    void handle(const SubscribeMembers &subscribe)
+    {
+        m_subscribers.push_back(subscribe.subscriber);
+        subscribe.subscriber.send(MembersChanged {copyOfMembers()});
+    }
 
-    void handle(AnnounceLeaving)
+    void handle(const BackendChanged &changed)
     {
-        Member &self = m_members[m_settings.self.id.name];
-        self.leaving = true;
-        ++self.sequence;
-        publish();
+        m_membership.changeBackend(changed.service, changed.state, changed.slots);
     }
 
-    void publish()
+    void handle(const LogEvidence &evidence)
     {
-        auto members = std::make_shared<std::vector<Member>>();
-        for (const auto &[id, member] : m_members) {
-            members->push_back(member);
-        }
-        for (const auto &subscriber : m_subscribers) {
-            subscriber.send(MembersChanged {members});
-        }
+        m_membership.setEvidence(evidence.version, evidence.fresh, evidence.logReachable);
     }
 
-    void announce()
+    void handle(const SeedsLearned &seeds) { m_membership.learnSeeds(seeds.endpoints); }
+    void handle(CrossRegionActive cross) { m_membership.changeCrossRegion(cross.active); }
+    void handle(AnnounceLeaving) { m_membership.leave(); }
+
+    void tick()
     {
-        const std::string text = json::serialize(objectOf(m_members[m_settings.self.id.name]));
-        for (const Endpoint &seed : m_settings.seeds) {
-            boost::system::error_code ec;
-            const udp::endpoint target(asio::ip::make_address(seed.address, ec), seed.port);
-            m_socket.send_to(asio::buffer(text), target, 0, ec);
-        }
-        m_timer = m_kernel.executor().after(AnnouncePeriod, [this] { announce(); });
+        perform(m_membership.tick(now()));
+        m_tickTimer = m_kernel.executor().after(Membership::TickPeriod, [this] { tick(); });
     }
 
     void receive()
     {
         m_socket.async_receive_from(
             asio::buffer(m_buffer), m_sender, [this](boost::system::error_code ec, std::size_t n) {
-                if (ec == asio::error::operation_aborted) {
+                if (ec == asio::error::operation_aborted || !m_socket.is_open()) {
                     return;
                 }
-                if (const auto member = memberOf({m_buffer.data(), n}); !ec && member) {
-                    merge(*member);
+                if (!ec) {
+                    received({m_buffer.data(), n});
                 }
                 receive();
             });
     }
 
-    void merge(const Member &member)
+    void received(std::string_view bytes)
+    {
+        m_bytesReceived += bytes.size() + DatagramHeaderBytes;
+        std::error_code ec;
+        const Datagram datagram = decodeDatagram(bytes, ec);
+        if (ec) {
+            ++m_malformed;
+            return;
+        }
+        const Endpoint sender {m_sender.address().to_string(), m_sender.port()};
+        perform(m_membership.handle(datagram, sender, now()));
+    }
+
+    void perform(Membership::Outputs outputs)
+    {
+        for (const MembershipOutput &output : outputs) {
+            std::visit([this](const auto &body) { carryOut(body); }, output);
+        }
+        listMayHaveChanged();
+    }
+
+    void carryOut(const DatagramToSend &out)
+    {
+        boost::system::error_code ec;
+        const udp::endpoint target(asio::ip::make_address(out.to.address, ec), out.to.port);
+        if (ec) {
+            return;
+        }
+        const std::string bytes = encodeDatagram(out.datagram);
+        m_socket.send_to(asio::buffer(bytes), target, 0, ec);
+        m_bytesSent += ec ? 0 : bytes.size() + DatagramHeaderBytes;
+    }
+
+    void carryOut(const PeerAnswered &answer)
+    {
+        m_configuration.send(PeerEvidence {answer.peer, answer.endpoint, answer.region,
+                                           answer.version, answer.fresh, answer.logReachable});
+    }
+
+    void carryOut(const SyncWanted &wanted)
+    {
+        if (m_sync.isRunning()) {
+            return;
+        }
+        std::string body = encodeSync(m_membership.allRecords(now()));
+        m_bytesSent += body.size();
+        m_sync.start(wanted.with, std::move(body), [this](const std::optional<std::string> &answer) {
+            if (answer) {
+                takeSync(*answer);
+            }
+        });
+    }
+
+    void carryOut(const IncarnationConflict &conflict)
+    {
+        const std::string text = "incarnation " + std::to_string(conflict.heard)
+            + (conflict.replaced ? " has replaced this daemon" : " is in use, taking a higher one");
+        m_telemetry.send(StateChanged {name(), text});
+        if (m_settings.conflict) {
+            m_settings.conflict(conflict);
+        }
+    }
+
+    void takeSync(std::string_view bytes)
+    {
+        m_bytesReceived += bytes.size();
+        std::error_code ec;
+        const std::vector<MemberRecord> records = decodeSync(bytes, ec);
+        if (ec) {
+            ++m_malformed;
+            return;
+        }
+        perform(m_membership.finishSync(records, now()));
+    }
+
+    void answerSync(const ControlRequest &request)
+    {
+        m_bytesReceived += request.body.size();
+        std::error_code ec;
+        const std::vector<MemberRecord> records = decodeSync(request.body, ec);
+        if (ec || request.method != "POST") {
+            ++m_malformed;
+            request.reply(ControlAnswer {400, "application/json",
+                                         R"({"error":"not a POST of member records"})"});
+            return;
+        }
+        std::vector<MemberRecord> missing;
+        perform(m_membership.answerSync(records, missing, now()));
+        std::string answer = encodeSync(missing);
+        m_bytesSent += answer.size();
+        request.reply(ControlAnswer {200, "application/x-protobuf", std::move(answer)});
+    }
+
+    std::shared_ptr<const std::vector<Member>> copyOfMembers() const
+    {
+        const std::span<const Member> members = m_membership.members();
+        return std::make_shared<const std::vector<Member>>(members.begin(), members.end());
+    }
+
+    void listMayHaveChanged()
+    {
+        if (m_publishTimer == 0 && m_membership.revision() != m_publishedRevision) {
+            m_publishTimer = m_kernel.executor().after(m_lastPublished + PublishPeriod - now(),
+                                                       [this] { publish(); });
+        }
+    }
+
+    void publish()
+    {
+        m_publishTimer = 0;
+        m_lastPublished = now();
+        m_publishedRevision = m_membership.revision();
+        const auto members = copyOfMembers();
+        for (const auto &subscriber : m_subscribers) {
+            subscriber.send(MembersChanged {members});
+        }
+    }
+
+    void reportCounts()
+    {
+        const MembershipCounts &counts = m_membership.counts();
+        for (const auto &[kind, member] : ReportedCounts) {
+            count("membership_events_total", kind, counts.*member - m_reported.*member);
+        }
+        m_reported = counts;
+        count("membership_events_total", "malformed", std::exchange(m_malformed, 0));
+        count("membership_bytes_total", "sent", std::exchange(m_bytesSent, 0));
+        count("membership_bytes_total", "received", std::exchange(m_bytesReceived, 0));
+        m_countTimer = m_kernel.executor().after(CountPeriod, [this] { reportCounts(); });
+    }
+
+    void count(std::string_view metric, std::string_view kind, std::uint64_t amount)
     {
-        Member &known = m_members[member.id.name];
-        const bool newer = std::pair(member.id.incarnation, member.sequence)
-            > std::pair(known.id.incarnation, known.sequence);
-        if (newer || known.id.name.empty()) {
-            known = member;
-            publish();
+        if (amount > 0) {
+            m_telemetry.send(CountEvent {metric, std::string(kind), static_cast<double>(amount)});
         }
     }
 
     Kernel &m_kernel;
     MembershipSettings m_settings;
+    Membership m_membership;
     udp::socket m_socket;
     udp::endpoint m_sender;
-    std::array<char, MaxDatagramBytes> m_buffer {};
-    std::map<std::string, Member> m_members;
+    /// One byte more than allowed, so that longer datagrams are noticed.
+    std::array<char, Datagram::MaxBytes + 1> m_buffer {};
+    SyncExchange m_sync;
     std::vector<Address<MembersChanged>> m_subscribers;
-    TimerId m_timer = 0;
+    Address<TelemetryMessage> m_telemetry;
+    Address<ConfigurationMessage> m_configuration;
+    MembershipCounts m_reported;
+    std::uint64_t m_malformed = 0;
+    std::uint64_t m_bytesSent = 0;
+    std::uint64_t m_bytesReceived = 0;
+    std::uint64_t m_publishedRevision = 0;
+    TimePoint m_lastPublished {};
+    TimerId m_tickTimer = 0;
+    TimerId m_publishTimer = 0;
+    TimerId m_countTimer = 0;
     Mailbox<MembershipMessage> m_mailbox;
+    Mailbox<ControlRequest> m_syncMailbox;
 };
 
 } // namespace
@@ -193,7 +338,7 @@
 std::unique_ptr<Service> makeMembership(Kernel &kernel, asio::io_context &context,
                                         MembershipSettings settings)
 {
-    return std::make_unique<Membership>(kernel, context, std::move(settings));
+    return std::make_unique<MembershipService>(kernel, context, std::move(settings));
 }
 
 } // namespace Coltsfootwell
--- a/src/services/Membership.h
+++ b/src/services/Membership.h
@@ -1,9 +1,10 @@
 // The service "membership": announces this daemon to others and learns of them.
 #pragma once
 
-#include "decisions/Member.h"
+#include "decisions/Membership.h"
 #include "kernel/Kernel.h"
 
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -20,6 +21,9 @@
     Member self;
     /// Daemons to ask first.
     std::vector<Endpoint> seeds;
+    /// Called when another process has this daemon's name and a higher incarnation. The process
+    /// stops when it was replaced; while joining it starts again with a higher incarnation.
+    std::function<void(const IncarnationConflict &)> conflict;
 };
 
 /// \param kernel gives the executor, randomness and the directory.
--- a/src/services/ServiceError.cpp
+++ b/src/services/ServiceError.cpp
@@ -20,6 +20,8 @@
             return "a service that this one needs is not registered";
         case ServiceError::LogUnavailable:
             return "the log service cannot be reached";
+        case ServiceError::BadIdentity:
+            return "the daemon's id, region or data centre is not a name of 1 to 64 bytes";
         }
         return "unknown service error";
     }
--- a/src/services/ServiceError.h
+++ b/src/services/ServiceError.h
@@ -10,6 +10,7 @@
     BadAddress,
     MissingService,
     LogUnavailable,
+    BadIdentity,
 };
 
 /// \return the category of ServiceError.
--- /dev/null
+++ b/src/wire/MembershipCodec.cpp
@@ -0,0 +1,262 @@
+#include "wire/MembershipCodec.h"
+
+#include "wire/WireError.h"
+#include "wire/generated/membership.pb.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Coltsfootwell {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Longest text of an IPv6 number.
+constexpr std::size_t MaxAddressBytes = 45;
+
+/// Rounds up, so that an age never looks smaller than it is.
+std::uint32_t wireMilliseconds(Duration duration)
+{
+    constexpr auto Max = std::numeric_limits<std::uint32_t>::max();
+    const auto ms = std::chrono::ceil<milliseconds>(duration).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ms, 0, Max));
+}
+
+bool isName(std::string_view text, std::size_t minBytes)
+{
+    const auto isPrintable = [](char c) { return c > ' ' && c != '\x7f'; };
+    return text.size() >= minBytes && text.size() <= MaxWireNameBytes
+        && std::ranges::all_of(text, isPrintable);
+}
+
+bool isEndpoint(std::string_view address, std::uint32_t port)
+{
+    const auto isPart = [](char c) {
+        return std::string_view("0123456789abcdefABCDEF.:").find(c) != std::string_view::npos;
+    };
+    return !address.empty() && address.size() <= MaxAddressBytes
+        && std::ranges::all_of(address, isPart) && port > 0
+        && port <= std::numeric_limits<std::uint16_t>::max();
+}
+
+bool isValid(const Wire::MemberRecord &wire)
+{
+    return isName(wire.name(), 1) && isName(wire.region(), 0) && isName(wire.data_centre(), 0)
+        && isName(wire.service(), 0) && isEndpoint(wire.address(), wire.port())
+        && wire.state() <= static_cast<std::uint32_t>(MemberState::Left)
+        && wire.backend() <= static_cast<std::uint32_t>(BackendState::Gone)
+        && static_cast<std::size_t>(wire.observers_size()) <= MemberRecord::MaxObservers
+        && std::ranges::all_of(wire.observers(),
+                               [](const std::string &name) { return isName(name, 1); });
+}
+
+void encodeRecord(const MemberRecord &record, Wire::MemberRecord &wire)
+{
+    const Member &member = record.member;
+    wire.set_name(member.id.name);
+    wire.set_incarnation(member.id.incarnation);
+    wire.set_sequence(member.sequence);
+    wire.set_state(static_cast<std::uint32_t>(member.state));
+    wire.set_address(member.endpoint.address);
+    wire.set_port(member.endpoint.port);
+    wire.set_region(member.region);
+    wire.set_data_centre(member.dataCentre);
+    wire.set_service(member.service);
+    wire.set_backend(static_cast<std::uint32_t>(member.backend));
+    wire.set_slots(member.slots);
+    wire.set_leaving(member.leaving);
+    wire.set_cross_region(member.crossRegion);
+    for (const std::string &observer : record.observers) {
+        wire.add_observers(observer);
+    }
+    wire.set_down_for_ms(wireMilliseconds(record.downFor));
+}
+
+MemberRecord decodeRecord(const Wire::MemberRecord &wire, std::error_code &ec)
+{
+    MemberRecord record;
+    if (!isValid(wire)) {
+        ec = WireError::BadField;
+        return record;
+    }
+    Member &member = record.member;
+    member.id = {wire.name(), wire.incarnation()};
+    member.sequence = wire.sequence();
+    member.state = static_cast<MemberState>(wire.state());
+    member.endpoint = {wire.address(), static_cast<std::uint16_t>(wire.port())};
+    member.region = wire.region();
+    member.dataCentre = wire.data_centre();
+    member.service = wire.service();
+    member.backend = static_cast<BackendState>(wire.backend());
+    member.slots = wire.slots();
+    member.leaving = wire.leaving();
+    member.crossRegion = wire.cross_region();
+    record.observers.assign(wire.observers().begin(), wire.observers().end());
+    record.downFor = milliseconds(wire.down_for_ms());
+    return normalised(std::move(record));
+}
+
+void encodeBody(const Ping &ping, Wire::Datagram &wire)
+{
+    wire.mutable_ping()->set_nonce(ping.nonce);
+    wire.mutable_ping()->set_want_digest(ping.wantDigest);
+}
+
+void encodeBody(const Ack &ack, Wire::Datagram &wire)
+{
+    Wire::Ack &body = *wire.mutable_ack();
+    body.set_nonce(ack.nonce);
+    body.set_version(ack.evidence.version);
+    if (ack.evidence.age) {
+        body.set_age_ms(wireMilliseconds(*ack.evidence.age));
+    }
+    body.set_log_reachable(ack.evidence.logReachable);
+    if (ack.digest) {
+        body.set_digest(*ack.digest);
+    }
+}
+
+void encodeBody(const IndirectPing &ping, Wire::Datagram &wire)
+{
+    Wire::IndirectPing &body = *wire.mutable_indirect_ping();
+    body.set_nonce(ping.nonce);
+    body.set_target(ping.target);
+    body.set_address(ping.endpoint.address);
+    body.set_port(ping.endpoint.port);
+}
+
+void encodeBody(const IndirectAck &ack, Wire::Datagram &wire)
+{
+    wire.mutable_indirect_ack()->set_nonce(ack.nonce);
+    wire.mutable_indirect_ack()->set_target(ack.target);
+}
+
+Ack decodeAck(const Wire::Ack &wire)
+{
+    Ack ack {wire.nonce(), {wire.version(), {}, wire.log_reachable()}, {}};
+    if (wire.has_age_ms()) {
+        ack.evidence.age = milliseconds(wire.age_ms());
+    }
+    if (wire.has_digest()) {
+        ack.digest = wire.digest();
+    }
+    return ack;
+}
+
+void decodeBody(const Wire::Datagram &wire, Datagram &datagram, std::error_code &ec)
+{
+    switch (wire.body_case()) {
+    case Wire::Datagram::kPing:
+        datagram.body = Ping {wire.ping().nonce(), wire.ping().want_digest()};
+        return;
+    case Wire::Datagram::kAck:
+        datagram.body = decodeAck(wire.ack());
+        return;
+    case Wire::Datagram::kIndirectPing: {
+        const Wire::IndirectPing &body = wire.indirect_ping();
+        if (!isName(body.target(), 1) || !isEndpoint(body.address(), body.port())) {
+            ec = WireError::BadField;
+        }
+        datagram.body
+            = IndirectPing {body.nonce(),
+                            body.target(),
+                            {body.address(), static_cast<std::uint16_t>(body.port())}};
+        return;
+    }
+    case Wire::Datagram::kIndirectAck:
+        if (!isName(wire.indirect_ack().target(), 1)) {
+            ec = WireError::BadField;
+        }
+        datagram.body = IndirectAck {wire.indirect_ack().nonce(), wire.indirect_ack().target()};
+        return;
+    case Wire::Datagram::BODY_NOT_SET:
+        break;
+    }
+    ec = WireError::BadFrame;
+}
+
+template <typename WireRecords>
+std::vector<MemberRecord> decodeRecords(const WireRecords &wire, std::error_code &ec)
+{
+    std::vector<MemberRecord> records;
+    records.reserve(static_cast<std::size_t>(wire.size()));
+    for (const Wire::MemberRecord &record : wire) {
+        records.push_back(decodeRecord(record, ec));
+        if (ec) {
+            break;
+        }
+    }
+    return records;
+}
+
+bool parse(std::string_view bytes, google::protobuf::MessageLite &message)
+{
+    return bytes.size() <= static_cast<std::size_t>(std::numeric_limits<int>::max())
+        && message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+}
+
+} // namespace
+
+std::string encodeDatagram(const Datagram &datagram)
+{
+    Wire::Datagram wire;
+    encodeRecord(datagram.from, *wire.mutable_from());
+    std::visit([&wire](const auto &body) { encodeBody(body, wire); }, datagram.body);
+    for (const MemberRecord &record : datagram.records) {
+        encodeRecord(record, *wire.add_records());
+    }
+    while (wire.ByteSizeLong() > Datagram::MaxBytes && wire.records_size() > 0) {
+        wire.mutable_records()->RemoveLast();
+    }
+    return wire.SerializeAsString();
+}
+
+Datagram decodeDatagram(std::string_view bytes, std::error_code &ec)
+{
+    ec.clear();
+    Datagram datagram;
+    Wire::Datagram wire;
+    if (bytes.size() > Datagram::MaxBytes || !parse(bytes, wire) || !wire.has_from()) {
+        ec = WireError::BadFrame;
+        return datagram;
+    }
+    if (static_cast<std::size_t>(wire.records_size()) > Datagram::MaxRecords) {
+        ec = WireError::BadField;
+        return datagram;
+    }
+    datagram.from = decodeRecord(wire.from(), ec);
+    if (!ec) {
+        datagram.records = decodeRecords(wire.records(), ec);
+    }
+    if (!ec) {
+        decodeBody(wire, datagram, ec);
+    }
+    return datagram;
+}
+
+std::string encodeSync(std::span<const MemberRecord> records)
+{
+    Wire::Sync wire;
+    for (const MemberRecord &record : records) {
+        encodeRecord(record, *wire.add_records());
+    }
+    return wire.SerializeAsString();
+}
+
+std::vector<MemberRecord> decodeSync(std::string_view bytes, std::error_code &ec)
+{
+    ec.clear();
+    Wire::Sync wire;
+    if (!parse(bytes, wire)) {
+        ec = WireError::BadFrame;
+        return {};
+    }
+    if (static_cast<std::size_t>(wire.records_size()) > MaxSyncRecords) {
+        ec = WireError::BadField;
+        return {};
+    }
+    return decodeRecords(wire.records(), ec);
+}
+
+} // namespace Coltsfootwell
