--- a/src/decisions/MemberTable.cpp
+++ b/src/decisions/MemberTable.cpp
@@ -30,7 +30,7 @@
 
 MemberTable::MemberTable(Member self)
 {
-    add({std::move(self), {}, {}}, {});
+    add({std::move(self), {}, {}}, {}, true);
 }
 
 void MemberTable::replaceSelf(Member self)
@@ -39,14 +39,14 @@
     enqueue(0, 0);
 }
 
-bool MemberTable::merge(const MemberRecord &record, TimePoint now)
+bool MemberTable::merge(const MemberRecord &record, TimePoint now, bool passOn)
 {
     if (isDown(record.member) && record.downFor >= DownRetention) {
         return false;
     }
     const std::optional<std::size_t> index = find(record.member.id.name);
     if (!index) {
-        add(record, now);
+        add(record, now, passOn);
         return true;
     }
     const Member &known = m_members[*index];
@@ -64,7 +64,11 @@
         replace(*index, record.member);
         entry.since = now - record.downFor;
     }
-    enqueue(*index, 0);
+    if (passOn) {
+        enqueue(*index, 0);
+    } else {
+        dequeue(*index);
+    }
     return true;
 }
 
@@ -144,7 +148,7 @@
     }
 }
 
-void MemberTable::add(const MemberRecord &record, TimePoint now)
+void MemberTable::add(const MemberRecord &record, TimePoint now, bool passOn)
 {
     const std::size_t index = m_members.size();
     m_members.push_back(record.member);
@@ -152,7 +156,9 @@
     m_index.emplace(record.member.id.name, index);
     countIn(record.member);
     ++m_revision;
-    enqueue(index, 0);
+    if (passOn) {
+        enqueue(index, 0);
+    }
 }
 
 void MemberTable::replace(std::size_t index, const Member &member)
--- a/src/decisions/MemberTable.h
+++ b/src/decisions/MemberTable.h
@@ -33,8 +33,9 @@
 
     /// \brief Takes over a record of another daemon when it is newer.
     /// \param record normalised.
+    /// \param passOn true to queue it for others.
     /// \return true when the table has changed.
-    bool merge(const MemberRecord &record, TimePoint now);
+    bool merge(const MemberRecord &record, TimePoint now, bool passOn = true);
 
     /// \return index of a member in members(), or nothing.
     std::optional<std::size_t> find(std::string_view name) const;
@@ -89,7 +90,7 @@
         std::optional<QueueKey> queued;
     };
 
-    void add(const MemberRecord &record, TimePoint now);
+    void add(const MemberRecord &record, TimePoint now, bool passOn);
     void replace(std::size_t index, const Member &member);
     void enqueue(std::size_t index, unsigned sent);
     void dequeue(std::size_t index);
--- a/src/decisions/Membership.cpp
+++ b/src/decisions/Membership.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t FarewellPings = 8;
 /// Comparisons of digests in a row that differ before a sync is made although news still spread.
 constexpr unsigned MaxMismatches = 3;
+/// Longer news from a sync are not passed on by gossip: with 250 daemons that start together this
+/// took 40 s. Others get them in syncs of their own.
+constexpr std::size_t MaxSyncGossip = Datagram::MaxRecords;
 /// Bounds the work that other daemons can ask of this one; each lasts for ProbeTimeout.
 constexpr std::size_t MaxRelays = 64;
 /// Smaller groups have the suspicion time of this many members.
@@ -41,7 +44,8 @@
         m_started = now;
         m_nextPing = now + phase;
         m_nextReaderPing = now + phase;
-        m_nextDigest = now + std::chrono::duration_cast<Duration>(DigestPeriod * m_random.unit());
+        m_nextDigest
+            = now + std::chrono::duration_cast<Duration>(FirstDigestPeriod * m_random.unit());
     } else if (now - m_lastTick > PauseTime) {
         pause(now);
     }
@@ -152,7 +156,7 @@
     });
 }
 
-void Membership::learn(const MemberRecord &received, TimePoint now)
+void Membership::learn(const MemberRecord &received, TimePoint now, bool passOn)
 {
     if (received.member.id.name == m_table.self().id.name) {
         learnOfSelf(normalised(received).member);
@@ -165,7 +169,7 @@
         record.member.state = MemberState::Suspect;
         record = normalised(std::move(record));
     }
-    m_table.merge(record, now);
+    m_table.merge(record, now, passOn);
 }
 
 void Membership::learnOfSelf(const Member &heard)
@@ -216,7 +220,9 @@
     const auto live = m_table.pick(m_random, [this](std::size_t i) { return isPingable(i); });
     if (live) {
         ping(*live, wantDigest, now);
-        m_nextDigest = wantDigest ? now + DigestPeriod : m_nextDigest;
+        if (wantDigest) {
+            m_nextDigest = now + (m_matched ? DigestPeriod : FirstDigestPeriod);
+        }
     }
     if (now < m_nextUnreachablePing) {
         return;
@@ -367,10 +373,11 @@
 {
     if (digest == m_table.digest()) {
         m_mismatches = 0;
+        m_matched = true;
         return;
     }
     // While news spread the lists differ for a moment, which gossip settles at a lower cost.
-    if (!m_table.hasGossip() || ++m_mismatches >= MaxMismatches) {
+    if (!m_matched || !m_table.hasGossip() || ++m_mismatches >= MaxMismatches) {
         m_mismatches = 0;
         m_outputs.emplace_back(SyncWanted {with});
     }
@@ -513,18 +520,27 @@
             missing.push_back(std::move(record));
         }
     }
+    learnFromSync(records, now);
+    return m_outputs;
+}
+
+void Membership::learnFromSync(std::span<const MemberRecord> records, TimePoint now)
+{
+    const auto isNews = [this](const MemberRecord &record) {
+        const auto known = m_table.find(record.member.id.name);
+        return !known || supersedes(record.member, m_table.members()[*known]);
+    };
+    const bool passOn = std::ranges::count_if(records, isNews)
+        <= static_cast<std::ptrdiff_t>(MaxSyncGossip);
     for (const MemberRecord &record : records) {
-        learn(record, now);
+        learn(record, now, passOn);
     }
-    return m_outputs;
 }
 
 Membership::Outputs Membership::finishSync(std::span<const MemberRecord> records, TimePoint now)
 {
     m_outputs.clear();
-    for (const MemberRecord &record : records) {
-        learn(record, now);
-    }
+    learnFromSync(records, now);
     ++m_counts.syncs;
     m_synced = true;
     m_joined = true;
--- a/src/decisions/Membership.h
+++ b/src/decisions/Membership.h
@@ -79,6 +79,9 @@
     /// Suspicion time for up to ten members; grows with the decimal logarithm of their number.
     static constexpr std::chrono::seconds SuspicionTime {1};
     static constexpr std::chrono::seconds DigestPeriod {10};
+    /// Until the list was equal to another one for the first time. Many daemons that start at once
+    /// learn more slowly of each other by gossip.
+    static constexpr std::chrono::seconds FirstDigestPeriod {2};
     static constexpr std::chrono::seconds UnreachablePingPeriod {2};
     /// A daemon that has heard of nobody for this time has joined, alone.
     static constexpr std::chrono::seconds JoinTime {3};
@@ -175,7 +178,8 @@
     void receive(const Datagram &datagram, const IndirectAck &ack, const Endpoint &sender,
                  TimePoint now);
 
-    void learn(const MemberRecord &record, TimePoint now);
+    void learn(const MemberRecord &record, TimePoint now, bool passOn = true);
+    void learnFromSync(std::span<const MemberRecord> records, TimePoint now);
     void learnOfSelf(const Member &heard);
     void changeSelf(Member self);
     void pause(TimePoint now);
@@ -217,6 +221,7 @@
     TimePoint m_nextSync {};
     std::size_t m_readerTurn = 0;
     unsigned m_mismatches = 0;
+    bool m_matched = false;
     bool m_joined = false;
     bool m_synced = false;
     bool m_replaced = false;
--- a/src/programs/coltsfootd.cpp
+++ b/src/programs/coltsfootd.cpp
@@ -12,6 +12,7 @@
 #include <iostream>
 #include <optional>
 #include <random>
+#include <utility>
 
 namespace {
 
@@ -42,7 +43,12 @@
     AsioExecutor executor(context);
     Kernel kernel(executor, random);
     RunResult result;
-    const auto stop = [&] { kernel.stop([&context] { context.stop(); }); };
+    bool stopping = false;
+    const auto stop = [&] {
+        if (!std::exchange(stopping, true)) {
+            kernel.stop([&context] { context.stop(); });
+        }
+    };
     const auto conflict = [&](const IncarnationConflict &heard) {
         result.exitCode = heard.replaced ? ExitReplaced : 0;
         result.taken = heard.replaced ? std::nullopt : std::optional(heard.heard);
--- a/src/services/Membership.cpp
+++ b/src/services/Membership.cpp
@@ -77,7 +77,7 @@
         if (missing) {
             return ServiceError::MissingService;
         }
-        if (!canBeAnnounced()) {
+        if (!canBeAnnounced(m_settings.self)) {
             return ServiceError::BadIdentity;
         }
         if (const std::error_code ec = openSocket()) {
@@ -105,10 +105,10 @@
     TimePoint now() const { return m_kernel.executor().now(); }
 
     /// Others drop datagrams with a record that they cannot decode.
-    bool canBeAnnounced() const
+    static bool canBeAnnounced(const Member &self)
     {
         std::error_code ec;
-        decodeDatagram(encodeDatagram({{m_settings.self, {}, {}}, Ping {}, {}}), ec);
+        decodeDatagram(encodeDatagram({{self, {}, {}}, Ping {}, {}}), ec);
         return !ec;
     }
 
@@ -139,7 +139,14 @@
 
     void handle(const BackendChanged &changed)
     {
-        m_membership.changeBackend(changed.service, changed.state, changed.slots);
+        Member self = m_settings.self;
+        self.service = changed.service;
+        if (canBeAnnounced(self)) {
+            m_membership.changeBackend(changed.service, changed.state, changed.slots);
+        } else {
+            m_telemetry.send(
+                StateChanged {name(), "the backend server's service has no name of 1 to 64 bytes"});
+        }
     }
 
     void handle(const LogEvidence &evidence)
--- /dev/null
+++ b/test/MembershipSimulation.h
@@ -0,0 +1,292 @@
+// Drives many Membership objects over a simulated network under a manual clock.
+#pragma once
+
+#include "decisions/Membership.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <deque>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <queue>
+#include <utility>
+#include <string>
+#include <vector>
+
+namespace Coltsfootwell::Testing {
+
+/// \return the seed from the environment variable COLTSFOOTWELL_SEED or the given one; printed, so
+/// that a failure can be repeated.
+inline std::uint64_t printedSeed(std::string_view test, std::uint64_t seed)
+{
+    if (const char *text = std::getenv("COLTSFOOTWELL_SEED")) {
+        seed = std::strtoull(text, nullptr, 10);
+    }
+    std::cout << test << ": seed " << seed << '\n';
+    return seed;
+}
+
+/// \brief One simulated process.
+struct Process
+{
+    Member self;
+    std::unique_ptr<SeededRandom> random;
+    std::unique_ptr<Membership> membership;
+    bool running = true;
+    bool frozen = false;
+    std::deque<std::function<void()>> waiting;
+    std::vector<IncarnationConflict> conflicts;
+    std::vector<PeerAnswered> answers;
+};
+
+/// \brief Network and clock.
+class MembershipSimulation
+{
+public:
+    static constexpr std::chrono::microseconds LatencyInRegion {500};
+    static constexpr std::chrono::milliseconds LatencyBetweenRegions {30};
+
+    explicit MembershipSimulation(std::uint64_t seed) : m_random(seed) { }
+
+    /// Decides whether a message from one process to another is lost.
+    std::function<bool(const Process &, const Process &)> isCut
+        = [](const Process &, const Process &) { return false; };
+    /// Share of datagrams that are lost.
+    double lossRate = 0;
+    /// Called with each datagram; replaces it by what the receiver decodes.
+    std::function<Datagram(Datagram)> onSend = [](Datagram datagram) { return datagram; };
+    /// Called with the records of each full sync, in either direction.
+    std::function<void(std::span<const MemberRecord>)> onSync = [](auto) {};
+
+    TimePoint now() const { return m_now; }
+    std::deque<Process> &processes() { return m_processes; }
+
+    static Endpoint endpointOf(std::size_t index)
+    {
+        return {"10.0." + std::to_string(index / 250) + '.' + std::to_string(index % 250 + 1),
+                7000};
+    }
+
+    /// \brief Starts a process.
+    /// \param name of its daemon.
+    /// \param seeds indices of processes.
+    Process &start(const std::string &name, const std::string &region,
+                   const std::string &dataCentre, std::vector<std::size_t> seeds,
+                   Incarnation incarnation = 1)
+    {
+        const std::size_t index = m_processes.size();
+        Process &process = m_processes.emplace_back();
+        process.self.id = {name, incarnation};
+        process.self.endpoint = endpointOf(index);
+        process.self.region = region;
+        process.self.dataCentre = dataCentre;
+        m_byEndpoint[process.self.endpoint] = index;
+        std::vector<Endpoint> endpoints;
+        for (const std::size_t seed : seeds) {
+            endpoints.push_back(endpointOf(seed));
+        }
+        process.random = std::make_unique<SeededRandom>(m_random.next());
+        process.membership
+            = std::make_unique<Membership>(process.self, endpoints, *process.random);
+        tickLater(index, Duration());
+        return process;
+    }
+
+    /// \brief Starts daemons that know the first two as seeds.
+    /// \param place gives region and data centre of an index.
+    void startMany(std::size_t n,
+                   const std::function<std::pair<std::string, std::string>(std::size_t)> &place)
+    {
+        for (std::size_t i = 0; i < n; ++i) {
+            const auto [region, dataCentre] = place(i);
+            start("daemon-" + std::to_string(i), region, dataCentre, {0, 1});
+        }
+    }
+
+    void run(Duration time)
+    {
+        const TimePoint end = m_now + time;
+        while (!m_events.empty() && m_events.top().at <= end) {
+            auto event = std::move(const_cast<Event &>(m_events.top()));
+            m_events.pop();
+            m_now = event.at;
+            event.task();
+        }
+        m_now = end;
+    }
+
+    /// \brief Runs until a condition holds.
+    /// \return the time it took, or nothing when the limit was reached.
+    std::optional<Duration> runUntil(const std::function<bool()> &condition, Duration limit)
+    {
+        const TimePoint start = m_now;
+        while (m_now - start <= limit) {
+            if (condition()) {
+                return m_now - start;
+            }
+            run(Membership::TickPeriod / 2);
+        }
+        return std::nullopt;
+    }
+
+    void freeze(Process &process) { process.frozen = true; }
+
+    /// What waits in the sockets of a thawed process is handled before its timers or after them.
+    void thaw(Process &process)
+    {
+        process.frozen = false;
+        auto waiting = std::exchange(process.waiting, {});
+        for (auto &task : waiting) {
+            task();
+        }
+    }
+
+    /// \return state in which a running process sees a daemon, or nothing when it does not know it.
+    static std::optional<MemberState> stateSeen(const Process &by, std::string_view name)
+    {
+        for (const Member &member : by.membership->members()) {
+            if (member.id.name == name) {
+                return member.state;
+            }
+        }
+        return std::nullopt;
+    }
+
+    /// \return true when every running process sees the daemon in the state.
+    bool allSee(std::string_view name, MemberState state) const
+    {
+        return std::ranges::all_of(m_processes, [&](const Process &by) {
+            return !by.running || by.frozen || by.self.id.name == name
+                || stateSeen(by, name) == state;
+        });
+    }
+
+    /// \return true when each running process sees exactly n members that are alive.
+    bool allSeeAlive(std::size_t n) const
+    {
+        return std::ranges::all_of(m_processes, [n](const Process &by) {
+            return !by.running || by.frozen
+                || std::ranges::count(by.membership->members(), MemberState::Alive, &Member::state)
+                == static_cast<std::ptrdiff_t>(n);
+        });
+    }
+
+private:
+    struct Event
+    {
+        TimePoint at;
+        std::uint64_t serial;
+        std::function<void()> task;
+
+        bool operator<(const Event &other) const
+        {
+            return std::pair(at, serial) > std::pair(other.at, other.serial);
+        }
+    };
+
+    void later(Duration delay, std::function<void()> task)
+    {
+        m_events.push({m_now + delay, ++m_lastSerial, std::move(task)});
+    }
+
+    void tickLater(std::size_t index, Duration delay)
+    {
+        later(delay, [this, index] {
+            Process &process = m_processes[index];
+            if (!process.running) {
+                return;
+            }
+            if (!process.frozen) {
+                perform(index, process.membership->tick(m_now));
+            }
+            tickLater(index, Membership::TickPeriod);
+        });
+    }
+
+    void deliver(std::size_t from, const Endpoint &to, std::function<void(std::size_t)> task)
+    {
+        const auto it = m_byEndpoint.find(to);
+        if (it == m_byEndpoint.end()) {
+            return;
+        }
+        const std::size_t target = it->second;
+        const Process &sender = m_processes[from];
+        if (isCut(sender, m_processes[target])) {
+            return;
+        }
+        const bool near = sender.self.region == m_processes[target].self.region;
+        later(near ? Duration(LatencyInRegion) : Duration(LatencyBetweenRegions),
+              [this, target, task = std::move(task)] {
+                  Process &process = m_processes[target];
+                  if (process.running && process.frozen) {
+                      process.waiting.push_back([task, target] { task(target); });
+                  } else if (process.running) {
+                      task(target);
+                  }
+              });
+    }
+
+    void perform(std::size_t index, Membership::Outputs outputs)
+    {
+        // Copied, since a sync calls the same object again.
+        const std::vector<MembershipOutput> copy(outputs.begin(), outputs.end());
+        for (const MembershipOutput &output : copy) {
+            std::visit([this, index](const auto &body) { carryOut(index, body); }, output);
+        }
+    }
+
+    void carryOut(std::size_t index, const DatagramToSend &out)
+    {
+        Datagram datagram = onSend(out.datagram);
+        if (m_random.unit() < lossRate) {
+            return;
+        }
+        deliver(index, out.to,
+                [this, sender = endpointOf(index),
+                 held = std::make_shared<Datagram>(std::move(datagram))](std::size_t target) {
+                    perform(target, m_processes[target].membership->handle(*held, sender, m_now));
+                });
+    }
+
+    void carryOut(std::size_t index, const SyncWanted &wanted)
+    {
+        auto records = std::make_shared<std::vector<MemberRecord>>(
+            m_processes[index].membership->allRecords(m_now));
+        onSync(*records);
+        deliver(index, wanted.with, [this, index, records](std::size_t target) {
+            auto missing = std::make_shared<std::vector<MemberRecord>>();
+            perform(target, m_processes[target].membership->answerSync(*records, *missing, m_now));
+            onSync(*missing);
+            deliver(target, endpointOf(index), [this, missing](std::size_t asker) {
+                perform(asker, m_processes[asker].membership->finishSync(*missing, m_now));
+            });
+        });
+    }
+
+    void carryOut(std::size_t index, const PeerAnswered &answer)
+    {
+        m_processes[index].answers.push_back(answer);
+        if (m_processes[index].answers.size() > 100) {
+            m_processes[index].answers.erase(m_processes[index].answers.begin());
+        }
+    }
+
+    void carryOut(std::size_t index, const IncarnationConflict &conflict)
+    {
+        m_processes[index].conflicts.push_back(conflict);
+        if (conflict.replaced) {
+            m_processes[index].running = false;
+        }
+    }
+
+    SeededRandom m_random;
+    TimePoint m_now {std::chrono::hours(1)};
+    std::deque<Process> m_processes;
+    std::map<Endpoint, std::size_t> m_byEndpoint;
+    std::priority_queue<Event> m_events;
+    std::uint64_t m_lastSerial = 0;
+};
+
+} // namespace Coltsfootwell::Testing
--- /dev/null
+++ b/test/correctness/MembershipReplacement.cpp
@@ -0,0 +1,92 @@
+// Guards against a frozen daemon that thaws and takes its place back from its replacement, and
+// against two processes with the same incarnation.
+#include "MembershipSimulation.h"
+
+#include <doctest/doctest.h>
+
+using namespace Coltsfootwell;
+using namespace Coltsfootwell::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+void startAll(MembershipSimulation &simulation, std::size_t n)
+{
+    simulation.startMany(n, [](std::size_t) { return std::pair("klang", "klang-a"); });
+    simulation.run(15s);
+    REQUIRE(simulation.allSeeAlive(n));
+}
+
+bool allSeeIncarnation(MembershipSimulation &simulation, std::string_view name, Incarnation wanted)
+{
+    return std::ranges::all_of(simulation.processes(), [&](const Process &by) {
+        return !by.running || by.frozen
+            || std::ranges::any_of(by.membership->members(), [&](const Member &member) {
+                   return member.id == DaemonId {std::string(name), wanted}
+                   && member.state == MemberState::Alive;
+               });
+    });
+}
+
+} // namespace
+
+TEST_CASE("a thawed daemon stops when it was replaced")
+{
+    MembershipSimulation simulation(printedSeed("replaced", 11));
+    startAll(simulation, 16);
+    Process &old = simulation.processes()[4];
+    simulation.freeze(old);
+    simulation.run(2s);
+    simulation.start("daemon-4", "klang", "klang-a", {0, 1}, 2);
+    REQUIRE(simulation.runUntil([&] { return allSeeIncarnation(simulation, "daemon-4", 2); }, 20s));
+    simulation.run(10s);
+    simulation.thaw(old);
+    for (int i = 0; i < 50; ++i) {
+        simulation.run(100ms);
+        CHECK(allSeeIncarnation(simulation, "daemon-4", 2));
+    }
+    CHECK_FALSE(old.running);
+    REQUIRE(old.conflicts.size() == 1);
+    CHECK(old.conflicts.front().replaced);
+    CHECK(old.conflicts.front().heard == 2);
+}
+
+TEST_CASE("a joining daemon takes a higher incarnation than one that is known")
+{
+    MembershipSimulation simulation(printedSeed("incarnation", 12));
+    startAll(simulation, 8);
+    simulation.processes()[4].running = false;
+    simulation.run(1s);
+    // The clock of the host went back, so that the new process has a lower incarnation.
+    Process &next = simulation.start("daemon-4", "klang", "klang-a", {0, 1}, 0);
+    REQUIRE(simulation.runUntil([&] { return allSeeIncarnation(simulation, "daemon-4", 2); }, 20s));
+    CHECK(next.running);
+    REQUIRE(!next.conflicts.empty());
+    CHECK_FALSE(next.conflicts.front().replaced);
+}
+
+TEST_CASE("leaving takes precedence over a suspicion and is never undone")
+{
+    MembershipSimulation simulation(printedSeed("leaving", 13));
+    startAll(simulation, 16);
+    Process &leaver = simulation.processes()[6];
+    // Others suspect it at the same time: its answers are lost, its own news arrive.
+    simulation.freeze(leaver);
+    simulation.run(1500ms);
+    simulation.thaw(leaver);
+    leaver.membership->leave();
+    const auto isLeaving = [&](const Process &by) {
+        return !by.running || std::ranges::any_of(by.membership->members(), [](const Member &m) {
+            return m.id.name == "daemon-6" && m.leaving && m.state == MemberState::Alive;
+        });
+    };
+    const auto took = simulation.runUntil(
+        [&] { return std::ranges::all_of(simulation.processes(), isLeaving); }, 10s);
+    REQUIRE(took);
+    CHECK(*took <= 3s);
+    leaver.running = false;
+    REQUIRE(
+        simulation.runUntil([&] { return simulation.allSee("daemon-6", MemberState::Left); }, 20s));
+    simulation.run(30s);
+    CHECK(simulation.allSee("daemon-6", MemberState::Left));
+}
--- /dev/null
+++ b/test/error/MembershipDecoding.cpp
@@ -0,0 +1,137 @@
+// Guards against malformed datagrams that are taken over or bring the daemon down, and against
+// datagrams over 1,200 bytes.
+#include "wire/MembershipCodec.h"
+#include "wire/WireError.h"
+#include "wire/generated/membership.pb.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <functional>
+
+using namespace Coltsfootwell;
+using namespace std::chrono_literals;
+
+namespace {
+
+MemberRecord record(const std::string &name)
+{
+    MemberRecord record;
+    record.member.id = {name, 77};
+    record.member.sequence = 5;
+    record.member.endpoint = {"127.0.0.1", 12000};
+    record.member.region = "nordeste-litoral";
+    record.member.dataCentre = "recife-a";
+    record.member.service = "estoque-consulta";
+    record.member.backend = BackendState::Warm;
+    record.member.slots = 9;
+    return record;
+}
+
+Datagram sample()
+{
+    MemberRecord suspect = record("recife-a-2");
+    suspect.member.state = MemberState::Suspect;
+    suspect.observers = {"recife-a-1", "salvador-b-1"};
+    MemberRecord lost = record("recife-a-3");
+    lost.member.state = MemberState::Unreachable;
+    lost.downFor = 1500ms;
+    return {record("recife-a-1"), Ack {9, {4, 250ms, true}, 11}, {suspect, lost}};
+}
+
+std::error_code decodeError(const Wire::Datagram &wire)
+{
+    std::error_code ec;
+    decodeDatagram(wire.SerializeAsString(), ec);
+    return ec;
+}
+
+} // namespace
+
+TEST_CASE("what is encoded is decoded to the same")
+{
+    std::error_code ec;
+    CHECK(decodeDatagram(encodeDatagram(sample()), ec) == sample());
+    CHECK_FALSE(ec);
+    CHECK(decodeSync(encodeSync(sample().records), ec) == sample().records);
+    CHECK_FALSE(ec);
+}
+
+TEST_CASE("an age is rounded up, so that evidence never looks newer")
+{
+    Datagram datagram = sample();
+    datagram.body = Ack {9, {4, 250ms + 1us, true}, {}};
+    std::error_code ec;
+    const Datagram decoded = decodeDatagram(encodeDatagram(datagram), ec);
+    CHECK(std::get<Ack>(decoded.body).evidence.age == 251ms);
+}
+
+TEST_CASE("a datagram has at most 1,200 bytes")
+{
+    Datagram datagram = sample();
+    for (std::size_t i = 0; i < Datagram::MaxRecords; ++i) {
+        datagram.records.push_back(record(std::string(MaxWireNameBytes, 'n')));
+        datagram.records.back().member.service = std::string(MaxWireNameBytes, 's');
+        datagram.records.back().member.region = std::string(MaxWireNameBytes, 'r');
+    }
+    CHECK(encodeDatagram(datagram).size() <= Datagram::MaxBytes);
+}
+
+TEST_CASE("each value out of range is refused")
+{
+    Wire::Datagram valid;
+    REQUIRE(valid.ParseFromString(encodeDatagram(sample())));
+    REQUIRE_FALSE(decodeError(valid));
+    const std::vector<std::function<void(Wire::MemberRecord &)>> faults {
+        [](auto &r) { r.set_name(""); },
+        [](auto &r) { r.set_name(std::string(MaxWireNameBytes + 1, 'n')); },
+        [](auto &r) { r.set_name("two words"); },
+        [](auto &r) { r.set_region(std::string(MaxWireNameBytes + 1, 'n')); },
+        [](auto &r) { r.set_address("host.example"); },
+        [](auto &r) { r.set_address(""); },
+        [](auto &r) { r.set_port(0); },
+        [](auto &r) { r.set_port(65'536); },
+        [](auto &r) { r.set_state(4); },
+        [](auto &r) { r.set_backend(5); },
+        [](auto &r) { r.add_observers(""); },
+        [](auto &r) {
+            for (int i = 0; i < 4; ++i) {
+                r.add_observers("n");
+            }
+        },
+    };
+    for (const auto &fault : faults) {
+        Wire::Datagram wire = valid;
+        fault(*wire.mutable_from());
+        CHECK(decodeError(wire) == WireError::BadField);
+        wire = valid;
+        fault(*wire.mutable_records(1));
+        CHECK(decodeError(wire) == WireError::BadField);
+    }
+    Wire::Datagram wire = valid;
+    wire.clear_ack();
+    CHECK(decodeError(wire) == WireError::BadFrame);
+    wire = valid;
+    wire.clear_from();
+    CHECK(decodeError(wire) == WireError::BadFrame);
+    wire = valid;
+    wire.mutable_indirect_ping()->set_target("");
+    CHECK(decodeError(wire) == WireError::BadField);
+}
+
+TEST_CASE("any bytes are decoded or refused")
+{
+    CHECK(rc::check([] {
+        std::string bytes = encodeDatagram(sample());
+        const auto cut = *rc::gen::inRange<std::size_t>(0, bytes.size());
+        const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+        bytes[at] = *rc::gen::arbitrary<char>();
+        bytes.resize(bytes.size() - cut);
+        std::error_code ec;
+        const Datagram decoded = decodeDatagram(bytes, ec);
+        if (!ec) {
+            RC_ASSERT(encodeDatagram(decoded).size() <= Datagram::MaxBytes);
+        }
+        decodeSync(bytes, ec);
+    }));
+}
--- /dev/null
+++ b/test/performance/MembershipCost.cpp
@@ -0,0 +1,158 @@
+// Measures what membership costs a daemon as the number of members grows: one JSON line for each
+// number of members. Usage: membership-cost [N...]
+#include "MembershipSimulation.h"
+#include "wire/MembershipCodec.h"
+
+#include <ctime>
+#include <fstream>
+#include <malloc.h>
+
+using namespace Coltsfootwell;
+using namespace Coltsfootwell::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// IPv4 and UDP headers of a datagram.
+constexpr std::size_t DatagramHeaderBytes = 28;
+constexpr auto MeasuredTime = 30s;
+/// Gossip of the start has ended by then.
+constexpr auto SettlingTime = 60s;
+constexpr auto JoinLimit = 180s;
+constexpr auto ChangeLimit = 60s;
+constexpr std::uint64_t Seed = 17;
+
+struct Traffic
+{
+    std::uint64_t datagrams = 0;
+    std::uint64_t datagramBytes = 0;
+    std::uint64_t syncBytes = 0;
+};
+
+double cpuSeconds()
+{
+    timespec time {};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9;
+}
+
+std::size_t heapBytes()
+{
+    return mallinfo2().uordblks;
+}
+
+/// Nine data centres in three regions with names of the usual length.
+std::pair<std::string, std::string> placeOf(std::size_t index)
+{
+    const std::string region = "nordeste-region" + std::to_string(index % 3);
+    return {region, region.substr(0, 8) + '-' + std::to_string(index % 9)};
+}
+
+double secondsOf(std::optional<Duration> time)
+{
+    return time ? std::chrono::duration<double>(*time).count() : -1.0;
+}
+
+/// \return seconds until all members know a change of one member; -1 after the limit.
+double timeOfChange(MembershipSimulation &simulation, std::size_t changed)
+{
+    const std::string name = simulation.processes()[changed].self.id.name;
+    simulation.processes()[changed].membership->changeBackend("estoque-consulta",
+                                                              BackendState::Draining, 9);
+    return secondsOf(simulation.runUntil(
+        [&] {
+            return std::ranges::all_of(simulation.processes(), [&](const Process &process) {
+                return std::ranges::any_of(process.membership->members(), [&](const Member &m) {
+                    return m.id.name == name && m.backend == BackendState::Draining;
+                });
+            });
+        },
+        ChangeLimit));
+}
+
+/// \return seconds until no member sees a killed one as alive or suspect; -1 after the limit.
+double timeOfLoss(MembershipSimulation &simulation, std::size_t killed)
+{
+    simulation.processes()[killed].running = false;
+    const std::string name = simulation.processes()[killed].self.id.name;
+    return secondsOf(simulation.runUntil(
+        [&] { return simulation.allSee(name, MemberState::Unreachable); }, ChangeLimit));
+}
+
+/// Bytes of one member record in a table, its index and its bookkeeping.
+double recordBytes(std::size_t n)
+{
+    const std::size_t before = heapBytes();
+    Member self;
+    self.id.name = "daemon-0";
+    MemberTable table(self);
+    for (std::size_t i = 1; i <= n; ++i) {
+        MemberRecord record;
+        record.member.id = {"daemon-" + std::to_string(i), 1};
+        record.member.endpoint = MembershipSimulation::endpointOf(i);
+        std::tie(record.member.region, record.member.dataCentre) = placeOf(i);
+        record.member.service = "estoque-consulta";
+        table.merge(record, {});
+    }
+    return static_cast<double>(heapBytes() - before) / static_cast<double>(n);
+}
+
+void measure(std::size_t n)
+{
+    MembershipSimulation simulation(Seed);
+    Traffic traffic;
+    simulation.onSend = [&traffic](const Datagram &datagram) {
+        const std::string bytes = encodeDatagram(datagram);
+        ++traffic.datagrams;
+        traffic.datagramBytes += bytes.size() + DatagramHeaderBytes;
+        std::error_code ec;
+        return decodeDatagram(bytes, ec);
+    };
+    simulation.onSync = [&traffic](std::span<const MemberRecord> records) {
+        traffic.syncBytes += encodeSync(records).size();
+    };
+    simulation.startMany(n, placeOf);
+    for (Process &process : simulation.processes()) {
+        process.membership->changeBackend("estoque-consulta", BackendState::Warm, 9);
+    }
+    const auto joined = simulation.runUntil([&] { return simulation.allSeeAlive(n); }, JoinLimit);
+    simulation.run(SettlingTime);
+    traffic = {};
+    const double cpuBefore = cpuSeconds();
+    simulation.run(MeasuredTime);
+    const double cpu = cpuSeconds() - cpuBefore;
+    const Traffic steady = traffic;
+    const double change = timeOfChange(simulation, n / 2);
+    const double loss = timeOfLoss(simulation, n / 3);
+    const double memberSeconds = static_cast<double>(n)
+        * static_cast<double>(std::chrono::seconds(MeasuredTime).count());
+    // Every byte that is sent is received too, and both count for a daemon.
+    std::cout << "{\"members\":" << n << ",\"joinSeconds\":" << secondsOf(joined)
+              << ",\"datagramsSentPerSecond\":"
+              << static_cast<double>(steady.datagrams) / memberSeconds
+              << ",\"datagramBytesSentAndReceivedPerSecond\":"
+              << 2.0 * static_cast<double>(steady.datagramBytes) / memberSeconds
+              << ",\"syncBytesSentAndReceivedPerSecond\":"
+              << 2.0 * static_cast<double>(steady.syncBytes) / memberSeconds
+              << ",\"cpuMicrosecondsPerMemberSecond\":" << cpu * 1e6 / memberSeconds
+              << ",\"bytesPerMemberRecord\":" << recordBytes(n)
+              << ",\"changeToAllSeconds\":" << change << ",\"lossToAllSeconds\":" << loss << "}"
+              << std::endl;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::vector<std::size_t> sizes {64, 250, 1000};
+    if (argc > 1) {
+        sizes.clear();
+        for (int i = 1; i < argc; ++i) {
+            sizes.push_back(std::strtoul(argv[i], nullptr, 10));
+        }
+    }
+    for (const std::size_t n : sizes) {
+        measure(n);
+    }
+    return 0;
+}
