--- a/src/decisions/Membership.cpp
+++ b/src/decisions/Membership.cpp
@@ -174,6 +174,9 @@
 
 void Membership::learnOfSelf(const Member &heard)
 {
+    if (m_replaced) {
+        return;
+    }
     Member self = m_table.self();
     const bool twin = heard.id == self.id && heard.endpoint != self.endpoint
         && (!m_joined || heard.endpoint > self.endpoint);
@@ -264,7 +267,8 @@
     const auto isLive = [](const Member &member) { return !isDown(member); };
     const bool alone = std::ranges::none_of(others, isLive);
     const Duration period = alone ? Duration(SeedPeriod) : Duration(LostSeedPeriod);
-    if (m_table.self().state == MemberState::Left || (m_askedSeeds && now - *m_askedSeeds < period)) {
+    if (m_table.self().state == MemberState::Left
+        || (m_askedSeeds && now - *m_askedSeeds < period)) {
         return;
     }
     m_askedSeeds = now;
@@ -530,8 +534,8 @@
         const auto known = m_table.find(record.member.id.name);
         return !known || supersedes(record.member, m_table.members()[*known]);
     };
-    const bool passOn = std::ranges::count_if(records, isNews)
-        <= static_cast<std::ptrdiff_t>(MaxSyncGossip);
+    const bool passOn
+        = std::ranges::count_if(records, isNews) <= static_cast<std::ptrdiff_t>(MaxSyncGossip);
     for (const MemberRecord &record : records) {
         learn(record, now, passOn);
     }
--- a/src/services/Membership.cpp
+++ b/src/services/Membership.cpp
@@ -224,11 +224,12 @@
         }
         std::string body = encodeSync(m_membership.allRecords(now()));
         m_bytesSent += body.size();
-        m_sync.start(wanted.with, std::move(body), [this](const std::optional<std::string> &answer) {
-            if (answer) {
-                takeSync(*answer);
-            }
-        });
+        m_sync.start(wanted.with, std::move(body),
+                     [this](const std::optional<std::string> &answer) {
+                         if (answer) {
+                             takeSync(*answer);
+                         }
+                     });
     }
 
     void carryOut(const IncarnationConflict &conflict)
--- a/src/services/SyncExchange.cpp
+++ b/src/services/SyncExchange.cpp
@@ -88,10 +88,9 @@
         }
     };
     // The connection is closed with its pool: the next exchange is with another daemon.
-    m_exchange
-        = std::make_shared<HttpExchange>(m_context, m_executor,
-                                         std::make_shared<HttpPool>(m_context, with),
-                                         std::move(request), std::move(handlers));
+    m_exchange = std::make_shared<HttpExchange>(m_context, m_executor,
+                                                std::make_shared<HttpPool>(m_context, with),
+                                                std::move(request), std::move(handlers));
     m_exchange->start();
 }
 
--- a/src/wire/MembershipCodec.cpp
+++ b/src/wire/MembershipCodec.cpp
@@ -158,10 +158,8 @@
         if (!isName(body.target(), 1) || !isEndpoint(body.address(), body.port())) {
             ec = WireError::BadField;
         }
-        datagram.body
-            = IndirectPing {body.nonce(),
-                            body.target(),
-                            {body.address(), static_cast<std::uint16_t>(body.port())}};
+        datagram.body = IndirectPing {
+            body.nonce(), body.target(), {body.address(), static_cast<std::uint16_t>(body.port())}};
         return;
     }
     case Wire::Datagram::kIndirectAck:
--- a/test/MembershipSimulation.h
+++ b/test/MembershipSimulation.h
@@ -11,8 +11,8 @@
 #include <map>
 #include <memory>
 #include <queue>
-#include <utility>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Coltsfootwell::Testing {
@@ -88,8 +88,7 @@
             endpoints.push_back(endpointOf(seed));
         }
         process.random = std::make_unique<SeededRandom>(m_random.next());
-        process.membership
-            = std::make_unique<Membership>(process.self, endpoints, *process.random);
+        process.membership = std::make_unique<Membership>(process.self, endpoints, *process.random);
         tickLater(index, Duration());
         return process;
     }
@@ -289,4 +288,15 @@
     std::uint64_t m_lastSerial = 0;
 };
 
+/// \brief Runs until all n daemons know each other and their gossip has ended.
+/// \return false when they do not within a minute.
+inline bool joinAll(MembershipSimulation &simulation, std::size_t n)
+{
+    const bool joined
+        = simulation.runUntil([&] { return simulation.allSeeAlive(n); }, std::chrono::seconds(60))
+              .has_value();
+    simulation.run(std::chrono::seconds(5));
+    return joined;
+}
+
 } // namespace Coltsfootwell::Testing
--- /dev/null
+++ b/test/correctness/MembershipEvidenceAge.cpp
@@ -0,0 +1,38 @@
+// Guards against evidence of the newest configuration that looks newer than it is after a pause.
+#include "MembershipSimulation.h"
+
+#include <doctest/doctest.h>
+
+using namespace Coltsfootwell;
+using namespace Coltsfootwell::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::pair<std::string, std::string> oneRegion(std::size_t)
+{
+    return {"klang", "klang-a"};
+}
+
+} // namespace
+
+TEST_CASE("evidence never counts from later than the sending of the ping")
+{
+    MembershipSimulation simulation(printedSeed("evidence", 4));
+    simulation.startMany(2, oneRegion);
+    simulation.run(10s);
+    const TimePoint known = simulation.now();
+    simulation.processes()[1].membership->setEvidence(8, known, true);
+    simulation.run(100ms);
+    simulation.freeze(simulation.processes()[0]);
+    simulation.run(20s);
+    simulation.thaw(simulation.processes()[0]);
+    simulation.run(5s);
+    REQUIRE(!simulation.processes()[0].answers.empty());
+    const PeerAnswered &last = simulation.processes()[0].answers.back();
+    CHECK(last.version == 8);
+    CHECK(last.logReachable);
+    for (const PeerAnswered &answer : simulation.processes()[0].answers) {
+        CHECK((!answer.fresh || *answer.fresh <= known));
+    }
+}
--- /dev/null
+++ b/test/correctness/MembershipFalseLoss.cpp
@@ -0,0 +1,72 @@
+// Guards against live daemons that are taken for lost because of cut links or lost datagrams.
+#include "MembershipSimulation.h"
+
+#include <doctest/doctest.h>
+
+using namespace Coltsfootwell;
+using namespace Coltsfootwell::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::pair<std::string, std::string> oneRegion(std::size_t)
+{
+    return {"klang", "klang-a"};
+}
+
+std::pair<std::string, std::string> threeRegions(std::size_t index)
+{
+    const std::string region = "region-" + std::to_string(index % 3);
+    return {region, region + "-a"};
+}
+
+} // namespace
+
+TEST_CASE("links cut in one direction between two daemons remove neither")
+{
+    MembershipSimulation simulation(printedSeed("one-way link", 5));
+    simulation.startMany(16, oneRegion);
+    REQUIRE(joinAll(simulation, 16));
+    simulation.isCut = [](const Process &from, const Process &to) {
+        return from.self.id.name == "daemon-3" && to.self.id.name == "daemon-4";
+    };
+    for (int i = 0; i < 120; ++i) {
+        simulation.run(1s);
+        CHECK(!simulation.allSee("daemon-3", MemberState::Unreachable));
+        CHECK(!simulation.allSee("daemon-4", MemberState::Unreachable));
+    }
+    for (const Process &process : simulation.processes()) {
+        CHECK(process.membership->counts().unreachable == 0);
+    }
+}
+
+TEST_CASE("a daemon that hears nobody does not make others drop live members")
+{
+    MembershipSimulation simulation(printedSeed("one-way host", 6));
+    simulation.startMany(16, oneRegion);
+    REQUIRE(joinAll(simulation, 16));
+    simulation.isCut
+        = [](const Process &, const Process &to) { return to.self.id.name == "daemon-3"; };
+    simulation.run(120s);
+    for (const Process &process : simulation.processes()) {
+        if (process.self.id.name != "daemon-3") {
+            CHECK(process.membership->counts().unreachable <= 1);
+            CHECK(MembershipSimulation::stateSeen(process, "daemon-3") == MemberState::Unreachable);
+        }
+    }
+    simulation.isCut = [](const Process &, const Process &) { return false; };
+    const auto took = simulation.runUntil([&] { return simulation.allSeeAlive(16); }, 60s);
+    CHECK(took);
+}
+
+TEST_CASE("loss of one datagram in ten makes nobody unreachable")
+{
+    MembershipSimulation simulation(printedSeed("loss", 8));
+    simulation.lossRate = 0.1;
+    simulation.startMany(32, threeRegions);
+    REQUIRE(joinAll(simulation, 32));
+    simulation.run(300s);
+    for (const Process &process : simulation.processes()) {
+        CHECK(process.membership->counts().unreachable == 0);
+    }
+}
--- /dev/null
+++ b/test/correctness/MembershipFrozenDaemon.cpp
@@ -0,0 +1,37 @@
+// Guards against a daemon that blames others for its own pause or does not come back after it.
+#include "MembershipSimulation.h"
+
+#include <doctest/doctest.h>
+
+using namespace Coltsfootwell;
+using namespace Coltsfootwell::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::pair<std::string, std::string> oneRegion(std::size_t)
+{
+    return {"klang", "klang-a"};
+}
+
+} // namespace
+
+TEST_CASE("a frozen daemon that thaws refutes and blames nobody")
+{
+    MembershipSimulation simulation(printedSeed("thaw", 3));
+    simulation.startMany(64, oneRegion);
+    REQUIRE(joinAll(simulation, 64));
+    Process &frozen = simulation.processes()[5];
+    simulation.freeze(frozen);
+    REQUIRE(simulation.runUntil(
+        [&] { return simulation.allSee("daemon-5", MemberState::Unreachable); }, 60s));
+    simulation.run(30s);
+    simulation.thaw(frozen);
+    const auto took = simulation.runUntil([&] { return simulation.allSeeAlive(64); }, 60s);
+    REQUIRE(took);
+    CHECK(*took <= 10s);
+    simulation.run(20s);
+    CHECK(simulation.allSeeAlive(64));
+    CHECK(frozen.membership->counts().suspicions == 0);
+    CHECK(frozen.membership->counts().refutations > 0);
+}
--- /dev/null
+++ b/test/correctness/MembershipLostRegion.cpp
@@ -0,0 +1,44 @@
+// Guards against a list that is emptied by a cut between regions or does not recover from it.
+#include "MembershipSimulation.h"
+
+#include <doctest/doctest.h>
+
+using namespace Coltsfootwell;
+using namespace Coltsfootwell::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::pair<std::string, std::string> threeRegions(std::size_t index)
+{
+    const std::string region = "region-" + std::to_string(index % 3);
+    return {region, region + "-a"};
+}
+
+} // namespace
+
+TEST_CASE("a lost region stays in the list and comes back")
+{
+    for (const std::chrono::minutes outage : {3min, 25min}) {
+        MembershipSimulation simulation(printedSeed("lost region", 7));
+        simulation.startMany(48, threeRegions);
+        REQUIRE(joinAll(simulation, 48));
+        simulation.isCut = [](const Process &from, const Process &to) {
+            return (from.self.region == "region-2") != (to.self.region == "region-2");
+        };
+        simulation.run(60s);
+        CHECK(simulation.allSee("daemon-2", MemberState::Unreachable) == false);
+        for (const Process &process : simulation.processes()) {
+            const bool inside = process.self.region == "region-2";
+            const auto alive = std::ranges::count(process.membership->members(), MemberState::Alive,
+                                                  &Member::state);
+            CHECK(alive == (inside ? 16 : 32));
+            CHECK(process.membership->members().size() == 48);
+        }
+        simulation.run(outage - 60s);
+        simulation.isCut = [](const Process &, const Process &) { return false; };
+        const auto took = simulation.runUntil([&] { return simulation.allSeeAlive(48); }, 120s);
+        REQUIRE(took);
+        CHECK(*took <= (outage < 10min ? 15s : 45s));
+    }
+}
--- a/test/correctness/MembershipMergeOrder.cpp
+++ b/test/correctness/MembershipMergeOrder.cpp
@@ -30,8 +30,7 @@
             record.member.endpoint.port = static_cast<std::uint16_t>(port);
             record.observers = observers;
             record = normalised(std::move(record));
-            record.observers.resize(
-                std::min(record.observers.size(), MemberRecord::MaxObservers));
+            record.observers.resize(std::min(record.observers.size(), MemberRecord::MaxObservers));
             return record;
         });
 }
--- a/test/performance/MembershipCost.cpp
+++ b/test/performance/MembershipCost.cpp
@@ -124,8 +124,8 @@
     const Traffic steady = traffic;
     const double change = timeOfChange(simulation, n / 2);
     const double loss = timeOfLoss(simulation, n / 3);
-    const double memberSeconds = static_cast<double>(n)
-        * static_cast<double>(std::chrono::seconds(MeasuredTime).count());
+    const double memberSeconds
+        = static_cast<double>(n) * static_cast<double>(std::chrono::seconds(MeasuredTime).count());
     // Every byte that is sent is received too, and both count for a daemon.
     std::cout << "{\"members\":" << n << ",\"joinSeconds\":" << secondsOf(joined)
               << ",\"datagramsSentPerSecond\":"
