--- a/src/programs/Daemon.cpp
+++ b/src/programs/Daemon.cpp
@@ -12,6 +12,8 @@
 #include "services/Stop.h"
 #include "services/Telemetry.h"
 
+#include <algorithm>
+
 namespace Coltsfootwell {
 
 namespace {
@@ -42,9 +44,10 @@
 } // namespace
 
 void addDaemonServices(Kernel &kernel, boost::asio::io_context &context,
-                       const DaemonSettings &settings, ConfigurationPtr initial, Task left)
+                       const DaemonSettings &settings, ConfigurationPtr initial,
+                       Incarnation minIncarnation, DaemonEvents events)
 {
-    const DaemonId id {settings.id, newIncarnation(kernel.random())};
+    const DaemonId id {settings.id, std::max(newIncarnation(kernel.random()), minIncarnation)};
     const Place place {id, settings.region, settings.dataCentre};
     MembershipSettings membership;
     membership.self.id = id;
@@ -52,8 +55,9 @@
     membership.self.region = settings.region;
     membership.self.dataCentre = settings.dataCentre;
     membership.seeds = settings.seeds;
+    membership.conflict = std::move(events.conflict);
 
-    kernel.add(makeStop(kernel, std::move(left)));
+    kernel.add(makeStop(kernel, std::move(events.left)));
     kernel.add(makeTelemetry(kernel, id));
     kernel.add(makeMembership(kernel, context, membership));
     if (settings.log.embedded) {
