--- a/src/programs/Daemon.cpp
+++ b/src/programs/Daemon.cpp
@@ -35,7 +35,7 @@
     configuration.self = id;
     configuration.region = settings.region;
     configuration.dataCentre = settings.dataCentre;
-    configuration.endpoint = settings.listen;
+    configuration.endpoint = settings.advertise;
     configuration.initial = std::move(initial);
     configuration.retention = {settings.log.retention, settings.log.retentionRecords};
     return configuration;
@@ -51,7 +51,8 @@
     const Place place {id, settings.region, settings.dataCentre};
     MembershipSettings membership;
     membership.self.id = id;
-    membership.self.endpoint = settings.listen;
+    membership.listen = settings.listen;
+    membership.self.endpoint = settings.advertise;
     membership.self.region = settings.region;
     membership.self.dataCentre = settings.dataCentre;
     membership.seeds = settings.seeds;
--- a/src/programs/DaemonSettings.cpp
+++ b/src/programs/DaemonSettings.cpp
@@ -79,6 +79,11 @@
     settings.region = textAt(object, "region", true, fault);
     settings.dataCentre = textAt(object, "dataCentre", true, fault);
     settings.listen = endpointOf(textAt(object, "listen", true, fault), "/listen", fault);
+    settings.advertise = settings.listen;
+    if (object.contains("advertise")) {
+        settings.advertise
+            = endpointOf(textAt(object, "advertise", true, fault), "/advertise", fault);
+    }
     settings.configurationFile = textAt(object, "configurationFile", false, fault);
     if (const json::value *seeds = object.if_contains("seeds"); seeds && seeds->is_array()) {
         for (const json::value &seed : seeds->get_array()) {
--- a/src/programs/DaemonSettings.h
+++ b/src/programs/DaemonSettings.h
@@ -32,6 +32,8 @@
     std::string region;
     std::string dataCentre;
     Endpoint listen;
+    /// Where others reach this daemon; the same as `listen` unless settings say otherwise.
+    Endpoint advertise;
     std::vector<Endpoint> seeds;
     /// File with the configuration to start from; empty when it comes from the log.
     std::string configurationFile;
--- a/src/services/Membership.cpp
+++ b/src/services/Membership.cpp
@@ -115,7 +115,7 @@
     std::error_code openSocket()
     {
         boost::system::error_code ec;
-        const Endpoint &listen = m_settings.self.endpoint;
+        const Endpoint &listen = m_settings.listen;
         const auto address = asio::ip::make_address(listen.address, ec);
         if (ec) {
             return ServiceError::BadAddress;
--- a/src/services/Membership.h
+++ b/src/services/Membership.h
@@ -17,7 +17,9 @@
 /// \brief Settings of the service.
 struct MembershipSettings
 {
-    /// This daemon as it announces itself; its endpoint is also the UDP address to listen on.
+    /// UDP address to listen on.
+    Endpoint listen;
+    /// This daemon as it announces itself.
     Member self;
     /// Daemons to ask first.
     std::vector<Endpoint> seeds;
--- a/src/wire/ConfigurationSchema.cpp
+++ b/src/wire/ConfigurationSchema.cpp
@@ -117,6 +117,7 @@
     "region": {"type": "string", "minLength": 1},
     "dataCentre": {"type": "string", "minLength": 1},
     "listen": {"$ref": "#/definitions/endpoint"},
+    "advertise": {"$ref": "#/definitions/endpoint"},
     "seeds": {"type": "array", "items": {"$ref": "#/definitions/endpoint"}},
     "configurationFile": {"type": "string"},
     "log": {
