A publish on a log that has lost its records no longer goes unheard

Cause: after the log came back empty, the fold treated everything up to its end as a gap, so a publish that came before a daemon had written the version back was rejected by that daemon for good, and coltsfootctl called the empty log bad input. Change: records of a new log from offset 0 on are all it has had, so nothing lies in a gap; a log whose first records have expired still counts as a gap. The old check 'not exact after a loss' asserted the faulty rule and is replaced by two checks, one for each case.

--- a/src/decisions/ConfigurationFold.cpp
+++ b/src/decisions/ConfigurationFold.cpp
@@ -239,7 +239,8 @@
 /// The log has lost records and counts anew. What is known stays in force; a reader writes it back.
 void ConfigurationFold::noteLoss(const ConfigurationBatch &batch)
 {
-    m_gap = batch.end;
+    // Records from offset 0 on are all that the new log has had, so nothing lies in a gap.
+    m_gap = batch.first > 0 ? std::optional(batch.end) : std::nullopt;
     m_lost = true;
     m_state.through = 0;
     m_readOffset = batch.first;
--- a/src/programs/OperatorCommands.cpp
+++ b/src/programs/OperatorCommands.cpp
@@ -96,7 +96,10 @@
         return logFailed();
     }
     const ConfigurationPtr &inForce = m_session.state().state().configuration;
-    if (!inForce || !inForce->dataCentres.contains(dataCentre)) {
+    if (!inForce) {
+        return nothingInForce();
+    }
+    if (!inForce->dataCentres.contains(dataCentre)) {
         m_error << "/dataCentres: \"" << dataCentre << "\" must name a data centre of the version"
                 << " in force\n";
         return OperatorExit::BadInput;
@@ -106,14 +109,24 @@
     return change(std::move(next));
 }
 
+OperatorExit OperatorCommands::nothingInForce()
+{
+    m_error << "the log names no version in force: publish one, or wait until a daemon has written "
+            << "the last one back\n";
+    return OperatorExit::Conflict;
+}
+
 OperatorExit OperatorCommands::setDrained(const std::string &daemon, bool drained)
 {
     if (!foldLog()) {
         return logFailed();
     }
     const ConfigurationPtr &inForce = m_session.state().state().configuration;
-    if (!inForce || daemon.empty()) {
-        m_error << "/drained: \"" << daemon << "\" needs a name and a version in force\n";
+    if (!inForce) {
+        return nothingInForce();
+    }
+    if (daemon.empty()) {
+        m_error << "/drained: \"\" must be the name of a daemon\n";
         return OperatorExit::BadInput;
     }
     Configuration next = *inForce;
--- a/src/programs/OperatorCommands.h
+++ b/src/programs/OperatorCommands.h
@@ -70,6 +70,7 @@
     OperatorExit waitInForce(ConfigurationVersion version);
     std::vector<Endpoint> knownDaemons();
     OperatorExit logFailed();
+    OperatorExit nothingInForce();
     std::string inForceText() const;
 
     OperatorOptions m_options;
--- a/test/correctness/ExpiredRecords.cpp
+++ b/test/correctness/ExpiredRecords.cpp
@@ -68,7 +68,7 @@
     fold.read({0, 3, history()}, TimePoint());
     fold.read({0, 0, {}}, TimePoint());
     CHECK(fold.version() == 2);
-    CHECK_FALSE(fold.isExact());
+    CHECK(fold.isExact());
     const auto outputs = fold.tick(TimePoint());
     REQUIRE(firstOf<AppendCheckpoint>(outputs));
     const CheckpointRecord recovery = firstOf<AppendCheckpoint>(outputs)->checkpoint;
@@ -81,6 +81,29 @@
     CHECK(newcomer.version() == 3);
 }
 
+TEST_CASE("a new log whose first records have expired already is not folded as if it were whole")
+{
+    SeededRandom random(1);
+    ConfigurationFold fold({}, random, TimePoint());
+    fold.read({0, 3, history()}, TimePoint());
+    fold.read({1, 2, {}}, TimePoint());
+    CHECK_FALSE(fold.isExact());
+    const std::vector<ConfigurationEntry> entries {{2, samplePublish(2, "next")}};
+    fold.read({1, 3, entries}, TimePoint());
+    CHECK(fold.version() == 2);
+}
+
+TEST_CASE("a publish on a log that has lost its records counts before they are written back")
+{
+    SeededRandom random(1);
+    ConfigurationFold fold({}, random, TimePoint());
+    fold.read({0, 3, history()}, TimePoint());
+    fold.read({0, 0, {}}, TimePoint());
+    const std::vector<ConfigurationEntry> entries {{0, samplePublish(2, "next")}};
+    fold.read({0, 1, entries}, TimePoint());
+    CHECK(fold.version() == 3);
+}
+
 TEST_CASE("a checkpoint is due a third of the retention after the last one")
 {
     SeededRandom random(1);
