Routing by cached rendezvous subsets, two choices by cost, and baselines by name

Every pick scanned all members and compared in-flight calls only. A subset of 8 is now cached for each service and list of home regions until members or configuration change. Cost combines calls in flight by capacity, the moving answer time and fading failures; reports only break ties. An answer time older than 5 s counts as unknown, so that a server that has recovered is tried again. Other regions are used only when the own region has no candidate left and the budget allows.

--- a/src/decisions/Routing.h
+++ b/src/decisions/Routing.h
@@ -5,23 +5,19 @@
 #include "decisions/Configuration.h"
 #include "decisions/Load.h"
 #include "decisions/Outcome.h"
+#include "decisions/Place.h"
+#include "decisions/RegionBudget.h"
+#include "decisions/RoutingStrategy.h"
 #include "decisions/Target.h"
 #include "kernel/Random.h"
 
+#include <map>
 #include <span>
 #include <unordered_map>
 #include <variant>
 
 namespace Coltsfootwell {
 
-/// \brief Place of the daemon that chooses.
-struct Place
-{
-    DaemonId self;
-    std::string region;
-    std::string dataCentre;
-};
-
 /// \brief How an attempt ended, as a load observation.
 struct AttemptFeedback
 {
@@ -38,7 +34,12 @@
 
     /// \param place this daemon.
     /// \param random source for the random choices; outlives the object.
-    Routing(Place place, Random &random);
+    /// \param strategy how to choose among candidates; null for "two-choices".
+    Routing(Place place, Random &random, std::unique_ptr<RoutingStrategy> strategy = nullptr);
+
+    /// \brief Makes calls to other regions depend on a budget.
+    /// \param budget outlives the object.
+    void limitRegionsBy(RegionBudget &budget) { m_regionBudget = &budget; }
 
     /// \brief Takes over a new list of daemons.
     /// \param members all known daemons, also unreachable ones.
@@ -65,19 +66,32 @@
     void reported(const DaemonId &daemon, const LoadReport &report, TimePoint now);
 
 private:
-    struct Observation
+    struct SubsetKey
     {
-        unsigned inFlight = 0;
-        LoadReport report;
+        std::string service;
+        std::vector<std::string> homeRegions;
+
+        auto operator<=>(const SubsetKey &) const = default;
     };
 
-    bool isCandidate(const Member &member, const CallFacts &facts) const;
+    using Subset = std::vector<RoutingCandidate>;
+
+    const Subset &subsetFor(const CallFacts &facts);
+    Subset buildSubset(const CallFacts &facts);
+    void gather(const Subset &subset, std::span<const DaemonId> excluded, bool ownRegion);
 
     Place m_place;
     Random &m_random;
+    std::unique_ptr<RoutingStrategy> m_strategy;
+    RegionBudget *m_regionBudget = nullptr;
     std::vector<Member> m_members;
     ConfigurationPtr m_configuration;
-    std::unordered_map<DaemonId, Observation> m_observations;
+    /// Rebuilt on demand after the members or the configuration have changed.
+    std::map<SubsetKey, Subset> m_subsets;
+    /// Candidates of the pick under way, kept to save allocations.
+    std::vector<const RoutingCandidate *> m_candidates;
+    /// Subsets point to its values, which stay in place when others are added.
+    std::unordered_map<DaemonId, LoadObservation> m_observations;
 };
 
 } // namespace Coltsfootwell
