Admission with a bounded queue, server states, probes and judgement of answers

Admission now notices cold turns, shed calls and servers that only fail, and keeps a bounded queue. BackendLifecycle holds the server's state. The service probes the load endpoint within its budget, checks every refusal reason again right before the first byte, and removes daemon headers from the server's own answers. Idempotence is looked up from the route on the serving daemon, so no further header between daemons is needed.

--- a/src/decisions/Admission.cpp
+++ b/src/decisions/Admission.cpp
@@ -4,54 +4,250 @@
 
 namespace Coltsfootwell {
 
+namespace {
+
+/// Weight of one answer in the moving average is 1 / AverageSpan.
+constexpr int AverageSpan = 8;
+/// Failures in a row after which a cold server is only tried by single calls.
+constexpr unsigned BadUntilProbation = 2 * Admission::SuspectsUntilCold;
+/// Good but slow answers in a row after which the server is taken to have become slower for good;
+/// without this its limit could never grow again.
+constexpr unsigned SlowUntilNormal = 100;
+/// A queued call waits for at most 1 / QueueShare of its remaining time.
+constexpr int QueueShare = 4;
+
+} // namespace
+
 void Admission::rulesChanged(const ServiceRules &rules)
 {
     m_rules = rules;
 }
 
-void Admission::announced(unsigned slots, TimePoint)
+Admission::Outputs Admission::announced(unsigned slots, TimePoint now)
 {
     m_slots = slots;
-    m_state = BackendState::Cold;
-    m_limit = std::min(m_rules.coldStart.initialSlots, slots);
-    m_goodInRow = 0;
+    m_drainAnnounced = false;
+    m_average = {};
+    m_badInRow = 0;
+    m_lifecycle.handle(BackendEvent::Announced);
+    startCold();
+    return decideQueue(now);
 }
 
-void Admission::withdrawn(BackendState state)
+Admission::Outputs Admission::drainAnnounced(TimePoint now)
 {
-    m_state = state;
-    m_limit = 0;
+    m_drainAnnounced = true;
+    m_lifecycle.handle(BackendEvent::Draining);
+    return decideQueue(now);
 }
 
-std::optional<Reason> Admission::admit(TimePoint)
+Admission::Outputs Admission::serverReported(BackendState state, TimePoint now)
 {
-    if (m_state == BackendState::Absent || m_state == BackendState::Gone) {
-        return Reason::NoBackendServer;
+    if (m_lifecycle.handle(BackendEvent::ProbeAnswered)) {
+        startCold();
+    }
+    if (state == BackendState::Draining) {
+        m_lifecycle.handle(BackendEvent::Draining);
+    } else if (m_lifecycle.state() == BackendState::Draining && !m_drainAnnounced) {
+        m_lifecycle.handle(BackendEvent::DrainEnded);
+        startCold();
+    } else if (state == BackendState::Cold && m_lifecycle.handle(BackendEvent::TurnedCold)) {
+        startCold();
+    }
+    return decideQueue(now);
+}
+
+Admission::Outputs Admission::probeLost(TimePoint now)
+{
+    m_lifecycle.handle(BackendEvent::Lost);
+    return decideQueue(now);
+}
+
+Admission::Outputs Admission::warmAgain(TimePoint now)
+{
+    m_lifecycle.handle(BackendEvent::TurnedCold);
+    startCold();
+    return decideQueue(now);
+}
+
+AdmissionVerdict Admission::admit(const AttemptId &call, TimePoint deadline, TimePoint now,
+                                  Reason &reason)
+{
+    if (const auto closed = closedReason()) {
+        reason = *closed;
+        return AdmissionVerdict::Refused;
+    }
+    if (now >= deadline) {
+        reason = Reason::Deadline;
+        return AdmissionVerdict::Refused;
+    }
+    if (m_queue.empty() && hasSlot(now)) {
+        takeSlot(now);
+        return AdmissionVerdict::Admitted;
     }
-    if (m_state == BackendState::Draining) {
+    // A cold server gets a queue no longer than its limit, so that calls go elsewhere early.
+    if (m_queue.size() >= std::min(m_limit, m_slots) || m_badInRow >= BadUntilProbation) {
+        reason = state() == BackendState::Cold ? Reason::Cold : Reason::Overloaded;
+        return AdmissionVerdict::Refused;
+    }
+    const Duration wait = std::min<Duration>((deadline - now) / QueueShare, MaxQueueWait);
+    m_queue.push_back({call, deadline, now + wait});
+    return AdmissionVerdict::Queued;
+}
+
+bool Admission::withdraw(const AttemptId &call)
+{
+    return std::erase_if(m_queue, [&](const Waiting &waiting) { return waiting.call == call; }) > 0;
+}
+
+Admission::Outputs Admission::finished(RunEnd end, Duration elapsed, TimePoint now)
+{
+    --m_inUse;
+    switch (end) {
+    case RunEnd::Good:
+    case RunEnd::Bad:
+        m_lifecycle.handle(BackendEvent::Answered);
+        judgeAnswer(end, elapsed);
+        break;
+    case RunEnd::Lost:
+    case RunEnd::Unreachable:
+        judgeAnswer(end, elapsed);
+        m_lifecycle.handle(BackendEvent::Lost);
+        break;
+    case RunEnd::Shed:
+        m_lifecycle.handle(BackendEvent::Answered);
+        shed(now);
+        break;
+    case RunEnd::Unjudged:
+        break;
+    }
+    return decideQueue(now);
+}
+
+Admission::Outputs Admission::tick(TimePoint now)
+{
+    return decideQueue(now);
+}
+
+std::optional<TimePoint> Admission::nextTick() const
+{
+    const auto it = std::ranges::min_element(m_queue, {}, &Waiting::until);
+    return it == m_queue.end() ? std::nullopt : std::optional(it->until);
+}
+
+LoadReport Admission::report() const
+{
+    const bool open = !closedReason();
+    return {m_inUse, static_cast<std::uint32_t>(m_queue.size()), open ? m_limit : 0, state()};
+}
+
+std::optional<Reason> Admission::closedReason() const
+{
+    switch (state()) {
+    case BackendState::Absent:
+    case BackendState::Gone:
+        return Reason::NoBackendServer;
+    case BackendState::Draining:
         return Reason::Draining;
+    case BackendState::Cold:
+    case BackendState::Warm:
+        break;
     }
-    if (m_inUse >= m_limit) {
-        return m_state == BackendState::Cold ? Reason::Cold : Reason::Overloaded;
+    return std::nullopt;
+}
+
+bool Admission::hasSlot(TimePoint now) const
+{
+    if (m_badInRow >= BadUntilProbation) {
+        return m_inUse == 0 && now - m_lastStart >= ProbationPeriod;
     }
+    return m_inUse < m_limit;
+}
+
+void Admission::takeSlot(TimePoint now)
+{
     ++m_inUse;
-    return std::nullopt;
+    m_lastStart = now;
 }
 
-void Admission::finished(bool good, Duration, TimePoint)
+void Admission::startCold()
 {
-    --m_inUse;
-    m_goodInRow = good ? m_goodInRow + 1 : 0;
-    if (m_state == BackendState::Cold && m_goodInRow >= m_rules.coldStart.growAfterAnswers) {
+    m_limit = std::min(std::max(1U, m_rules.coldStart.initialSlots), m_slots);
+    m_goodInRow = 0;
+    m_suspectsInRow = 0;
+    m_slowInRow = 0;
+}
+
+void Admission::judgeAnswer(RunEnd end, Duration elapsed)
+{
+    const bool good = end == RunEnd::Good;
+    const bool slow = good && m_average > Duration() && elapsed > m_average * SlowFactor;
+    m_badInRow = good ? 0 : m_badInRow + 1;
+    m_slowInRow = slow ? m_slowInRow + 1 : 0;
+    if (m_slowInRow >= SlowUntilNormal) {
+        m_average = elapsed;
+        m_slowInRow = 0;
+    } else if (!good || slow) {
         m_goodInRow = 0;
-        m_limit = std::min(m_limit + 1, m_slots);
-        m_state = m_limit == m_slots ? BackendState::Warm : BackendState::Cold;
+        if (++m_suspectsInRow >= SuspectsUntilCold) {
+            const unsigned slowInRow = m_slowInRow;
+            m_lifecycle.handle(BackendEvent::TurnedCold);
+            startCold();
+            m_slowInRow = slowInRow;
+        }
+        return;
     }
+    m_suspectsInRow = 0;
+    learnAverage(elapsed);
+    grow();
 }
 
-LoadReport Admission::report() const
+void Admission::learnAverage(Duration elapsed)
+{
+    m_average = m_average == Duration() ? elapsed : m_average + (elapsed - m_average) / AverageSpan;
+}
+
+void Admission::grow()
 {
-    return {m_inUse, 0, m_limit, m_state};
+    if (++m_goodInRow < m_rules.coldStart.growAfterAnswers) {
+        return;
+    }
+    m_goodInRow = 0;
+    m_limit = std::min(m_limit + 1, m_slots);
+    if (m_limit == m_slots) {
+        m_lifecycle.handle(BackendEvent::Warmed);
+    }
+}
+
+void Admission::shed(TimePoint now)
+{
+    m_goodInRow = 0;
+    // The refusals of one overload arrive together; one cut answers all of them.
+    if (now >= m_nextShedCut) {
+        m_limit = std::max(1U, m_limit - 1);
+        m_nextShedCut = now + m_average;
+    }
+}
+
+Admission::Outputs Admission::decideQueue(TimePoint now)
+{
+    m_outputs.clear();
+    const std::optional<Reason> closed = closedReason();
+    const Reason busy = state() == BackendState::Cold ? Reason::Cold : Reason::Overloaded;
+    std::erase_if(m_queue, [&](const Waiting &waiting) {
+        const bool late = now >= waiting.deadline;
+        if (!closed && !late && now < waiting.until) {
+            return false;
+        }
+        m_outputs.push_back({waiting.call, closed ? *closed : late ? Reason::Deadline : busy});
+        return true;
+    });
+    while (!m_queue.empty() && hasSlot(now)) {
+        takeSlot(now);
+        m_outputs.push_back({m_queue.front().call, std::nullopt});
+        m_queue.pop_front();
+    }
+    return m_outputs;
 }
 
 } // namespace Coltsfootwell
--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -1,25 +1,37 @@
 #include "services/Backend.h"
 
 #include "decisions/Admission.h"
+#include "decisions/ProbeBudget.h"
 #include "decisions/RunLedger.h"
+#include "services/BackendProbe.h"
+#include "services/BackendRun.h"
 #include "services/CallsMessage.h"
-#include "services/HttpExchange.h"
 #include "services/ServiceError.h"
 #include "services/ServiceNames.h"
 #include "services/TelemetryMessages.h"
 #include "wire/AnnouncementJson.h"
 
 #include <algorithm>
+#include <array>
+#include <tuple>
 #include <unordered_map>
+#include <vector>
 
 namespace Coltsfootwell {
 
 namespace {
 
-constexpr std::chrono::milliseconds ConnectTimeout {100};
-constexpr std::chrono::seconds MaxIdle {10};
 constexpr std::chrono::seconds LedgerTick {1};
-constexpr unsigned FirstServerError = 500;
+constexpr std::chrono::milliseconds ProbeCheck {500};
+constexpr std::chrono::seconds MaxIdle {30};
+
+/// Names by BackendState.
+constexpr std::array<std::string_view, 5> StateNames {"absent", "cold", "warm", "draining", "gone"};
+
+std::string_view stateName(BackendState state)
+{
+    return StateNames[static_cast<std::size_t>(state)];
+}
 
 class Backend final : public Service
 {
@@ -55,12 +67,15 @@
                 .send(SubscribeConfiguration {m_configurationMailbox.address()});
         }
         tick();
+        probeIfWanted();
         return ec ? make_error_code(ServiceError::MissingService) : std::error_code();
     }
 
     void stop(Task done) override
     {
-        m_kernel.executor().cancel(m_timer);
+        for (const TimerId timer : {m_timer, m_probeTimer, m_queueTimer}) {
+            m_kernel.executor().cancel(timer);
+        }
         done();
     }
 
@@ -68,21 +83,54 @@
     void tick()
     {
         m_ledger.tick();
+        if (m_pool) {
+            m_pool->expire(MaxIdle, now());
+        }
+        const LoadReport report = m_admission.report();
+        setGauge("backend_slots_in_use", report.inUse);
+        setGauge("backend_calls_waiting", report.waiting);
+        setGauge("backend_limit", report.limit);
+        setGauge("backend_probe_seconds",
+                 std::chrono::duration<double>(m_probes.counts().slotTime).count());
         m_timer = m_kernel.executor().after(LedgerTick, [this] { tick(); });
     }
 
+    void setGauge(std::string_view metric, double value)
+    {
+        m_telemetry.send(SetGauge {metric, m_service, value});
+    }
+
     void changed(ConfigurationChanged news)
     {
+        const bool wasOut = m_configuration && outOfService();
         m_configuration = std::move(news.configuration);
         m_fresh = news.fresh;
         applyRules();
+        if (wasOut && !outOfService()) {
+            perform(m_admission.warmAgain(now()));
+        }
+    }
+
+    bool outOfService() const
+    {
+        return !m_configuration->inService(m_place.dataCentre)
+            || m_configuration->drained.contains(m_place.self.name);
+    }
+
+    const ServiceRules *rules() const
+    {
+        if (!m_configuration) {
+            return nullptr;
+        }
+        const auto it = m_configuration->services.find(m_service);
+        return it == m_configuration->services.end() ? nullptr : &it->second;
     }
 
     void applyRules()
     {
-        if (const auto it = m_configuration->services.find(m_service);
-            it != m_configuration->services.end()) {
-            m_admission.rulesChanged(it->second);
+        if (const ServiceRules *found = rules()) {
+            m_admission.rulesChanged(*found);
+            m_probes.limitsChanged(found->probesPerSecond, m_admission.slots());
         }
     }
 
@@ -98,9 +146,8 @@
         if (announcement.state == AnnouncedState::Ready) {
             takeIn(announcement, request.peerAddress);
         } else {
-            m_admission.withdrawn(BackendState::Draining);
+            perform(m_admission.drainAnnounced(now()));
         }
-        reportState();
         request.reply(ControlAnswer {});
     }
 
@@ -109,19 +156,113 @@
         m_service = announcement.service;
         m_pool = std::make_shared<HttpPool>(m_context,
                                             Endpoint {std::string(address), announcement.port});
-        if (m_configuration) {
-            applyRules();
+        // Each call in progress has one connection, and one is kept for probes.
+        unsigned slots = announcement.slots;
+        if (announcement.connections > 0) {
+            slots = std::min(slots, std::max(1U, announcement.connections - 1));
+        }
+        applyRules();
+        perform(m_admission.announced(slots, now()));
+        applyRules();
+    }
+
+    /// Follows an input to the admission: a changed state is told, queued calls are decided.
+    void perform(Admission::Outputs outputs)
+    {
+        // The next input to the admission ends the validity of its outputs.
+        const std::vector<QueuedCallDecided> decided(outputs.begin(), outputs.end());
+        reportState();
+        for (const QueuedCallDecided &output : decided) {
+            auto node = m_waiting.extract(output.call);
+            if (node.empty()) {
+                continue;
+            }
+            RunAttempt run = std::move(node.mapped());
+            if (output.refusal) {
+                m_ledger.refused(output.call);
+                refuse(run, *output.refusal);
+            } else if (const auto reason = refusalOf(run)) {
+                m_ledger.refused(output.call);
+                refuse(run, *reason);
+                perform(m_admission.finished(RunEnd::Unjudged, {}, now()));
+            } else {
+                begin(std::move(run));
+            }
+        }
+        armQueueTimer();
+    }
+
+    void armQueueTimer()
+    {
+        const auto next = m_admission.nextTick();
+        if (next == m_queueTick) {
+            return;
+        }
+        m_kernel.executor().cancel(m_queueTimer);
+        m_queueTick = next;
+        if (next) {
+            m_queueTimer = m_kernel.executor().after(*next - now(), [this] {
+                m_queueTick.reset();
+                perform(m_admission.tick(now()));
+            });
         }
-        m_admission.announced(announcement.slots, now());
     }
 
     void reportState()
     {
         const LoadReport report = m_admission.report();
-        m_membership.send(BackendChanged {m_service, report.state, report.limit});
+        const auto state = std::tuple(m_service, report.state, m_admission.slots());
+        if (state == m_reported) {
+            return;
+        }
+        m_reported = state;
+        m_membership.send(BackendChanged {m_service, report.state, m_admission.slots()});
+        m_telemetry.send(CountEvent {"backend_states_total", std::string(stateName(report.state))});
+        m_telemetry.send(StateChanged {ServiceName::Backend,
+                                       "backend server of " + m_service + " is "
+                                           + std::string(stateName(report.state)) + ", limit "
+                                           + std::to_string(report.limit)});
+    }
+
+    void probeIfWanted()
+    {
+        m_probeTimer = m_kernel.executor().after(ProbeCheck, [this] { probeIfWanted(); });
+        if (!m_pool) {
+            return;
+        }
+        const bool wanted = m_probes.wanted(now());
+        m_telemetry.send(CountEvent {"probes_total", wanted ? "sent" : "skipped"});
+        if (wanted) {
+            probeBackend(m_context, m_kernel.executor(), m_pool,
+                         [this, pool = m_pool](ProbeResult result) {
+                             m_probes.probeEnded(now());
+                             if (pool == m_pool) {
+                                 probed(result);
+                             }
+                         });
+        }
     }
 
-    /// Everything that can refuse a run, in one place, right before the run.
+    void probed(const ProbeResult &result)
+    {
+        if (!result.alive) {
+            m_telemetry.send(CountEvent {"probes_total", "lost"});
+            perform(m_admission.probeLost(now()));
+            return;
+        }
+        // A server without a load endpoint reports nothing special.
+        const BackendState state = result.load ? result.load->state : BackendState::Warm;
+        perform(m_admission.serverReported(state, now()));
+    }
+
+    bool mayServeIsolated() const
+    {
+        const ServiceRules *found = rules();
+        return found && found->whenIsolated == IsolationPolicy::Serve;
+    }
+
+    /// Everything that can refuse a run, but for the slots. Asked when the run arrives and again
+    /// right before its first byte, since a queue or a connection may have taken time.
     std::optional<Reason> refusalOf(const RunAttempt &run) const
     {
         const AttemptEnvelope &attempt = *run.envelope.attempt;
@@ -129,7 +270,8 @@
         if (!homes.empty() && std::ranges::find(homes, m_place.region) == homes.end()) {
             return Reason::OutsideHomeRegions;
         }
-        if (!m_configuration || attempt.version > m_configuration->version || !m_fresh) {
+        if (!m_configuration || attempt.version > m_configuration->version
+            || (!m_fresh && !mayServeIsolated())) {
             return Reason::StaleConfiguration;
         }
         if (!m_configuration->inService(m_place.dataCentre)) {
@@ -138,9 +280,12 @@
         if (m_configuration->drained.contains(m_place.self.name)) {
             return Reason::Draining;
         }
-        if (attempt.service != m_service || !m_pool) {
+        if (attempt.service != m_service || !m_pool || m_admission.state() == BackendState::Gone) {
             return Reason::NoBackendServer;
         }
+        if (m_admission.state() == BackendState::Draining) {
+            return Reason::Draining;
+        }
         if (now() >= run.deadline) {
             return Reason::Deadline;
         }
@@ -157,16 +302,31 @@
                                                            : Reason::Revoked);
             return;
         }
-        std::optional<Reason> reason = refusalOf(run);
-        if (!reason) {
-            reason = m_admission.admit(now());
-        }
-        if (reason) {
+        if (const auto reason = refusalOf(run)) {
             m_ledger.refused(id);
             refuse(run, *reason);
             return;
         }
-        begin(std::move(run));
+        admit(std::move(run));
+    }
+
+    void admit(RunAttempt run)
+    {
+        const AttemptId id = run.envelope.attempt->attempt;
+        Reason reason = Reason::Overloaded;
+        switch (m_admission.admit(id, run.deadline, now(), reason)) {
+        case AdmissionVerdict::Admitted:
+            begin(std::move(run));
+            break;
+        case AdmissionVerdict::Queued:
+            m_waiting.emplace(id, std::move(run));
+            armQueueTimer();
+            break;
+        case AdmissionVerdict::Refused:
+            m_ledger.refused(id);
+            refuse(run, reason);
+            break;
+        }
     }
 
     void refuse(const RunAttempt &run, Reason reason)
@@ -175,57 +335,97 @@
         run.reply(AttemptRefused {reason, m_admission.report()});
     }
 
+    bool isIdempotent(const CallHead &head) const
+    {
+        const Route *route = m_configuration->routeFor(head.target);
+        return route
+            && std::ranges::find(route->idempotentMethods, head.method)
+            != route->idempotentMethods.end();
+    }
+
     void begin(RunAttempt run)
     {
         const AttemptId id = run.envelope.attempt->attempt;
-        m_telemetry.send(CountEvent {"runs_started_total", m_service});
-        const TimePoint began = now();
-        ExchangeRequest request;
-        request.head = run.head;
-        request.headers = run.head->headers;
-        CallEnvelope envelope = run.envelope;
-        envelope.attempt.reset();
-        envelope.depth += 1;
-        envelope.deadline
-            = std::chrono::duration_cast<std::chrono::milliseconds>(run.deadline - began);
-        encodeEnvelope(envelope, request.headers);
-        request.body = run.body;
-        request.connectTimeout = ConnectTimeout;
-        request.progressTimeout = run.deadline - began;
-        request.maxIdle = MaxIdle;
-        ExchangeHandlers handlers;
-        auto status = std::make_shared<unsigned>(0);
-        handlers.mayBegin = [] { return true; };
-        handlers.answered = [this, reply = run.reply, status](AnswerHead head, BodyPipePtr body) {
-            *status = head.status;
-            reply(AttemptAnswered {std::move(head), std::move(body), m_admission.report()});
-        };
-        handlers.lost = [this, id, reply = run.reply](AttemptLost lost) {
-            if (lost.sent) {
-                reply(lost);
-                return;
-            }
-            m_ledger.refused(id);
-            reply(AttemptRefused {Reason::NoBackendServer, m_admission.report()});
-        };
-        handlers.ended = [this, id, status, began](bool whole) {
-            m_exchanges.erase(id);
-            const BackendState before = m_admission.report().state;
-            m_admission.finished(whole && *status < FirstServerError, now() - began, now());
-            if (m_admission.report().state != before) {
-                reportState();
-            }
-        };
-        auto exchange = std::make_shared<HttpExchange>(m_context, m_kernel.executor(), m_pool,
-                                                       std::move(request), std::move(handlers));
-        m_exchanges[id] = exchange;
+        auto record = std::make_shared<RunRecord>();
+        record->began = now();
+        record->deadline = run.deadline;
+        ExchangeRequest request = backendRequest(run, isIdempotent(*run.head), now());
+        auto held = std::make_shared<const RunAttempt>(std::move(run));
+        auto exchange = std::make_shared<HttpExchange>(
+            m_context, m_kernel.executor(), m_pool, std::move(request),
+            ExchangeHandlers {
+                [this, record, held, pool = m_pool] { return mayBegin(*record, *held, pool); },
+                [this, record, held](AnswerHead head, BodyPipePtr body) {
+                    answered(*record, *held, std::move(head), std::move(body));
+                },
+                [this, record, held](AttemptLost lost) { runLost(*record, *held, lost); },
+                [this, record, id, pool = m_pool](bool whole) {
+                    ended(*record, id, whole, pool);
+                }});
+        m_runs[id] = {exchange, record};
         exchange->start();
     }
 
+    bool mayBegin(RunRecord &record, const RunAttempt &run, const std::shared_ptr<HttpPool> &pool)
+    {
+        record.stopped = pool == m_pool ? refusalOf(run) : Reason::NoBackendServer;
+        if (!record.stopped) {
+            record.began = now();
+            m_telemetry.send(CountEvent {"runs_started_total", m_service});
+        }
+        return !record.stopped;
+    }
+
+    void answered(RunRecord &record, const RunAttempt &run, AnswerHead head, BodyPipePtr body)
+    {
+        record.answered = now();
+        record.status = head.status;
+        record.shed = takeShedMark(head);
+        record.body = body;
+        m_probes.answered(now());
+        // A streamed body has been read and cannot be sent again, so its caller gets the answer.
+        if (record.shed && !run.body.stream) {
+            body->abandon();
+            m_ledger.refused(run.envelope.attempt->attempt);
+            m_telemetry.send(CountEvent {"runs_shed_total", m_service});
+            run.reply(AttemptRefused {Reason::Overloaded, m_admission.report()});
+            return;
+        }
+        run.reply(AttemptAnswered {std::move(head), std::move(body), m_admission.report()});
+    }
+
+    void runLost(RunRecord &record, const RunAttempt &run, const AttemptLost &lost)
+    {
+        record.sent = lost.sent;
+        if (lost.sent) {
+            run.reply(lost);
+            return;
+        }
+        m_ledger.refused(run.envelope.attempt->attempt);
+        const Reason unsent = record.cancelled ? Reason::Cancelled : Reason::NoBackendServer;
+        refuse(run, record.stopped.value_or(unsent));
+    }
+
+    void ended(RunRecord &record, const AttemptId &id, bool whole,
+               const std::shared_ptr<HttpPool> &pool)
+    {
+        m_runs.erase(id);
+        // A run on an earlier process of the server says nothing about the present one.
+        const RunEnd end = pool == m_pool
+            ? judgeRun(record, whole, m_admission.averageAnswer(), now())
+            : RunEnd::Unjudged;
+        perform(m_admission.finished(end, record.answered.value_or(now()) - record.began, now()));
+    }
+
     void handle(CancelAttempt cancel)
     {
-        if (const auto it = m_exchanges.find(cancel.attempt); it != m_exchanges.end()) {
-            it->second->cancel();
+        if (const auto it = m_runs.find(cancel.attempt); it != m_runs.end()) {
+            it->second.record->cancelled = true;
+            it->second.exchange->cancel();
+        } else if (m_admission.withdraw(cancel.attempt)) {
+            m_ledger.refused(cancel.attempt);
+            refuse(m_waiting.extract(cancel.attempt).mapped(), Reason::Cancelled);
+            armQueueTimer();
         }
     }
 
@@ -245,8 +445,22 @@
     bool m_fresh = false;
     std::string m_service;
     std::shared_ptr<HttpPool> m_pool;
-    std::unordered_map<AttemptId, std::shared_ptr<HttpExchange>> m_exchanges;
+    struct Run
+    {
+        std::shared_ptr<HttpExchange> exchange;
+        std::shared_ptr<RunRecord> record;
+    };
+
+    std::unordered_map<AttemptId, Run> m_runs;
+    /// Runs in the queue of the admission.
+    std::unordered_map<AttemptId, RunAttempt> m_waiting;
+    ProbeBudget m_probes;
+    /// Service, state and slots as told to others last.
+    std::tuple<std::string, BackendState, unsigned> m_reported {};
+    std::optional<TimePoint> m_queueTick;
     TimerId m_timer = 0;
+    TimerId m_probeTimer = 0;
+    TimerId m_queueTimer = 0;
     Address<MembershipMessage> m_membership;
     Address<TelemetryMessage> m_telemetry;
     Mailbox<BackendMessage> m_mailbox;
--- /dev/null
+++ b/src/services/BackendRun.cpp
@@ -0,0 +1,98 @@
+#include "services/BackendRun.h"
+
+#include "wire/HeaderNames.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <array>
+
+namespace Coltsfootwell {
+
+namespace {
+
+constexpr std::chrono::milliseconds ConnectTimeout {100};
+/// Longest wait for the next byte.
+constexpr std::chrono::seconds MaxProgressWait {30};
+constexpr std::chrono::seconds MaxIdle {10};
+constexpr std::chrono::seconds MaxIdleIdempotent {30};
+constexpr unsigned FirstServerError = 500;
+constexpr unsigned ServiceUnavailable = 503;
+
+/// A backend server may pass on the headers of a nested call; they say nothing about this one.
+constexpr std::array DaemonHeaders {Header::Outcome, Header::Reason, Header::ServedBy, Header::Load,
+                                    Header::Attempt};
+
+bool sameName(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
+}
+
+bool isDaemonHeader(const HeaderField &field)
+{
+    return std::ranges::any_of(
+        DaemonHeaders, [&field](std::string_view name) { return sameName(field.name, name); });
+}
+
+RunEnd judgeUnanswered(const RunRecord &record, Duration average, TimePoint now)
+{
+    if (record.stopped) {
+        return RunEnd::Unjudged;
+    }
+    if (!record.cancelled) {
+        return record.sent ? RunEnd::Lost : RunEnd::Unreachable;
+    }
+    // The caller's patience ends at the deadline, so a silent server is seen only here.
+    if (now >= record.deadline) {
+        return RunEnd::Lost;
+    }
+    const bool slow = average > Duration() && now - record.began > average * Admission::SlowFactor;
+    return slow ? RunEnd::Bad : RunEnd::Unjudged;
+}
+
+} // namespace
+
+ExchangeRequest backendRequest(const RunAttempt &run, bool idempotent, TimePoint now)
+{
+    const Duration left = run.deadline - now;
+    ExchangeRequest request;
+    request.head = run.head;
+    request.headers = run.head->headers;
+    CallEnvelope envelope = run.envelope;
+    envelope.attempt.reset();
+    envelope.depth += 1;
+    envelope.deadline = std::chrono::duration_cast<std::chrono::milliseconds>(left);
+    encodeEnvelope(envelope, request.headers);
+    request.body = run.body;
+    request.connectTimeout = std::min<Duration>(ConnectTimeout, left);
+    request.progressTimeout = std::min<Duration>(MaxProgressWait, left);
+    request.maxIdle = idempotent ? MaxIdleIdempotent : MaxIdle;
+    return request;
+}
+
+bool takeShedMark(AnswerHead &head)
+{
+    const auto outcome = headerValue(head.headers, Header::Outcome);
+    const bool shed = outcome && outcomeFromName(*outcome) == Outcome::NotRun
+        && head.status == ServiceUnavailable;
+    std::erase_if(head.headers, isDaemonHeader);
+    return shed;
+}
+
+RunEnd judgeRun(const RunRecord &record, bool whole, Duration average, TimePoint now)
+{
+    if (!record.answered) {
+        return judgeUnanswered(record, average, now);
+    }
+    if (record.shed) {
+        return RunEnd::Shed;
+    }
+    if (record.status >= FirstServerError) {
+        return RunEnd::Bad;
+    }
+    const BodyPipePtr body = record.body.lock();
+    const bool callerLeft = record.cancelled || (body && body->wasAbandoned());
+    return whole || callerLeft ? RunEnd::Good : RunEnd::Bad;
+}
+
+} // namespace Coltsfootwell
--- a/src/services/BodyPipe.h
+++ b/src/services/BodyPipe.h
@@ -61,6 +61,9 @@
     /// \return true once the reader has asked for a chunk.
     bool wasRead() const { return m_wanted; }
 
+    /// \return true once the reader has gone.
+    bool wasAbandoned() const { return m_abandoned; }
+
 private:
     void serveReader();
     void serveWriter();
