--- a/src/decisions/BackendLifecycle.cpp
+++ b/src/decisions/BackendLifecycle.cpp
@@ -98,6 +98,10 @@
 
 BackendLifecycle::~BackendLifecycle() = default;
 
+BackendLifecycle::BackendLifecycle(BackendLifecycle &&) noexcept = default;
+
+BackendLifecycle &BackendLifecycle::operator=(BackendLifecycle &&) noexcept = default;
+
 bool BackendLifecycle::handle(BackendEvent event)
 {
     Machine &machine = *m_machine;
--- a/src/decisions/BackendLifecycle.h
+++ b/src/decisions/BackendLifecycle.h
@@ -36,6 +36,8 @@
 
     BackendLifecycle();
     ~BackendLifecycle();
+    BackendLifecycle(BackendLifecycle &&) noexcept;
+    BackendLifecycle &operator=(BackendLifecycle &&) noexcept;
 
     /// \return true when the state has changed, or the server starts over as cold.
     bool handle(BackendEvent event);
--- /dev/null
+++ b/test/RoutingWorld.h
@@ -0,0 +1,47 @@
+// Members and a configuration for tests and measurements of routing.
+#pragma once
+
+#include "decisions/Routing.h"
+
+#include <algorithm>
+#include <string>
+
+namespace Coltsfootwell::Testing {
+
+/// \brief Makes warm members "<data centre>-<number>" of one service.
+inline void addMembers(std::vector<Member> &members, const std::string &region,
+                       const std::string &dataCentre, const std::string &service, unsigned count,
+                       unsigned slots = 9)
+{
+    for (unsigned i = 0; i < count; ++i) {
+        Member member;
+        member.id = {dataCentre + '-' + service + '-' + std::to_string(i), 1};
+        member.region = region;
+        member.dataCentre = dataCentre;
+        member.service = service;
+        member.backend = BackendState::Warm;
+        member.slots = slots;
+        members.push_back(member);
+    }
+}
+
+/// \brief A configuration with the data centres of the members, all in service.
+inline ConfigurationPtr configurationFor(const std::vector<Member> &members)
+{
+    auto configuration = std::make_shared<Configuration>();
+    configuration->version = 1;
+    for (const Member &member : members) {
+        configuration->dataCentres[member.dataCentre] = {member.region, true};
+        configuration->services[member.service] = {};
+    }
+    return configuration;
+}
+
+inline CallFacts factsFor(const std::string &service)
+{
+    CallFacts facts;
+    facts.service = service;
+    return facts;
+}
+
+} // namespace Coltsfootwell::Testing
--- /dev/null
+++ b/test/correctness/HerdOnStaleReports.cpp
@@ -0,0 +1,37 @@
+// Guards against many daemons that all follow the same stale report to one server.
+#include "RoutingWorld.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace Coltsfootwell;
+using namespace Coltsfootwell::Testing;
+using std::chrono::milliseconds;
+
+TEST_CASE("a server that is reported idle gets at most twice its share")
+{
+    std::vector<Member> members;
+    addMembers(members, "a", "a1", "s", 8);
+    constexpr unsigned Senders = 40;
+    constexpr unsigned CallsEach = 100;
+    std::map<DaemonId, unsigned> calls;
+    const TimePoint now {};
+    for (unsigned sender = 0; sender < Senders; ++sender) {
+        SeededRandom random(sender);
+        Routing routing({{"a1-x" + std::to_string(sender), 1}, "a", "a1"}, random);
+        routing.membersChanged(members);
+        routing.configurationChanged(configurationFor(members));
+        for (const Member &member : members) {
+            const bool idle = member.id == members[0].id;
+            routing.reported(member.id, {idle ? 0U : 9U, 0, 9, BackendState::Warm}, now);
+        }
+        for (unsigned i = 0; i < CallsEach; ++i) {
+            const DaemonId target = std::get<Target>(routing.pick(factsFor("s"), {}, now)).daemon;
+            routing.sent(target, now);
+            ++calls[target];
+            // Calls last longer than the test, so only this daemon's own count can spread them.
+        }
+    }
+    CHECK(calls[members[0].id] <= 2 * Senders * CallsEach / members.size());
+}
--- /dev/null
+++ b/test/correctness/SubsetUnbalanced.cpp
@@ -0,0 +1,84 @@
+// Guards against subsets that leave some servers without senders, or that ignore distance.
+#include "RoutingWorld.h"
+#include "decisions/RoutingSubset.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace Coltsfootwell;
+using namespace Coltsfootwell::Testing;
+
+namespace {
+
+struct Counts
+{
+    std::size_t dataCentre = 0;
+    std::size_t region = 0;
+    std::size_t elsewhere = 0;
+};
+
+Counts countsOf(const std::vector<Member> &members, std::span<const std::string> homes = {})
+{
+    const Place place {{"a1-x", 1}, "a", "a1"};
+    Counts counts;
+    for (const Member *member :
+         chooseSubset(place, "s", homes, members, *configurationFor(members))) {
+        if (member->region != place.region) {
+            ++counts.elsewhere;
+        } else {
+            ++(member->dataCentre == place.dataCentre ? counts.dataCentre : counts.region);
+        }
+    }
+    return counts;
+}
+
+} // namespace
+
+TEST_CASE("four of the data centre, two of the region, two elsewhere")
+{
+    std::vector<Member> members;
+    addMembers(members, "a", "a1", "s", 10);
+    addMembers(members, "a", "a2", "s", 10);
+    addMembers(members, "b", "b1", "s", 10);
+    const Counts counts = countsOf(members);
+    CHECK(counts.dataCentre == 4);
+    CHECK(counts.region == 2);
+    CHECK(counts.elsewhere == 2);
+}
+
+TEST_CASE("gaps are filled from the next wider circle, and home regions bound the circles")
+{
+    std::vector<Member> members;
+    addMembers(members, "a", "a1", "s", 1);
+    addMembers(members, "a", "a2", "s", 10);
+    addMembers(members, "b", "b1", "s", 10);
+    CHECK(countsOf(members).region == 5);
+    CHECK(countsOf(members).elsewhere == 2);
+    const std::vector<std::string> homes {"a"};
+    CHECK(countsOf(members, homes).elsewhere == 0);
+    CHECK(countsOf(members, homes).region == 7);
+}
+
+TEST_CASE("every server has senders when each of them keeps a subset")
+{
+    std::vector<Member> members;
+    addMembers(members, "a", "a1", "s", 12);
+    addMembers(members, "a", "a2", "s", 12);
+    addMembers(members, "a", "a1", "caller", 100);
+    addMembers(members, "a", "a2", "caller", 100);
+    const ConfigurationPtr configuration = configurationFor(members);
+    std::map<std::string, unsigned> senders;
+    for (const Member &chooser : members) {
+        for (const Member *member : chooseSubset({chooser.id, chooser.region, chooser.dataCentre},
+                                                 "s", {}, members, *configuration)) {
+            ++senders[member->id.name];
+        }
+    }
+    // 224 choosers with 8 each over 24 servers is 75 on average.
+    CHECK(senders.size() == 24);
+    for (const auto &[name, count] : senders) {
+        CHECK_MESSAGE(count > 37, name);
+        CHECK_MESSAGE(count < 150, name);
+    }
+}
