Calls to other regions spend from the daemon's share of the link

RegionLink counts request and answer bytes in both directions and tells membership when this daemon begins and ends to send. It belongs to the service calls, because routing must know before it picks; a refusal by peers would have counted as a failure of the serving daemon. Streamed bodies are counted as they pass through the pipe.

--- a/src/decisions/RegionBudget.h
+++ b/src/decisions/RegionBudget.h
@@ -7,9 +7,18 @@
 
 namespace Coltsfootwell {
 
+/// \brief Says whether another call may go to another region.
+class RegionGate
+{
+public:
+    virtual ~RegionGate() = default;
+
+    virtual bool allows(TimePoint now) = 0;
+};
+
 /// \brief Token bucket of one direction of the link. Lengths are known only after sending, so the
 /// bucket may go into debt, and the next call waits until the debt is paid.
-class RegionBudget
+class RegionBudget final : public RegionGate
 {
 public:
     /// Share of the link that calls may take; the rest is for control traffic.
@@ -21,8 +30,7 @@
     /// \param senders daemons of this region that send to other regions, this one included.
     void limitsChanged(std::uint64_t linkBytesPerSecond, unsigned senders, TimePoint now);
 
-    /// \return true when another call may go to another region.
-    bool allows(TimePoint now);
+    bool allows(TimePoint now) override;
 
     /// \brief Takes bytes that were sent or received.
     void spend(std::uint64_t bytes, TimePoint now);
--- a/src/decisions/Routing.cpp
+++ b/src/decisions/Routing.cpp
@@ -52,7 +52,7 @@
         if (m_candidates.empty()) {
             return Reason::NoBackendServer;
         }
-        if (m_regionBudget && !m_regionBudget->allows(now)) {
+        if (m_regionGate && !m_regionGate->allows(now)) {
             return Reason::RegionBudget;
         }
     }
--- a/src/decisions/Routing.h
+++ b/src/decisions/Routing.h
@@ -38,8 +38,8 @@
     Routing(Place place, Random &random, std::unique_ptr<RoutingStrategy> strategy = nullptr);
 
     /// \brief Makes calls to other regions depend on a budget.
-    /// \param budget outlives the object.
-    void limitRegionsBy(RegionBudget &budget) { m_regionBudget = &budget; }
+    /// \param gate outlives the object.
+    void limitRegionsBy(RegionGate &gate) { m_regionGate = &gate; }
 
     /// \brief Takes over a new list of daemons.
     /// \param members all known daemons, also unreachable ones.
@@ -83,7 +83,7 @@
     Place m_place;
     Random &m_random;
     std::unique_ptr<RoutingStrategy> m_strategy;
-    RegionBudget *m_regionBudget = nullptr;
+    RegionGate *m_regionGate = nullptr;
     std::vector<Member> m_members;
     ConfigurationPtr m_configuration;
     /// Rebuilt on demand after the members or the configuration have changed.
--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -106,7 +106,7 @@
         m_configuration = std::move(news.configuration);
         m_fresh = news.fresh;
         applyRules();
-        if (wasOut && !outOfService()) {
+        if (wasOut && m_configuration && !outOfService()) {
             perform(m_admission.warmAgain(now()));
         }
     }
--- a/src/services/BodyPipe.cpp
+++ b/src/services/BodyPipe.cpp
@@ -16,12 +16,23 @@
 void BodyPipe::write(std::string bytes, std::function<void(bool)> accepted)
 {
     m_queuedBytes += bytes.size();
+    if (m_counter) {
+        m_counter(bytes.size());
+    }
     m_chunks.push_back({BodyChunk::Kind::Bytes, std::move(bytes)});
     m_writer = std::move(accepted);
     serveReader();
     serveWriter();
 }
 
+void BodyPipe::countBytes(std::function<void(std::size_t)> counter)
+{
+    m_counter = std::move(counter);
+    if (m_queuedBytes > 0) {
+        m_counter(m_queuedBytes);
+    }
+}
+
 void BodyPipe::finish()
 {
     if (!std::exchange(m_ended, true)) {
--- a/src/services/BodyPipe.h
+++ b/src/services/BodyPipe.h
@@ -41,6 +41,10 @@
     /// \param accepted called when there is room for more; false when the reader has gone.
     void write(std::string bytes, std::function<void(bool)> accepted);
 
+    /// \brief Calls a function with the size of what waits in the pipe, and of each later chunk.
+    /// \param counter replaces an earlier one.
+    void countBytes(std::function<void(std::size_t)> counter);
+
     /// \brief Writer: the body is whole.
     void finish();
 
@@ -74,6 +78,7 @@
     std::function<void(BodyChunk)> m_reader;
     std::function<void(bool)> m_writer;
     std::function<void(bool)> m_wantedHandler;
+    std::function<void(std::size_t)> m_counter;
     bool m_wanted = false;
     bool m_abandoned = false;
     bool m_ended = false;
--- a/src/services/Calls.cpp
+++ b/src/services/Calls.cpp
@@ -2,6 +2,7 @@
 
 #include "decisions/CallFlow.h"
 #include "services/CallsMessage.h"
+#include "services/RegionLink.h"
 #include "services/ServiceError.h"
 #include "services/ServiceNames.h"
 #include "services/TelemetryMessages.h"
@@ -69,6 +70,7 @@
 public:
     Calls(Kernel &kernel, Place place)
         : m_kernel(kernel), m_place(std::move(place)), m_routing(m_place, kernel.random()),
+          m_regionLink(std::make_shared<RegionLink>(kernel.executor(), m_place)),
           m_mailbox(kernel.executor(),
                     [this](CallsMessage message) {
                         std::visit([this](auto &&body) { handle(std::move(body)); },
@@ -76,9 +78,12 @@
                     }),
           m_configurationMailbox(kernel.executor(),
                                  [this](ConfigurationChanged news) { changed(std::move(news)); }),
-          m_membersMailbox(kernel.executor(),
-                           [this](MembersChanged news) { m_routing.membersChanged(*news.members); })
+          m_membersMailbox(kernel.executor(), [this](MembersChanged news) {
+              m_routing.membersChanged(*news.members);
+              m_regionLink->membersChanged(*news.members);
+          })
     {
+        m_routing.limitRegionsBy(*m_regionLink);
         kernel.directory().publish(name(), m_mailbox.address());
     }
 
@@ -100,19 +105,27 @@
                 .send(SubscribeConfiguration {m_configurationMailbox.address()});
         }
         if (!ec) {
-            directory.find<MembershipMessage>(ServiceName::Membership, ec)
-                .send(SubscribeMembers {m_membersMailbox.address()});
+            const auto membership = directory.find<MembershipMessage>(ServiceName::Membership, ec);
+            membership.send(SubscribeMembers {m_membersMailbox.address()});
+            m_regionLink->tell(membership);
         }
         return ec ? make_error_code(ServiceError::MissingService) : std::error_code();
     }
 
-    void stop(Task done) override { done(); }
+    void stop(Task done) override
+    {
+        m_regionLink->stop();
+        done();
+    }
 
 private:
     void changed(ConfigurationChanged news)
     {
         m_configuration = news.configuration;
         m_fresh = news.fresh;
+        if (m_configuration) {
+            m_regionLink->configurationChanged(*m_configuration);
+        }
         m_routing.configurationChanged(std::move(news.configuration));
     }
 
@@ -172,6 +185,7 @@
             [this, number, attempt = action.attempt](std::optional<AttemptResult> result) {
                 attemptEnded(number, attempt, std::move(result));
             });
+        m_regionLink->sending(run);
         const bool local = action.target.daemon == m_place.self;
         local ? m_backend.send(std::move(run)) : m_peers.send(std::move(run));
     }
@@ -236,6 +250,7 @@
         AttemptResult ended = result ? std::move(*result) : AttemptResult(AttemptLost {});
         learn(attempt, ended);
         if (auto *answered = std::get_if<AttemptAnswered>(&ended)) {
+            m_regionLink->receiving(attempt.target, *answered);
             attempt.answer = std::move(*answered);
             perform(number, flow.answered(id, now()));
         } else if (const auto *refused = std::get_if<AttemptRefused>(&ended)) {
@@ -279,6 +294,7 @@
     Kernel &m_kernel;
     Place m_place;
     Routing m_routing;
+    std::shared_ptr<RegionLink> m_regionLink;
     ConfigurationPtr m_configuration;
     bool m_fresh = false;
     std::unordered_map<std::uint64_t, CallState> m_calls;
