A cold server's limit no longer grows while its answers slow down

In the policy model the moving average followed the answers of a cold server that stayed just below 4 times the average: it rose from 20 ms to 368 ms and the limit from 2 to 9 while the server was still cold. The average now only falls while the server is cold, and the limit grows on answers of at most twice the average. After 200 good answers the cold average counts as usual, so that a server that has become slower for good recovers; a count of slow answers in a row was ruled out, since ordinary variance breaks every such row.

--- a/src/decisions/Admission.cpp
+++ b/src/decisions/Admission.cpp
@@ -10,12 +10,20 @@
 constexpr int AverageSpan = 8;
 /// Failures in a row after which a cold server is only tried by single calls.
 constexpr unsigned BadUntilProbation = 2 * Admission::SuspectsUntilCold;
-/// Good but slow answers in a row after which the server is taken to have become slower for good;
-/// without this its limit could never grow again.
-constexpr unsigned SlowUntilNormal = 100;
+/// Good answers of a cold server after which their average counts as its usual one; without this a
+/// server that has become slower for good would stay at the start value for ever.
+constexpr unsigned ColdUntilNormal = 200;
+/// The limit grows only on answers that take at most this multiple of the moving average. With the
+/// SlowFactor in its place the limit of a modelled cold server grew while its answers slowed down.
+constexpr int GrowthFactor = 2;
 /// A queued call waits for at most 1 / QueueShare of its remaining time.
 constexpr int QueueShare = 4;
 
+Duration nextAverage(Duration average, Duration elapsed)
+{
+    return average == Duration() ? elapsed : average + (elapsed - average) / AverageSpan;
+}
+
 } // namespace
 
 void Admission::rulesChanged(const ServiceRules &rules)
@@ -28,6 +36,8 @@
     m_slots = slots;
     m_drainAnnounced = false;
     m_average = {};
+    m_coldAverage = {};
+    m_coldAnswers = 0;
     m_badInRow = 0;
     m_lifecycle.handle(BackendEvent::Announced);
     startCold();
@@ -65,8 +75,7 @@
 
 Admission::Outputs Admission::warmAgain(TimePoint now)
 {
-    m_lifecycle.handle(BackendEvent::TurnedCold);
-    startCold();
+    turnCold();
     return decideQueue(now);
 }
 
@@ -173,46 +182,66 @@
 void Admission::startCold()
 {
     m_limit = std::min(std::max(1U, m_rules.coldStart.initialSlots), m_slots);
-    m_goodInRow = 0;
+    m_goodAnswers = 0;
     m_suspectsInRow = 0;
-    m_slowInRow = 0;
 }
 
 void Admission::judgeAnswer(RunEnd end, Duration elapsed)
 {
     const bool good = end == RunEnd::Good;
-    const bool slow = good && m_average > Duration() && elapsed > m_average * SlowFactor;
     m_badInRow = good ? 0 : m_badInRow + 1;
-    m_slowInRow = slow ? m_slowInRow + 1 : 0;
-    if (m_slowInRow >= SlowUntilNormal) {
-        m_average = elapsed;
-        m_slowInRow = 0;
-    } else if (!good || slow) {
-        m_goodInRow = 0;
+    if (good && state() == BackendState::Cold) {
+        learnColdAverage(elapsed);
+    }
+    const bool slow = m_average > Duration() && elapsed > m_average * SlowFactor;
+    if (!good || slow) {
+        m_goodAnswers = 0;
         if (++m_suspectsInRow >= SuspectsUntilCold) {
-            const unsigned slowInRow = m_slowInRow;
-            m_lifecycle.handle(BackendEvent::TurnedCold);
-            startCold();
-            m_slowInRow = slowInRow;
+            turnCold();
         }
         return;
     }
     m_suspectsInRow = 0;
     learnAverage(elapsed);
-    grow();
+    if (elapsed <= m_average * GrowthFactor) {
+        grow();
+    }
+}
+
+void Admission::turnCold()
+{
+    if (m_lifecycle.handle(BackendEvent::TurnedCold)) {
+        m_coldAverage = {};
+        m_coldAnswers = 0;
+    }
+    startCold();
+}
+
+void Admission::learnColdAverage(Duration elapsed)
+{
+    m_coldAverage = nextAverage(m_coldAverage, elapsed);
+    if (++m_coldAnswers >= ColdUntilNormal) {
+        m_coldAnswers = 0;
+        m_average = std::max(m_average, m_coldAverage);
+    }
 }
 
 void Admission::learnAverage(Duration elapsed)
 {
-    m_average = m_average == Duration() ? elapsed : m_average + (elapsed - m_average) / AverageSpan;
+    const Duration next = nextAverage(m_average, elapsed);
+    const bool rises = m_average > Duration() && next > m_average;
+    // Answers of a cold server are no measure of a warm one, unless they are faster.
+    if (state() != BackendState::Cold || !rises) {
+        m_average = next;
+    }
 }
 
 void Admission::grow()
 {
-    if (++m_goodInRow < m_rules.coldStart.growAfterAnswers) {
+    if (++m_goodAnswers < m_rules.coldStart.growAfterAnswers) {
         return;
     }
-    m_goodInRow = 0;
+    m_goodAnswers = 0;
     m_limit = std::min(m_limit + 1, m_slots);
     if (m_limit == m_slots) {
         m_lifecycle.handle(BackendEvent::Warmed);
@@ -221,7 +250,7 @@
 
 void Admission::shed(TimePoint now)
 {
-    m_goodInRow = 0;
+    m_goodAnswers = 0;
     // The refusals of one overload arrive together; one cut answers all of them.
     if (now >= m_nextShedCut) {
         m_limit = std::max(1U, m_limit - 1);
--- a/src/decisions/Admission.h
+++ b/src/decisions/Admission.h
@@ -126,6 +126,8 @@
     void takeSlot(TimePoint now);
     void startCold();
     void judgeAnswer(RunEnd end, Duration elapsed);
+    void turnCold();
+    void learnColdAverage(Duration elapsed);
     void learnAverage(Duration elapsed);
     void grow();
     void shed(TimePoint now);
@@ -138,11 +140,13 @@
     unsigned m_slots = 0;
     unsigned m_limit = 0;
     unsigned m_inUse = 0;
-    unsigned m_goodInRow = 0;
+    unsigned m_goodAnswers = 0;
     unsigned m_suspectsInRow = 0;
     unsigned m_badInRow = 0;
-    unsigned m_slowInRow = 0;
+    unsigned m_coldAnswers = 0;
     Duration m_average {};
+    /// Moving average of good answers since the server became cold.
+    Duration m_coldAverage {};
     TimePoint m_lastStart {};
     TimePoint m_nextShedCut {};
     bool m_drainAnnounced = false;
