--- a/src/decisions/Routing.cpp
+++ b/src/decisions/Routing.cpp
@@ -71,7 +71,7 @@
     if (feedback.good) {
         seen.learnAnswer(feedback.elapsed, now);
     } else {
-        seen.learnFailure(now);
+        seen.learnFailure(feedback.refused ? LoadObservation::RefusalWeight : 1, now);
     }
 }
 
--- a/src/decisions/Routing.h
+++ b/src/decisions/Routing.h
@@ -24,6 +24,8 @@
     /// False for refusals, lost answers and answers with a status of 500 or more.
     bool good = false;
     Duration elapsed {};
+    /// True when the serving daemon has refused; it is busy rather than broken.
+    bool refused = false;
 };
 
 /// \brief Picks targets and learns from the attempts sent to them.
--- a/src/decisions/RoutingStrategy.cpp
+++ b/src/decisions/RoutingStrategy.cpp
@@ -135,9 +135,9 @@
     answerTimeAt = now;
 }
 
-void LoadObservation::learnFailure(TimePoint now)
+void LoadObservation::learnFailure(double weight, TimePoint now)
 {
-    failures = failuresNow(now) + 1;
+    failures = failuresNow(now) + weight;
     failuresAt = now;
 }
 
--- a/src/decisions/RoutingStrategy.h
+++ b/src/decisions/RoutingStrategy.h
@@ -20,6 +20,9 @@
     /// An answer time this old says nothing; the daemon is tried again as if it were new.
     static constexpr std::chrono::seconds AnswerTimeLifetime {5};
 
+    /// A refusal counts as this part of a failure.
+    static constexpr double RefusalWeight = 0.1;
+
     unsigned inFlight = 0;
     /// Moving average of good answers; zero when unknown.
     Duration answerTime {};
@@ -35,7 +38,8 @@
     double failuresNow(TimePoint now) const;
 
     void learnAnswer(Duration elapsed, TimePoint now);
-    void learnFailure(TimePoint now);
+    /// \param weight 1 for a failure.
+    void learnFailure(double weight, TimePoint now);
 };
 
 /// \brief One daemon that may serve a call.
--- a/src/services/Calls.cpp
+++ b/src/services/Calls.cpp
@@ -273,6 +273,7 @@
             load = answered->load;
         } else if (const auto *refused = std::get_if<AttemptRefused>(&result)) {
             load = refused->load;
+            feedback.refused = true;
         }
         if (load) {
             m_routing.reported(attempt.target.daemon, *load, now());
--- a/test/performance/PolicyModel.cpp
+++ b/test/performance/PolicyModel.cpp
@@ -211,7 +211,8 @@
         const LoadReport report = reportOf(server);
         after(Hop, [this, call, report] {
             m_routings[call.entry]->reported(call.tried.back(), report, m_now);
-            m_routings[call.entry]->finished(call.tried.back(), {false, m_now - call.sent}, m_now);
+            m_routings[call.entry]->finished(call.tried.back(), {false, m_now - call.sent, true},
+                                             m_now);
             attempt(call);
         });
     }
