--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -1,9 +1,8 @@
 #include "services/Backend.h"
 
 #include "decisions/Admission.h"
-#include "decisions/ProbeBudget.h"
 #include "decisions/RunLedger.h"
-#include "services/BackendProbe.h"
+#include "services/BackendMonitor.h"
 #include "services/BackendRun.h"
 #include "services/CallsMessage.h"
 #include "services/ServiceError.h"
@@ -12,8 +11,6 @@
 #include "wire/AnnouncementJson.h"
 
 #include <algorithm>
-#include <array>
-#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -22,22 +19,14 @@
 namespace {
 
 constexpr std::chrono::seconds LedgerTick {1};
-constexpr std::chrono::milliseconds ProbeCheck {500};
 constexpr std::chrono::seconds MaxIdle {30};
 
-/// Names by BackendState.
-constexpr std::array<std::string_view, 5> StateNames {"absent", "cold", "warm", "draining", "gone"};
-
-std::string_view stateName(BackendState state)
-{
-    return StateNames[static_cast<std::size_t>(state)];
-}
-
 class Backend final : public Service
 {
 public:
     Backend(Kernel &kernel, boost::asio::io_context &context, Place place)
         : m_kernel(kernel), m_context(context), m_place(std::move(place)), m_ledger(m_place.self),
+          m_monitor(kernel, context, [this](const ProbeResult &result) { probed(result); }),
           m_mailbox(kernel.executor(),
                     [this](BackendMessage message) {
                         std::visit([this](auto &&body) { handle(std::move(body)); },
@@ -58,7 +47,7 @@
     {
         std::error_code ec;
         const Directory &directory = m_kernel.directory();
-        m_membership = directory.find<MembershipMessage>(ServiceName::Membership, ec);
+        const auto membership = directory.find<MembershipMessage>(ServiceName::Membership, ec);
         if (!ec) {
             m_telemetry = directory.find<TelemetryMessage>(ServiceName::Telemetry, ec);
         }
@@ -66,16 +55,16 @@
             directory.find<ConfigurationMessage>(ServiceName::Configuration, ec)
                 .send(SubscribeConfiguration {m_configurationMailbox.address()});
         }
+        m_monitor.start(membership, m_telemetry);
         tick();
-        probeIfWanted();
         return ec ? make_error_code(ServiceError::MissingService) : std::error_code();
     }
 
     void stop(Task done) override
     {
-        for (const TimerId timer : {m_timer, m_probeTimer, m_queueTimer}) {
-            m_kernel.executor().cancel(timer);
-        }
+        m_monitor.stop();
+        m_kernel.executor().cancel(m_timer);
+        m_kernel.executor().cancel(m_queueTimer);
         done();
     }
 
@@ -86,20 +75,10 @@
         if (m_pool) {
             m_pool->expire(MaxIdle, now());
         }
-        const LoadReport report = m_admission.report();
-        setGauge("backend_slots_in_use", report.inUse);
-        setGauge("backend_calls_waiting", report.waiting);
-        setGauge("backend_limit", report.limit);
-        setGauge("backend_probe_seconds",
-                 std::chrono::duration<double>(m_probes.counts().slotTime).count());
+        m_monitor.measure(m_admission.report());
         m_timer = m_kernel.executor().after(LedgerTick, [this] { tick(); });
     }
 
-    void setGauge(std::string_view metric, double value)
-    {
-        m_telemetry.send(SetGauge {metric, m_service, value});
-    }
-
     void changed(ConfigurationChanged news)
     {
         const bool wasOut = m_configuration && outOfService();
@@ -130,7 +109,7 @@
     {
         if (const ServiceRules *found = rules()) {
             m_admission.rulesChanged(*found);
-            m_probes.limitsChanged(found->probesPerSecond, m_admission.slots());
+            m_monitor.limitsChanged(found->probesPerSecond, m_admission.slots());
         }
     }
 
@@ -161,6 +140,7 @@
         if (announcement.connections > 0) {
             slots = std::min(slots, std::max(1U, announcement.connections - 1));
         }
+        m_monitor.watch(m_service, m_pool);
         applyRules();
         perform(m_admission.announced(slots, now()));
         applyRules();
@@ -171,7 +151,7 @@
     {
         // The next input to the admission ends the validity of its outputs.
         const std::vector<QueuedCallDecided> decided(outputs.begin(), outputs.end());
-        reportState();
+        m_monitor.report(m_admission.report(), m_admission.slots());
         for (const QueuedCallDecided &output : decided) {
             auto node = m_waiting.extract(output.call);
             if (node.empty()) {
@@ -208,45 +188,9 @@
         }
     }
 
-    void reportState()
-    {
-        const LoadReport report = m_admission.report();
-        const auto state = std::tuple(m_service, report.state, m_admission.slots());
-        if (state == m_reported) {
-            return;
-        }
-        m_reported = state;
-        m_membership.send(BackendChanged {m_service, report.state, m_admission.slots()});
-        m_telemetry.send(CountEvent {"backend_states_total", std::string(stateName(report.state))});
-        m_telemetry.send(StateChanged {ServiceName::Backend,
-                                       "backend server of " + m_service + " is "
-                                           + std::string(stateName(report.state)) + ", limit "
-                                           + std::to_string(report.limit)});
-    }
-
-    void probeIfWanted()
-    {
-        m_probeTimer = m_kernel.executor().after(ProbeCheck, [this] { probeIfWanted(); });
-        if (!m_pool) {
-            return;
-        }
-        const bool wanted = m_probes.wanted(now());
-        m_telemetry.send(CountEvent {"probes_total", wanted ? "sent" : "skipped"});
-        if (wanted) {
-            probeBackend(m_context, m_kernel.executor(), m_pool,
-                         [this, pool = m_pool](ProbeResult result) {
-                             m_probes.probeEnded(now());
-                             if (pool == m_pool) {
-                                 probed(result);
-                             }
-                         });
-        }
-    }
-
     void probed(const ProbeResult &result)
     {
         if (!result.alive) {
-            m_telemetry.send(CountEvent {"probes_total", "lost"});
             perform(m_admission.probeLost(now()));
             return;
         }
@@ -255,40 +199,21 @@
         perform(m_admission.serverReported(state, now()));
     }
 
-    bool mayServeIsolated() const
-    {
-        const ServiceRules *found = rules();
-        return found && found->whenIsolated == IsolationPolicy::Serve;
-    }
-
     /// Everything that can refuse a run, but for the slots. Asked when the run arrives and again
     /// right before its first byte, since a queue or a connection may have taken time.
     std::optional<Reason> refusalOf(const RunAttempt &run) const
     {
-        const AttemptEnvelope &attempt = *run.envelope.attempt;
-        const auto &homes = run.envelope.homeRegions;
-        if (!homes.empty() && std::ranges::find(homes, m_place.region) == homes.end()) {
-            return Reason::OutsideHomeRegions;
-        }
-        if (!m_configuration || attempt.version > m_configuration->version
-            || (!m_fresh && !mayServeIsolated())) {
-            return Reason::StaleConfiguration;
+        if (const auto reason
+            = refusalByRules(run, m_place, m_configuration.get(), m_fresh, now())) {
+            return reason;
         }
-        if (!m_configuration->inService(m_place.dataCentre)) {
-            return Reason::DataCentreOut;
-        }
-        if (m_configuration->drained.contains(m_place.self.name)) {
-            return Reason::Draining;
-        }
-        if (attempt.service != m_service || !m_pool || m_admission.state() == BackendState::Gone) {
+        if (run.envelope.attempt->service != m_service || !m_pool
+            || m_admission.state() == BackendState::Gone) {
             return Reason::NoBackendServer;
         }
         if (m_admission.state() == BackendState::Draining) {
             return Reason::Draining;
         }
-        if (now() >= run.deadline) {
-            return Reason::Deadline;
-        }
         return std::nullopt;
     }
 
@@ -335,21 +260,14 @@
         run.reply(AttemptRefused {reason, m_admission.report()});
     }
 
-    bool isIdempotent(const CallHead &head) const
-    {
-        const Route *route = m_configuration->routeFor(head.target);
-        return route
-            && std::ranges::find(route->idempotentMethods, head.method)
-            != route->idempotentMethods.end();
-    }
-
     void begin(RunAttempt run)
     {
         const AttemptId id = run.envelope.attempt->attempt;
         auto record = std::make_shared<RunRecord>();
         record->began = now();
         record->deadline = run.deadline;
-        ExchangeRequest request = backendRequest(run, isIdempotent(*run.head), now());
+        ExchangeRequest request
+            = backendRequest(run, isIdempotent(*run.head, *m_configuration), now());
         auto held = std::make_shared<const RunAttempt>(std::move(run));
         auto exchange = std::make_shared<HttpExchange>(
             m_context, m_kernel.executor(), m_pool, std::move(request),
@@ -382,7 +300,7 @@
         record.status = head.status;
         record.shed = takeShedMark(head);
         record.body = body;
-        m_probes.answered(now());
+        m_monitor.answered();
         // A streamed body has been read and cannot be sent again, so its caller gets the answer.
         if (record.shed && !run.body.stream) {
             body->abandon();
@@ -441,6 +359,7 @@
     Place m_place;
     RunLedger m_ledger;
     Admission m_admission;
+    BackendMonitor m_monitor;
     ConfigurationPtr m_configuration;
     bool m_fresh = false;
     std::string m_service;
@@ -454,14 +373,9 @@
     std::unordered_map<AttemptId, Run> m_runs;
     /// Runs in the queue of the admission.
     std::unordered_map<AttemptId, RunAttempt> m_waiting;
-    ProbeBudget m_probes;
-    /// Service, state and slots as told to others last.
-    std::tuple<std::string, BackendState, unsigned> m_reported {};
     std::optional<TimePoint> m_queueTick;
     TimerId m_timer = 0;
-    TimerId m_probeTimer = 0;
     TimerId m_queueTimer = 0;
-    Address<MembershipMessage> m_membership;
     Address<TelemetryMessage> m_telemetry;
     Mailbox<BackendMessage> m_mailbox;
     Mailbox<ControlRequest> m_announceMailbox;
--- a/src/services/BackendRun.cpp
+++ b/src/services/BackendRun.cpp
@@ -34,6 +34,12 @@
         DaemonHeaders, [&field](std::string_view name) { return sameName(field.name, name); });
 }
 
+bool mayServeIsolated(const Configuration &configuration, std::string_view service)
+{
+    const auto it = configuration.services.find(service);
+    return it != configuration.services.end() && it->second.whenIsolated == IsolationPolicy::Serve;
+}
+
 RunEnd judgeUnanswered(const RunRecord &record, Duration average, TimePoint now)
 {
     if (record.stopped) {
@@ -52,6 +58,35 @@
 
 } // namespace
 
+std::optional<Reason> refusalByRules(const RunAttempt &run, const Place &place,
+                                     const Configuration *configuration, bool fresh, TimePoint now)
+{
+    const AttemptEnvelope &attempt = *run.envelope.attempt;
+    const auto &homes = run.envelope.homeRegions;
+    if (!homes.empty() && std::ranges::find(homes, place.region) == homes.end()) {
+        return Reason::OutsideHomeRegions;
+    }
+    if (!configuration || attempt.version > configuration->version
+        || (!fresh && !mayServeIsolated(*configuration, attempt.service))) {
+        return Reason::StaleConfiguration;
+    }
+    if (!configuration->inService(place.dataCentre)) {
+        return Reason::DataCentreOut;
+    }
+    if (configuration->drained.contains(place.self.name)) {
+        return Reason::Draining;
+    }
+    return now >= run.deadline ? std::optional(Reason::Deadline) : std::nullopt;
+}
+
+bool isIdempotent(const CallHead &head, const Configuration &configuration)
+{
+    const Route *route = configuration.routeFor(head.target);
+    return route
+        && std::ranges::find(route->idempotentMethods, head.method)
+        != route->idempotentMethods.end();
+}
+
 ExchangeRequest backendRequest(const RunAttempt &run, bool idempotent, TimePoint now)
 {
     const Duration left = run.deadline - now;
--- a/src/services/BackendRun.h
+++ b/src/services/BackendRun.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "decisions/Admission.h"
+#include "decisions/Place.h"
 #include "services/HttpExchange.h"
 
 namespace Coltsfootwell {
@@ -24,6 +25,17 @@
     bool shed = false;
 };
 
+/// \param run the attempt.
+/// \param place this daemon.
+/// \param configuration version in force here; null before the first.
+/// \param fresh false when a newer version may exist that this daemon cannot learn of.
+/// \return why the attempt must not run here now, whatever the state of the backend server.
+std::optional<Reason> refusalByRules(const RunAttempt &run, const Place &place,
+                                     const Configuration *configuration, bool fresh, TimePoint now);
+
+/// \return true when the route of the call names its method as idempotent.
+bool isIdempotent(const CallHead &head, const Configuration &configuration);
+
 /// \param run the attempt.
 /// \param idempotent false keeps the call off connections that were idle for long.
 /// \return the request as the backend server gets it.
--- a/test/correctness/SubsetUnbalanced.cpp
+++ b/test/correctness/SubsetUnbalanced.cpp
@@ -77,8 +77,8 @@
     }
     // 224 choosers with 8 each over 24 servers is 75 on average.
     CHECK(senders.size() == 24);
-    for (const auto &[name, count] : senders) {
-        CHECK_MESSAGE(count > 37, name);
-        CHECK_MESSAGE(count < 150, name);
+    for (const auto &entry : senders) {
+        CHECK_MESSAGE(entry.second > 37, entry.first);
+        CHECK_MESSAGE(entry.second < 150, entry.first);
     }
 }
