Probes switched off while one is under way no longer divide by zero

probeEnded() divided by a rate or a number of slots that the configuration may have set to 0 meanwhile; the conversion of the infinite result is undefined. Found by reading; the new case covers it. 40 cases pass.

--- a/src/decisions/ProbeBudget.cpp
+++ b/src/decisions/ProbeBudget.cpp
@@ -34,11 +34,15 @@
 void ProbeBudget::probeEnded(TimePoint now)
 {
     const Duration took = now - m_began;
+    m_underWay = false;
+    m_counts.slotTime += took;
+    if (m_slots == 0 || m_probesPerSecond <= 0) {
+        // The limits were set to nothing meanwhile; wanted() refuses until they change.
+        return;
+    }
     const std::chrono::duration<double> byRate(1 / m_probesPerSecond);
     const std::chrono::duration<double> byShare
         = std::chrono::duration<double>(took) / (MaxSlotShare * m_slots);
-    m_underWay = false;
-    m_counts.slotTime += took;
     m_next = m_began + std::chrono::duration_cast<Duration>(std::max(byRate, byShare));
 }
 
--- a/test/correctness/ProbesOverBudget.cpp
+++ b/test/correctness/ProbesOverBudget.cpp
@@ -41,6 +41,19 @@
     CHECK(counts.sent > 10);
 }
 
+TEST_CASE("probes that are switched off while one is under way stay off until switched on")
+{
+    ProbeBudget budget;
+    budget.limitsChanged(2.0, 9);
+    TimePoint now {};
+    CHECK(budget.wanted(now));
+    budget.limitsChanged(0, 9);
+    budget.probeEnded(now + milliseconds(1));
+    CHECK_FALSE(budget.wanted(now + seconds(10)));
+    budget.limitsChanged(2.0, 9);
+    CHECK(budget.wanted(now + seconds(10)));
+}
+
 TEST_CASE("no probe while real answers are recent")
 {
     ProbeBudget budget;
