Send doubts about members as brief records

Change: records of suspect and unreachable members carry name, incarnation, sequence, state and observers in datagrams; a receiver without that incarnation and sequence ignores them and learns from the next sync.

--- a/src/decisions/MemberRecord.h
+++ b/src/decisions/MemberRecord.h
@@ -22,6 +22,9 @@
     std::vector<std::string> observers;
     /// Time since the member became unreachable or left.
     Duration downFor {};
+    /// True when the record tells only of a doubt: name, incarnation, sequence, state, observers
+    /// and time. The receiver has the rest, or learns it from the next full sync.
+    bool brief = false;
 
     bool operator==(const MemberRecord &) const = default;
 };
--- a/src/decisions/MemberTable.cpp
+++ b/src/decisions/MemberTable.cpp
@@ -18,6 +18,7 @@
 constexpr unsigned PickTries = 16;
 /// Tags, lengths and numbers of an encoded record.
 constexpr std::size_t RecordOverheadBytes = 58;
+constexpr std::size_t BriefOverheadBytes = 38;
 constexpr std::size_t ObserverOverheadBytes = 2;
 
 std::uint64_t digestOf(const Member &member)
@@ -31,7 +32,7 @@
 
 MemberTable::MemberTable(Member self)
 {
-    add({std::move(self), {}, {}}, {}, true);
+    add({std::move(self), {}, {}, false}, {}, true);
 }
 
 void MemberTable::replaceSelf(Member self)
@@ -56,7 +57,7 @@
         return false;
     }
     Entry &entry = m_entries[*index];
-    const MemberRecord result = merged(record, {known, entry.observers, {}});
+    const MemberRecord result = merged(record, {known, entry.observers, {}, false});
     if (!newer && result.observers == entry.observers) {
         return false;
     }
@@ -83,7 +84,32 @@
 {
     const Entry &entry = m_entries[index];
     const bool down = isDown(m_members[index]);
-    return {m_members[index], entry.observers, down ? now - entry.since : Duration()};
+    return {m_members[index], entry.observers, down ? now - entry.since : Duration(), false};
+}
+
+MemberRecord MemberTable::newsOf(std::size_t index, TimePoint now) const
+{
+    MemberRecord news = record(index, now);
+    const MemberState state = news.member.state;
+    news.brief = state == MemberState::Suspect || state == MemberState::Unreachable;
+    return news;
+}
+
+std::optional<MemberRecord> MemberTable::completed(const MemberRecord &record) const
+{
+    if (!record.brief) {
+        return record;
+    }
+    const std::optional<std::size_t> index = find(record.member.id.name);
+    if (!index || m_members[*index].id != record.member.id
+        || m_members[*index].sequence != record.member.sequence) {
+        return std::nullopt;
+    }
+    MemberRecord whole = record;
+    whole.brief = false;
+    whole.member = m_members[*index];
+    whole.member.state = record.member.state;
+    return whole;
 }
 
 const std::vector<std::string> &MemberTable::observers(std::size_t index) const
@@ -133,7 +159,7 @@
     std::vector<std::pair<std::size_t, unsigned>> taken;
     std::size_t used = 0;
     for (auto it = m_queue.begin(); it != m_queue.end(); ++it) {
-        MemberRecord next = record(it->second, now);
+        MemberRecord next = newsOf(it->second, now);
         const std::size_t size = encodedBound(next);
         if (records.size() == Datagram::MaxRecords || used + size > bytes) {
             break;
@@ -230,8 +256,12 @@
 std::size_t encodedBound(const MemberRecord &record)
 {
     const Member &member = record.member;
-    std::size_t bytes = RecordOverheadBytes + member.id.name.size() + member.endpoint.address.size()
-        + member.region.size() + member.dataCentre.size() + member.service.size();
+    std::size_t bytes
+        = (record.brief ? BriefOverheadBytes : RecordOverheadBytes) + member.id.name.size();
+    if (!record.brief) {
+        bytes += member.endpoint.address.size() + member.region.size() + member.dataCentre.size()
+            + member.service.size();
+    }
     for (const std::string &observer : record.observers) {
         bytes += ObserverOverheadBytes + observer.size();
     }
--- a/src/decisions/MemberTable.h
+++ b/src/decisions/MemberTable.h
@@ -40,9 +40,16 @@
     /// \return index of a member in members(), or nothing.
     std::optional<std::size_t> find(std::string_view name) const;
 
-    /// \return the record to pass on.
+    /// \return the whole record.
     MemberRecord record(std::size_t index, TimePoint now) const;
 
+    /// \return the record as datagrams carry it: brief for members that are in doubt.
+    MemberRecord newsOf(std::size_t index, TimePoint now) const;
+
+    /// \brief Adds to a brief record what this daemon knows of the member.
+    /// \return nothing when it knows another incarnation or sequence.
+    std::optional<MemberRecord> completed(const MemberRecord &record) const;
+
     const std::vector<std::string> &observers(std::size_t index) const;
 
     /// \return time at which the member became suspect, unreachable or left.
--- a/src/decisions/Membership.cpp
+++ b/src/decisions/Membership.cpp
@@ -155,11 +155,15 @@
 
 void Membership::learn(const MemberRecord &received, TimePoint now, bool passOn)
 {
-    if (received.member.id.name == m_table.self().id.name) {
-        learnOfSelf(normalised(received).member);
+    const std::optional<MemberRecord> whole = m_table.completed(received);
+    if (!whole) {
+        return;
+    }
+    MemberRecord record = normalised(*whole);
+    if (record.member.id.name == m_table.self().id.name) {
+        learnOfSelf(record.member);
         return;
     }
-    MemberRecord record = normalised(received);
     const std::size_t needed = std::min(ConfirmingObservers, m_table.aliveCount());
     if (record.member.state == MemberState::Unreachable && record.observers.size() < needed) {
         // A daemon that hears nobody needs one observer only; its view does not bind others.
@@ -384,7 +388,7 @@
     DatagramToSend out {to, {m_table.record(0, now), std::move(body), {}}};
     std::size_t bytes = Datagram::MaxBytes - BodyBoundBytes - encodedBound(out.datagram.from);
     if (about && *about != 0) {
-        out.datagram.records.push_back(m_table.record(*about, now));
+        out.datagram.records.push_back(m_table.newsOf(*about, now));
         bytes -= std::min(bytes, encodedBound(out.datagram.records.back()));
     }
     m_gossipBytes -= m_table.takeGossip(std::min(bytes, m_gossipBytes), out.datagram.records, now);
--- a/src/services/Membership.cpp
+++ b/src/services/Membership.cpp
@@ -108,7 +108,7 @@
     static bool canBeAnnounced(const Member &self)
     {
         std::error_code ec;
-        decodeDatagram(encodeDatagram({{self, {}, {}}, Ping {}, {}}), ec);
+        decodeDatagram(encodeDatagram({{self, {}, {}, false}, Ping {}, {}}), ec);
         return !ec;
     }
 
--- a/src/wire/MembershipCodec.cpp
+++ b/src/wire/MembershipCodec.cpp
@@ -42,8 +42,11 @@
 
 bool isValid(const Wire::MemberRecord &wire)
 {
+    const bool doubted = wire.state() == static_cast<std::uint32_t>(MemberState::Suspect)
+        || wire.state() == static_cast<std::uint32_t>(MemberState::Unreachable);
     return isName(wire.name(), 1) && isName(wire.region(), 0) && isName(wire.data_centre(), 0)
-        && isName(wire.service(), 0) && isEndpoint(wire.address(), wire.port())
+        && isName(wire.service(), 0)
+        && (wire.brief() ? doubted : isEndpoint(wire.address(), wire.port()))
         && wire.state() <= static_cast<std::uint32_t>(MemberState::Left)
         && wire.backend() <= static_cast<std::uint32_t>(BackendState::Gone)
         && static_cast<std::size_t>(wire.observers_size()) <= MemberRecord::MaxObservers
@@ -58,6 +61,14 @@
     wire.set_incarnation(member.id.incarnation);
     wire.set_sequence(member.sequence);
     wire.set_state(static_cast<std::uint32_t>(member.state));
+    for (const std::string &observer : record.observers) {
+        wire.add_observers(observer);
+    }
+    wire.set_down_for_ms(wireMilliseconds(record.downFor));
+    wire.set_brief(record.brief);
+    if (record.brief) {
+        return;
+    }
     wire.set_address(member.endpoint.address);
     wire.set_port(member.endpoint.port);
     wire.set_region(member.region);
@@ -67,10 +78,6 @@
     wire.set_slots(member.slots);
     wire.set_leaving(member.leaving);
     wire.set_cross_region(member.crossRegion);
-    for (const std::string &observer : record.observers) {
-        wire.add_observers(observer);
-    }
-    wire.set_down_for_ms(wireMilliseconds(record.downFor));
 }
 
 MemberRecord decodeRecord(const Wire::MemberRecord &wire, std::error_code &ec)
@@ -94,6 +101,7 @@
     member.crossRegion = wire.cross_region();
     record.observers.assign(wire.observers().begin(), wire.observers().end());
     record.downFor = milliseconds(wire.down_for_ms());
+    record.brief = wire.brief();
     return normalised(std::move(record));
 }
 
@@ -215,7 +223,8 @@
     ec.clear();
     Datagram datagram;
     Wire::Datagram wire;
-    if (bytes.size() > Datagram::MaxBytes || !parse(bytes, wire) || !wire.has_from()) {
+    if (bytes.size() > Datagram::MaxBytes || !parse(bytes, wire) || !wire.has_from()
+        || wire.from().brief()) {
         ec = WireError::BadFrame;
         return datagram;
     }
--- a/test/error/MembershipDecoding.cpp
+++ b/test/error/MembershipDecoding.cpp
@@ -57,6 +57,24 @@
     CHECK_FALSE(ec);
 }
 
+TEST_CASE("a brief record has only the doubt and is refused in other states")
+{
+    MemberRecord brief;
+    brief.member.id = {"recife-a-2", 77};
+    brief.member.sequence = 5;
+    brief.member.state = MemberState::Suspect;
+    brief.observers = {"recife-a-1"};
+    brief.brief = true;
+    Datagram datagram = sample();
+    datagram.records = {brief};
+    std::error_code ec;
+    CHECK(decodeDatagram(encodeDatagram(datagram), ec) == datagram);
+    CHECK_FALSE(ec);
+    datagram.records.front().member.state = MemberState::Alive;
+    decodeDatagram(encodeDatagram(datagram), ec);
+    CHECK(ec == WireError::BadField);
+}
+
 TEST_CASE("an age is rounded up, so that evidence never looks newer")
 {
     Datagram datagram = sample();
