--- a/src/decisions/MemberRecord.h
+++ b/src/decisions/MemberRecord.h
@@ -14,14 +14,17 @@
 /// \brief A member as one daemon sees it.
 struct MemberRecord
 {
-    /// Observers named in a record; two are enough to confirm a suspicion.
-    static constexpr std::size_t MaxObservers = 3;
+    /// Observers named in a record. More would only make further news of a confirmed suspicion.
+    static constexpr std::size_t MaxObservers = 2;
 
     Member member;
     /// Names of daemons whose own pings the member has not answered, sorted.
     std::vector<std::string> observers;
     /// Time since the member became unreachable or left.
     Duration downFor {};
+    /// True when the record tells only of a doubt: name, incarnation, sequence, state, observers
+    /// and time. The receiver has the rest, or learns it from the next full sync.
+    bool brief = false;
 
     bool operator==(const MemberRecord &) const = default;
 };
