Idempotency keys, claims on the log, and revocation between daemons

Cause: repeats of a call ran again, and a lost answer could not be revoked at another daemon.

Change: a key table on the owning daemon starts a key's call once and replays its answer. Minted keys name their owner; a repeat elsewhere is forwarded to it once. Service 'backend' answers the control path 'revoke'. A duplicate of a started attempt no longer counts as a refusal. An attempt that outlives its call still counts as finished in the routing.

Ruled out: reading a partition only up to the own claim; the first claim in offset order decides whether or not the own append was confirmed.

Trial with two daemons and two backend servers on loopback: keyed repeats at both daemons got the first answer; a frozen daemon gave 504 unknown at the deadline.

--- a/src/programs/Daemon.cpp
+++ b/src/programs/Daemon.cpp
@@ -3,6 +3,7 @@
 #include "services/Backend.h"
 #include "services/Callers.h"
 #include "services/Calls.h"
+#include "services/Claims.h"
 #include "services/ConfigurationService.h"
 #include "services/DaemonList.h"
 #include "services/Membership.h"
@@ -44,6 +45,7 @@
     kernel.add(makeConfigurationService(kernel, std::move(initial)));
     kernel.add(makeBackend(kernel, context, place));
     kernel.add(makePeers(kernel, context));
+    kernel.add(makeClaims(kernel, id));
     kernel.add(makeCalls(kernel, place));
     kernel.add(makeDaemonList(kernel));
     kernel.add(makeCallers(kernel, context, {settings.listen, id}));
--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -8,6 +8,7 @@
 #include "services/ServiceNames.h"
 #include "services/TelemetryMessages.h"
 #include "wire/AnnouncementJson.h"
+#include "wire/RevocationJson.h"
 
 #include <algorithm>
 #include <unordered_map>
@@ -33,11 +34,14 @@
                     }),
           m_announceMailbox(kernel.executor(),
                             [this](ControlRequest request) { announced(std::move(request)); }),
+          m_revokeMailbox(kernel.executor(),
+                          [this](ControlRequest request) { revoked(std::move(request)); }),
           m_configurationMailbox(kernel.executor(),
                                  [this](ConfigurationChanged news) { changed(std::move(news)); })
     {
         kernel.directory().publish(name(), m_mailbox.address());
         kernel.directory().publish(ServiceName::control("announce"), m_announceMailbox.address());
+        kernel.directory().publish(ServiceName::control("revoke"), m_revokeMailbox.address());
     }
 
     std::string_view name() const override { return ServiceName::Backend; }
@@ -151,6 +155,10 @@
     {
         const AttemptId id = run.envelope.attempt->attempt;
         const RunVerdict verdict = m_ledger.run(id, run.envelope.attempt->target);
+        if (verdict == RunVerdict::AlreadyStarted) {
+            run.reply(AttemptLost {true, true});
+            return;
+        }
         if (verdict != RunVerdict::Start) {
             refuse(run,
                    verdict == RunVerdict::WrongIncarnation ? Reason::WrongIncarnation
@@ -172,7 +180,8 @@
     void refuse(const RunAttempt &run, Reason reason)
     {
         m_telemetry.send(CountEvent {"runs_refused_total", std::string(reasonName(reason))});
-        run.reply(AttemptRefused {reason, m_admission.report()});
+        run.reply(AttemptRefused {reason, m_admission.report(),
+                                  m_configuration ? m_configuration->version : 0});
     }
 
     void begin(RunAttempt run)
@@ -234,6 +243,17 @@
         revoke.reply(m_ledger.revoke(revoke.attempt, revoke.target.daemon));
     }
 
+    void revoked(ControlRequest request)
+    {
+        const auto revocation = decodeRevocation(request.body);
+        if (!revocation) {
+            request.reply(ControlAnswer {400, "application/json", "{}"});
+            return;
+        }
+        const RevokeVerdict verdict = m_ledger.revoke(revocation->attempt, revocation->target);
+        request.reply(ControlAnswer {200, "application/json", encodeVerdict(verdict)});
+    }
+
     TimePoint now() const { return m_kernel.executor().now(); }
 
     Kernel &m_kernel;
@@ -251,6 +271,7 @@
     Address<TelemetryMessage> m_telemetry;
     Mailbox<BackendMessage> m_mailbox;
     Mailbox<ControlRequest> m_announceMailbox;
+    Mailbox<ControlRequest> m_revokeMailbox;
     Mailbox<ConfigurationChanged> m_configurationMailbox;
 };
 
--- a/src/services/CallMessages.h
+++ b/src/services/CallMessages.h
@@ -50,6 +50,8 @@
 {
     Reason reason = Reason::Overloaded;
     std::optional<LoadReport> load;
+    /// Configuration version of the serving daemon; 0 when it has none or did not say.
+    ConfigurationVersion version = 0;
 };
 
 /// \brief No answer came.
@@ -126,6 +128,18 @@
     Reply<CallResult> reply;
 };
 
+/// \brief To "peers": let the owner of a key carry out a call as its own.
+struct ForwardCall
+{
+    Target owner;
+    std::shared_ptr<const CallHead> head;
+    /// Has its key owner set.
+    CallEnvelope envelope;
+    CallBody body;
+    TimePoint deadline;
+    Reply<CallResult> reply;
+};
+
 /// \brief To "calls": the caller has gone.
 struct CancelCall
 {
--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -328,7 +328,7 @@
             }
             if (const auto *refused = std::get_if<AttemptRefused>(&*result)) {
                 co_return co_await writeRefusal({Outcome::NotRun, refused->reason}, {},
-                                                refused->load);
+                                                refused->load, refused->version);
             }
         }
         co_return co_await writeRefusal({Outcome::Unknown, Reason::AnswerLost}, {});
@@ -429,9 +429,13 @@
     static beast::string_view name(std::string_view text) { return {text.data(), text.size()}; }
 
     asio::awaitable<bool> writeRefusal(CallRefused refused, std::string detail,
-                                       std::optional<LoadReport> load = std::nullopt)
+                                       std::optional<LoadReport> load = std::nullopt,
+                                       ConfigurationVersion version = 0)
     {
         std::vector<HeaderField> headers;
+        if (version != 0) {
+            headers.push_back({std::string(Header::Version), std::to_string(version)});
+        }
         headers.push_back(
             {std::string(Header::Outcome), std::string(outcomeName(refused.outcome))});
         headers.push_back({std::string(Header::Reason), std::string(reasonName(refused.reason))});
--- a/src/services/Calls.cpp
+++ b/src/services/Calls.cpp
@@ -1,10 +1,14 @@
 #include "services/Calls.h"
 
+#include "decisions/AnswerTimes.h"
 #include "decisions/CallFlow.h"
+#include "services/CallRules.h"
 #include "services/CallsMessage.h"
+#include "services/KeyedCalls.h"
 #include "services/ServiceError.h"
 #include "services/ServiceNames.h"
 #include "services/TelemetryMessages.h"
+#include "wire/MintedKey.h"
 
 #include <algorithm>
 #include <unordered_map>
@@ -13,13 +17,19 @@
 
 namespace {
 
-/// Time the serving daemon has to answer a revocation.
-constexpr std::chrono::milliseconds RevocationTimeout {500};
+constexpr std::chrono::seconds KeyExpiryPeriod {10};
 
-struct AttemptState
+/// Kept beside the call, which may have ended before an attempt does.
+struct SentAttempt
 {
     Target target;
     TimePoint began;
+    std::string service;
+};
+
+struct AttemptState
+{
+    Target target;
     std::optional<AttemptAnswered> answer;
 };
 
@@ -33,42 +43,14 @@
     TimerId timer = 0;
 };
 
-std::variant<CallFacts, CallRefused> factsOf(const SubmitCall &call,
-                                             const Configuration &configuration, const Place &place)
-{
-    const CallEnvelope &envelope = call.envelope;
-    if (envelope.depth >= MaxCallDepth) {
-        return CallRefused {Outcome::NotRun, Reason::DepthExceeded};
-    }
-    const Route *route = configuration.routeFor(call.head->target);
-    if (!route) {
-        return CallRefused {Outcome::NotRun, Reason::NoRoute};
-    }
-    const auto rules = configuration.services.find(route->service);
-    if (rules == configuration.services.end()) {
-        return CallRefused {Outcome::NotRun, Reason::NoRoute};
-    }
-    CallFacts facts;
-    facts.service = route->service;
-    facts.tenant = envelope.tenant;
-    facts.idempotent = std::ranges::find(route->idempotentMethods, call.head->method)
-        != route->idempotentMethods.end();
-    facts.depth = envelope.depth;
-    facts.deadline = call.received + envelope.deadline.value_or(rules->second.defaultDeadline);
-    facts.bodyReplayable = !call.body.stream;
-    facts.homeRegions = envelope.homeRegions.empty() ? route->homeRegions : envelope.homeRegions;
-    if (!facts.homeRegions.empty()
-        && std::ranges::find(facts.homeRegions, place.region) == facts.homeRegions.end()) {
-        return CallRefused {Outcome::NotRun, Reason::OutsideHomeRegions};
-    }
-    return facts;
-}
-
 class Calls final : public Service
 {
 public:
     Calls(Kernel &kernel, Place place)
         : m_kernel(kernel), m_place(std::move(place)), m_routing(m_place, kernel.random()),
+          m_keyed(
+              kernel, m_place,
+              [this](SubmitCall call, CallFacts facts) { run(std::move(call), std::move(facts)); }),
           m_mailbox(kernel.executor(),
                     [this](CallsMessage message) {
                         std::visit([this](auto &&body) { handle(std::move(body)); },
@@ -77,8 +59,19 @@
           m_configurationMailbox(kernel.executor(),
                                  [this](ConfigurationChanged news) { changed(std::move(news)); }),
           m_membersMailbox(kernel.executor(),
-                           [this](MembersChanged news) { m_routing.membersChanged(*news.members); })
+                           [this](MembersChanged news) {
+                               m_routing.membersChanged(*news.members);
+                               m_keyed.membersChanged(*news.members);
+                           }),
+          m_keysMailbox(kernel.executor(), [this](ControlRequest request) {
+              request.reply(request.method == "POST"
+                                ? ControlAnswer {200, "application/json",
+                                                 mintedKeyJson(m_keyed.mint(), MintedKeyLifetime)}
+                                : ControlAnswer {405, "application/json",
+                                                 R"({"error":"keys are minted by POST"})"});
+          })
     {
+        kernel.directory().publish(ServiceName::control("keys"), m_keysMailbox.address());
         kernel.directory().publish(name(), m_mailbox.address());
     }
 
@@ -96,23 +89,33 @@
             m_telemetry = directory.find<TelemetryMessage>(ServiceName::Telemetry, ec);
         }
         if (!ec) {
-            directory.find<ConfigurationMessage>(ServiceName::Configuration, ec)
-                .send(SubscribeConfiguration {m_configurationMailbox.address()});
+            m_configurationService
+                = directory.find<ConfigurationMessage>(ServiceName::Configuration, ec);
+            m_configurationService.send(SubscribeConfiguration {m_configurationMailbox.address()});
         }
         if (!ec) {
             directory.find<MembershipMessage>(ServiceName::Membership, ec)
                 .send(SubscribeMembers {m_membersMailbox.address()});
         }
+        if (!ec) {
+            ec = m_keyed.start();
+        }
+        expireKeys();
         return ec ? make_error_code(ServiceError::MissingService) : std::error_code();
     }
 
-    void stop(Task done) override { done(); }
+    void stop(Task done) override
+    {
+        m_kernel.executor().cancel(m_expiry);
+        done();
+    }
 
 private:
     void changed(ConfigurationChanged news)
     {
         m_configuration = news.configuration;
         m_fresh = news.fresh;
+        m_budget.shareChanged(m_configuration->limits.retryShare);
         m_routing.configurationChanged(std::move(news.configuration));
     }
 
@@ -122,20 +125,40 @@
             call.reply(CallRefused {Outcome::NotRun, Reason::StaleConfiguration});
             return;
         }
-        auto facts = factsOf(call, *m_configuration, m_place);
-        if (const auto *refused = std::get_if<CallRefused>(&facts)) {
+        auto facts = factsOf(call, *m_configuration, m_fresh, m_place);
+        if (auto *refused = std::get_if<CallRefused>(&facts)) {
+            // A repeat is not told "not run" when the first call with its key may have run.
+            if (m_keyed.knows(call.envelope)) {
+                refused->outcome = Outcome::Unknown;
+            }
             call.reply(*refused);
-            return;
+        } else if (call.envelope.key.empty()) {
+            run(std::move(call), std::get<CallFacts>(std::move(facts)));
+        } else {
+            m_keyed.submit(std::move(call), std::get<CallFacts>(std::move(facts)),
+                           *m_configuration);
         }
+    }
+
+    void run(SubmitCall call, CallFacts facts)
+    {
         const std::uint64_t number = call.number;
         CallState &state = m_calls[number];
         state.submitted = std::move(call);
-        state.facts = std::get<CallFacts>(std::move(facts));
-        state.flow = std::make_unique<CallFlow>(
-            state.facts, CallFlowParts {m_routing, m_kernel.random(), m_budget, std::nullopt});
+        state.facts = std::move(facts);
+        state.flow
+            = std::make_unique<CallFlow>(state.facts,
+                                         CallFlowParts {m_routing, m_kernel.random(), m_budget,
+                                                        m_answerTimes[state.facts.service].p95()});
         perform(number, state.flow->begin(now()));
     }
 
+    void expireKeys()
+    {
+        m_keyed.expire();
+        m_expiry = m_kernel.executor().after(KeyExpiryPeriod, [this] { expireKeys(); });
+    }
+
     void handle(CancelCall cancel)
     {
         if (const auto it = m_calls.find(cancel.number); it != m_calls.end()) {
@@ -156,9 +179,13 @@
 
     void act(std::uint64_t number, CallState &state, const SendAttempt &action)
     {
-        state.attempts[action.attempt] = {action.target, now(), std::nullopt};
+        state.attempts[action.attempt] = {action.target, std::nullopt};
         m_routing.sent(action.target.daemon, now());
+        const bool again = state.attempts.size() > 1;
         m_telemetry.send(CountEvent {"attempts_total", state.facts.service});
+        if (again) {
+            m_telemetry.send(CountEvent {"attempts_again_total", state.facts.service});
+        }
         RunAttempt run;
         run.target = action.target;
         run.head = state.submitted.head;
@@ -170,8 +197,12 @@
         run.deadline = state.facts.deadline;
         run.reply = Reply<AttemptResult>(
             m_kernel.executor(),
-            [this, number, attempt = action.attempt](std::optional<AttemptResult> result) {
-                attemptEnded(number, attempt, std::move(result));
+            [this, number, attempt = action.attempt,
+             sent = SentAttempt {action.target, now(), state.facts.service}](
+                std::optional<AttemptResult> result) {
+                AttemptResult ended = result ? std::move(*result) : AttemptResult(AttemptLost {});
+                learn(sent, ended);
+                attemptEnded(number, attempt, std::move(ended));
             });
         const bool local = action.target.daemon == m_place.self;
         local ? m_backend.send(std::move(run)) : m_peers.send(std::move(run));
@@ -183,6 +214,7 @@
         revoke.reply = Reply<RevokeVerdict>(
             m_kernel.executor(),
             [this, number, attempt = action.attempt](std::optional<RevokeVerdict> verdict) {
+                countVerdict(verdict);
                 if (const auto it = m_calls.find(number); it != m_calls.end()) {
                     perform(number, it->second.flow->revocationEnded(attempt, verdict, now()));
                 }
@@ -191,6 +223,15 @@
         local ? m_backend.send(std::move(revoke)) : m_peers.send(std::move(revoke));
     }
 
+    void countVerdict(std::optional<RevokeVerdict> verdict)
+    {
+        const bool confirmed = verdict == RevokeVerdict::NeverStarts;
+        m_telemetry.send(CountEvent {"revocations_total",
+                                     confirmed     ? "confirmed"
+                                         : verdict ? "denied"
+                                                   : "unanswered"});
+    }
+
     void act(std::uint64_t, CallState &state, const StopAttempt &action)
     {
         if (const auto it = state.attempts.find(action.attempt); it != state.attempts.end()) {
@@ -225,31 +266,34 @@
         });
     }
 
-    void attemptEnded(std::uint64_t number, const AttemptId &id,
-                      std::optional<AttemptResult> result)
+    void attemptEnded(std::uint64_t number, const AttemptId &id, AttemptResult ended)
     {
         const auto it = m_calls.find(number);
+        auto *answered = std::get_if<AttemptAnswered>(&ended);
         if (it == m_calls.end()) {
+            if (answered) {
+                answered->body->abandon();
+            }
             return;
         }
-        CallFlow &flow = *it->second.flow;
-        AttemptState &attempt = it->second.attempts[id];
-        AttemptResult ended = result ? std::move(*result) : AttemptResult(AttemptLost {});
-        learn(attempt, ended);
-        if (auto *answered = std::get_if<AttemptAnswered>(&ended)) {
-            attempt.answer = std::move(*answered);
-            perform(number, flow.answered(id, now()));
+        CallState &state = it->second;
+        if (const BodyPipePtr &stream = state.submitted.body.stream; stream && stream->wasRead()) {
+            state.flow->bodyTaken();
+        }
+        if (answered) {
+            state.attempts[id].answer = std::move(*answered);
+            perform(number, state.flow->answered(id, now()));
         } else if (const auto *refused = std::get_if<AttemptRefused>(&ended)) {
-            perform(number, flow.refused(id, refused->reason, now()));
+            perform(number, state.flow->refused(id, refused->reason, now()));
         } else {
             const auto &lost = std::get<AttemptLost>(ended);
             perform(number,
-                    flow.lost(id, lost.sent ? AttemptLoss::Sent : AttemptLoss::Unsent,
-                              lost.bodyTaken, now()));
+                    state.flow->lost(id, lost.sent ? AttemptLoss::Sent : AttemptLoss::Unsent,
+                                     lost.bodyTaken, now()));
         }
     }
 
-    void learn(const AttemptState &attempt, const AttemptResult &result)
+    void learn(const SentAttempt &attempt, const AttemptResult &result)
     {
         constexpr unsigned FirstServerError = 500;
         std::optional<LoadReport> load;
@@ -257,8 +301,14 @@
         if (const auto *answered = std::get_if<AttemptAnswered>(&result)) {
             feedback.good = answered->head.status < FirstServerError;
             load = answered->load;
+            m_answerTimes[attempt.service].add(feedback.elapsed);
         } else if (const auto *refused = std::get_if<AttemptRefused>(&result)) {
             load = refused->load;
+            if (refused->version > m_configuration->version) {
+                m_configurationService.send(VersionSeen {refused->version,
+                                                         attempt.target.endpoint.address,
+                                                         attempt.target.endpoint.port});
+            }
         }
         if (load) {
             m_routing.reported(attempt.target.daemon, *load, now());
@@ -281,15 +331,20 @@
     Place m_place;
     Routing m_routing;
     RetryBudget m_budget;
+    std::unordered_map<std::string, AnswerTimes> m_answerTimes;
+    KeyedCalls m_keyed;
+    TimerId m_expiry = 0;
     ConfigurationPtr m_configuration;
     bool m_fresh = false;
     std::unordered_map<std::uint64_t, CallState> m_calls;
     Address<PeersMessage> m_peers;
     Address<BackendMessage> m_backend;
     Address<TelemetryMessage> m_telemetry;
+    Address<ConfigurationMessage> m_configurationService;
     Mailbox<CallsMessage> m_mailbox;
     Mailbox<ConfigurationChanged> m_configurationMailbox;
     Mailbox<MembersChanged> m_membersMailbox;
+    Mailbox<ControlRequest> m_keysMailbox;
 };
 
 } // namespace
--- a/src/services/CallsMessage.h
+++ b/src/services/CallsMessage.h
@@ -10,7 +10,7 @@
 namespace Coltsfootwell {
 
 using CallsMessage = std::variant<SubmitCall, CancelCall>;
-using PeersMessage = std::variant<RunAttempt, CancelAttempt, RevokeAttempt>;
+using PeersMessage = std::variant<RunAttempt, CancelAttempt, RevokeAttempt, ForwardCall>;
 using BackendMessage = std::variant<RunAttempt, CancelAttempt, RevokeAttempt>;
 
 } // namespace Coltsfootwell
--- a/src/services/ServiceNames.h
+++ b/src/services/ServiceNames.h
@@ -13,6 +13,7 @@
 constexpr std::string_view Peers = "peers";
 constexpr std::string_view Backend = "backend";
 constexpr std::string_view Claims = "claims";
+constexpr std::string_view Log = "log";
 constexpr std::string_view DaemonList = "daemon-list";
 constexpr std::string_view Telemetry = "telemetry";
 constexpr std::string_view Stop = "stop";
