--- a/src/services/BodyCollector.cpp
+++ b/src/services/BodyCollector.cpp
@@ -31,20 +31,6 @@
     });
 }
 
-void relayNext(BodyPipePtr from, BodyPipePtr to)
-{
-    BodyPipe &source = *from;
-    source.read([from = std::move(from), to = std::move(to)](BodyChunk chunk) {
-        if (chunk.kind != BodyChunk::Kind::Bytes) {
-            chunk.kind == BodyChunk::Kind::End ? to->finish() : to->cut();
-            return;
-        }
-        BodyPipe &sink = *to;
-        sink.write(std::move(chunk.bytes),
-                   [from, to](bool open) { open ? relayNext(from, to) : from->abandon(); });
-    });
-}
-
 } // namespace
 
 void collectBody(BodyPipePtr pipe, std::size_t limit, std::function<void(CollectedBody)> done)
@@ -63,14 +49,4 @@
     return pipe;
 }
 
-BodyPipePtr pipeOf(Executor &executor, std::string beginning, BodyPipePtr rest)
-{
-    auto pipe = std::make_shared<BodyPipe>(executor);
-    BodyPipe &sink = *pipe;
-    sink.write(std::move(beginning), [pipe, rest = std::move(rest)](bool open) {
-        open ? relayNext(rest, pipe) : rest->abandon();
-    });
-    return pipe;
-}
-
 } // namespace Coltsfootwell
--- a/src/services/BodyCollector.h
+++ b/src/services/BodyCollector.h
@@ -34,10 +34,4 @@
 /// \return a pipe with that body.
 BodyPipePtr pipeOf(Executor &executor, std::string bytes);
 
-/// \brief Makes a body whose beginning was read already.
-/// \param executor runs the callbacks of the pipe.
-/// \param beginning bytes that come first.
-/// \param rest what follows.
-BodyPipePtr pipeOf(Executor &executor, std::string beginning, BodyPipePtr rest);
-
 } // namespace Coltsfootwell
--- a/src/services/BodyPipe.cpp
+++ b/src/services/BodyPipe.cpp
@@ -57,6 +57,12 @@
     serveWriter();
 }
 
+void BodyPipe::putBack(BodyChunk chunk)
+{
+    m_queuedBytes += chunk.bytes.size();
+    m_chunks.push_front(std::move(chunk));
+}
+
 void BodyPipe::abandon()
 {
     m_abandoned = true;
--- a/src/services/BodyPipe.h
+++ b/src/services/BodyPipe.h
@@ -55,6 +55,10 @@
     /// \param handler called once.
     void read(std::function<void(BodyChunk)> handler);
 
+    /// \brief Reader: returns a chunk that it has taken, to be read again.
+    /// \param chunk the last chunk read, or several joined.
+    void putBack(BodyChunk chunk);
+
     /// \brief Reader: wants no more; the writer is told.
     void abandon();
 
--- a/src/services/Calls.cpp
+++ b/src/services/Calls.cpp
@@ -281,8 +281,7 @@
             state.flow->bodyTaken();
         }
         if (answered) {
-            state.attempts[id].answer = std::move(*answered);
-            perform(number, state.flow->answered(id, now()));
+            awaitFirstChunk(number, id, std::move(*answered));
         } else if (const auto *refused = std::get_if<AttemptRefused>(&ended)) {
             perform(number, state.flow->refused(id, refused->reason, now()));
         } else {
@@ -293,6 +292,28 @@
         }
     }
 
+    /// An answer that is cut short before its first byte reached the caller is not an answer.
+    void awaitFirstChunk(std::uint64_t number, const AttemptId &id, AttemptAnswered answered)
+    {
+        BodyPipe &pipe = *answered.body;
+        auto held = std::make_shared<AttemptAnswered>(std::move(answered));
+        pipe.read([this, number, id, held](BodyChunk chunk) {
+            const auto it = m_calls.find(number);
+            if (it == m_calls.end()) {
+                held->body->abandon();
+                return;
+            }
+            CallFlow &flow = *it->second.flow;
+            if (chunk.kind == BodyChunk::Kind::Cut) {
+                perform(number, flow.lost(id, AttemptLoss::Sent, true, now()));
+                return;
+            }
+            held->body->putBack(std::move(chunk));
+            it->second.attempts[id].answer = std::move(*held);
+            perform(number, flow.answered(id, now()));
+        });
+    }
+
     void learn(const SentAttempt &attempt, const AttemptResult &result)
     {
         constexpr unsigned FirstServerError = 500;
--- a/src/services/KeyedCalls.cpp
+++ b/src/services/KeyedCalls.cpp
@@ -248,9 +248,8 @@
     const TimePoint now = m_kernel.executor().now();
     if (body.end == CollectedBody::End::TooLong) {
         m_table.ended(key, Outcome::Run, Reason::AnswerNotHeld, std::nullopt, now);
-        CallAnswered whole = answered;
-        whole.body = pipeOf(m_kernel.executor(), std::move(body.bytes), answered.body);
-        first(std::move(whole));
+        answered.body->putBack({BodyChunk::Kind::Bytes, std::move(body.bytes)});
+        first(answered);
         for (const Waiter &waiter : takeWaiters(key)) {
             waiter.reply(CallRefused {Outcome::Run, Reason::AnswerNotHeld});
         }
