Limit on bodies of undeclared length; strict 'not run' for keyed calls

Cause: a chunked body could grow past the limit of its service, and a refusal before the key table was asked said 'not run' although an earlier call with the key may have run.

Change: the body pipe cuts at the limit and the caller gets 413, unknown when the call may have started. A keyed call is told 'not run' by such a refusal only when this process alone may start its key and has not.

--- a/src/decisions/CallFlow.cpp
+++ b/src/decisions/CallFlow.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
-/// An unanswered attempt is asked about at this part of the time it has.
+/// An unanswered attempt is revoked at this part of the time it has, ...
 constexpr int ProgressShare = 2;
+/// ... but early enough for a verdict to count.
+constexpr Duration MaxProgressWait = MaxVerdictAge / 2;
 /// The last revocation before the deadline takes at most this part of the time an attempt has.
 constexpr int LeadShare = 4;
 
@@ -172,7 +174,7 @@
     attempt.target = target;
     attempt.sentAt = now;
     const Duration left = m_facts.deadline - now;
-    attempt.revokeAt = now + left / ProgressShare;
+    attempt.revokeAt = now + std::min<Duration>(left / ProgressShare, MaxProgressWait);
     attempt.lastRevokeAt
         = m_facts.deadline - std::min<Duration>(MaxRevocationLead, left / LeadShare);
     attempt.lifecycle.process(AttemptEvent::Sent);
--- a/src/services/BodyPipe.cpp
+++ b/src/services/BodyPipe.cpp
@@ -15,6 +15,13 @@
 
 void BodyPipe::write(std::string bytes, std::function<void(bool)> accepted)
 {
+    if (bytes.size() > m_bytesLeft) {
+        m_overLimit = true;
+        cut();
+        m_executor.post([accepted = std::move(accepted)] { accepted(false); });
+        return;
+    }
+    m_bytesLeft -= bytes.size();
     m_queuedBytes += bytes.size();
     m_chunks.push_back({BodyChunk::Kind::Bytes, std::move(bytes)});
     m_writer = std::move(accepted);
--- a/src/services/BodyPipe.h
+++ b/src/services/BodyPipe.h
@@ -4,8 +4,10 @@
 
 #include "kernel/Executor.h"
 
+#include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -36,6 +38,13 @@
     explicit BodyPipe(Executor &executor);
     ~BodyPipe();
 
+    /// \brief Cuts the body when it grows beyond a limit.
+    /// \param bytes most bytes that a writer may add in all.
+    void limitTo(std::uint64_t bytes) { m_bytesLeft = bytes; }
+
+    /// \return true when the body was cut at its limit.
+    bool overLimit() const { return m_overLimit; }
+
     /// \brief Writer: adds bytes.
     /// \param bytes moved into the queue.
     /// \param accepted called when there is room for more; false when the reader has gone.
@@ -72,6 +81,8 @@
     Executor &m_executor;
     std::deque<BodyChunk> m_chunks;
     std::size_t m_queuedBytes = 0;
+    std::uint64_t m_bytesLeft = std::numeric_limits<std::uint64_t>::max();
+    bool m_overLimit = false;
     std::function<void(BodyChunk)> m_reader;
     std::function<void(bool)> m_writer;
     std::function<void(bool)> m_wantedHandler;
--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -234,7 +234,9 @@
 
         if (m_context->finishing && !envelope.attempt && envelope.depth == 0) {
             m_keepAlive = false;
-            co_return co_await writeRefusal({Outcome::NotRun, Reason::Stopping}, {});
+            // An earlier call with the same key may have run.
+            const Outcome outcome = envelope.key.empty() ? Outcome::NotRun : Outcome::Unknown;
+            co_return co_await writeRefusal({outcome, Reason::Stopping}, {});
         }
 
         CallBody body;
--- a/src/services/Calls.cpp
+++ b/src/services/Calls.cpp
@@ -127,12 +127,19 @@
         }
         auto facts = factsOf(call, *m_configuration, m_fresh, m_place);
         if (auto *refused = std::get_if<CallRefused>(&facts)) {
-            // A repeat is not told "not run" when the first call with its key may have run.
-            if (m_keyed.knows(call.envelope)) {
+            // A repeat is not told "not run" while an earlier call with its key may have run.
+            if (!call.envelope.key.empty() && !m_keyed.provesNotRun(call.envelope)) {
                 refused->outcome = Outcome::Unknown;
             }
+            countRefusal(*refused);
             call.reply(*refused);
-        } else if (call.envelope.key.empty()) {
+            return;
+        }
+        if (const BodyPipePtr &stream = call.body.stream) {
+            const std::string &service = std::get<CallFacts>(facts).service;
+            stream->limitTo(m_configuration->services.find(service)->second.maxBodyBytes);
+        }
+        if (call.envelope.key.empty()) {
             run(std::move(call), std::get<CallFacts>(std::move(facts)));
         } else {
             m_keyed.submit(std::move(call), std::get<CallFacts>(std::move(facts)),
@@ -140,6 +147,16 @@
         }
     }
 
+    /// Outside the home regions of a call even a counter would tell of it.
+    void countRefusal(const CallRefused &refused)
+    {
+        if (refused.reason != Reason::OutsideHomeRegions) {
+            m_telemetry.send(CountEvent {"calls_total", std::string(outcomeName(refused.outcome))});
+            m_telemetry.send(
+                CountEvent {"refusals_total", std::string(reasonName(refused.reason))});
+        }
+    }
+
     void run(SubmitCall call, CallFacts facts)
     {
         const std::uint64_t number = call.number;
@@ -251,9 +268,11 @@
 
     void act(std::uint64_t, CallState &state, const RefuseCall &action)
     {
-        m_telemetry.send(CountEvent {"calls_total", std::string(outcomeName(action.outcome))});
-        m_telemetry.send(CountEvent {"refusals_total", std::string(reasonName(action.reason))});
-        state.submitted.reply(CallRefused {action.outcome, action.reason});
+        const BodyPipePtr &stream = state.submitted.body.stream;
+        const bool tooLarge = stream && stream->overLimit();
+        const CallRefused refused {action.outcome, tooLarge ? Reason::BodyTooLarge : action.reason};
+        countRefusal(refused);
+        state.submitted.reply(refused);
     }
 
     void act(std::uint64_t number, CallState &state, const SetTimer &action)
--- a/src/services/KeyedCalls.cpp
+++ b/src/services/KeyedCalls.cpp
@@ -88,16 +88,17 @@
     if (call.envelope.keyOwner) {
         const DaemonId owner = *call.envelope.keyOwner;
         toOwner(std::move(call), std::move(facts), owner, expires);
-    } else if (knows(call.envelope)) {
+    } else if (m_table.knows(tableKey(call.envelope))) {
         runHere(std::move(call), std::move(facts), expires);
     } else {
         claim(std::move(call), std::move(facts), expires);
     }
 }
 
-bool KeyedCalls::knows(const CallEnvelope &envelope) const
+bool KeyedCalls::provesNotRun(const CallEnvelope &envelope) const
 {
-    return !envelope.key.empty() && m_table.knows(tableKey(envelope));
+    const auto key = mintedKeyFromText(envelope.key);
+    return key && key->owner == m_place.self && !m_table.knows(tableKey(envelope));
 }
 
 void KeyedCalls::membersChanged(std::span<const Member> members)
--- a/src/services/KeyedCalls.h
+++ b/src/services/KeyedCalls.h
@@ -35,8 +35,9 @@
     /// \param configuration in force.
     void submit(SubmitCall call, CallFacts facts, const Configuration &configuration);
 
-    /// \return true when a call with this key was started here and may have run.
-    bool knows(const CallEnvelope &envelope) const;
+    /// \return true when no call with the key can have run: only this process may start it, and it
+    /// has not. False for calls that another daemon may have started.
+    bool provesNotRun(const CallEnvelope &envelope) const;
 
     /// \brief Takes over a new list of daemons.
     void membersChanged(std::span<const Member> members);
--- a/test/error/KeyOwnerIsGone.cpp
+++ b/test/error/KeyOwnerIsGone.cpp
@@ -164,3 +164,18 @@
     CHECK(away.reason == Reason::BadKey);
     CHECK(bench.runs.empty());
 }
+
+TEST_CASE("not-run is proved only for a key of this process that was not used")
+{
+    Bench bench;
+    CallEnvelope envelope;
+    envelope.key = bench.keyed.mint();
+    CHECK(bench.keyed.provesNotRun(envelope));
+    bench.submit(envelope.key);
+    CHECK_FALSE(bench.keyed.provesNotRun(envelope));
+    for (const std::string &key :
+         {std::string("mine"), mintedKeyText({Other, std::chrono::seconds(1), 7})}) {
+        envelope.key = key;
+        CHECK_FALSE(bench.keyed.provesNotRun(envelope));
+    }
+}
