Precise outcome for keyed calls at a stopping daemon

Cause: the session refused repeats with 'not run' without asking the key table. Change: the session hands the refusal to 'calls', which decides on its outcome.

--- a/src/services/CallMessages.h
+++ b/src/services/CallMessages.h
@@ -125,6 +125,8 @@
     CallEnvelope envelope;
     CallBody body;
     TimePoint received;
+    /// Set when the session refuses a call with a key; "calls" decides on the outcome alone.
+    std::optional<Reason> refusal;
     Reply<CallResult> reply;
 };
 
--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -234,9 +234,12 @@
 
         if (m_context->finishing && !envelope.attempt && envelope.depth == 0) {
             m_keepAlive = false;
-            // An earlier call with the same key may have run.
-            const Outcome outcome = envelope.key.empty() ? Outcome::NotRun : Outcome::Unknown;
-            co_return co_await writeRefusal({outcome, Reason::Stopping}, {});
+            if (!envelope.key.empty()) {
+                // An earlier call with the same key may have run.
+                co_return co_await submitCall(std::move(head), std::move(envelope), CallBody {},
+                                              received, Reason::Stopping);
+            }
+            co_return co_await writeRefusal({Outcome::NotRun, Reason::Stopping}, {});
         }
 
         CallBody body;
@@ -337,7 +340,8 @@
     }
 
     asio::awaitable<bool> submitCall(std::shared_ptr<CallHead> head, CallEnvelope envelope,
-                                     CallBody body, TimePoint received)
+                                     CallBody body, TimePoint received,
+                                     std::optional<Reason> refusal = std::nullopt)
     {
         const std::uint64_t number = ++m_context->lastCall;
         auto message = std::make_shared<SubmitCall>();
@@ -347,6 +351,7 @@
         const bool held = !body.stream;
         message->body = std::move(body);
         message->received = received;
+        message->refusal = refusal;
         m_hangup = [context = m_context, number] { context->calls.send(CancelCall {number}); };
         if (held) {
             watchHangup();
--- a/src/services/Calls.cpp
+++ b/src/services/Calls.cpp
@@ -122,17 +122,14 @@
     void handle(SubmitCall call)
     {
         if (!m_configuration) {
-            call.reply(CallRefused {Outcome::NotRun, Reason::StaleConfiguration});
+            refuse(call, {Outcome::NotRun, Reason::StaleConfiguration});
             return;
         }
-        auto facts = factsOf(call, *m_configuration, m_fresh, m_place);
-        if (auto *refused = std::get_if<CallRefused>(&facts)) {
-            // A repeat is not told "not run" while an earlier call with its key may have run.
-            if (!call.envelope.key.empty() && !m_keyed.provesNotRun(call.envelope)) {
-                refused->outcome = Outcome::Unknown;
-            }
-            countRefusal(*refused);
-            call.reply(*refused);
+        auto facts = call.refusal
+            ? std::variant<CallFacts, CallRefused>(CallRefused {Outcome::NotRun, *call.refusal})
+            : factsOf(call, *m_configuration, m_fresh, m_place);
+        if (const auto *refused = std::get_if<CallRefused>(&facts)) {
+            refuse(call, *refused);
             return;
         }
         if (const BodyPipePtr &stream = call.body.stream) {
@@ -147,6 +144,16 @@
         }
     }
 
+    /// A repeat is not told "not run" while an earlier call with its key may have run.
+    void refuse(const SubmitCall &call, CallRefused refused)
+    {
+        if (!call.envelope.key.empty() && !m_keyed.provesNotRun(call.envelope)) {
+            refused.outcome = Outcome::Unknown;
+        }
+        countRefusal(refused);
+        call.reply(refused);
+    }
+
     /// Outside the home regions of a call even a counter would tell of it.
     void countRefusal(const CallRefused &refused)
     {
