--- a/test/CallWorld.h
+++ b/test/CallWorld.h
@@ -6,7 +6,6 @@
 #include "kernel/ManualExecutor.h"
 
 #include <deque>
-#include <map>
 #include <memory>
 #include <string>
 
--- a/test/correctness/CallRunsTwice.cpp
+++ b/test/correctness/CallRunsTwice.cpp
@@ -1,12 +1,11 @@
 // Guards against a non-idempotent call that starts twice, and against "not run" for a call that has
 // started, under loss, delay, reordering, duplicates, freezes and restarts.
 #include "CallWorld.h"
+#include "FlowBench.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
-#include <algorithm>
-
 using namespace Coltsfootwell;
 using namespace Coltsfootwell::Test;
 
@@ -112,32 +111,16 @@
     // The revocation is handled at once and its tombstone is forgotten before the run, which spent
     // longer on the way than the ledger remembers, arrives.
     const auto startsAfterVerdict = [](const Guards &guards) {
-        SeededRandom random(1);
-        Routing routing(Place {{"entry", 1}, "r", "dc"}, random);
-        RetryBudget budget;
-        auto configuration = std::make_shared<Configuration>();
-        configuration->dataCentres["dc"] = {"r", true};
-        routing.configurationChanged(configuration);
-        Member member;
-        member.id = {"d0", 1};
-        member.region = "r";
-        member.dataCentre = "dc";
-        member.service = "s";
-        member.backend = BackendState::Warm;
-        routing.membersChanged(std::span(&member, 1));
-        CallFacts facts;
-        facts.service = "s";
-        facts.deadline = TimePoint(std::chrono::hours(1));
-        CallFlow flow(facts, {routing, random, budget, std::nullopt, guards});
-        RunLedger ledger(member.id, guards);
-        const AttemptId id = std::get<SendAttempt>(flow.begin(TimePoint())[0]).attempt;
-        flow.lost(id, AttemptLoss::Sent, false, TimePoint(std::chrono::seconds(100)));
-        const RevokeVerdict verdict = ledger.revoke(id, member.id);
-        const auto actions
-            = flow.revocationEnded(id, verdict, TimePoint(std::chrono::seconds(100)));
-        return std::ranges::any_of(actions, [](const CallAction &action) {
-            return std::holds_alternative<SendAttempt>(action);
-        });
+        Bench bench(1, guards);
+        bench.deadline = std::chrono::hours(1);
+        CallFlow flow = bench.flow(false);
+        const SendAttempt sent = *find<SendAttempt>(flow.begin(Start));
+        RunLedger ledger(sent.target.daemon, guards);
+        const TimePoint late = Start + std::chrono::seconds(100);
+        flow.lost(sent.attempt, AttemptLoss::Sent, false, late);
+        const RevokeVerdict verdict = ledger.revoke(sent.attempt, sent.target.daemon);
+        const auto actions = flow.revocationEnded(sent.attempt, verdict, late);
+        return find<SendAttempt>(actions) != nullptr;
     };
     CHECK_FALSE(startsAfterVerdict(FullGuards));
     Guards guards = FullGuards;
--- a/test/correctness/RetryGoesAstray.cpp
+++ b/test/correctness/RetryGoesAstray.cpp
@@ -1,62 +1,11 @@
 // Guards against a retry that cannot help: to the daemon that refused, after a refusal that holds
 // everywhere, or after the caller's body was spent.
-#include "decisions/CallFlow.h"
+#include "FlowBench.h"
 
 #include <doctest/doctest.h>
 
 using namespace Coltsfootwell;
-
-namespace {
-
-constexpr TimePoint Start {};
-
-struct Bench
-{
-    explicit Bench(unsigned daemons)
-    {
-        auto configuration = std::make_shared<Configuration>();
-        configuration->dataCentres["dc"] = {"r", true};
-        routing.configurationChanged(configuration);
-        std::vector<Member> members;
-        for (unsigned i = 0; i < daemons; ++i) {
-            Member member;
-            member.id = {"d" + std::to_string(i), 1};
-            member.region = "r";
-            member.dataCentre = "dc";
-            member.service = "s";
-            member.backend = BackendState::Warm;
-            members.push_back(member);
-        }
-        routing.membersChanged(members);
-    }
-
-    CallFlow flow(bool idempotent, bool replayable = true)
-    {
-        CallFacts facts;
-        facts.service = "s";
-        facts.idempotent = idempotent;
-        facts.bodyReplayable = replayable;
-        facts.deadline = Start + std::chrono::seconds(1);
-        return {facts, CallFlowParts {routing, random, budget, std::chrono::milliseconds(10)}};
-    }
-
-    SeededRandom random {1};
-    Routing routing {Place {{"entry", 1}, "r", "dc"}, random};
-    RetryBudget budget;
-};
-
-template <typename Action>
-const Action *find(std::span<const CallAction> actions)
-{
-    for (const CallAction &action : actions) {
-        if (const auto *found = std::get_if<Action>(&action)) {
-            return found;
-        }
-    }
-    return nullptr;
-}
-
-} // namespace
+using namespace Coltsfootwell::Test;
 
 TEST_CASE("a retry goes to a daemon that was not tried")
 {
