Records of the log carry their offsets

Cause: a reader that mistook the end of a stream for the offset to read next would skip claims and could see two owners of one key. Change: the next read begins after the last record that was read. Claims name their type, as the other records do.

--- a/src/services/Claims.cpp
+++ b/src/services/Claims.cpp
@@ -98,27 +98,26 @@
         }
         ReadRecords message {it->second.stream, from, RecordsPerRead, {}};
         message.reply = Reply<RecordsRead>(m_kernel.executor(),
-                                           [this, number, from](std::optional<RecordsRead> part) {
-                                               fold(number, from, part.value_or(RecordsRead {}));
+                                           [this, number](const std::optional<RecordsRead> &part) {
+                                               fold(number, part.value_or(RecordsRead {}));
                                            });
         m_log.send(std::move(message));
     }
 
-    void fold(std::uint64_t number, std::uint64_t from, const RecordsRead &part)
+    void fold(std::uint64_t number, const RecordsRead &part)
     {
         const auto it = m_claims.find(number);
         if (it == m_claims.end()) {
             return;
         }
-        for (const std::string &record : part.records) {
-            if (const auto claim = decodeClaim(record)) {
+        for (const StreamRecord &record : part.records) {
+            if (const auto claim = decodeClaim(record.bytes)) {
                 it->second.fold.add(*claim);
             }
         }
         const std::optional<DaemonId> winner = it->second.fold.winner();
-        const bool more = part.reached && !part.records.empty() && part.next > from;
-        if (!winner && more) {
-            read(number, part.next);
+        if (!winner && part.reached && !part.records.empty()) {
+            read(number, part.records.back().offset + 1);
             return;
         }
         it->second.reply(KeyClaimed {winner});
--- a/src/services/LogMessages.h
+++ b/src/services/LogMessages.h
@@ -28,16 +28,21 @@
     Reply<RecordAppended> reply;
 };
 
+/// \brief One record of a stream.
+struct StreamRecord
+{
+    std::uint64_t offset = 0;
+    std::string bytes;
+};
+
 /// \brief Answer to ReadRecords.
 struct RecordsRead
 {
     /// False when the log cannot be reached.
     bool reached = false;
-    /// Offset to read from next; the end of the stream when it equals the offset asked for or when
-    /// there are no records.
-    std::uint64_t next = 0;
-    /// Contents in offset order without gaps.
-    std::vector<std::string> records;
+    /// In offset order; leaves out none that the log holds between the first and the last. Empty at
+    /// the end of the stream.
+    std::vector<StreamRecord> records;
 };
 
 /// \brief Reads records that the log holds at or after an offset, and does not wait for new ones.
--- a/src/wire/ClaimJson.cpp
+++ b/src/wire/ClaimJson.cpp
@@ -19,23 +19,24 @@
 
 std::string encodeClaim(const Claim &claim)
 {
-    const json::object body {{"id", claim.id},
-                             {"keyHash", claim.keyHash},
-                             {"daemon", claim.daemon.name},
-                             {"incarnation", claim.daemon.incarnation}};
-    return json::serialize(json::object {{"claim", body}});
+    return json::serialize(json::object {{"type", "claim"},
+                                         {"id", claim.id},
+                                         {"keyHash", claim.keyHash},
+                                         {"daemon", claim.daemon.name},
+                                         {"incarnation", claim.daemon.incarnation}});
 }
 
 std::optional<Claim> decodeClaim(std::string_view text)
 {
     boost::system::error_code ec;
     const json::value document = json::parse(json::string_view(text.data(), text.size()), ec);
-    const json::value *body
-        = !ec && document.is_object() ? document.get_object().if_contains("claim") : nullptr;
-    if (!body || !body->is_object()) {
+    if (ec || !document.is_object()) {
+        return std::nullopt;
+    }
+    const json::object &object = document.get_object();
+    if (textAt(object, "type") != "claim") {
         return std::nullopt;
     }
-    const json::object &object = body->get_object();
     const json::value *incarnation = object.if_contains("incarnation");
     Claim claim {textAt(object, "id"), textAt(object, "keyHash"), {textAt(object, "daemon"), 0}};
     claim.daemon.incarnation = incarnation ? incarnation->to_number<Incarnation>(ec) : 0;
--- a/test/error/ClaimIsLost.cpp
+++ b/test/error/ClaimIsLost.cpp
@@ -63,12 +63,11 @@
 
     void handle(ReadRecords read)
     {
-        RecordsRead part {m_log.readable, read.from, {}};
+        RecordsRead part {m_log.readable, {}};
         const std::vector<std::string> &all = m_log.streams[read.stream];
         // One record for each read, so that a claim is found across reads.
         if (m_log.readable && read.from < all.size()) {
-            part.records.push_back(all[read.from]);
-            part.next = read.from + 1;
+            part.records.push_back({read.from, all[read.from]});
         }
         read.reply(std::move(part));
     }
@@ -139,7 +138,7 @@
     bench.claim("key", result);
     executor.runReady();
     auto &records = log.streams.begin()->second;
-    records.insert(records.begin(), {"{", "[]", R"({"claim":{"id":"x"}})"});
+    records.insert(records.begin(), {"{", "[]", R"({"type":"claim","id":"x"})"});
     Bench other(executor, "d2", log);
     other.claim("key", result);
     executor.runReady();
