--- a/src/programs/Daemon.cpp
+++ b/src/programs/Daemon.cpp
@@ -3,8 +3,10 @@
 #include "services/Backend.h"
 #include "services/Callers.h"
 #include "services/Calls.h"
+#include "services/Claims.h"
 #include "services/ConfigurationService.h"
 #include "services/DaemonList.h"
+#include "services/LogAccess.h"
 #include "services/LogClient.h"
 #include "services/LogServer.h"
 #include "services/Membership.h"
@@ -72,8 +74,13 @@
         kernel, context, configurationSettings(settings, id, std::move(initial)),
         settings.log.address.empty() ? nullptr
                                      : makeGrpcLogClient(kernel.executor(), settings.log.address)));
+    if (!settings.log.address.empty()) {
+        kernel.add(
+            makeLogAccess(kernel, makeGrpcLogClient(kernel.executor(), settings.log.address)));
+    }
     kernel.add(makeBackend(kernel, context, place));
     kernel.add(makePeers(kernel, context));
+    kernel.add(makeClaims(kernel, id));
     kernel.add(makeCalls(kernel, place));
     kernel.add(makeDaemonList(kernel));
     kernel.add(makeCallers(kernel, context, {settings.listen, id}));
--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -7,8 +7,10 @@
 #include "services/CallsMessage.h"
 #include "services/ServiceError.h"
 #include "services/ServiceNames.h"
+#include "services/StopMessages.h"
 #include "services/TelemetryMessages.h"
 #include "wire/AnnouncementJson.h"
+#include "wire/RevocationJson.h"
 
 #include <algorithm>
 #include <unordered_map>
@@ -34,11 +36,18 @@
                     }),
           m_announceMailbox(kernel.executor(),
                             [this](ControlRequest request) { announced(std::move(request)); }),
+          m_revokeMailbox(kernel.executor(),
+                          [this](ControlRequest request) { revoked(std::move(request)); }),
           m_configurationMailbox(kernel.executor(),
-                                 [this](ConfigurationChanged news) { changed(std::move(news)); })
+                                 [this](ConfigurationChanged news) { changed(std::move(news)); }),
+          m_stopMailbox(kernel.executor(), [this](StopPhaseChanged news) {
+              m_stopping = news.phase != StopPhase::Running;
+          })
     {
         kernel.directory().publish(name(), m_mailbox.address());
         kernel.directory().publish(ServiceName::control("announce"), m_announceMailbox.address());
+        kernel.directory().publish(ServiceName::control("revoke"), m_revokeMailbox.address());
+        kernel.directory().publish(ServiceName::stopping(name()), m_stopMailbox.address());
     }
 
     std::string_view name() const override { return ServiceName::Backend; }
@@ -221,13 +230,18 @@
     {
         const AttemptId id = run.envelope.attempt->attempt;
         const RunVerdict verdict = m_ledger.run(id, run.envelope.attempt->target);
+        if (verdict == RunVerdict::AlreadyStarted) {
+            run.reply(AttemptLost {true, true});
+            return;
+        }
         if (verdict != RunVerdict::Start) {
             refuse(run,
                    verdict == RunVerdict::WrongIncarnation ? Reason::WrongIncarnation
                                                            : Reason::Revoked);
             return;
         }
-        if (const auto reason = refusalOf(run)) {
+        const auto reason = m_stopping ? std::optional(Reason::Stopping) : refusalOf(run);
+        if (reason) {
             m_ledger.refused(id);
             refuse(run, *reason);
             return;
@@ -257,7 +271,8 @@
     void refuse(const RunAttempt &run, Reason reason)
     {
         m_telemetry.send(CountEvent {"runs_refused_total", std::string(reasonName(reason))});
-        run.reply(AttemptRefused {reason, m_admission.report()});
+        run.reply(AttemptRefused {reason, m_admission.report(),
+                                  m_configuration ? m_configuration->version : 0});
     }
 
     void begin(RunAttempt run)
@@ -352,6 +367,17 @@
         revoke.reply(m_ledger.revoke(revoke.attempt, revoke.target.daemon));
     }
 
+    void revoked(ControlRequest request)
+    {
+        const auto revocation = decodeRevocation(request.body);
+        if (!revocation) {
+            request.reply(ControlAnswer {400, "application/json", "{}"});
+            return;
+        }
+        const RevokeVerdict verdict = m_ledger.revoke(revocation->attempt, revocation->target);
+        request.reply(ControlAnswer {200, "application/json", encodeVerdict(verdict)});
+    }
+
     TimePoint now() const { return m_kernel.executor().now(); }
 
     Kernel &m_kernel;
@@ -379,7 +405,11 @@
     Address<TelemetryMessage> m_telemetry;
     Mailbox<BackendMessage> m_mailbox;
     Mailbox<ControlRequest> m_announceMailbox;
+    Mailbox<ControlRequest> m_revokeMailbox;
     Mailbox<ConfigurationChanged> m_configurationMailbox;
+    Mailbox<StopPhaseChanged> m_stopMailbox;
+    /// True once a planned stop has begun: what runs ends, nothing new begins.
+    bool m_stopping = false;
 };
 
 } // namespace
--- a/src/services/BodyPipe.cpp
+++ b/src/services/BodyPipe.cpp
@@ -15,6 +15,13 @@
 
 void BodyPipe::write(std::string bytes, std::function<void(bool)> accepted)
 {
+    if (bytes.size() > m_bytesLeft) {
+        m_overLimit = true;
+        cut();
+        m_executor.post([accepted = std::move(accepted)] { accepted(false); });
+        return;
+    }
+    m_bytesLeft -= bytes.size();
     m_queuedBytes += bytes.size();
     if (m_counter) {
         m_counter(bytes.size());
@@ -68,6 +75,12 @@
     serveWriter();
 }
 
+void BodyPipe::putBack(BodyChunk chunk)
+{
+    m_queuedBytes += chunk.bytes.size();
+    m_chunks.push_front(std::move(chunk));
+}
+
 void BodyPipe::abandon()
 {
     m_abandoned = true;
--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -234,6 +234,11 @@
 
         if (m_context->finishing && !envelope.attempt && envelope.depth == 0) {
             m_keepAlive = false;
+            if (!envelope.key.empty()) {
+                // An earlier call with the same key may have run.
+                co_return co_await submitCall(std::move(head), std::move(envelope), CallBody {},
+                                              received, Reason::Stopping);
+            }
             co_return co_await writeRefusal({Outcome::NotRun, Reason::Stopping}, {});
         }
 
@@ -328,14 +333,15 @@
             }
             if (const auto *refused = std::get_if<AttemptRefused>(&*result)) {
                 co_return co_await writeRefusal({Outcome::NotRun, refused->reason}, {},
-                                                refused->load);
+                                                refused->load, refused->version);
             }
         }
         co_return co_await writeRefusal({Outcome::Unknown, Reason::AnswerLost}, {});
     }
 
     asio::awaitable<bool> submitCall(std::shared_ptr<CallHead> head, CallEnvelope envelope,
-                                     CallBody body, TimePoint received)
+                                     CallBody body, TimePoint received,
+                                     std::optional<Reason> refusal = std::nullopt)
     {
         const std::uint64_t number = ++m_context->lastCall;
         auto message = std::make_shared<SubmitCall>();
@@ -345,6 +351,7 @@
         const bool held = !body.stream;
         message->body = std::move(body);
         message->received = received;
+        message->refusal = refusal;
         m_hangup = [context = m_context, number] { context->calls.send(CancelCall {number}); };
         if (held) {
             watchHangup();
@@ -429,9 +436,13 @@
     static beast::string_view name(std::string_view text) { return {text.data(), text.size()}; }
 
     asio::awaitable<bool> writeRefusal(CallRefused refused, std::string detail,
-                                       std::optional<LoadReport> load = std::nullopt)
+                                       std::optional<LoadReport> load = std::nullopt,
+                                       ConfigurationVersion version = 0)
     {
         std::vector<HeaderField> headers;
+        if (version != 0) {
+            headers.push_back({std::string(Header::Version), std::to_string(version)});
+        }
         headers.push_back(
             {std::string(Header::Outcome), std::string(outcomeName(refused.outcome))});
         headers.push_back({std::string(Header::Reason), std::string(reasonName(refused.reason))});
--- a/src/services/LogServer.cpp
+++ b/src/services/LogServer.cpp
@@ -62,7 +62,7 @@
         }
     }
 
-    std::string_view name() const override { return ServiceName::Log; }
+    std::string_view name() const override { return ServiceName::LogServer; }
 
     std::error_code start() override
     {
