Stand-in backend server with slots, cold start, faults and history; open-loop load tool

The thin stand-in answered every call after a fixed time, so no test could show overload, cold start or lost answers. It now enforces slots, falls over when cold and overloaded, shows faults on POST /fault and writes a history of runs. coltsfoot-load measures latency from the intended send time, since measuring from the actual one hides queueing in the tool.

--- /dev/null
+++ b/src/programs/LoadMix.h
@@ -0,0 +1,52 @@
+// Kinds of calls that the load tool makes, read from a JSON file.
+#pragma once
+
+#include "wire/JsonFault.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <vector>
+
+namespace Coltsfootwell {
+
+/// \brief Who makes the idempotency key of a call.
+enum class KeySource {
+    None,
+    /// POST /coltsfootwell/keys at the daemon, right before the call.
+    Daemon,
+    Caller,
+};
+
+/// \brief One kind of call.
+struct LoadCall
+{
+    std::string name;
+    /// Weight among all kinds.
+    double share = 1;
+    std::string method = "GET";
+    std::string path;
+    std::uint64_t bodyBytes = 0;
+    std::chrono::milliseconds deadline {1000};
+    KeySource key = KeySource::None;
+    /// Repeats through another daemon, with the same key, after "unknown" or a broken connection.
+    unsigned repeats = 0;
+    std::string homeRegions;
+    std::string tenant;
+};
+
+/// \brief Decodes an array of objects with the members of LoadCall ("deadlineMs" for the deadline;
+/// "key" is "none", "daemon" or "caller").
+/// \param text JSON text.
+/// \param fault first violation when ec is set.
+/// \param ec WireError::BadJson or WireError::BadField, or cleared.
+std::vector<LoadCall> decodeLoadMix(std::string_view text, JsonFault &fault, std::error_code &ec);
+
+/// \param mix kinds of calls, not empty.
+/// \param unit random number from 0 to 1.
+/// \return the kind that the number selects.
+const LoadCall &chooseCall(const std::vector<LoadCall> &mix, double unit);
+
+} // namespace Coltsfootwell
--- /dev/null
+++ b/src/programs/LoadTargets.cpp
@@ -0,0 +1,103 @@
+#include "programs/LoadTargets.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace Coltsfootwell {
+
+namespace {
+
+namespace json = boost::json;
+
+/// A daemon whose connection failed is tried again after this time.
+constexpr std::chrono::seconds LostTime {1};
+
+} // namespace
+
+LoadTargets::LoadTargets(std::vector<Endpoint> given) : m_given(std::move(given))
+{
+    learned({});
+}
+
+Endpoint LoadTargets::choose(Random &random, TimePoint now, const Endpoint *avoid) const
+{
+    std::vector<const Entry *> usable;
+    for (const Entry &entry : m_entries) {
+        if (entry.lostUntil <= now && !(avoid && entry.endpoint == *avoid)) {
+            usable.push_back(&entry);
+        }
+    }
+    return usable.empty() ? m_entries[random.below(m_entries.size())].endpoint
+                          : usable[random.below(usable.size())]->endpoint;
+}
+
+void LoadTargets::lost(const Endpoint &target, TimePoint now)
+{
+    for (Entry &entry : m_entries) {
+        if (entry.endpoint == target) {
+            entry.lostUntil = now + LostTime;
+        }
+    }
+}
+
+void LoadTargets::learned(std::span<const Endpoint> listed)
+{
+    std::vector<Endpoint> wanted = m_given;
+    wanted.insert(wanted.end(), listed.begin(), listed.end());
+    std::erase_if(m_entries, [&](const Entry &entry) {
+        return std::ranges::find(wanted, entry.endpoint) == wanted.end();
+    });
+    for (const Endpoint &endpoint : wanted) {
+        if (std::ranges::find(m_entries, endpoint, &Entry::endpoint) == m_entries.end()) {
+            m_entries.push_back({endpoint, {}});
+        }
+    }
+}
+
+std::vector<Endpoint> decodeDaemonList(std::string_view text)
+{
+    std::vector<Endpoint> daemons;
+    boost::system::error_code ec;
+    const json::value document = json::parse(json::string_view(text.data(), text.size()), ec);
+    const json::value *list
+        = !ec && document.is_object() ? document.get_object().if_contains("daemons") : nullptr;
+    if (!list || !list->is_array()) {
+        return daemons;
+    }
+    for (const json::value &item : list->get_array()) {
+        const json::value *address
+            = item.is_object() ? item.get_object().if_contains("address") : nullptr;
+        if (!address || !address->is_string()) {
+            continue;
+        }
+        Endpoint endpoint = loadEndpoint(std::string_view(address->get_string()));
+        if (const json::value *port = item.get_object().if_contains("port")) {
+            endpoint.address = std::string_view(address->get_string());
+            endpoint.port = port->to_number<std::uint16_t>(ec);
+        }
+        if (!endpoint.address.empty() && endpoint.port != 0) {
+            daemons.push_back(std::move(endpoint));
+        }
+    }
+    return daemons;
+}
+
+Endpoint loadEndpoint(std::string_view text)
+{
+    Endpoint endpoint;
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return endpoint;
+    }
+    const std::string_view port = text.substr(colon + 1);
+    const auto [end, error]
+        = std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
+    if (error == std::errc() && end == port.data() + port.size()) {
+        endpoint.address = text.substr(0, colon);
+    }
+    return endpoint;
+}
+
+} // namespace Coltsfootwell
--- /dev/null
+++ b/src/programs/coltsfoot-load.cpp
@@ -0,0 +1,118 @@
+// Open-loop load and experiment tool.
+#include "programs/LoadRun.h"
+#include "programs/LoadTargets.h"
+#include "programs/ProgramFiles.h"
+
+#include <CLI/CLI.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+
+namespace {
+
+using namespace Coltsfootwell;
+
+constexpr int ExitBadInput = 2;
+constexpr int ExitCannotWrite = 3;
+constexpr int ExitBadAnswers = 4;
+
+struct Options
+{
+    std::vector<std::string> targets;
+    std::string mix;
+    std::string report;
+    std::string plot;
+    std::string history;
+    double seconds = 5;
+};
+
+bool writeOrSay(const std::string &path, const std::string &content)
+{
+    if (path.empty()) {
+        return true;
+    }
+    std::error_code ec;
+    writeFile(path, content, ec);
+    if (ec) {
+        std::cerr << "coltsfoot-load: " << path << ": " << ec.message() << '\n';
+    }
+    return !ec;
+}
+
+bool readPlan(const Options &options, LoadPlan &plan)
+{
+    for (const std::string &text : options.targets) {
+        plan.targets.push_back(loadEndpoint(text));
+        if (plan.targets.back().address.empty()) {
+            std::cerr << "coltsfoot-load: --target " << text
+                      << " must have the form \"IP number:port\"\n";
+            return false;
+        }
+    }
+    std::error_code ec;
+    const std::string text = readFile(options.mix, ec);
+    if (ec) {
+        std::cerr << "coltsfoot-load: " << options.mix << ": " << ec.message() << '\n';
+        return false;
+    }
+    JsonFault fault;
+    plan.mix = decodeLoadMix(text, fault, ec);
+    if (ec) {
+        std::cerr << "coltsfoot-load: " << options.mix << ": " << fault.path << ' ' << fault.value
+                  << ' ' << fault.rule << '\n';
+        return false;
+    }
+    return true;
+}
+
+int run(const Options &options, LoadPlan &plan)
+{
+    std::ofstream history;
+    if (!options.history.empty()) {
+        history.open(options.history, std::ios::trunc);
+        if (!history) {
+            std::cerr << "coltsfoot-load: cannot write " << options.history << '\n';
+            return ExitCannotWrite;
+        }
+        plan.ended = [&history](const LoadResult &result) { history << loadHistoryLine(result); };
+    }
+    const LoadSummary summary = runLoad(plan);
+    const std::string report = loadReportJson(summary);
+    std::cout << report;
+    if (!writeOrSay(options.report, report) || !writeOrSay(options.plot, loadPlotSvg(summary))
+        || (history.is_open() && !history.flush())) {
+        return ExitCannotWrite;
+    }
+    const bool bad = std::ranges::any_of(summary.results, &LoadResult::crossed);
+    return bad ? ExitBadAnswers : 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("Open-loop load for daemons, with latencies from the intended time of sending.");
+    app.footer("Exit codes: 0 all calls made (also when some were refused), 2 bad input file or\n"
+               "address, 3 cannot write a file, 4 an answer belonged to another call,\n"
+               "100-199 bad command line.");
+    app.set_version_flag("--version", COLTSFOOTWELL_VERSION);
+    Options options;
+    LoadPlan plan;
+    app.add_option("--target", options.targets, "daemon as IP number:port; may be repeated")
+        ->required();
+    app.add_option("--mix", options.mix, "JSON file with the kinds of calls")->required();
+    app.add_option("--rate", plan.callsPerSecond, "calls per second on average")
+        ->check(CLI::Range(0.01, 100'000.0));
+    app.add_option("--seconds", options.seconds, "time in which calls are sent")
+        ->check(CLI::Range(0.01, 3600.0));
+    app.add_option("--seed", plan.seed, "seed of gaps, kinds and targets");
+    app.add_option("--max-in-progress", plan.maxInProgress, "calls in progress at once")
+        ->check(CLI::Range(1U, 20'000U));
+    app.add_option("--report", options.report, "file for the JSON report");
+    app.add_option("--plot", options.plot, "file for the SVG plot");
+    app.add_option("--history", options.history, "file for one JSON line per call");
+    CLI11_PARSE(app, argc, argv);
+    plan.duration = std::chrono::milliseconds(static_cast<std::int64_t>(options.seconds * 1000));
+    return readPlan(options, plan) ? run(options, plan) : ExitBadInput;
+}
--- /dev/null
+++ b/standin/BackendAnnouncer.cpp
@@ -0,0 +1,90 @@
+#include "standin/BackendAnnouncer.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+
+namespace Coltsfootwell::Standin {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr std::chrono::milliseconds RetryDelay {100};
+constexpr std::chrono::seconds CheckInterval {1};
+constexpr std::chrono::seconds AnswerTimeout {2};
+
+/// \return status of the answer; 0 when none came.
+asio::awaitable<unsigned> exchange(beast::tcp_stream &stream, http::verb verb, const char *target,
+                                   std::string body)
+{
+    boost::system::error_code ec;
+    http::request<http::string_body> request(verb, target, 11);
+    request.body() = std::move(body);
+    request.prepare_payload();
+    stream.expires_after(AnswerTimeout);
+    co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, ec));
+    beast::flat_buffer buffer;
+    http::response<http::string_body> answer;
+    if (!ec) {
+        co_await http::async_read(stream, buffer, answer,
+                                  asio::redirect_error(asio::use_awaitable, ec));
+    }
+    co_return ec ? 0 : answer.result_int();
+}
+
+asio::awaitable<bool> announceOn(beast::tcp_stream &stream, const BackendOptions &options,
+                                 std::uint16_t port, AnnouncedState state)
+{
+    boost::system::error_code ec;
+    stream.expires_after(AnswerTimeout);
+    co_await stream.async_connect(endpointFromText(options.daemon),
+                                  asio::redirect_error(asio::use_awaitable, ec));
+    if (ec) {
+        co_return false;
+    }
+    std::string body
+        = encodeAnnouncement({options.service, port, options.slots, options.connections, state});
+    const unsigned status
+        = co_await exchange(stream, http::verb::post, "/coltsfootwell/announce", std::move(body));
+    co_return status == 200;
+}
+
+} // namespace
+
+asio::ip::tcp::endpoint endpointFromText(std::string_view text)
+{
+    const std::size_t colon = std::min(text.rfind(':'), text.size());
+    const int port = std::stoi(std::string(text.substr(std::min(colon + 1, text.size()))));
+    return {asio::ip::make_address(std::string(text.substr(0, colon))),
+            static_cast<std::uint16_t>(port)};
+}
+
+asio::awaitable<bool> announceOnce(const BackendOptions &options, std::uint16_t port,
+                                   AnnouncedState state)
+{
+    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    co_return co_await announceOn(stream, options, port, state);
+}
+
+asio::awaitable<void> keepAnnounced(const BackendOptions &options, std::uint16_t port,
+                                    const bool &draining)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (!draining) {
+        beast::tcp_stream stream(timer.get_executor());
+        bool held = co_await announceOn(stream, options, port, AnnouncedState::Ready);
+        // An answered request on the same connection shows that the daemon is still the one that
+        // took the announcement.
+        while (held && !draining) {
+            timer.expires_after(CheckInterval);
+            co_await timer.async_wait(asio::use_awaitable);
+            held = co_await exchange(stream, http::verb::get, "/coltsfootwell/health", {}) != 0;
+        }
+        timer.expires_after(RetryDelay);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+} // namespace Coltsfootwell::Standin
