Set-up tool: questionnaire to configuration, explanation and trial settings; examples

Answers that no question asked for are refused, since a misspelt member would silently become a default.

Boost.JSON writes 0.1 as 1E-1 and has no indentation, so files for people go through prettyJson().

--- /dev/null
+++ b/src/programs/PrettyJson.h
@@ -0,0 +1,13 @@
+// JSON with one member a line, for files that people read and compare.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace Coltsfootwell {
+
+/// \param text valid JSON.
+/// \return the same document, indented by 2 spaces, with short arrays of scalars on one line.
+std::string prettyJson(std::string_view text);
+
+} // namespace Coltsfootwell
--- /dev/null
+++ b/src/programs/SetupQuestions.cpp
@@ -0,0 +1,204 @@
+#include "programs/SetupQuestions.h"
+
+#include <boost/json.hpp>
+
+#include <charconv>
+#include <istream>
+#include <ostream>
+#include <set>
+
+namespace Coltsfootwell {
+
+namespace {
+
+namespace json = boost::json;
+
+std::string trimmed(std::string_view text)
+{
+    const std::size_t from = text.find_first_not_of(" \t\r");
+    const std::size_t to = text.find_last_not_of(" \t\r");
+    return from == std::string_view::npos ? std::string()
+                                          : std::string(text.substr(from, to - from + 1));
+}
+
+class TerminalSource final : public AnswerSource
+{
+public:
+    TerminalSource(std::istream &in, std::ostream &out) : m_in(in), m_out(out) { }
+
+    std::optional<std::string> answer(const Question &question) override
+    {
+        m_out << question.text;
+        if (question.fallback) {
+            m_out << " [" << *question.fallback << ']';
+        }
+        m_out << ": " << std::flush;
+        std::string line;
+        if (!std::getline(m_in, line)) {
+            return std::nullopt;
+        }
+        line = trimmed(line);
+        return line.empty() ? question.fallback.value_or("") : line;
+    }
+
+    bool rejected(const AnswerFault &fault) override
+    {
+        m_out << faultLine(fault) << '\n';
+        return m_in.good();
+    }
+
+    std::optional<AnswerFault> unused() const override { return std::nullopt; }
+
+private:
+    std::istream &m_in;
+    std::ostream &m_out;
+};
+
+std::string numberText(double number)
+{
+    char buf[32];
+    return {buf, std::to_chars(buf, buf + sizeof buf, number).ptr};
+}
+
+std::string textOf(const json::value &value)
+{
+    if (const auto *array = value.if_array()) {
+        std::string list;
+        for (const json::value &item : *array) {
+            list += (list.empty() ? "" : ",") + textOf(item);
+        }
+        return list;
+    }
+    if (const auto *string = value.if_string()) {
+        return std::string(std::string_view(*string));
+    }
+    return value.is_double() ? numberText(value.get_double()) : json::serialize(value);
+}
+
+class FileSource final : public AnswerSource
+{
+public:
+    explicit FileSource(json::value document) : m_document(std::move(document)) { }
+
+    std::optional<std::string> answer(const Question &question) override
+    {
+        m_asked.insert(question.id);
+        boost::system::error_code ec;
+        const json::value *value = m_document.find_pointer(question.id, ec);
+        return value && !ec ? std::optional(textOf(*value)) : question.fallback;
+    }
+
+    bool rejected(const AnswerFault &) override { return false; }
+
+    std::optional<AnswerFault> unused() const override { return unusedIn(m_document, ""); }
+
+private:
+    std::optional<AnswerFault> unusedIn(const json::value &value, const std::string &path) const
+    {
+        if (m_asked.contains(path)) {
+            return std::nullopt;
+        }
+        if (!value.is_object()) {
+            return AnswerFault {path, json::serialize(value), "is the answer to no question"};
+        }
+        for (const auto &entry : value.get_object()) {
+            if (auto fault = unusedIn(entry.value(), path + '/' + std::string(entry.key()))) {
+                return fault;
+            }
+        }
+        return std::nullopt;
+    }
+
+    json::value m_document;
+    std::set<std::string> m_asked;
+};
+
+} // namespace
+
+std::string faultLine(const AnswerFault &fault)
+{
+    return "question " + fault.question + ": value \"" + fault.value + "\" " + fault.rule;
+}
+
+std::unique_ptr<AnswerSource> makeTerminalSource(std::istream &in, std::ostream &out)
+{
+    return std::make_unique<TerminalSource>(in, out);
+}
+
+std::unique_ptr<AnswerSource> makeFileSource(std::string_view text, AnswerFault &fault)
+{
+    fault = {};
+    boost::system::error_code ec;
+    json::value document = json::parse(json::string_view(text.data(), text.size()), ec);
+    if (ec || !document.is_object()) {
+        fault = {"/", "", ec ? "is no valid JSON: " + ec.message() : "must be a JSON object"};
+        document = json::object();
+    }
+    return std::make_unique<FileSource>(std::move(document));
+}
+
+std::vector<std::string> splitList(std::string_view list)
+{
+    std::vector<std::string> parts;
+    while (!list.empty()) {
+        const std::size_t comma = std::min(list.find(','), list.size());
+        if (std::string part = trimmed(list.substr(0, comma)); !part.empty()) {
+            parts.push_back(std::move(part));
+        }
+        list.remove_prefix(std::min(comma + 1, list.size()));
+    }
+    return parts;
+}
+
+std::string Questioner::text(Question question, const AnswerRule &rule)
+{
+    while (!m_fault) {
+        const std::optional<std::string> answer = m_source.answer(question);
+        AnswerFault fault {question.id, answer.value_or(""),
+                           answer ? rule(*answer) : "must be given"};
+        if (fault.rule.empty()) {
+            return *answer;
+        }
+        if (!m_source.rejected(fault) || !answer) {
+            m_fault = std::move(fault);
+        }
+    }
+    return {};
+}
+
+double Questioner::number(Question question, double from, double to)
+{
+    double result = from;
+    text(std::move(question), [&](const std::string &answer) -> std::string {
+        const auto [end, error]
+            = std::from_chars(answer.data(), answer.data() + answer.size(), result);
+        const bool whole = error == std::errc() && end == answer.data() + answer.size();
+        return whole && result >= from && result <= to
+            ? ""
+            : "must be a number from " + numberText(from) + " to " + numberText(to);
+    });
+    return result;
+}
+
+std::vector<std::string> Questioner::list(Question question, const AnswerRule &rule)
+{
+    return splitList(text(std::move(question), [&](const std::string &answer) -> std::string {
+        std::set<std::string> seen;
+        for (const std::string &part : splitList(answer)) {
+            if (!seen.insert(part).second) {
+                return "must not name " + part + " twice";
+            }
+            if (std::string broken = rule(part); !broken.empty()) {
+                return broken;
+            }
+        }
+        return {};
+    }));
+}
+
+std::optional<AnswerFault> Questioner::fault() const
+{
+    return m_fault ? m_fault : m_source.unused();
+}
+
+} // namespace Coltsfootwell
--- /dev/null
+++ b/src/programs/coltsfoot-setup.cpp
@@ -0,0 +1,134 @@
+// Turns the questionnaire into a configuration with an explanation of each value.
+#include "programs/PrettyJson.h"
+#include "programs/ProgramFiles.h"
+#include "programs/SetupPlan.h"
+#include "wire/ConfigurationJson.h"
+
+#include <CLI/CLI.hpp>
+
+#include <filesystem>
+#include <iostream>
+
+namespace {
+
+using namespace Coltsfootwell;
+
+constexpr int ExitBadAnswers = 2;
+constexpr int ExitCannotWrite = 3;
+
+struct Options
+{
+    std::string answers;
+    std::string output;
+    std::string explain;
+    std::string settings;
+    std::uint16_t firstPort = 7101;
+};
+
+bool writeOrSay(const std::string &path, const std::string &content)
+{
+    std::error_code ec;
+    writeFile(path, content, ec);
+    if (ec) {
+        std::cerr << "coltsfoot-setup: " << path << ": " << ec.message() << '\n';
+    }
+    return !ec;
+}
+
+std::optional<SetupAnswers> readAnswers(const Options &options)
+{
+    std::optional<AnswerFault> fault;
+    if (options.answers.empty()) {
+        // Questions go to the error stream, so that the configuration can be redirected.
+        const auto source = makeTerminalSource(std::cin, std::cerr);
+        SetupAnswers answers = askSetup(*source, fault);
+        return fault ? std::nullopt : std::optional(std::move(answers));
+    }
+    std::error_code ec;
+    const std::string text = readFile(options.answers, ec);
+    if (ec) {
+        std::cerr << "coltsfoot-setup: " << options.answers << ": " << ec.message() << '\n';
+        return std::nullopt;
+    }
+    AnswerFault bad;
+    const auto source = makeFileSource(text, bad);
+    SetupAnswers answers;
+    if (bad.rule.empty()) {
+        answers = askSetup(*source, fault);
+    } else {
+        fault = bad;
+    }
+    if (fault) {
+        std::cerr << "coltsfoot-setup: " << options.answers << ": " << faultLine(*fault) << '\n';
+        return std::nullopt;
+    }
+    return answers;
+}
+
+bool writeTrial(const Options &options, const SetupAnswers &answers, const std::string &document)
+{
+    std::error_code ec;
+    std::filesystem::create_directories(options.settings, ec);
+    const auto folder = std::filesystem::absolute(options.settings, ec);
+    const std::string file = (folder / "configuration.json").string();
+    bool good = writeOrSay(file, document);
+    for (const TrialFile &trial : planTrial(answers, file, options.firstPort)) {
+        good = good && writeOrSay((folder / trial.name).string(), trial.content);
+    }
+    return good;
+}
+
+int run(const Options &options)
+{
+    const std::optional<SetupAnswers> answers = readAnswers(options);
+    if (!answers) {
+        return ExitBadAnswers;
+    }
+    const Configuration configuration = planConfiguration(*answers);
+    const std::string document = prettyJson(encodeConfiguration(configuration));
+    JsonFault fault;
+    std::error_code ec;
+    (void)decodeConfiguration(document, fault, ec);
+    if (ec) {
+        std::cerr << "coltsfoot-setup: configuration: " << fault.path << ' ' << fault.value << ' '
+                  << fault.rule << '\n';
+        return ExitBadAnswers;
+    }
+    bool good = true;
+    if (options.output.empty()) {
+        std::cout << document;
+    } else {
+        good = writeOrSay(options.output, document);
+    }
+    if (!options.explain.empty()) {
+        good = good && writeOrSay(options.explain, explainConfiguration(*answers, configuration));
+    }
+    if (!options.settings.empty()) {
+        good = good && writeTrial(options, *answers, document);
+    }
+    return good ? 0 : ExitCannotWrite;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("Asks about services, regions, data centres and rules, and writes a "
+                 "configuration.");
+    app.footer("Exit codes: 0 written, 2 an answer is missing or breaks a rule, 3 cannot write a\n"
+               "file, 100-199 bad command line.");
+    app.set_version_flag("--version", COLTSFOOTWELL_VERSION);
+    Options options;
+    app.add_option("--answers", options.answers,
+                   "JSON file with the answers; without it the questions are asked here");
+    app.add_option("--output", options.output,
+                   "file for the configuration; without it the standard output");
+    app.add_option("--explain", options.explain,
+                   "file for a Markdown page with the reason for each value");
+    app.add_option("--settings", options.settings,
+                   "folder for the settings of daemons in a trial on one machine");
+    app.add_option("--first-port", options.firstPort, "port of the first daemon of the trial")
+        ->check(CLI::Range(1024, 60'000));
+    CLI11_PARSE(app, argc, argv);
+    return run(options);
+}
--- /dev/null
+++ b/test/error/LoadMixFaults.cpp
@@ -0,0 +1,37 @@
+// Guards against a load mix with a misspelt or impossible member that runs as something else.
+#include "programs/LoadMix.h"
+
+#include "wire/WireError.h"
+
+#include <doctest/doctest.h>
+
+using namespace Coltsfootwell;
+
+TEST_CASE("faults of a mix name path, value and rule")
+{
+    const std::pair<const char *, const char *> rows[] = {
+        {R"([{"path":"/a"},{"path":"/b","share":0}])", "/1/share"},
+        {R"([{"path":"a"}])", "/0/path"},
+        {R"([{"path":"/a","deadline":5}])", "/0/deadline"},
+        {R"([{"path":"/a","key":"maybe"}])", "/0/key"},
+        {R"([{"share":1}])", "/0/path"},
+        {R"([7])", "/0"},
+    };
+    for (const auto &[text, path] : rows) {
+        JsonFault fault;
+        std::error_code ec;
+        decodeLoadMix(text, fault, ec);
+        CAPTURE(text);
+        CHECK(ec == WireError::BadField);
+        CHECK(fault.path == path);
+        CHECK_FALSE(fault.rule.empty());
+    }
+}
+
+TEST_CASE("an empty mix is refused")
+{
+    JsonFault fault;
+    std::error_code ec;
+    decodeLoadMix("[]", fault, ec);
+    CHECK(ec == WireError::BadJson);
+}
