--- a/standin/BackendHistory.h
+++ b/standin/BackendHistory.h
@@ -33,7 +33,7 @@
     /// \return false when the file cannot be written.
     bool good() const { return !m_wanted || m_file.good(); }
 
-    /// \param event "begin" or "end".
+    /// \param event "begin", "end", or "fell" for a call that a cold server could not bear.
     /// \param facts the run.
     /// \param state condition of the server, or at the end how the run ended.
     /// \param inUse calls in progress.
--- a/standin/BackendModel.cpp
+++ b/standin/BackendModel.cpp
@@ -13,6 +13,9 @@
 /// Shape of the lognormal distribution; its p99 is about 8 times its median.
 constexpr double LognormalSigma = 0.9;
 
+/// Answers that warm a server which starts warm and is turned cold later.
+constexpr unsigned DefaultWarmAfter = 20;
+
 double normal(Random &random)
 {
     const double radius = std::sqrt(-2 * std::log(1 - random.unit()));
@@ -37,8 +40,8 @@
 std::string_view conditionName(Condition condition)
 {
     switch (condition) {
-    case Condition::Warm:
-        return "warm";
+    case Condition::Ready:
+        return "ready";
     case Condition::Cold:
         return "cold";
     case Condition::Fallen:
@@ -76,7 +79,8 @@
 {
     --m_inUse;
     sample(now);
-    if (answered && m_cold && ++m_answers >= m_options.warmAfter) {
+    const unsigned needed = m_options.warmAfter > 0 ? m_options.warmAfter : DefaultWarmAfter;
+    if (answered && m_cold && ++m_answers >= needed) {
         m_cold = false;
     }
 }
@@ -107,7 +111,7 @@
     if (m_draining) {
         return Condition::Draining;
     }
-    return m_cold ? Condition::Cold : Condition::Warm;
+    return m_cold ? Condition::Cold : Condition::Ready;
 }
 
 unsigned BackendModel::reportedInUse(TimePoint now) const
--- a/standin/BackendModel.h
+++ b/standin/BackendModel.h
@@ -11,7 +11,7 @@
 namespace Coltsfootwell::Standin {
 
 enum class Condition {
-    Warm,
+    Ready,
     Cold,
     /// Answers nothing and closes connections.
     Fallen,
--- a/standin/BackendWorker.cpp
+++ b/standin/BackendWorker.cpp
@@ -214,6 +214,7 @@
         }
         const Entry entry = model.enter(received);
         if (entry == Entry::Fall) {
+            note("fell", factsOf(request), conditionName(model.condition(received)));
             fall();
             co_return false;
         }
