tools/demo: a small site with mixed calls and a data centre change

Takes a data centre out and back with coltsfootctl where that program exists and reports the gap otherwise; the same holds for minted keys.

All daemons are seeds: with four of six as seeds, daemons 5 and 6 never learned of the others under the membership protocol of this base, and calls through them were refused with no-backend-server.

Nested calls of the stand-in are now GETs: a nested POST would pass on the outer method without an order id, which checkers would count as repeats.

--- a/standin/BackendServer.cpp
+++ b/standin/BackendServer.cpp
@@ -136,7 +136,7 @@
 {
     CLI::App app("Stand-in backend server for tests and demonstrations.");
     app.footer("Control: GET /load, POST /fault, POST /drain. A call's query may hold order=ID,\n"
-               "bytes=N, stream=1 and nested=/PATH.\n"
+               "bytes=N, stream=1 and nested=/PATH (a GET through the daemon).\n"
                "Exit codes: 0 stopped, 2 cannot listen, 3 cannot write the history, "
                "100-199 bad command line.");
     app.set_version_flag("--version", COLTSFOOTWELL_VERSION);
--- a/standin/BackendWorker.cpp
+++ b/standin/BackendWorker.cpp
@@ -76,7 +76,7 @@
 {
     boost::system::error_code ec;
     beast::tcp_stream stream(co_await asio::this_coro::executor);
-    Request request(outer.method(), target, 11);
+    Request request(http::verb::get, target, 11);
     for (const std::string_view name : PassedHeaders) {
         if (const std::string value = textOf(outer, name); !value.empty()) {
             request.set(beast::string_view(name.data(), name.size()), value);
--- /dev/null
+++ b/tools/demo_site.py
@@ -0,0 +1,246 @@
+"""Runs the demonstration site: two data centres, six backend servers with one daemon each, mixed
+calls while a data centre is taken out of service and brought back. Called by tools/demo."""
+
+import collections
+import http.client
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BUILD = ROOT / os.environ.get("BUILD_DIR", "build")
+LOG_ADDRESS = "127.0.0.1:7000"
+FIRST_DAEMON_PORT = 7101
+FIRST_BACKEND_PORT = 7111
+REGION = "nordeste-litoral"
+DATA_CENTRES = ("recife-a", "salvador-b")
+OUT_DATA_CENTRE = "salvador-b"
+# Service: slots, mean time of a call in ms.
+SERVICES = {"estoque-consulta": (9, 3), "pedidos": (9, 8), "contagens": (9, 40)}
+START_TIMEOUT_S = 15
+STOP_TIMEOUT_S = 8
+LOAD_S, OUT_AT_S, BACK_AT_S = 15, 5, 10
+CALLS_PER_SECOND = 100
+PHOTOGRAPH_BYTES = 4_000_000
+OUTCOMES = ("run", "not-run", "unknown", "broken", "not-sent")
+EXIT_BAD_HISTORY, EXIT_NOT_STARTED = 1, 2
+
+
+def request(port, method, path, body=None):
+    """Returns (status, body), or (0, "") when no answer came."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=1)
+    try:
+        connection.request(method, path, body)
+        answer = connection.getresponse()
+        return answer.status, answer.read().decode()
+    except (OSError, http.client.HTTPException):
+        return 0, ""
+    finally:
+        connection.close()
+
+
+class Site:
+    def __init__(self, directory):
+        self.directory = directory
+        self.processes = []
+        self.histories = []
+        self.has_log = (BUILD / "coltsfootctl").exists()
+        self.configuration = ROOT / "examples/mandacaru/configuration.json"
+        self.ports = []
+
+    def start_process(self, name, *command):
+        with open(self.directory / f"{name}.log", "wb") as output:
+            process = subprocess.Popen(list(map(str, command)), stdout=output, stderr=output, stdin=subprocess.DEVNULL)
+        self.processes.append((name, process))
+        return process
+
+    def start(self):
+        places = [(centre, service) for centre in DATA_CENTRES for service in SERVICES]
+        self.ports = [FIRST_DAEMON_PORT + i for i in range(len(places))]
+        for i, (centre, service) in enumerate(places):
+            name = f"{centre}-{service}"
+            settings = {"id": name, "region": REGION, "dataCentre": centre, "listen": f"127.0.0.1:{self.ports[i]}",
+                        "seeds": [f"127.0.0.1:{port}" for port in self.ports]}
+            if self.has_log:
+                settings["log"] = {"address": LOG_ADDRESS, **({"embedded": True} if i == 0 else {})}
+            else:
+                settings["configurationFile"] = str(self.configuration)
+            path = self.directory / f"{name}.json"
+            path.write_text(json.dumps(settings))
+            self.start_process(name, BUILD / "coltsfootd", "--settings", path)
+        if self.has_log and not self.publish():
+            return False
+        for i, (centre, service) in enumerate(places):
+            slots, service_ms = SERVICES[service]
+            name = f"{centre}-{service}-server"
+            history = self.directory / f"{name}.history"
+            self.histories.append(history)
+            self.start_process(name, BUILD / "coltsfoot-backend", "--service", service, "--daemon",
+                               f"127.0.0.1:{self.ports[i]}", "--port", FIRST_BACKEND_PORT + i, "--slots", slots,
+                               "--service-ms", service_ms, "--distribution", "exponential", "--seed", i + 1,
+                               "--cold-slots", 2, "--cold-factor", 2, "--warm-after", 10, "--history", history)
+        return self.wait_until(self.ready)
+
+    def wait_until(self, holds):
+        end = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < end:
+            if holds():
+                return True
+            if any(process.poll() is not None for _, process in self.processes):
+                return False
+            time.sleep(0.1)
+        return False
+
+    def publish(self):
+        return self.wait_until(lambda: self.control("publish", self.configuration)[0] == 0)
+
+    def control(self, *arguments):
+        command = [str(BUILD / "coltsfootctl"), "--log", LOG_ADDRESS, *map(str, arguments)]
+        try:
+            done = subprocess.run(command, capture_output=True, text=True, timeout=10, stdin=subprocess.DEVNULL)
+        except subprocess.TimeoutExpired:
+            return -1, "no answer within 10 s"
+        return done.returncode, (done.stdout + done.stderr).strip()
+
+    def ready(self):
+        return all(request(port, "GET", f"{path}/ready?order=ready")[0] == 200
+                   for port in self.ports for path in ("/estoque", "/pedidos", "/contagens"))
+
+    def runs(self):
+        lines = []
+        for history in self.histories:
+            for text in history.read_text().splitlines() if history.exists() else []:
+                line = json.loads(text)
+                if line["event"] == "begin" and line["order"] not in ("", "ready"):
+                    lines.append({**line, "server": history.stem.removesuffix("-server")})
+        return lines
+
+    def stop(self):
+        """Ends the servers after the daemons, each by its own process."""
+        for wanted in (False, True):
+            group = [process for name, process in self.processes if name.endswith("-server") == wanted]
+            for process in group:
+                if process.poll() is None:
+                    process.terminate()
+            end = time.monotonic() + STOP_TIMEOUT_S
+            for process in group:
+                try:
+                    process.wait(max(0.1, end - time.monotonic()))
+                except subprocess.TimeoutExpired:
+                    process.kill()
+                    process.wait()
+
+
+def mix(minted_keys):
+    key = "daemon" if minted_keys else "none"
+    repeats = 2 if minted_keys else 0
+    return [
+        {"name": "stock check", "share": 60, "path": "/estoque/loja-7", "deadlineMs": 500},
+        {"name": "order", "share": 30, "method": "POST", "path": "/pedidos/novo", "bodyBytes": 600,
+         "deadlineMs": 2000, "key": key, "repeats": repeats},
+        {"name": "order with nested stock check", "share": 9, "method": "POST",
+         "path": "/pedidos/conferido?nested=/estoque/loja-7", "bodyBytes": 600, "deadlineMs": 2000, "key": key,
+         "repeats": repeats},
+        {"name": "count sheet with photograph", "share": 1, "method": "POST", "path": "/contagens/folha",
+         "bodyBytes": PHOTOGRAPH_BYTES, "deadlineMs": 10000, "key": key, "repeats": repeats}]
+
+
+def run_load(site):
+    """Returns the exit code of the load tool and the events that happened meanwhile."""
+    path = site.directory / "mix.json"
+    minted = request(site.ports[0], "POST", "/coltsfootwell/keys")[0] // 100 == 2
+    path.write_text(json.dumps(mix(minted)))
+    gaps = [] if minted else ["keys are not minted yet (POST /coltsfootwell/keys): orders were sent without keys"]
+    targets = [argument for port in site.ports for argument in ("--target", f"127.0.0.1:{port}")]
+    load = site.start_process("load", BUILD / "coltsfoot-load", *targets, "--mix", path, "--rate", CALLS_PER_SECOND,
+                              "--seconds", LOAD_S, "--seed", 1, "--history", site.directory / "calls.history",
+                              "--report", site.directory / "report.json", "--plot", site.directory / "plot.svg")
+    began = time.monotonic()
+    events = []
+    if site.has_log:
+        for at, word in ((OUT_AT_S, "out"), (BACK_AT_S, "back")):
+            time.sleep(max(0, began + at - time.monotonic()))
+            code, text = site.control(word, OUT_DATA_CENTRE)
+            events.append((time.monotonic_ns(), word))
+            print(f"coltsfootctl {word} {OUT_DATA_CENTRE}: exit code {code}")
+            if code != 0:
+                gaps.append(f"coltsfootctl {word} {OUT_DATA_CENTRE} ended with {code}: {text}")
+    else:
+        gaps.append("coltsfootctl does not exist yet: no data centre was taken out and brought back")
+    return load.wait(LOAD_S + 30), events, gaps
+
+
+def print_table(calls, events):
+    print("\nCalls by outcome and server")
+    servers = sorted({call["servedBy"] or "none" for call in calls})
+    outcomes = sorted({call["outcome"] + ("/" + call["reason"] if call["reason"] else "") for call in calls})
+    count = collections.Counter((call["outcome"] + ("/" + call["reason"] if call["reason"] else ""),
+                                 call["servedBy"] or "none") for call in calls)
+    width = max(map(len, [*servers, "server"])) + 2
+    print("server".ljust(width) + "".join(name.rjust(len(name) + 3) for name in outcomes))
+    for server in servers:
+        print(server.ljust(width) + "".join(str(count[name, server]).rjust(len(name) + 3) for name in outcomes))
+    if len(events) == 2:
+        out, back = events[0][0], events[1][0]
+        served = [call for call in calls if call["servedBy"].startswith(OUT_DATA_CENTRE)]
+        late = sum(out + 3e9 < call["begin"] < back for call in served)
+        after = sum(call["begin"] > back for call in served)
+        print(f"\n{OUT_DATA_CENTRE} served {late} calls from 3 s after it was taken out until it came back, and {after} after that.")
+
+
+def faults_of(calls, runs, report, load_code):
+    """Returns everything that was not accounted for or that ran twice, as text."""
+    faults = [] if load_code == 0 else [f"coltsfoot-load ended with {load_code}"]
+    if not report["planned"] == report["finished"] == len(calls):
+        faults.append(f"{report['planned']} calls were planned, {report['finished']} ended, {len(calls)} are recorded")
+    faults += [f"call {call['call']} has the outcome \"{call['outcome']}\"" for call in calls
+               if call["outcome"] not in OUTCOMES]
+    posts = collections.Counter(run["order"] for run in runs if run["method"] == "POST")
+    faults += [f"order {order} ran {n} times, rule: at most once" for order, n in posts.items() if n > 1]
+    started = {run["order"] for run in runs}
+    for call in calls:
+        if call["outcome"] == "run" and call["order"] not in started:
+            faults.append(f"order {call['order']} was answered but no backend server ran it")
+        if call["outcome"] == "not-run" and call["tries"] == 1 and call["order"] in started:
+            faults.append(f"order {call['order']} ran though its caller was told \"not run\"")
+        if call["crossed"] or (call["outcome"] == "run" and not call["whole"]):
+            faults.append(f"order {call['order']} got a wrong or incomplete answer")
+    return faults
+
+
+def main():
+    directory = pathlib.Path(tempfile.mkdtemp(prefix="coltsfootwell-demo-"))
+    site = Site(directory)
+    try:
+        if not site.start():
+            print(f"tools/demo: the site did not start; see the logs in {directory}", file=sys.stderr)
+            return EXIT_NOT_STARTED
+        print(f"{len(site.ports)} daemons and backend servers run in {', '.join(DATA_CENTRES)}; "
+              f"{CALLS_PER_SECOND} calls/s for {LOAD_S} s")
+        load_code, events, gaps = run_load(site)
+    finally:
+        site.stop()
+    calls = [json.loads(line) for line in (directory / "calls.history").read_text().splitlines()]
+    report = json.loads((directory / "report.json").read_text())
+    faults = faults_of(calls, site.runs(), report, load_code)
+    print_table(calls, events)
+    latency = report["latency"]
+    print(f"\nLatency of {latency['calls']} calls: p50 {latency['p50Ms']:.1f} ms, p99 {latency['p99Ms']:.1f} ms, "
+          f"max {latency['maxMs']:.1f} ms")
+    for gap in gaps:
+        print(f"Not shown: {gap}")
+    for fault in faults[:20]:
+        print(f"FAULT: {fault}")
+    print("Every call is accounted for; every order ran at most once." if not faults else f"{len(faults)} faults")
+    print(f"\nWhere to look next:\n  {directory}/plot.svg   latency over time\n  {directory}/report.json   all counts\n"
+          "  docs/callers.md   how to call a daemon\n  examples/   configurations with explanations\n"
+          "  tutorial/   two lessons")
+    return EXIT_BAD_HISTORY if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
