Reserve read buffers for streamed bodies

A photograph of 4 MB took 144 ms through one daemon, against 6 ms straight to the stand-in. Beast's read size is bounded by the spare capacity of the flat_buffer, which starts at 512 bytes, so a body came in about 8,000 reads. pumpBody() now reserves 64 KiB when a body is streamed; the stand-in and the load tool do the same for their connections.

Connections that never stream a body keep their small buffer.

--- a/src/programs/LoadRun.cpp
+++ b/src/programs/LoadRun.cpp
@@ -32,6 +32,8 @@
 constexpr std::chrono::seconds ListInterval {1};
 /// A daemon closes idle connections after 60 s; older ones here are not used again.
 constexpr std::chrono::seconds MaxIdle {20};
+/// Beast reads no more at once than the buffer can hold, which is 512 bytes without a reservation.
+constexpr std::size_t ReadBufferBytes = 64 * 1024;
 
 TimePoint now()
 {
@@ -64,7 +66,10 @@
 
 struct Connection
 {
-    explicit Connection(const asio::any_io_executor &executor) : stream(executor) { }
+    explicit Connection(const asio::any_io_executor &executor) : stream(executor)
+    {
+        buffer.reserve(ReadBufferBytes);
+    }
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
--- a/src/programs/SetupAnswers.cpp
+++ b/src/programs/SetupAnswers.cpp
@@ -70,8 +70,8 @@
 ServiceAnswers askService(Questioner &ask, const SetupAnswers &answers, const std::string &name,
                           std::set<std::string> &prefixes)
 {
-    static const std::vector<std::string> Methods {"GET", "HEAD", "PUT", "DELETE", "OPTIONS"};
-    static const std::vector<std::string> Policies {"refuse", "serve"};
+    static const std::vector<std::string> methods {"GET", "HEAD", "PUT", "DELETE", "OPTIONS"};
+    static const std::vector<std::string> policies {"refuse", "serve"};
     const std::string id = "/service/" + name + '/';
     const std::string of = " of " + name;
     ServiceAnswers service;
@@ -105,7 +105,7 @@
     prefixes.insert(service.prefix);
     service.idempotentMethods = ask.list(
         {id + "idempotentMethods", "Methods" + of + " that may run twice without harm", "GET,HEAD"},
-        oneOf(Methods));
+        oneOf(methods));
     service.homeRegions = ask.list(
         {id + "homeRegions",
          "Regions that the data" + of + " must not leave (empty for no restriction)", ""},
@@ -113,7 +113,7 @@
     service.whenIsolated = ask.text(
         {id + "whenIsolated",
          "What " + name + " does in a region that is cut off (refuse or serve)", "refuse"},
-        oneOf(Policies));
+        oneOf(policies));
     return service;
 }
 
--- a/src/services/HttpIo.h
+++ b/src/services/HttpIo.h
@@ -49,6 +49,8 @@
 {
     std::string chunk;
     ec = {};
+    // Beast reads no more at once than the buffer can hold, which may be 512 bytes.
+    buffer.reserve(BodyBufferBytes);
     while (!parser.is_done()) {
         chunk.resize(BodyBufferBytes);
         auto &body = parser.get().body();
--- a/standin/BackendWorker.cpp
+++ b/standin/BackendWorker.cpp
@@ -31,6 +31,8 @@
 constexpr std::uint64_t MaxBodyBytes = 64ULL << 20;
 constexpr std::uint64_t MaxAnswerBytes = 64ULL << 20;
 constexpr std::size_t StreamPieceBytes = 64 * 1024;
+/// Beast reads no more at once than the buffer can hold, which is 512 bytes without a reservation.
+constexpr std::size_t ReadBufferBytes = 64 * 1024;
 
 /// Headers that a nested call passes on; the key belongs to the outer call alone.
 constexpr std::array PassedHeaders {Header::HomeRegions, Header::Tenant, Header::Depth,
@@ -116,6 +118,7 @@
     BackendSession(tcp::socket socket, std::shared_ptr<BackendShared> shared)
         : m_stream(std::move(socket)), m_shared(std::move(shared))
     {
+        m_buffer.reserve(ReadBufferBytes);
         m_shared->sessions.insert(this);
     }
     ~BackendSession() { m_shared->sessions.erase(this); }
--- a/test/error/LoadMixFaults.cpp
+++ b/test/error/LoadMixFaults.cpp
@@ -17,13 +17,13 @@
         {R"([{"share":1}])", "/0/path"},
         {R"([7])", "/0"},
     };
-    for (const auto &[text, path] : rows) {
+    for (const auto &row : rows) {
         JsonFault fault;
         std::error_code ec;
-        decodeLoadMix(text, fault, ec);
-        CAPTURE(text);
+        decodeLoadMix(row.first, fault, ec);
+        CAPTURE(row.first);
         CHECK(ec == WireError::BadField);
-        CHECK(fault.path == path);
+        CHECK(fault.path == row.second);
         CHECK_FALSE(fault.rule.empty());
     }
 }
