--- a/standin/BackendAnnouncer.cpp
+++ b/standin/BackendAnnouncer.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 
+#include <stdexcept>
+
 namespace Coltsfootwell::Standin {
 
 namespace {
@@ -14,6 +16,7 @@
 constexpr std::chrono::milliseconds RetryDelay {100};
 constexpr std::chrono::seconds CheckInterval {1};
 constexpr std::chrono::seconds AnswerTimeout {2};
+constexpr std::size_t MaxPortDigits = 5;
 
 /// \return status of the answer; 0 when none came.
 asio::awaitable<unsigned> exchange(beast::tcp_stream &stream, http::verb verb, const char *target,
@@ -56,7 +59,12 @@
 asio::ip::tcp::endpoint endpointFromText(std::string_view text)
 {
     const std::size_t colon = std::min(text.rfind(':'), text.size());
-    const int port = std::stoi(std::string(text.substr(std::min(colon + 1, text.size()))));
+    const std::string digits(text.substr(std::min(colon + 1, text.size())));
+    if (digits.empty() || digits.size() > MaxPortDigits
+        || digits.find_first_not_of("0123456789") != std::string::npos) {
+        throw std::invalid_argument("the address must have the form \"IP number:port\"");
+    }
+    const int port = std::stoi(digits);
     return {asio::ip::make_address(std::string(text.substr(0, colon))),
             static_cast<std::uint16_t>(port)};
 }
--- a/standin/BackendWorker.cpp
+++ b/standin/BackendWorker.cpp
@@ -145,9 +145,17 @@
                 break;
             }
             const Request request = parser.release();
-            open = m_silent || co_await serve(request);
+            if (!m_silent) {
+                open = co_await serve(request);
+            }
+        }
+        // g++ 12 evaluates co_await in "a || co_await b" and in loop conditions whatever a is, so
+        // awaits stand in statements of their own.
+        bool held = m_silent;
+        while (held) {
+            held = co_await waitHangup();
         }
-        while (m_silent && co_await waitHangup()) { }
+        close();
     }
 
 private:
@@ -179,7 +187,8 @@
         }
         json::object body {{"state", conditionName(condition)},
                            {"inUse", model.reportedInUse(now())},
-                           {"slots", m_shared->options.slots}};
+                           {"slots", m_shared->options.slots},
+                           {"connections", m_shared->sessions.size()}};
         co_return co_await writeJson(request, http::status::ok, std::move(body));
     }
 
@@ -267,7 +276,10 @@
             --model.faults.loseAnswers;
             co_return false;
         }
-        co_return m_silent || co_await answerCall(request, facts, nested);
+        if (m_silent) {
+            co_return true;
+        }
+        co_return co_await answerCall(request, facts, nested);
     }
 
     RunFacts factsOf(const Request &request) const
