--- a/tools/demo_site.py
+++ b/tools/demo_site.py
@@ -66,7 +66,7 @@
             settings = {"id": name, "region": REGION, "dataCentre": centre, "listen": f"127.0.0.1:{self.ports[i]}",
                         "seeds": [f"127.0.0.1:{port}" for port in self.ports]}
             if self.has_log:
-                settings["log"] = {"address": LOG_ADDRESS, **({"embedded": True} if i == 0 else {})}
+                settings["log"] = {"embedded": True, "listen": LOG_ADDRESS} if i == 0 else {"address": LOG_ADDRESS}
             else:
                 settings["configurationFile"] = str(self.configuration)
             path = self.directory / f"{name}.json"
