--- a/src/kernel/Kernel.cpp
+++ b/src/kernel/Kernel.cpp
@@ -1,5 +1,7 @@
 #include "kernel/Kernel.h"
 
+#include <utility>
+
 namespace Coltsfootwell {
 
 Kernel::Kernel(Executor &executor, Random &random) : m_executor(executor), m_random(random)
@@ -31,6 +33,10 @@
 
 void Kernel::stop(Task done)
 {
+    // A planned stop and a replacement of the daemon may both ask for it.
+    if (std::exchange(m_stopping, true)) {
+        return;
+    }
     stopNext(std::move(done));
 }
 
--- a/src/kernel/Kernel.h
+++ b/src/kernel/Kernel.h
@@ -36,7 +36,8 @@
     /// \return the first error; the services before it stay started until stop().
     std::error_code start();
 
-    /// \brief Stops the started services in reverse order, one after another.
+    /// \brief Stops the started services in reverse order, one after another. Only the first call
+    /// has an effect.
     /// \param done called when the last has stopped.
     void stop(Task done);
 
@@ -48,6 +49,7 @@
     Directory m_directory;
     std::vector<std::unique_ptr<Service>> m_services;
     std::size_t m_started = 0;
+    bool m_stopping = false;
 };
 
 } // namespace Coltsfootwell
--- a/src/programs/Daemon.cpp
+++ b/src/programs/Daemon.cpp
@@ -5,11 +5,15 @@
 #include "services/Calls.h"
 #include "services/ConfigurationService.h"
 #include "services/DaemonList.h"
+#include "services/LogClient.h"
+#include "services/LogServer.h"
 #include "services/Membership.h"
 #include "services/Peers.h"
 #include "services/Stop.h"
 #include "services/Telemetry.h"
 
+#include <algorithm>
+
 namespace Coltsfootwell {
 
 namespace {
@@ -24,12 +28,26 @@
         + random.below(IncarnationsPerMillisecond);
 }
 
+ConfigurationSettings configurationSettings(const DaemonSettings &settings, const DaemonId &id,
+                                            ConfigurationPtr initial)
+{
+    ConfigurationSettings configuration;
+    configuration.self = id;
+    configuration.region = settings.region;
+    configuration.dataCentre = settings.dataCentre;
+    configuration.endpoint = settings.listen;
+    configuration.initial = std::move(initial);
+    configuration.retention = {settings.log.retention, settings.log.retentionRecords};
+    return configuration;
+}
+
 } // namespace
 
 void addDaemonServices(Kernel &kernel, boost::asio::io_context &context,
-                       const DaemonSettings &settings, ConfigurationPtr initial, Task left)
+                       const DaemonSettings &settings, ConfigurationPtr initial,
+                       Incarnation minIncarnation, DaemonEvents events)
 {
-    const DaemonId id {settings.id, newIncarnation(kernel.random())};
+    const DaemonId id {settings.id, std::max(newIncarnation(kernel.random()), minIncarnation)};
     const Place place {id, settings.region, settings.dataCentre};
     MembershipSettings membership;
     membership.self.id = id;
@@ -37,11 +55,22 @@
     membership.self.region = settings.region;
     membership.self.dataCentre = settings.dataCentre;
     membership.seeds = settings.seeds;
+    membership.conflict = std::move(events.conflict);
 
-    kernel.add(makeStop(kernel, std::move(left)));
+    kernel.add(makeStop(kernel, std::move(events.left)));
     kernel.add(makeTelemetry(kernel, id));
     kernel.add(makeMembership(kernel, context, membership));
-    kernel.add(makeConfigurationService(kernel, std::move(initial)));
+    if (settings.log.embedded) {
+        LogServerSettings log;
+        log.listen = settings.log.address;
+        log.retention = settings.log.retention;
+        log.maxRecords = settings.log.retentionRecords;
+        kernel.add(makeLogServer(kernel, log));
+    }
+    kernel.add(makeConfigurationService(
+        kernel, context, configurationSettings(settings, id, std::move(initial)),
+        settings.log.address.empty() ? nullptr
+                                     : makeGrpcLogClient(kernel.executor(), settings.log.address)));
     kernel.add(makeBackend(kernel, context, place));
     kernel.add(makePeers(kernel, context));
     kernel.add(makeCalls(kernel, place));
--- a/src/programs/coltsfoot-setup.cpp
+++ b/src/programs/coltsfoot-setup.cpp
@@ -1,4 +1,5 @@
 // Turns the questionnaire into a configuration with an explanation of each value.
+#include "decisions/ConfigurationRules.h"
 #include "programs/PrettyJson.h"
 #include "programs/ProgramFiles.h"
 #include "programs/SetupPlan.h"
@@ -94,6 +95,14 @@
                   << fault.rule << '\n';
         return ExitBadAnswers;
     }
+    const std::vector<RuleViolation> violations = checkConfiguration(configuration);
+    for (const RuleViolation &violation : violations) {
+        std::cerr << "coltsfoot-setup: configuration: " << violation.path << ' ' << violation.value
+                  << ' ' << violation.rule << '\n';
+    }
+    if (!violations.empty()) {
+        return ExitBadAnswers;
+    }
     bool good = true;
     if (options.output.empty()) {
         std::cout << document;
--- a/src/programs/coltsfootd.cpp
+++ b/src/programs/coltsfootd.cpp
@@ -12,7 +12,9 @@
 
 #include <csignal>
 #include <iostream>
+#include <optional>
 #include <random>
+#include <utility>
 
 namespace {
 
@@ -20,6 +22,7 @@
 
 constexpr int ExitBadSettings = 2;
 constexpr int ExitStartFailed = 3;
+constexpr int ExitReplaced = 4;
 
 std::uint64_t seedFromDevice()
 {
@@ -27,23 +30,60 @@
     return (static_cast<std::uint64_t>(device()) << 32) | device();
 }
 
-int run(const DaemonSettings &settings, ConfigurationPtr initial)
+/// \brief How a run of the services has ended.
+struct RunResult
+{
+    int exitCode = 0;
+    /// Set when the services have to start again with a higher incarnation.
+    std::optional<Incarnation> taken;
+};
+
+RunResult runOnce(const DaemonSettings &settings, ConfigurationPtr initial, Random &random,
+                  Incarnation minIncarnation)
 {
     boost::asio::io_context context(1);
     AsioExecutor executor(context);
-    SeededRandom random(seedFromDevice());
     Kernel kernel(executor, random);
-    addDaemonServices(kernel, context, settings, std::move(initial),
-                      [&context] { context.stop(); });
+    RunResult result;
+    DaemonEvents events;
+    events.left = [&context] { context.stop(); };
+    events.conflict = [&](const IncarnationConflict &heard) {
+        result.exitCode = heard.replaced ? ExitReplaced : 0;
+        result.taken = heard.replaced ? std::nullopt : std::optional(heard.heard);
+        executor.post([&] { kernel.stop([&context] { context.stop(); }); });
+    };
+    addDaemonServices(kernel, context, settings, std::move(initial), minIncarnation,
+                      std::move(events));
     if (const std::error_code ec = kernel.start()) {
         std::cerr << "coltsfootd: " << settings.id << " cannot start: " << ec.message() << '\n';
-        return ExitStartFailed;
+        return {ExitStartFailed, {}};
     }
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-    signals.async_wait(
-        [&](boost::system::error_code, int) { kernel.stop([&context] { context.stop(); }); });
+    signals.async_wait([&](boost::system::error_code ec, int number) {
+        if (!ec) {
+            result.taken.reset();
+            std::error_code unknown;
+            kernel.directory()
+                .find<StopMessage>(ServiceName::Stop, unknown)
+                .send(AskStop {"signal " + std::to_string(number)});
+        }
+    });
     context.run();
-    return 0;
+    return result;
+}
+
+int run(const DaemonSettings &settings, const ConfigurationPtr &initial)
+{
+    SeededRandom random(seedFromDevice());
+    RunResult result = runOnce(settings, initial, random, 0);
+    while (result.taken) {
+        // All services know the incarnation from their start, so they start again.
+        result = runOnce(settings, initial, random, *result.taken + 1);
+    }
+    if (result.exitCode == ExitReplaced) {
+        std::cerr << "coltsfootd: " << settings.id << " was replaced by a later process\n";
+    }
+    return result.exitCode;
 }
 
 } // namespace
@@ -79,5 +119,5 @@
             return ExitBadSettings;
         }
     }
-    return run(settings, std::move(initial));
+    return run(settings, initial);
 }
