--- a/src/services/Calls.cpp
+++ b/src/services/Calls.cpp
@@ -115,7 +115,9 @@
     {
         m_configuration = news.configuration;
         m_fresh = news.fresh;
-        m_budget.shareChanged(m_configuration->limits.retryShare);
+        if (m_configuration) {
+            m_budget.shareChanged(m_configuration->limits.retryShare);
+        }
         m_routing.configurationChanged(std::move(news.configuration));
     }
 
