--- a/src/programs/SetupAnswers.cpp
+++ b/src/programs/SetupAnswers.cpp
@@ -1,5 +1,6 @@
 #include "programs/SetupAnswers.h"
 
+#include "wire/CallEnvelope.h"
 #include <algorithm>
 #include <cctype>
 #include <cmath>
--- a/src/programs/SetupQuestions.cpp
+++ b/src/programs/SetupQuestions.cpp
@@ -1,5 +1,7 @@
 #include "programs/SetupQuestions.h"
 
+#include "wire/CallEnvelope.h"
+
 #include <boost/json.hpp>
 
 #include <charconv>
@@ -137,19 +139,6 @@
     return std::make_unique<FileSource>(std::move(document));
 }
 
-std::vector<std::string> splitList(std::string_view list)
-{
-    std::vector<std::string> parts;
-    while (!list.empty()) {
-        const std::size_t comma = std::min(list.find(','), list.size());
-        if (std::string part = trimmed(list.substr(0, comma)); !part.empty()) {
-            parts.push_back(std::move(part));
-        }
-        list.remove_prefix(std::min(comma + 1, list.size()));
-    }
-    return parts;
-}
-
 std::string Questioner::text(Question question, const AnswerRule &rule)
 {
     while (!m_fault) {
--- a/src/programs/SetupQuestions.h
+++ b/src/programs/SetupQuestions.h
@@ -58,10 +58,6 @@
 /// \param fault set when it is not a JSON object; its rule is empty otherwise.
 std::unique_ptr<AnswerSource> makeFileSource(std::string_view text, AnswerFault &fault);
 
-/// \param list comma-separated text.
-/// \return its parts without spaces around them; none for empty text.
-std::vector<std::string> splitList(std::string_view list);
-
 /// \brief Returns the rule that an answer breaks, or an empty text.
 using AnswerRule = std::function<std::string(const std::string &)>;
 
--- a/tutorial/lesson1_first_call.cpp
+++ b/tutorial/lesson1_first_call.cpp
@@ -48,7 +48,10 @@
 /// The one place of this lesson that depends on how a slot is asked for.
 bool admitted(Admission &admission, TimePoint now)
 {
-    return !admission.admit(now);
+    static std::uint64_t lastCall = 0;
+    Reason reason {};
+    return admission.admit({1, ++lastCall}, now + std::chrono::milliseconds(500), now, reason)
+        == AdmissionVerdict::Admitted;
 }
 
 } // namespace
