--- a/src/decisions/Admission.cpp
+++ b/src/decisions/Admission.cpp
@@ -40,6 +40,7 @@
     m_coldAnswers = 0;
     m_badInRow = 0;
     m_lifecycle.handle(BackendEvent::Announced);
+    m_reportsCold = false;
     startCold();
     return decideQueue(now);
 }
@@ -56,6 +57,8 @@
     if (m_lifecycle.handle(BackendEvent::ProbeAnswered)) {
         startCold();
     }
+    m_reportsCold = state == BackendState::Cold;
+    m_awaitsReport = false;
     if (state == BackendState::Draining) {
         m_lifecycle.handle(BackendEvent::Draining);
     } else if (m_lifecycle.state() == BackendState::Draining && !m_drainAnnounced) {
@@ -116,11 +119,11 @@
     case RunEnd::Good:
     case RunEnd::Bad:
         m_lifecycle.handle(BackendEvent::Answered);
-        judgeAnswer(end, elapsed);
+        judgeAnswer(end, elapsed, now);
         break;
     case RunEnd::Lost:
     case RunEnd::Unreachable:
-        judgeAnswer(end, elapsed);
+        judgeAnswer(end, elapsed, now);
         m_lifecycle.handle(BackendEvent::Lost);
         break;
     case RunEnd::Shed:
@@ -184,9 +187,28 @@
     m_limit = std::min(std::max(1U, m_rules.coldStart.initialSlots), m_slots);
     m_goodAnswers = 0;
     m_suspectsInRow = 0;
+    m_heldSince.reset();
+    m_awaitsReport = m_usesReports;
 }
 
-void Admission::judgeAnswer(RunEnd end, Duration elapsed)
+void Admission::useReports()
+{
+    m_usesReports = true;
+}
+
+bool Admission::isHeld(TimePoint now)
+{
+    if (state() != BackendState::Cold || !(m_reportsCold || m_awaitsReport)) {
+        m_heldSince.reset();
+        return false;
+    }
+    if (!m_heldSince) {
+        m_heldSince = now;
+    }
+    return now - *m_heldSince < MaxReportHold;
+}
+
+void Admission::judgeAnswer(RunEnd end, Duration elapsed, TimePoint now)
 {
     const bool good = end == RunEnd::Good;
     m_badInRow = good ? 0 : m_badInRow + 1;
@@ -203,7 +225,7 @@
     }
     m_suspectsInRow = 0;
     learnAverage(elapsed);
-    if (elapsed <= m_average * GrowthFactor) {
+    if (elapsed <= m_average * GrowthFactor && !isHeld(now)) {
         grow();
     }
 }
--- a/src/decisions/Admission.h
+++ b/src/decisions/Admission.h
@@ -58,6 +58,9 @@
     /// Bad or slow answers in a row that show a cold server.
     static constexpr unsigned SuspectsUntilCold = 3;
     static constexpr std::chrono::milliseconds MaxQueueWait {20};
+    /// Longest time for which a report of "cold", or its absence, keeps the limit from growing.
+    /// Reports may mislead for good; a server that answers well for so long is not held back.
+    static constexpr std::chrono::seconds MaxReportHold {60};
     /// Least time between two calls to a cold server that only fails.
     static constexpr std::chrono::milliseconds ProbationPeriod {100};
 
@@ -73,9 +76,15 @@
 
     /// \brief The backend server's load endpoint has answered.
     /// \param state Cold, Draining, or Warm for a server that reports nothing special. A report
-    /// never makes a server warm: reports lag, so only good answers raise the limit.
+    /// never makes a server warm: reports lag, so only good answers raise the limit. A report of
+    /// Cold keeps the limit at its start value, since a cold server can answer well at that load
+    /// and fall over one call above it.
     Outputs serverReported(BackendState state, TimePoint now);
 
+    /// \brief Reports will come: a server that starts or turns cold is held at the start value of
+    /// the limit until the first one.
+    void useReports();
+
     /// \brief A probe was not answered.
     Outputs probeLost(TimePoint now);
 
@@ -125,7 +134,8 @@
     bool hasSlot(TimePoint now) const;
     void takeSlot(TimePoint now);
     void startCold();
-    void judgeAnswer(RunEnd end, Duration elapsed);
+    bool isHeld(TimePoint now);
+    void judgeAnswer(RunEnd end, Duration elapsed, TimePoint now);
     void turnCold();
     void learnColdAverage(Duration elapsed);
     void learnAverage(Duration elapsed);
@@ -142,6 +152,11 @@
     unsigned m_inUse = 0;
     unsigned m_goodAnswers = 0;
     unsigned m_suspectsInRow = 0;
+    bool m_usesReports = false;
+    bool m_awaitsReport = false;
+    bool m_reportsCold = false;
+    /// Since when a report, or its absence, has kept the limit from growing.
+    std::optional<TimePoint> m_heldSince;
     unsigned m_badInRow = 0;
     unsigned m_coldAnswers = 0;
     Duration m_average {};
--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -44,6 +44,7 @@
               m_stopping = news.phase != StopPhase::Running;
           })
     {
+        m_admission.useReports();
         kernel.directory().publish(name(), m_mailbox.address());
         kernel.directory().publish(ServiceName::control("announce"), m_announceMailbox.address());
         kernel.directory().publish(ServiceName::control("revoke"), m_revokeMailbox.address());
--- a/src/services/BackendMonitor.cpp
+++ b/src/services/BackendMonitor.cpp
@@ -52,7 +52,10 @@
 
 void BackendMonitor::answered()
 {
-    m_probes.answered(m_kernel.executor().now());
+    // Answers do not tell whether a cold server bears more, so only warm ones replace probes.
+    if (std::get<BackendState>(m_reported) != BackendState::Cold) {
+        m_probes.answered(m_kernel.executor().now());
+    }
 }
 
 void BackendMonitor::report(const LoadReport &load, unsigned slots)
--- a/standin/BackendWorker.cpp
+++ b/standin/BackendWorker.cpp
@@ -182,6 +182,7 @@
     {
         const BackendModel &model = m_shared->model;
         const Condition condition = model.condition(now());
+        note("load", {}, conditionName(condition));
         if (condition == Condition::Fallen) {
             co_return false;
         }
--- a/test/fault/fleet.py
+++ b/test/fault/fleet.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import tempfile
@@ -49,9 +50,11 @@
         self.port = port
         self.advertised = port + 100 if relayed else port
         self.backend_port = port + 200
+        self.log_link = port + 150
         self.process = None
         self.backend = None
         self.relay = None
+        self.log_relay = None
         self.history = None
 
 
@@ -63,7 +66,7 @@
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="coltsfootwell-fault-"))
         self.relays = relay.RelayThread() if relays else None
         self.base_port = base_port
-        self.log_port = base_port + 300
+        self.log_port = base_port + 90
         self.binary = binary
         self.cold_slots = cold_slots
         self.accepted = []
@@ -82,7 +85,7 @@
         settings = {"id": daemon.name, "region": daemon.region, "dataCentre": daemon.data_centre,
                     "listen": f"127.0.0.1:{daemon.port}", "advertise": f"127.0.0.1:{daemon.advertised}",
                     "seeds": [f"127.0.0.1:{other.advertised}" for other in self.daemons.values()],
-                    "log": {"address": f"127.0.0.1:{self.log_port}"}}
+                    "log": {"address": f"127.0.0.1:{daemon.log_link if self.relays else self.log_port}"}}
         path = self.directory / f"{daemon.name}.json"
         path.write_text(json.dumps(settings))
         daemon.process = Process([BUILD / self.binary, "--settings", path], self.directory / f"{daemon.name}.log")
@@ -110,6 +113,7 @@
         for daemon in self.daemons.values():
             if self.relays:
                 daemon.relay = self.relays.add(daemon.advertised, daemon.port)
+                daemon.log_relay = self.relays.add(daemon.log_link, self.log_port, datagrams=False)
             daemon.process.start()
         self.publish(self.configuration)
         for daemon in self.daemons.values():
@@ -178,6 +182,19 @@
         done = subprocess.run(command, capture_output=True, text=True, timeout=timeout, stdin=subprocess.DEVNULL)
         return done.returncode, done.stdout + done.stderr
 
+    def operate(self, *arguments):
+        """Runs the operators' tool until it has accepted a version; returns the time of acceptance."""
+        end = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < end:
+            code, text = self.control(*arguments)
+            found = re.search(r"accepted version (\d+)", text)
+            if code in (0, 5) and found:
+                accepted = time.monotonic_ns()
+                self.accepted.append((accepted, int(found.group(1))))
+                return accepted
+            time.sleep(0.1)
+        raise RuntimeError(f"{arguments} was not accepted within {START_TIMEOUT_S} s: {text}")
+
     def publish(self, configuration):
         path = self.directory / "configuration.json"
         path.write_text(json.dumps(configuration))
@@ -191,6 +208,11 @@
                 raise RuntimeError(f"publish ended with {code}: {text}")
             time.sleep(0.2)
 
+    def set_log_faults(self, *faults):
+        """Switches faults of the stand-in log on; those not named are switched off."""
+        subprocess.run([BUILD / "coltsfoot-log", "--set-faults", "--listen", f"127.0.0.1:{self.log_port}", *faults],
+                       check=True, timeout=10, stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL)
+
     def versions(self):
         """Returns one sample (ns, daemon, incarnation, version) for each daemon that answers."""
         samples = []
--- a/test/fault/matrix.py
+++ b/test/fault/matrix.py
@@ -24,7 +24,7 @@
 DAEMONS = (("a1", "klang", "klang-a", "bookings"), ("a2", "klang", "klang-a", "bookings"),
            ("b1", "klang", "klang-b", "bookings"), ("e1", "klang", "klang-b", None))
 FIRST_PORT = 20_000
-PORTS_PER_CELL = 400
+PORTS_PER_CELL = 256
 WARM_S, FAULT_S, MEND_S = 0.8, 1.2, 1.0
 
 
--- a/test/fault/relay.py
+++ b/test/fault/relay.py
@@ -14,7 +14,8 @@
 class Relay:
     """One relay; its mode can be changed from any thread."""
 
-    def __init__(self, loop, port, target_port):
+    def __init__(self, loop, port, target_port, datagrams):
+        self.datagrams = datagrams
         self.loop = loop
         self.port = port
         self.target_port = target_port
@@ -42,6 +43,8 @@
 
     async def start(self):
         self.server = await asyncio.start_server(self._accept, "127.0.0.1", self.port)
+        if not self.datagrams:
+            return
         self.udp, _ = await self.loop.create_datagram_endpoint(
             lambda: _UdpFront(self), local_addr=("127.0.0.1", self.port))
 
@@ -58,6 +61,8 @@
         self.connections.add(connection)
         try:
             await connection.run()
+        except asyncio.CancelledError:
+            connection.abort()
         finally:
             self.connections.discard(connection)
 
@@ -136,19 +141,39 @@
         transport.abort()
 
 
+def _report_unless_dropped(loop, context):
+    # A connection that its peer resets while the relay still connects onwards takes its task along.
+    if "Task was destroyed" not in context.get("message", ""):
+        loop.default_exception_handler(context)
+
+
 class RelayThread:
     """Runs the relays of one test."""
 
     def __init__(self):
         self.loop = asyncio.new_event_loop()
+        self.loop.set_exception_handler(_report_unless_dropped)
+        self.relays = []
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self.thread.start()
 
-    def add(self, port, target_port):
-        relay = Relay(self.loop, port, target_port)
+    def add(self, port, target_port, datagrams=True):
+        relay = Relay(self.loop, port, target_port, datagrams)
         asyncio.run_coroutine_threadsafe(relay.start(), self.loop).result(5)
+        self.relays.append(relay)
         return relay
 
     def stop(self):
+        asyncio.run_coroutine_threadsafe(self._cancel_all(), self.loop).result(5)
         self.loop.call_soon_threadsafe(self.loop.stop)
         self.thread.join(5)
+
+    async def _cancel_all(self):
+        # Connections of processes that are being killed end in many ways; none matters any more.
+        self.loop.set_exception_handler(lambda loop, context: None)
+        for relay in self.relays:
+            relay.server.close()
+        tasks = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
