Freshness ends at a known time, and an outage of the log is known by a rule that scales

Cause: subscribers of the configuration learned of its age by message only, so after a freeze one turn of the event loop could admit a run first. The service membership left the time of asking out of its evidence. Contact with more than half of the known daemons within the freshness time cannot be had at 1,000 daemons with five pings a second.

Change: ConfigurationChanged carries freshUntil, which Calls and Backend compare with the time of each call and again before the first byte. Ends of periodic pings are reported. The log is known to be down with a majority of live members, more than half of at least half of the periodic pings answered, and a daemon in the log's region that cannot reach it. Forgotten members count until there is evidence from the log. A failed read counts from when it was sent. Evidence is stored before subscribers are told of a new version, which ends the pairs of stale and fresh log lines.

Ruled out: accepting a few answered pings right after a thaw, since neighbours that were frozen too would be taken for witnesses.

--- a/src/decisions/Freshness.h
+++ b/src/decisions/Freshness.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 
@@ -16,7 +17,7 @@
 enum class FreshnessVerdict {
     /// There is recent evidence that it is the newest.
     Fresh,
-    /// Many daemons cannot reach the log, so nobody publishes and the version stays the newest.
+    /// The log is known to be down, so nobody publishes and the version stays the newest.
     LogDown,
     /// A newer version may exist.
     Stale,
@@ -57,12 +58,19 @@
     void logRead(TimePoint asked, bool complete);
 
     /// \brief An own read of the log has failed.
-    void logFailed(TimePoint now);
+    /// \param asked when the read was sent; a read that lasted through a pause says nothing.
+    void logFailed(TimePoint asked);
 
     /// \brief A peer has answered.
     void peerAnswered(const PeerContact &contact);
 
+    /// \brief A periodic ping to a random member has ended.
+    /// \param asked when it was sent.
+    void pingEnded(TimePoint asked, bool answered);
+
     /// \brief The known daemons, this one included; those that have left do not count.
+    ///
+    /// Others that are no longer listed count as lost until there is evidence from the log.
     void membersChanged(std::span<const Member> members);
 
     /// \return last time at which the version was known to be the newest.
@@ -73,6 +81,9 @@
 
     FreshnessVerdict verdict(TimePoint now) const;
 
+    /// \return last instant at which the present evidence counts; nothing when stale.
+    std::optional<TimePoint> freshUntil(TimePoint now) const;
+
     /// \return the next time at which the verdict may change by itself, if any.
     std::optional<TimePoint> nextChange(TimePoint now) const;
 
@@ -80,7 +91,11 @@
     Duration limit() const { return m_limit; }
 
 private:
-    bool knownLogDown(TimePoint now) const;
+    std::optional<TimePoint> logDownUntil(TimePoint now) const;
+    std::optional<TimePoint> witnessedUntil(TimePoint now) const;
+    std::optional<TimePoint> pingsAnsweredUntil(TimePoint now) const;
+    bool hasMajority() const { return m_live * 2 > m_listed.size() + m_lost.size(); }
+    bool isAlone() const { return m_listed.size() + m_lost.size() == 1; }
     bool isRecent(TimePoint time, TimePoint now) const { return now - time <= m_limit; }
 
     std::string m_self;
@@ -92,7 +107,13 @@
     std::optional<TimePoint> m_lastRead;
     std::optional<TimePoint> m_lastFailure;
     std::map<std::string, PeerContact, std::less<>> m_peers;
-    std::size_t m_known = 1;
+    /// Random pings in the order of sending, true when answered.
+    std::multimap<TimePoint, bool> m_pings;
+    std::set<std::string, std::less<>> m_listed;
+    /// Members that were forgotten while there was no evidence from the log. Without them an island
+    /// would believe itself whole once its members forget those outside.
+    std::set<std::string, std::less<>> m_lost;
+    std::size_t m_live = 1;
 };
 
 } // namespace Coltsfootwell
--- a/src/decisions/Membership.cpp
+++ b/src/decisions/Membership.cpp
@@ -123,9 +123,11 @@
     if (evidence.age) {
         fresh = it->sent - *evidence.age;
     }
+    const Probe probe = *it;
     m_probes.erase(it);
+    reportEnd(probe, true);
     m_outputs.emplace_back(PeerAnswered {from.id, from.endpoint, from.region, evidence.version,
-                                         fresh, evidence.logReachable});
+                                         fresh, evidence.logReachable, probe.sent});
     if (ack.digest) {
         compareDigest(*ack.digest, from.endpoint);
     }
@@ -148,9 +150,18 @@
 void Membership::receive(const Datagram &datagram, const IndirectAck &ack, const Endpoint &sender,
                          TimePoint now)
 {
-    std::erase_if(m_probes, [&ack](const Probe &probe) {
-        return probe.nonce == ack.nonce && probe.target == ack.target;
-    });
+    const auto it = std::ranges::find(m_probes, ack.nonce, &Probe::nonce);
+    if (it != m_probes.end() && it->target == ack.target) {
+        reportEnd(*it, false);
+        m_probes.erase(it);
+    }
+}
+
+void Membership::reportEnd(const Probe &probe, bool answered)
+{
+    if (probe.random) {
+        m_outputs.emplace_back(PingEnded {probe.sent, answered});
+    }
 }
 
 void Membership::learn(const MemberRecord &received, TimePoint now, bool passOn)
@@ -230,7 +241,7 @@
     const bool wantDigest = now >= m_nextDigest;
     const auto live = m_table.pick(m_random, [this](std::size_t i) { return isPingable(i); });
     if (live) {
-        ping(*live, wantDigest, now);
+        ping(*live, wantDigest, now, true);
         if (wantDigest) {
             m_nextDigest = now + (m_matched ? DigestPeriod : FirstDigestPeriod);
         }
@@ -302,6 +313,7 @@
         }
         if (now - probe.sent >= ProbeTimeout && !probe.target.empty()) {
             silent.push_back(probe.target);
+            reportEnd(probe, false);
         }
     }
     const auto isOver = [now](const auto &entry) { return now - entry.sent >= ProbeTimeout; };
@@ -370,11 +382,11 @@
     }
 }
 
-void Membership::ping(std::size_t index, bool wantDigest, TimePoint now)
+void Membership::ping(std::size_t index, bool wantDigest, TimePoint now, bool random)
 {
     const Member &target = m_table.members()[index];
     const std::uint64_t nonce = m_random.next();
-    m_probes.push_back({nonce, target.id.name, now, false});
+    m_probes.push_back({nonce, target.id.name, now, false, random});
     ++m_counts.pings;
     // The target refutes a doubt about itself.
     const bool doubted = target.state != MemberState::Alive;
--- a/src/decisions/Membership.h
+++ b/src/decisions/Membership.h
@@ -40,6 +40,17 @@
     /// process nor a late answer makes the evidence look newer than it is.
     std::optional<TimePoint> fresh;
     bool logReachable = false;
+    /// Time of sending the ping.
+    TimePoint asked {};
+};
+
+/// \brief The periodic ping to a random member has ended.
+struct PingEnded
+{
+    /// Time of sending the ping.
+    TimePoint asked {};
+    /// False when the member did not answer itself, also when others have reached it.
+    bool answered = false;
 };
 
 /// \brief Another process with this daemon's name has the same or a higher incarnation.
@@ -52,7 +63,7 @@
 };
 
 using MembershipOutput
-    = std::variant<DatagramToSend, SyncWanted, PeerAnswered, IncarnationConflict>;
+    = std::variant<DatagramToSend, SyncWanted, PeerAnswered, PingEnded, IncarnationConflict>;
 
 /// \brief Events since the start.
 struct MembershipCounts
@@ -163,6 +174,8 @@
         std::string target;
         TimePoint sent {};
         bool indirect = false;
+        /// True for the periodic ping to a random member; its end is reported.
+        bool random = false;
     };
 
     /// An indirect ping made for another daemon.
@@ -188,6 +201,7 @@
     void changeSelf(Member self);
     void pause(TimePoint now);
     void refillGossip(Duration elapsed);
+    void reportEnd(const Probe &probe, bool answered);
     void pingMembers(TimePoint now);
     void pingReader(TimePoint now);
     void askSeeds(TimePoint now);
@@ -197,7 +211,7 @@
     void suspect(const std::string &name, TimePoint now);
     void judgeSuspicions(TimePoint now);
     void compareDigest(std::uint64_t digest, const Endpoint &with);
-    void ping(std::size_t index, bool wantDigest, TimePoint now);
+    void ping(std::size_t index, bool wantDigest, TimePoint now, bool random = false);
     void send(const Endpoint &to, std::variant<Ping, Ack, IndirectPing, IndirectAck> body,
               std::optional<std::size_t> about, TimePoint now);
     bool isPingable(std::size_t index) const;
--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -92,7 +92,7 @@
     {
         const bool wasOut = m_configuration && outOfService();
         m_configuration = std::move(news.configuration);
-        m_fresh = news.fresh;
+        m_freshUntil = news.fresh ? news.freshUntil : TimePoint::min();
         applyRules();
         if (wasOut && m_configuration && !outOfService()) {
             perform(m_admission.warmAgain(now()));
@@ -213,7 +213,7 @@
     std::optional<Reason> refusalOf(const RunAttempt &run) const
     {
         if (const auto reason
-            = refusalByRules(run, m_place, m_configuration.get(), m_fresh, now())) {
+            = refusalByRules(run, m_place, m_configuration.get(), m_freshUntil, now())) {
             return reason;
         }
         if (run.envelope.attempt->service != m_service || !m_pool
@@ -387,7 +387,8 @@
     Admission m_admission;
     BackendMonitor m_monitor;
     ConfigurationPtr m_configuration;
-    bool m_fresh = false;
+    /// Compared with the time of each call; see ConfigurationChanged.
+    TimePoint m_freshUntil = TimePoint::min();
     std::string m_service;
     std::shared_ptr<HttpPool> m_pool;
     struct Run
--- a/src/services/BackendRun.cpp
+++ b/src/services/BackendRun.cpp
@@ -59,7 +59,8 @@
 } // namespace
 
 std::optional<Reason> refusalByRules(const RunAttempt &run, const Place &place,
-                                     const Configuration *configuration, bool fresh, TimePoint now)
+                                     const Configuration *configuration, TimePoint freshUntil,
+                                     TimePoint now)
 {
     const AttemptEnvelope &attempt = *run.envelope.attempt;
     const auto &homes = run.envelope.homeRegions;
@@ -67,7 +68,7 @@
         return Reason::OutsideHomeRegions;
     }
     if (!configuration || attempt.version > configuration->version
-        || (!fresh && !mayServeIsolated(*configuration, attempt.service))) {
+        || (now > freshUntil && !mayServeIsolated(*configuration, attempt.service))) {
         return Reason::StaleConfiguration;
     }
     if (!configuration->inService(place.dataCentre)) {
--- a/src/services/BackendRun.h
+++ b/src/services/BackendRun.h
@@ -28,10 +28,11 @@
 /// \param run the attempt.
 /// \param place this daemon.
 /// \param configuration version in force here; null before the first.
-/// \param fresh false when a newer version may exist that this daemon cannot learn of.
+/// \param freshUntil last instant at which the version is known to be the newest.
 /// \return why the attempt must not run here now, whatever the state of the backend server.
 std::optional<Reason> refusalByRules(const RunAttempt &run, const Place &place,
-                                     const Configuration *configuration, bool fresh, TimePoint now);
+                                     const Configuration *configuration, TimePoint freshUntil,
+                                     TimePoint now);
 
 /// \return true when the route of the call names its method as idempotent.
 bool isIdempotent(const CallHead &head, const Configuration &configuration);
--- a/src/services/CallRules.cpp
+++ b/src/services/CallRules.cpp
@@ -59,8 +59,9 @@
 } // namespace
 
 std::variant<CallFacts, CallRefused> factsOf(const SubmitCall &call,
-                                             const Configuration &configuration, bool fresh,
-                                             const Place &place)
+                                             const Configuration &configuration,
+                                             TimePoint freshUntil, const Place &place,
+                                             TimePoint now)
 {
     const CallEnvelope &envelope = call.envelope;
     if (envelope.depth >= MaxCallDepth) {
@@ -76,7 +77,7 @@
     if (!homes.allows(place.region)) {
         return CallRefused {Outcome::NotRun, Reason::OutsideHomeRegions};
     }
-    if (!fresh && rules->second.whenIsolated != IsolationPolicy::Serve) {
+    if (now > freshUntil && rules->second.whenIsolated != IsolationPolicy::Serve) {
         return CallRefused {Outcome::NotRun, Reason::StaleConfiguration};
     }
     if (bodyLength(call.body) > rules->second.maxBodyBytes) {
--- a/src/services/CallRules.h
+++ b/src/services/CallRules.h
@@ -11,11 +11,13 @@
 /// \brief Finds the route of a call and checks depth, home regions, freshness and body length.
 /// \param call received from a caller.
 /// \param configuration in force.
-/// \param fresh false when a newer version may exist.
+/// \param freshUntil last instant at which the version is known to be the newest.
 /// \param place this daemon.
+/// \param now the present time.
 /// \return the facts, or why the call is refused.
 std::variant<CallFacts, CallRefused> factsOf(const SubmitCall &call,
-                                             const Configuration &configuration, bool fresh,
-                                             const Place &place);
+                                             const Configuration &configuration,
+                                             TimePoint freshUntil, const Place &place,
+                                             TimePoint now);
 
 } // namespace Coltsfootwell
--- a/src/services/Calls.cpp
+++ b/src/services/Calls.cpp
@@ -120,7 +120,7 @@
     void changed(ConfigurationChanged news)
     {
         m_configuration = news.configuration;
-        m_fresh = news.fresh;
+        m_freshUntil = news.fresh ? news.freshUntil : TimePoint::min();
         if (!m_configuration) {
             return;
         }
@@ -137,7 +137,7 @@
         }
         auto facts = call.refusal
             ? std::variant<CallFacts, CallRefused>(CallRefused {Outcome::NotRun, *call.refusal})
-            : factsOf(call, *m_configuration, m_fresh, m_place);
+            : factsOf(call, *m_configuration, m_freshUntil, m_place, now());
         if (const auto *refused = std::get_if<CallRefused>(&facts)) {
             refuse(call, *refused);
             return;
@@ -396,7 +396,8 @@
     KeyedCalls m_keyed;
     TimerId m_expiry = 0;
     ConfigurationPtr m_configuration;
-    bool m_fresh = false;
+    /// Compared with the time of each call; see ConfigurationChanged.
+    TimePoint m_freshUntil = TimePoint::min();
     std::unordered_map<std::uint64_t, CallState> m_calls;
     Address<PeersMessage> m_peers;
     Address<BackendMessage> m_backend;
--- a/src/services/ConfigurationMessages.h
+++ b/src/services/ConfigurationMessages.h
@@ -11,12 +11,19 @@
 
 namespace Coltsfootwell {
 
-/// \brief To subscribers: a version came into force, or the freshness of the version changed.
+/// \brief To subscribers: a version came into force, its freshness changed, or its evidence was
+/// renewed.
 struct ConfigurationChanged
 {
     ConfigurationPtr configuration;
     /// False when a newer version may exist that this daemon cannot learn of.
     bool fresh = true;
+    /// Last instant at which the present evidence counts; a paused process may get the message that
+    /// ends it too late. TimePoint::max() while the evidence cannot end.
+    TimePoint freshUntil = TimePoint::max();
+
+    /// \return true while no newer version can have been in force for longer than allowed.
+    bool isFreshAt(TimePoint now) const { return fresh && now <= freshUntil; }
 };
 
 /// \brief Tells the address of all later changes, and of the version in force at once.
@@ -48,6 +55,15 @@
     TimePoint asked {};
 };
 
-using ConfigurationMessage = std::variant<SubscribeConfiguration, VersionSeen, PeerEvidence>;
+/// \brief From "membership": a periodic ping to a random member has ended.
+struct PingEvidence
+{
+    /// Time of sending the ping.
+    TimePoint asked {};
+    bool answered = false;
+};
+
+using ConfigurationMessage
+    = std::variant<SubscribeConfiguration, VersionSeen, PeerEvidence, PingEvidence>;
 
 } // namespace Coltsfootwell
--- a/src/services/ConfigurationService.cpp
+++ b/src/services/ConfigurationService.cpp
@@ -26,6 +26,8 @@
 /// Ticks of EvidencePeriod between looks at checkpoints, gauges and missing snapshots.
 constexpr unsigned TicksPerReview = 10;
 constexpr std::chrono::seconds CheckpointRetryDelay {1};
+/// Evidence moves with each read and each ping; subscribers need not hear of every step.
+constexpr std::chrono::milliseconds FreshUntilStep {200};
 /// Peers asked for their snapshots in one review.
 constexpr std::size_t PeersPerReview = 2;
 
@@ -37,9 +39,11 @@
         : m_kernel(kernel), m_settings(std::move(settings)), m_log(std::move(log)),
           m_fold(m_settings.retention, kernel.random(), kernel.executor().now()),
           m_freshness(m_settings.self.name, m_settings.region),
-          m_fetcher(
-              context, kernel.executor(),
-              [this](const ConfigurationSnapshot &snapshot) { carryOut(m_fold.learn(snapshot)); }),
+          m_fetcher(context, kernel.executor(),
+                    [this](const ConfigurationSnapshot &snapshot) {
+                        carryOut(m_fold.learn(snapshot));
+                        update();
+                    }),
           m_mailbox(kernel.executor(),
                     [this](ConfigurationMessage message) {
                         std::visit([this](auto &&body) { handle(std::move(body)); },
@@ -99,7 +103,9 @@
     void handle(SubscribeConfiguration subscribe)
     {
         if (const auto &configuration = m_fold.state().configuration) {
-            subscribe.subscriber.send(ConfigurationChanged {configuration, isFresh()});
+            const auto until = freshUntil();
+            subscribe.subscriber.send(
+                ConfigurationChanged {configuration, until.has_value(), until.value_or(now())});
         }
         m_subscribers.push_back(std::move(subscribe.subscriber));
     }
@@ -122,6 +128,12 @@
         update();
     }
 
+    void handle(const PingEvidence &ping)
+    {
+        m_freshness.pingEnded(ping.asked, ping.answered);
+        update();
+    }
+
     void handleMembers(const MembersChanged &news)
     {
         m_members = news.members;
@@ -166,7 +178,7 @@
     {
         m_reading = false;
         if (result.ec) {
-            m_freshness.logFailed(now());
+            m_freshness.logFailed(m_asked);
             m_telemetry.send(CountEvent {"log_failures_total", "read"});
             readAgainAt(now() + ReadPeriod);
             update();
@@ -191,6 +203,8 @@
         m_readTimer = m_kernel.executor().after(time - now(), [this] { readLog(); });
     }
 
+    /// The caller calls update() once it has stored the evidence for the version that came into
+    /// force, since the evidence for the version before no longer counts.
     void carryOut(std::span<const FoldOutput> outputs)
     {
         // The fold reuses the memory of its outputs.
@@ -198,7 +212,6 @@
         for (const FoldOutput &output : kept) {
             std::visit([this](const auto &body) { apply(body); }, output);
         }
-        update();
     }
 
     void apply(const VersionInForce &inForce)
@@ -246,22 +259,35 @@
                       });
     }
 
-    bool isFresh() const { return !m_log || m_freshness.verdict(now()) != FreshnessVerdict::Stale; }
+    /// The version of a daemon without a log is always fresh.
+    std::optional<TimePoint> freshUntil() const
+    {
+        return m_log ? m_freshness.freshUntil(now()) : TimePoint::max();
+    }
+
+    bool mustTell(bool fresh, TimePoint until) const
+    {
+        return fresh != m_toldFresh || m_fold.state().configuration != m_told
+            || (fresh && (until < m_toldUntil || until - m_toldUntil >= FreshUntilStep));
+    }
 
     /// Tells subscribers and "membership" what has changed since the last time.
     void update()
     {
-        const bool fresh = isFresh();
+        const auto freshEnd = freshUntil();
+        const bool fresh = freshEnd.has_value();
+        const TimePoint until = freshEnd.value_or(now());
         const ConfigurationPtr &configuration = m_fold.state().configuration;
-        if (configuration && (fresh != m_toldFresh || configuration != m_told)) {
+        if (configuration && mustTell(fresh, until)) {
             if (fresh != m_toldFresh) {
                 m_telemetry.send(StateChanged {
                     name(), fresh ? "configuration is fresh" : "configuration is stale"});
             }
             m_toldFresh = fresh;
+            m_toldUntil = until;
             m_told = configuration;
             for (const auto &subscriber : m_subscribers) {
-                subscriber.send(ConfigurationChanged {configuration, fresh});
+                subscriber.send(ConfigurationChanged {configuration, fresh, until});
             }
         }
         sendEvidence(false);
@@ -296,6 +322,7 @@
         reportGauges();
         if (m_reader && m_readOnce) {
             carryOut(m_fold.tick(now()));
+            update();
         }
         askPeers();
     }
@@ -343,7 +370,7 @@
         status.region = m_settings.region;
         status.dataCentre = m_settings.dataCentre;
         status.version = m_fold.version();
-        status.fresh = isFresh();
+        status.fresh = freshUntil().has_value();
         if (const auto fresh = m_freshness.freshAt()) {
             status.age = std::chrono::duration_cast<std::chrono::milliseconds>(now() - *fresh);
         }
@@ -366,6 +393,7 @@
     LogEvidence m_evidence;
     ConfigurationPtr m_told;
     bool m_toldFresh = false;
+    TimePoint m_toldUntil {};
     bool m_reader = false;
     bool m_readOnce = false;
     bool m_reading = false;
--- a/src/services/Membership.cpp
+++ b/src/services/Membership.cpp
@@ -214,7 +214,13 @@
     void carryOut(const PeerAnswered &answer)
     {
         m_configuration.send(PeerEvidence {answer.peer, answer.endpoint, answer.region,
-                                           answer.version, answer.fresh, answer.logReachable});
+                                           answer.version, answer.fresh, answer.logReachable,
+                                           answer.asked});
+    }
+
+    void carryOut(const PingEnded &ended)
+    {
+        m_configuration.send(PingEvidence {ended.asked, ended.answered});
     }
 
     void carryOut(const SyncWanted &wanted)
--- a/test/MembershipSimulation.h
+++ b/test/MembershipSimulation.h
@@ -39,6 +39,7 @@
     std::deque<std::function<void()>> waiting;
     std::vector<IncarnationConflict> conflicts;
     std::vector<PeerAnswered> answers;
+    std::vector<PingEnded> pingsEnded;
 };
 
 /// \brief Network and clock.
@@ -264,6 +265,11 @@
         });
     }
 
+    void carryOut(std::size_t index, const PingEnded &ended)
+    {
+        m_processes[index].pingsEnded.push_back(ended);
+    }
+
     void carryOut(std::size_t index, const PeerAnswered &answer)
     {
         m_processes[index].answers.push_back(answer);
--- a/test/correctness/MembershipEvidenceAge.cpp
+++ b/test/correctness/MembershipEvidenceAge.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace Coltsfootwell;
 using namespace Coltsfootwell::Testing;
 using namespace std::chrono_literals;
@@ -34,5 +36,25 @@
     CHECK(last.logReachable);
     for (const PeerAnswered &answer : simulation.processes()[0].answers) {
         CHECK((!answer.fresh || *answer.fresh <= known));
+        CHECK((!answer.fresh || *answer.fresh <= answer.asked));
+        CHECK(answer.asked > TimePoint());
     }
 }
+
+TEST_CASE("random pings are reported as answered, and as unanswered once the other is frozen")
+{
+    MembershipSimulation simulation(printedSeed("evidence", 5));
+    simulation.startMany(3, oneRegion);
+    simulation.run(10s);
+    auto &ended = simulation.processes()[0].pingsEnded;
+    REQUIRE(ended.size() > 20);
+    CHECK(std::ranges::all_of(ended, [](const PingEnded &ping) { return ping.answered; }));
+    ended.clear();
+    const TimePoint cut = simulation.now();
+    simulation.freeze(simulation.processes()[1]);
+    simulation.freeze(simulation.processes()[2]);
+    simulation.run(1s);
+    REQUIRE_FALSE(ended.empty());
+    CHECK(std::ranges::all_of(
+        ended, [cut](const PingEnded &ping) { return !ping.answered || ping.asked <= cut; }));
+}
