--- a/test/fault/stale_after_thaw.py
+++ b/test/fault/stale_after_thaw.py
@@ -11,6 +11,7 @@
 
 import http.client
 import signal
+import socket
 import sys
 import threading
 import time
@@ -25,6 +26,11 @@
 PATIENCE_S = 10.0
 DEADLINE_MS = 9000
 CALLERS = 8
+BODY_BYTES = 200
+HELD_BACK_BYTES = 2
+# More than any request here.
+WHOLE_BYTES = 10_000
+SETTLE_S = 0.1
 WAYS = {"entry": "f1", "serving": "e1"}
 PORTS = {"entry": 17_000, "serving": 17_400}
 
@@ -34,21 +40,31 @@
     daemon reads in its first turn after the thaw."""
 
     def __init__(self, port, number):
-        self.connection = http.client.HTTPConnection("127.0.0.1", port, timeout=PATIENCE_S)
+        self.socket = socket.create_connection(("127.0.0.1", port), PATIENCE_S)
         # Half of the calls are idempotent, so that attempts may also be made again.
         self.method = "GET" if number % 2 else "POST"
         self.number = number
+        self.rest = b""
+        self.order = ""
         self.record = None
         self.thread = None
 
-    def call(self, prefix):
-        order = f"{prefix}-{self.number}"
-        record = {"order": order, "kind": "order", "method": self.method, "begin": time.monotonic_ns(),
+    def prepare(self, prefix, hold_back):
+        """Sends the request but for its last bytes, which leave with start()."""
+        self.order = f"{prefix}-{self.number}"
+        body = "o" * BODY_BYTES if self.method == "POST" else ""
+        request = (f"{self.method} /bookings/x?order={self.order} HTTP/1.1\r\nHost: bookings\r\n"
+                   f"Coltsfootwell-Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: {len(body)}\r\n\r\n{body}").encode()
+        self.socket.sendall(request[:-hold_back])
+        self.rest = request[-hold_back:]
+
+    def call(self):
+        record = {"order": self.order, "kind": "order", "method": self.method, "begin": time.monotonic_ns(),
                   "status": 0, "outcome": "", "reason": "", "error": ""}
         try:
-            self.connection.request(self.method, f"/bookings/x?order={order}",
-                                    headers={"Coltsfootwell-Deadline-Ms": str(DEADLINE_MS)})
-            response = self.connection.getresponse()
+            self.socket.sendall(self.rest)
+            response = http.client.HTTPResponse(self.socket, method=self.method)
+            response.begin()
             response.read()
             record["status"] = response.status
             record["outcome"] = response.getheader("Coltsfootwell-Outcome", "")
@@ -57,14 +73,14 @@
             record["error"] = type(error).__name__
         self.record = record
 
-    def start(self, prefix):
-        self.thread = threading.Thread(target=self.call, args=(prefix,))
+    def start(self):
+        self.thread = threading.Thread(target=self.call)
         self.thread.start()
 
 
-def call_all(all_callers, prefix):
+def call_all(all_callers):
     for caller in all_callers:
-        caller.start(prefix)
+        caller.start()
 
 
 def join_all(all_callers):
@@ -87,15 +103,22 @@
     try:
         f.start()
         all_callers = [Caller(f.daemons[WAYS[way]].port, i) for i in range(CALLERS)]
-        call_all(all_callers, "before")
+        for caller in all_callers:
+            caller.prepare("before", 1)
+        call_all(all_callers)
         join_all(all_callers)
         if any(caller.record["status"] != 200 for caller in all_callers):
             raise AssertionError(f"calls before the freeze got {[c.record for c in all_callers]}")
         frozen = f.daemons["f1"].process
+        # At the frozen daemon itself the request is whole with the first read after the thaw.
+        # Elsewhere the attempt must not start before the freeze.
+        for caller in all_callers:
+            caller.prepare("frozen", HELD_BACK_BYTES if way == "entry" else WHOLE_BYTES)
+        time.sleep(SETTLE_S)
         frozen.send(signal.SIGSTOP)
         frozen_ns = time.monotonic_ns()
         # At once, while the entry daemon still takes the frozen one for a live target.
-        call_all(all_callers, "frozen")
+        call_all(all_callers)
         code, text = f.control("out", "klang-f")
         if code != 0:
             raise AssertionError(f"out ended with {code}: {text}")
