--- a/src/programs/Daemon.cpp
+++ b/src/programs/Daemon.cpp
@@ -47,7 +47,8 @@
 
 void addDaemonServices(Kernel &kernel, boost::asio::io_context &context,
                        const DaemonSettings &settings, ConfigurationPtr initial,
-                       Incarnation minIncarnation, DaemonEvents events)
+                       Incarnation minIncarnation, DaemonEvents events,
+                       const DaemonStrategies &strategies)
 {
     const DaemonId id {settings.id, std::max(newIncarnation(kernel.random()), minIncarnation)};
     const Place place {id, settings.region, settings.dataCentre};
@@ -70,18 +71,20 @@
         log.maxRecords = settings.log.retentionRecords;
         kernel.add(makeLogServer(kernel, log));
     }
+    ConfigurationSettings configuration = configurationSettings(settings, id, std::move(initial));
+    configuration.filter = strategies.configurationFilter;
     kernel.add(makeConfigurationService(
-        kernel, context, configurationSettings(settings, id, std::move(initial)),
+        kernel, context, configuration,
         settings.log.address.empty() ? nullptr
                                      : makeGrpcLogClient(kernel.executor(), settings.log.address)));
     if (!settings.log.address.empty()) {
         kernel.add(
             makeLogAccess(kernel, makeGrpcLogClient(kernel.executor(), settings.log.address)));
     }
-    kernel.add(makeBackend(kernel, context, place));
+    kernel.add(makeBackend(kernel, context, place, *strategies.guards));
     kernel.add(makePeers(kernel, context));
     kernel.add(makeClaims(kernel, id));
-    kernel.add(makeCalls(kernel, place));
+    kernel.add(makeCalls(kernel, place, *strategies.guards));
     kernel.add(makeDaemonList(kernel));
     kernel.add(makeCallers(kernel, context, {settings.listen, id}));
 }
--- a/src/programs/Daemon.h
+++ b/src/programs/Daemon.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include "decisions/Configuration.h"
+#include "decisions/Guards.h"
 #include "kernel/Kernel.h"
 #include "programs/DaemonSettings.h"
+#include "services/ConfigurationService.h"
 #include "services/Membership.h"
 
 namespace boost::asio {
@@ -21,6 +23,16 @@
     std::function<void(const IncarnationConflict &)> conflict;
 };
 
+/// \brief Rules that tests switch off to show that a check fails without them.
+struct DaemonStrategies
+{
+    const Guards *guards = &FullGuards;
+    /// Changes what services are told of the configuration; nothing by default.
+    ConfigurationFilter configurationFilter = nullptr;
+    /// False ends the process at a signal without a planned stop.
+    bool plannedStop = true;
+};
+
 /// \brief Registers all services of a daemon.
 /// \param kernel gets the services; not started yet.
 /// \param context runs their sockets.
@@ -28,8 +40,10 @@
 /// \param initial configuration in force at the start, or null.
 /// \param minIncarnation lowest incarnation to take.
 /// \param events see DaemonEvents.
+/// \param strategies see DaemonStrategies.
 void addDaemonServices(Kernel &kernel, boost::asio::io_context &context,
                        const DaemonSettings &settings, ConfigurationPtr initial,
-                       Incarnation minIncarnation, DaemonEvents events);
+                       Incarnation minIncarnation, DaemonEvents events,
+                       const DaemonStrategies &strategies);
 
 } // namespace Coltsfootwell
--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -26,8 +26,9 @@
 class Backend final : public Service
 {
 public:
-    Backend(Kernel &kernel, boost::asio::io_context &context, Place place)
-        : m_kernel(kernel), m_context(context), m_place(std::move(place)), m_ledger(m_place.self),
+    Backend(Kernel &kernel, boost::asio::io_context &context, Place place, const Guards &guards)
+        : m_kernel(kernel), m_context(context), m_place(std::move(place)),
+          m_ledger(m_place.self, guards),
           m_monitor(kernel, context, [this](const ProbeResult &result) { probed(result); }),
           m_mailbox(kernel.executor(),
                     [this](BackendMessage message) {
@@ -416,9 +417,10 @@
 
 } // namespace
 
-std::unique_ptr<Service> makeBackend(Kernel &kernel, boost::asio::io_context &context, Place place)
+std::unique_ptr<Service> makeBackend(Kernel &kernel, boost::asio::io_context &context, Place place,
+                                     const Guards &guards)
 {
-    return std::make_unique<Backend>(kernel, context, std::move(place));
+    return std::make_unique<Backend>(kernel, context, std::move(place), guards);
 }
 
 } // namespace Coltsfootwell
--- a/src/services/Backend.h
+++ b/src/services/Backend.h
@@ -1,6 +1,7 @@
 // The service "backend": the only one that gives work to the backend server beside this daemon.
 #pragma once
 
+#include "decisions/Guards.h"
 #include "decisions/Routing.h"
 #include "kernel/Kernel.h"
 
@@ -15,7 +16,9 @@
 /// \param kernel gives the executor and the directory.
 /// \param context runs the connections.
 /// \param place this daemon.
+/// \param guards rules in force; outlives the service.
 /// \return the service, not started.
-std::unique_ptr<Service> makeBackend(Kernel &kernel, boost::asio::io_context &context, Place place);
+std::unique_ptr<Service> makeBackend(Kernel &kernel, boost::asio::io_context &context, Place place,
+                                     const Guards &guards = FullGuards);
 
 } // namespace Coltsfootwell
--- a/src/services/Calls.cpp
+++ b/src/services/Calls.cpp
@@ -47,11 +47,12 @@
 class Calls final : public Service
 {
 public:
-    Calls(Kernel &kernel, Place place)
-        : m_kernel(kernel), m_place(std::move(place)), m_routing(m_place, kernel.random()),
+    Calls(Kernel &kernel, Place place, const Guards &guards)
+        : m_kernel(kernel), m_place(std::move(place)), m_guards(guards),
+          m_routing(m_place, kernel.random()),
           m_regionLink(std::make_shared<RegionLink>(kernel.executor(), m_place)),
           m_keyed(
-              kernel, m_place,
+              kernel, m_place, guards,
               [this](SubmitCall call, CallFacts facts) { run(std::move(call), std::move(facts)); }),
           m_mailbox(kernel.executor(),
                     [this](CallsMessage message) {
@@ -180,10 +181,10 @@
         CallState &state = m_calls[number];
         state.submitted = std::move(call);
         state.facts = std::move(facts);
-        state.flow
-            = std::make_unique<CallFlow>(state.facts,
-                                         CallFlowParts {m_routing, m_kernel.random(), m_budget,
-                                                        m_answerTimes[state.facts.service].p95()});
+        state.flow = std::make_unique<CallFlow>(
+            state.facts,
+            CallFlowParts {m_routing, m_kernel.random(), m_budget,
+                           m_answerTimes[state.facts.service].p95(), m_guards});
         perform(number, state.flow->begin(now()));
     }
 
@@ -389,6 +390,7 @@
 
     Kernel &m_kernel;
     Place m_place;
+    const Guards &m_guards;
     Routing m_routing;
     std::shared_ptr<RegionLink> m_regionLink;
     RetryBudget m_budget;
@@ -411,9 +413,9 @@
 
 } // namespace
 
-std::unique_ptr<Service> makeCalls(Kernel &kernel, Place place)
+std::unique_ptr<Service> makeCalls(Kernel &kernel, Place place, const Guards &guards)
 {
-    return std::make_unique<Calls>(kernel, std::move(place));
+    return std::make_unique<Calls>(kernel, std::move(place), guards);
 }
 
 } // namespace Coltsfootwell
--- a/src/services/ConfigurationService.cpp
+++ b/src/services/ConfigurationService.cpp
@@ -100,12 +100,19 @@
 private:
     TimePoint now() const { return m_kernel.executor().now(); }
 
+    void tell(const Address<ConfigurationChanged> &subscriber, ConfigurationChanged news) const
+    {
+        if (m_settings.filter) {
+            m_settings.filter(news);
+        }
+        subscriber.send(std::move(news));
+    }
+
     void handle(SubscribeConfiguration subscribe)
     {
         if (const auto &configuration = m_fold.state().configuration) {
             const auto until = freshUntil();
-            subscribe.subscriber.send(
-                ConfigurationChanged {configuration, until.has_value(), until.value_or(now())});
+            tell(subscribe.subscriber, {configuration, until.has_value(), until.value_or(now())});
         }
         m_subscribers.push_back(std::move(subscribe.subscriber));
     }
@@ -287,7 +294,7 @@
             m_toldUntil = until;
             m_told = configuration;
             for (const auto &subscriber : m_subscribers) {
-                subscriber.send(ConfigurationChanged {configuration, fresh, until});
+                tell(subscriber, {configuration, fresh, until});
             }
         }
         sendEvidence(false);
--- a/src/services/ConfigurationService.h
+++ b/src/services/ConfigurationService.h
@@ -5,6 +5,7 @@
 #include "decisions/ConfigurationFold.h"
 #include "decisions/Member.h"
 #include "kernel/Kernel.h"
+#include "services/ConfigurationMessages.h"
 #include "services/LogClient.h"
 
 #include <memory>
@@ -16,6 +17,9 @@
 
 namespace Coltsfootwell {
 
+/// \brief Changes what subscribers are told; only tests have one.
+using ConfigurationFilter = void (*)(ConfigurationChanged &);
+
 /// \brief Settings of the service.
 struct ConfigurationSettings
 {
@@ -27,6 +31,8 @@
     /// State before the first record of the log, or null.
     ConfigurationPtr initial;
     LogRetention retention;
+    /// Null tells subscribers what is in force.
+    ConfigurationFilter filter = nullptr;
 };
 
 /// \param kernel gives the executor and the directory.
--- a/src/services/KeyedCalls.cpp
+++ b/src/services/KeyedCalls.cpp
@@ -43,8 +43,9 @@
 
 } // namespace
 
-KeyedCalls::KeyedCalls(Kernel &kernel, Place place, std::function<void(SubmitCall, CallFacts)> run)
-    : m_kernel(kernel), m_place(std::move(place)), m_run(std::move(run)),
+KeyedCalls::KeyedCalls(Kernel &kernel, Place place, const Guards &guards,
+                       std::function<void(SubmitCall, CallFacts)> run)
+    : m_kernel(kernel), m_place(std::move(place)), m_run(std::move(run)), m_table(guards),
       m_began(kernel.executor().now())
 {
 }
--- a/src/services/KeyedCalls.h
+++ b/src/services/KeyedCalls.h
@@ -21,9 +21,11 @@
 public:
     /// \param kernel gives the executor, randomness and the directory.
     /// \param place this daemon.
+    /// \param guards rules in force; outlives the object.
     /// \param run carries out a call that this daemon may start; the number of the call is set
     /// here.
-    KeyedCalls(Kernel &kernel, Place place, std::function<void(SubmitCall, CallFacts)> run);
+    KeyedCalls(Kernel &kernel, Place place, const Guards &guards,
+               std::function<void(SubmitCall, CallFacts)> run);
 
     /// \brief Looks up the services it needs.
     /// \return an error of the directory, or cleared.
--- a/test/error/KeyOwnerIsGone.cpp
+++ b/test/error/KeyOwnerIsGone.cpp
@@ -23,7 +23,7 @@
                         forwarded.push_back(std::move(*forward));
                     }
                 }),
-          keyed(kernel, Place {Self, "r", "dc"},
+          keyed(kernel, Place {Self, "r", "dc"}, FullGuards,
                 [this](SubmitCall call, const CallFacts &) { runs.push_back(std::move(call)); })
     {
         kernel.directory().publish(ServiceName::Peers, peers.address());
--- a/test/fault/fleet.py
+++ b/test/fault/fleet.py
@@ -62,7 +62,8 @@
     """daemons: tuples of name, region, data centre, service or None."""
 
     def __init__(self, base_port, daemons, services, slots=8, service_ms=4, cold_slots=2, warm_after=0,
-                 backend_options=(), binary="coltsfootd", home_regions=None, relays=True):
+                 backend_options=(), binary="coltsfootd", home_regions=None, relays=True,
+                 probes_per_second=2):
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="coltsfootwell-fault-"))
         self.relays = relay.RelayThread() if relays else None
         self.base_port = base_port
@@ -70,6 +71,7 @@
         self.binary = binary
         self.cold_slots = cold_slots
         self.accepted = []
+        self.probes_per_second = probes_per_second
         self.log = Process([BUILD / "coltsfoot-log", "--listen", f"127.0.0.1:{self.log_port}"],
                            self.directory / "log.log")
         self.daemons = {}
@@ -102,7 +104,7 @@
             "version": 1,
             "logRegion": next(iter(self.daemons.values())).region,
             "dataCentres": {d.data_centre: {"region": d.region, "inService": True} for d in self.daemons.values()},
-            "services": {name: {"slots": slots, "connections": 64, "defaultDeadlineMs": 1500, "probesPerSecond": 2,
+            "services": {name: {"slots": slots, "connections": 64, "defaultDeadlineMs": 1500, "probesPerSecond": self.probes_per_second,
                                 "coldStart": {"initialSlots": cold_slots, "growAfterAnswers": 3}}
                          for name in services},
             "routes": [{"prefix": f"/{name}", "service": name, "idempotentMethods": ["GET"],
@@ -232,7 +234,7 @@
                         line = json.loads(text)
                     except ValueError:
                         continue  # A killed server may leave half a line.
-                    if line["order"] != "ready":
+                    if line["order"] != "ready" or line["event"] == "fell":
                         lines.append({**line, "daemon": daemon.name, "dataCentre": daemon.data_centre})
         return lines
 
--- a/test/fault/promises.py
+++ b/test/fault/promises.py
@@ -21,7 +21,8 @@
 PORTS_PER_SCENARIO = 256
 KINDS = ["read", "order", "order"]
 OUT_S = 5.0
-PROBES_PER_SECOND = 2
+# Low, so that the budget is what limits the probes and not the period at which they are considered.
+PROBES_PER_SECOND = 0.5
 HOME_DAEMONS = (("k1", "klang", "klang-a", "bookings"), ("k2", "klang", "klang-b", "other"),
                 ("p1", "penang", "penang-a", "bookings"), ("p2", "penang", "penang-b", "other"))
 
@@ -208,7 +209,7 @@
 
 def probe_budget(port, binary, seed):
     """Promise 1: probes stay within their budget, when idle and under load."""
-    f = start(port, binary=binary)
+    f = start(port, binary=binary, probes_per_second=PROBES_PER_SECOND)
     try:
         began = time.monotonic_ns()
         time.sleep(4)
