Work goes on while the log is known to be down

Cause: PeerAnswered did not carry the time of its question, so PeerEvidence::asked stayed at the epoch and no contact with a peer ever counted as recent. The verdict "log down" could not be reached with two or more daemons, and a whole site refused new work 2.5 s after the log went out. The tests of the decision and of the service fill in the time themselves and did not notice.

Change: PeerAnswered and the service pass on the time of the ping; the simulation checks it.

Ruled out: a missing witness in the log's region (the daemons were in it) and a read that does not end (log_failures_total went up).

--- a/src/decisions/Membership.cpp
+++ b/src/decisions/Membership.cpp
@@ -123,9 +123,10 @@
     if (evidence.age) {
         fresh = it->sent - *evidence.age;
     }
+    const TimePoint asked = it->sent;
     m_probes.erase(it);
     m_outputs.emplace_back(PeerAnswered {from.id, from.endpoint, from.region, evidence.version,
-                                         fresh, evidence.logReachable});
+                                         fresh, evidence.logReachable, asked});
     if (ack.digest) {
         compareDigest(*ack.digest, from.endpoint);
     }
--- a/src/decisions/Membership.h
+++ b/src/decisions/Membership.h
@@ -40,6 +40,8 @@
     /// process nor a late answer makes the evidence look newer than it is.
     std::optional<TimePoint> fresh;
     bool logReachable = false;
+    /// Time of sending the ping.
+    TimePoint asked {};
 };
 
 /// \brief Another process with this daemon's name has the same or a higher incarnation.
--- a/src/services/ConfigurationService.cpp
+++ b/src/services/ConfigurationService.cpp
@@ -178,7 +178,9 @@
         for (const LogRecord &record : result.part.records) {
             entries.push_back({record.offset, decodeRecord(record.content)});
         }
-        carryOut(m_fold.read({result.part.first, result.part.next, entries}, now()));
+        // The evidence of this read counts for its own records, so subscribers hear of both at
+        // once.
+        applyAll(m_fold.read({result.part.first, result.part.next, entries}, now()));
         const bool complete = m_fold.readOffset() == result.part.next;
         m_readOnce = m_readOnce || complete;
         m_freshness.logRead(m_asked, complete && m_fold.isExact());
@@ -192,13 +194,18 @@
     }
 
     void carryOut(std::span<const FoldOutput> outputs)
+    {
+        applyAll(outputs);
+        update();
+    }
+
+    void applyAll(std::span<const FoldOutput> outputs)
     {
         // The fold reuses the memory of its outputs.
         const std::vector<FoldOutput> kept(outputs.begin(), outputs.end());
         for (const FoldOutput &output : kept) {
             std::visit([this](const auto &body) { apply(body); }, output);
         }
-        update();
     }
 
     void apply(const VersionInForce &inForce)
--- a/src/services/Membership.cpp
+++ b/src/services/Membership.cpp
@@ -214,7 +214,8 @@
     void carryOut(const PeerAnswered &answer)
     {
         m_configuration.send(PeerEvidence {answer.peer, answer.endpoint, answer.region,
-                                           answer.version, answer.fresh, answer.logReachable});
+                                           answer.version, answer.fresh, answer.logReachable,
+                                           answer.asked});
     }
 
     void carryOut(const SyncWanted &wanted)
--- a/test/correctness/MembershipEvidenceAge.cpp
+++ b/test/correctness/MembershipEvidenceAge.cpp
@@ -32,6 +32,9 @@
     const PeerAnswered &last = simulation.processes()[0].answers.back();
     CHECK(last.version == 8);
     CHECK(last.logReachable);
+    // A contact without the time of its question never counts as recent.
+    CHECK(last.asked > known);
+    CHECK(last.asked <= simulation.now());
     for (const PeerAnswered &answer : simulation.processes()[0].answers) {
         CHECK((!answer.fresh || *answer.fresh <= known));
     }
--- a/test/error/LogStopsAnswering.cpp
+++ b/test/error/LogStopsAnswering.cpp
@@ -69,8 +69,9 @@
         settings.self = {"a", 1};
         settings.region = "klang";
         settings.dataCentre = "klang-a";
-        kernel.add(makeConfigurationService(kernel, context, settings,
-                                            std::make_unique<ScriptedLog>(executor, logDown)));
+        auto scripted = std::make_unique<ScriptedLog>(executor, logDown);
+        log = scripted.get();
+        kernel.add(makeConfigurationService(kernel, context, settings, std::move(scripted)));
         kernel.start();
         std::error_code ec;
         service = kernel.directory().find<ConfigurationMessage>(ServiceName::Configuration, ec);
@@ -113,8 +114,12 @@
                 logReachable = evidence->logReachable;
             }
         }};
-    Mailbox<ConfigurationChanged> changes {
-        executor, [this](const ConfigurationChanged &news) { last = news; }};
+    Mailbox<ConfigurationChanged> changes {executor, [this](const ConfigurationChanged &news) {
+                                               last = news;
+                                               staleNews += news.fresh ? 0 : 1;
+                                           }};
+    ScriptedLog *log = nullptr;
+    unsigned staleNews = 0;
     Address<ConfigurationMessage> service;
     ConfigurationChanged last;
     bool logReachable = false;
@@ -153,3 +158,14 @@
     scene.executor.advance(3s);
     CHECK_FALSE(scene.last.fresh);
 }
+
+TEST_CASE("a new version read from the log is never reported as stale")
+{
+    Scene scene;
+    scene.log->append(ConfigurationStream, "2", encodeRecord(samplePublish(1, "aisyah")), {},
+                      [](const AppendResult &) {});
+    scene.executor.advance(500ms);
+    CHECK(scene.last.configuration->version == 2);
+    CHECK(scene.last.fresh);
+    CHECK(scene.staleNews == 0);
+}
