Messages of all programs name the value and the rule

Change: the rule is put into words from the schema itself; one reader of configuration files for coltsfootd and coltsfootctl; the kernel names the service whose start has failed; labels in the plot of coltsfoot-load stay inside the picture and its linear axes have round ticks.

Ruled out: a table of texts beside the schema, which would have to be kept in step with it.

--- a/src/kernel/Kernel.cpp
+++ b/src/kernel/Kernel.cpp
@@ -31,6 +31,11 @@
     return {};
 }
 
+std::string_view Kernel::failed() const
+{
+    return m_started < m_services.size() ? m_services[m_started]->name() : std::string_view();
+}
+
 void Kernel::stop(Task done)
 {
     // A planned stop and a replacement of the daemon may both ask for it.
--- a/src/kernel/Kernel.h
+++ b/src/kernel/Kernel.h
@@ -36,6 +36,9 @@
     /// \return the first error; the services before it stay started until stop().
     std::error_code start();
 
+    /// \return name of the service whose start() has failed; empty when all have started.
+    std::string_view failed() const;
+
     /// \brief Stops the started services in reverse order, one after another. Only the first call
     /// has an effect.
     /// \param done called when the last has stopped.
--- /dev/null
+++ b/src/programs/ConfigurationFile.cpp
@@ -0,0 +1,37 @@
+#include "programs/ConfigurationFile.h"
+
+#include "decisions/ConfigurationRules.h"
+#include "programs/ProgramFiles.h"
+#include "wire/ConfigurationJson.h"
+#include "wire/ConfigurationSchema.h"
+
+namespace Coltsfootwell {
+
+Configuration readConfiguration(const std::string &path, std::vector<std::string> &messages)
+{
+    std::error_code ec;
+    const std::string text = readFile(path, ec);
+    if (ec) {
+        messages.push_back(path + ": " + ec.message());
+        return {};
+    }
+    for (const JsonFault &fault : checkSchema(SchemaKind::Configuration, text, ec)) {
+        messages.push_back(path + ": " + faultLine(fault));
+    }
+    if (ec) {
+        return {};
+    }
+    JsonFault fault;
+    Configuration configuration = decodeConfiguration(text, fault, ec);
+    if (ec) {
+        messages.push_back(path + ": " + faultLine(fault));
+        return {};
+    }
+    for (const RuleViolation &violation : checkConfiguration(configuration)) {
+        messages.push_back(path + ": " + violation.path + ": \"" + violation.value + "\" "
+                           + violation.rule);
+    }
+    return configuration;
+}
+
+} // namespace Coltsfootwell
--- a/src/programs/DaemonSettings.cpp
+++ b/src/programs/DaemonSettings.cpp
@@ -22,7 +22,7 @@
     }
     if ((value || required) && fault.rule.empty()) {
         fault = {'/' + std::string(key), value ? json::serialize(*value) : std::string(),
-                 "must be a string"};
+                 value ? "must be a string" : "must be given"};
     }
     return {};
 }
@@ -51,7 +51,9 @@
     const char *key = settings.embedded ? "listen" : "address";
     settings.address = textAt(log, key, true, fault);
     if (settings.address.empty()) {
-        fault.path = std::string("/log/") + key;
+        fault = {std::string("/log/") + key, "",
+                 settings.embedded ? "must be given with \"embedded\": true"
+                                   : "must be given without \"embedded\": true"};
     }
     if (const json::value *seconds = log.if_contains("retentionSeconds")) {
         settings.retention = std::chrono::seconds(seconds->to_number<std::int64_t>());
--- a/src/programs/LoadMix.cpp
+++ b/src/programs/LoadMix.cpp
@@ -127,7 +127,9 @@
     const json::value document
         = json::parse(json::string_view(text.data(), text.size()), parseError);
     if (parseError || !document.is_array() || document.get_array().empty()) {
-        fault = {"", "", parseError ? parseError.message() : "must be an array of calls"};
+        fault = {"", "",
+                 parseError ? "must be JSON: " + parseError.message()
+                            : "must be an array of at least one call"};
         ec = WireError::BadJson;
         return mix;
     }
--- a/src/programs/LoadPlot.cpp
+++ b/src/programs/LoadPlot.cpp
@@ -15,6 +15,8 @@
 constexpr double Right = 20;
 constexpr double Top = 40;
 constexpr double Bottom = 50;
+/// Room in pixels that the label of a quantile takes.
+constexpr double MarkLabelWidth = 120;
 constexpr double NsPerMs = 1e6;
 constexpr double NsPerSecond = 1e9;
 /// More points make the file large without showing more.
@@ -47,11 +49,19 @@
     return ticks;
 }
 
-std::vector<double> fifths(const Axis &axis)
+/// \return about five ticks at multiples of 1, 2 or 5 times a power of ten.
+std::vector<double> roundSteps(const Axis &axis)
 {
+    const double rough = (axis.to - axis.from) / 5;
+    const double power = std::pow(10, std::floor(std::log10(rough)));
+    const double step = power
+        * (rough > 5 * power       ? 10
+               : rough > 2 * power ? 5
+               : rough > power     ? 2
+                                   : 1);
     std::vector<double> ticks;
-    for (int i = 0; i <= 5; ++i) {
-        ticks.push_back(axis.from + (axis.to - axis.from) * i / 5);
+    for (int i = 0; axis.from + i * step <= axis.to * 1.0001; ++i) {
+        ticks.push_back(axis.from + i * step);
     }
     return ticks;
 }
@@ -77,12 +87,12 @@
     const double middle = (y.pixelFrom + y.pixelTo) / 2;
     out << "<text x=\"18\" y=\"" << middle << "\" text-anchor=\"middle\" transform=\"rotate(-90 18 "
         << middle << ")\">" << yTitle << "</text>\n";
-    for (const double v : x.logarithmic ? decades(x) : fifths(x)) {
+    for (const double v : x.logarithmic ? decades(x) : roundSteps(x)) {
         out << "<path class=\"grid\" d=\"M" << x.at(v) << ' ' << y.pixelFrom << 'V' << y.pixelTo
             << "\"/>\n";
         text(out, x.at(v), y.pixelFrom + 18, "middle", label(v));
     }
-    for (const double v : y.logarithmic ? decades(y) : fifths(y)) {
+    for (const double v : y.logarithmic ? decades(y) : roundSteps(y)) {
         out << "<path class=\"grid\" d=\"M" << x.pixelFrom << ' ' << y.at(v) << 'H' << x.pixelTo
             << "\"/>\n";
         text(out, x.pixelFrom - 6, y.at(v) + 4, "end", label(v));
@@ -159,8 +169,10 @@
         const double ms = static_cast<double>(histogram.quantile(share).count()) / NsPerMs;
         out << "<path class=\"mark\" d=\"M" << x.at(ms) << ' ' << y.pixelFrom << 'V' << y.pixelTo
             << "\"/>\n";
-        const double shift = share > 0.99 ? 30 : share > 0.9 ? 18 : 6;
-        text(out, x.at(ms) + 4, y.pixelTo + shift + 6, "start",
+        const double shift = share > 0.99 ? 38 : share > 0.9 ? 22 : 6;
+        // A label beside a mark near the right edge would leave the picture.
+        const bool left = x.at(ms) > Width - Right - MarkLabelWidth;
+        text(out, x.at(ms) + (left ? -4 : 4), y.pixelTo + shift + 6, left ? "end" : "start",
              std::string(name) + ' ' + label(ms) + " ms");
     }
 }
--- a/src/programs/OperatorCommands.cpp
+++ b/src/programs/OperatorCommands.cpp
@@ -1,10 +1,8 @@
 #include "programs/OperatorCommands.h"
 
-#include "decisions/ConfigurationRules.h"
-#include "programs/ProgramFiles.h"
+#include "programs/ConfigurationFile.h"
 #include "wire/ConfigurationJson.h"
 #include "wire/ConfigurationRecordJson.h"
-#include "wire/ConfigurationSchema.h"
 #include "wire/JsonDiff.h"
 
 #include <algorithm>
@@ -83,7 +81,8 @@
     }
     const ConfigurationPtr &inForce = m_session.state().state().configuration;
     if (!inForce) {
-        m_error << "no configuration is in force\n";
+        m_error << "the log at " << m_options.log
+                << " holds no configuration in force: publish one\n";
         return OperatorExit::BadInput;
     }
     m_out << encodeConfiguration(*inForce) << '\n';
@@ -140,10 +139,14 @@
 
 OperatorExit OperatorCommands::status()
 {
-    const std::vector<Endpoint> endpoints = knownDaemons();
-    if (endpoints.empty() && m_options.daemons.empty()) {
+    std::error_code ec;
+    const std::vector<Endpoint> endpoints = knownDaemons(ec);
+    if (ec) {
         return logFailed();
     }
+    if (endpoints.empty()) {
+        return noDaemons(OperatorExit::LogUnavailable);
+    }
     for (const DaemonAnswer &answer : m_session.ask(endpoints)) {
         m_out << textOf(answer.endpoint);
         if (const auto &status = answer.status) {
@@ -162,31 +165,12 @@
 
 bool OperatorCommands::load(const std::string &file, Configuration &configuration)
 {
-    std::error_code ec;
-    const std::string text = readFile(file, ec);
-    if (ec) {
-        m_error << file << ": " << ec.message() << '\n';
-        return false;
-    }
-    const auto faults = checkSchema(SchemaKind::Configuration, text, ec);
-    for (const JsonFault &fault : faults) {
-        m_error << file << ": " << fault.path << ": " << fault.value << ' ' << fault.rule << '\n';
-    }
-    if (ec) {
-        return false;
+    std::vector<std::string> messages;
+    configuration = readConfiguration(file, messages);
+    for (const std::string &message : messages) {
+        m_error << message << '\n';
     }
-    JsonFault fault;
-    configuration = decodeConfiguration(text, fault, ec);
-    if (ec) {
-        m_error << file << ": " << fault.path << ": " << fault.value << ' ' << fault.rule << '\n';
-        return false;
-    }
-    const auto violations = checkConfiguration(configuration);
-    for (const RuleViolation &violation : violations) {
-        m_error << file << ": " << violation.path << ": \"" << violation.value << "\" "
-                << violation.rule << '\n';
-    }
-    return violations.empty();
+    return messages.empty();
 }
 
 bool OperatorCommands::foldLog()
@@ -262,10 +246,10 @@
     if (m_options.wait.count() == 0) {
         return OperatorExit::Done;
     }
-    const std::vector<Endpoint> endpoints = knownDaemons();
+    std::error_code ec;
+    const std::vector<Endpoint> endpoints = knownDaemons(ec);
     if (endpoints.empty()) {
-        m_error << "the log names no daemon to ask; name them with --daemon\n";
-        return OperatorExit::NotInForce;
+        return noDaemons(OperatorExit::NotInForce);
     }
     const auto start = std::chrono::steady_clock::now();
     while (true) {
@@ -292,18 +276,22 @@
     }
 }
 
-std::vector<Endpoint> OperatorCommands::knownDaemons()
+std::vector<Endpoint> OperatorCommands::knownDaemons(std::error_code &ec)
 {
-    if (!m_options.daemons.empty()) {
-        return m_options.daemons;
-    }
-    std::error_code ec;
-    return m_session.daemons(ec);
+    ec.clear();
+    return m_options.daemons.empty() ? m_session.daemons(ec) : m_options.daemons;
+}
+
+OperatorExit OperatorCommands::noDaemons(OperatorExit exit)
+{
+    m_error << "the log at " << m_options.log << " names no daemon; name daemons with --daemon\n";
+    return exit;
 }
 
 OperatorExit OperatorCommands::logFailed()
 {
-    m_error << "the log at " << m_options.log << " cannot be reached or is empty\n";
+    m_error << "the log at " << m_options.log
+            << " cannot be reached; --log must be its IP number:port\n";
     return OperatorExit::LogUnavailable;
 }
 
--- a/src/programs/OperatorCommands.h
+++ b/src/programs/OperatorCommands.h
@@ -68,7 +68,8 @@
     OperatorExit append(const std::string &id, const std::string &record,
                         ConfigurationVersion version);
     OperatorExit waitInForce(ConfigurationVersion version);
-    std::vector<Endpoint> knownDaemons();
+    std::vector<Endpoint> knownDaemons(std::error_code &ec);
+    OperatorExit noDaemons(OperatorExit exit);
     OperatorExit logFailed();
     OperatorExit nothingInForce();
     std::string inForceText() const;
--- a/src/programs/coltsfoot-load.cpp
+++ b/src/programs/coltsfoot-load.cpp
@@ -59,8 +59,7 @@
     JsonFault fault;
     plan.mix = decodeLoadMix(text, fault, ec);
     if (ec) {
-        std::cerr << "coltsfoot-load: " << options.mix << ": " << fault.path << ' ' << fault.value
-                  << ' ' << fault.rule << '\n';
+        std::cerr << "coltsfoot-load: " << options.mix << ": " << faultLine(fault) << '\n';
         return false;
     }
     return true;
@@ -72,7 +71,7 @@
     if (!options.history.empty()) {
         history.open(options.history, std::ios::trunc);
         if (!history) {
-            std::cerr << "coltsfoot-load: cannot write " << options.history << '\n';
+            std::cerr << "coltsfoot-load: " << options.history << ": cannot be written\n";
             return ExitCannotWrite;
         }
         plan.ended = [&history](const LoadResult &result) { history << loadHistoryLine(result); };
--- a/src/programs/coltsfoot-setup.cpp
+++ b/src/programs/coltsfoot-setup.cpp
@@ -91,8 +91,7 @@
     std::error_code ec;
     (void)decodeConfiguration(document, fault, ec);
     if (ec) {
-        std::cerr << "coltsfoot-setup: configuration: " << fault.path << ' ' << fault.value << ' '
-                  << fault.rule << '\n';
+        std::cerr << "coltsfoot-setup: configuration: " << faultLine(fault) << '\n';
         return ExitBadAnswers;
     }
     const std::vector<RuleViolation> violations = checkConfiguration(configuration);
--- a/src/programs/coltsfootd.cpp
+++ b/src/programs/coltsfootd.cpp
@@ -1,10 +1,10 @@
 // The daemon that runs beside each backend server.
 #include "kernel/AsioExecutor.h"
+#include "programs/ConfigurationFile.h"
 #include "programs/Daemon.h"
 #include "programs/ProgramFiles.h"
 #include "services/ServiceNames.h"
 #include "services/StopMessages.h"
-#include "wire/ConfigurationJson.h"
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
@@ -55,7 +55,10 @@
     addDaemonServices(kernel, context, settings, std::move(initial), minIncarnation,
                       std::move(events));
     if (const std::error_code ec = kernel.start()) {
-        std::cerr << "coltsfootd: " << settings.id << " cannot start: " << ec.message() << '\n';
+        std::cerr << "coltsfootd: " << settings.id << " cannot start service \"" << kernel.failed()
+                  << "\" (listen " << settings.listen.address << ':' << settings.listen.port
+                  << (settings.log.embedded ? ", log listen " + settings.log.address : "")
+                  << "): " << ec.message() << '\n';
         return {ExitStartFailed, {}};
     }
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
@@ -93,6 +96,8 @@
     CLI::App app("Load balancer daemon; runs beside one backend server.");
     std::string settingsFile;
     app.add_option("--settings", settingsFile, "JSON file with the daemon's settings")->required();
+    app.footer("Exit codes: 0 stopped as planned, 2 bad settings or configuration file, 3 cannot\n"
+               "start, 4 replaced by a later process of the same id, 100-199 bad command line.");
     app.set_version_flag("--version", COLTSFOOTWELL_VERSION);
     CLI11_PARSE(app, argc, argv);
 
@@ -105,17 +110,18 @@
     }
     const DaemonSettings settings = decodeSettings(text, fault, ec);
     if (ec) {
-        std::cerr << "coltsfootd: " << settingsFile << ": " << fault.path << ' ' << fault.value
-                  << ' ' << fault.rule << '\n';
+        std::cerr << "coltsfootd: " << settingsFile << ": " << faultLine(fault) << '\n';
         return ExitBadSettings;
     }
     ConfigurationPtr initial;
     if (!settings.configurationFile.empty()) {
-        const std::string document = readFile(settings.configurationFile, ec);
-        initial = std::make_shared<Configuration>(decodeConfiguration(document, fault, ec));
-        if (ec) {
-            std::cerr << "coltsfootd: " << settings.configurationFile << ": " << fault.path << ' '
-                      << fault.value << ' ' << fault.rule << '\n';
+        std::vector<std::string> messages;
+        initial = std::make_shared<Configuration>(
+            readConfiguration(settings.configurationFile, messages));
+        for (const std::string &message : messages) {
+            std::cerr << "coltsfootd: " << message << '\n';
+        }
+        if (!messages.empty()) {
             return ExitBadSettings;
         }
     }
--- a/src/wire/ConfigurationSchema.cpp
+++ b/src/wire/ConfigurationSchema.cpp
@@ -176,18 +176,159 @@
     return pointer;
 }
 
-std::string valueAt(const json::value &document, std::string_view pointer)
+const json::value *find(const json::value &document, std::string_view pointer)
 {
     boost::system::error_code ec;
     const json::value *value
         = document.find_pointer(json::string_view(pointer.data(), pointer.size()), ec);
-    std::string text = ec || !value ? std::string() : json::serialize(*value);
+    return ec ? nullptr : value;
+}
+
+std::string textOf(const json::value *value)
+{
+    std::string text = value ? json::serialize(*value) : std::string();
     if (text.size() > MaxValueBytes) {
         text = text.substr(0, MaxValueBytes) + "...";
     }
     return text;
 }
 
+/// \return the part of the schema that holds for one member of an object or array, or null.
+const json::value *memberRule(const json::value &schema, const json::object &rule,
+                              std::string_view member)
+{
+    const json::value *found = nullptr;
+    if (const json::value *properties = rule.if_contains("properties")) {
+        found = properties->get_object().if_contains(member);
+    }
+    for (const std::string_view general : {"additionalProperties", "items"}) {
+        found = found ? found : rule.if_contains(general);
+    }
+    if (!found || !found->is_object()) {
+        return nullptr;
+    }
+    const json::value *reference = found->get_object().if_contains("$ref");
+    return reference ? find(schema, std::string_view(reference->get_string()).substr(1)) : found;
+}
+
+/// \return the part of the schema that holds for the value at a pointer, or null.
+const json::object *ruleAt(const json::value &schema, std::string_view pointer)
+{
+    const json::value *rule = &schema;
+    while (rule && !pointer.empty()) {
+        const std::size_t end = std::min(pointer.find('/', 1), pointer.size());
+        rule = memberRule(schema, rule->get_object(), pointer.substr(1, end - 1));
+        pointer.remove_prefix(end);
+    }
+    return rule ? &rule->get_object() : nullptr;
+}
+
+std::string listOf(const json::array &values)
+{
+    std::string text;
+    for (const json::value &value : values) {
+        text += (text.empty() ? "" : " or ") + json::serialize(value);
+    }
+    return text;
+}
+
+/// \return the rule in words; empty when the schema part has none for a single value.
+std::string ruleText(const json::object &rule)
+{
+    if (const json::value *values = rule.if_contains("enum")) {
+        return "must be " + listOf(values->get_array());
+    }
+    if (rule.contains("pattern")) {
+        return "must have the form \"IP number:port\"";
+    }
+    const json::value *type = rule.if_contains("type");
+    if (!type) {
+        return {};
+    }
+    const std::string_view name = type->get_string();
+    std::string text
+        = (name.starts_with('i') || name.starts_with('o') || name.starts_with('a') ? "must be an "
+                                                                                   : "must be a ")
+        + std::string(name);
+    const json::value *least = rule.if_contains("minimum");
+    const json::value *most = rule.if_contains("maximum");
+    text += least ? " from " + json::serialize(*least) : "";
+    text += most ? " to " + json::serialize(*most) : "";
+    return text + (rule.contains("minLength") ? " that is not empty" : "");
+}
+
+/// \return missing and unknown members of an object.
+std::string memberFaults(const json::object &rule, const json::object &object)
+{
+    std::string text;
+    const auto add = [&text](std::string_view words, std::string_view member) {
+        text += (text.empty() ? "" : ", ") + std::string(words) + " \"" + std::string(member) + '"';
+    };
+    if (const json::value *required = rule.if_contains("required")) {
+        for (const json::value &member : required->get_array()) {
+            if (!object.contains(member.get_string())) {
+                add("must have a member", std::string_view(member.get_string()));
+            }
+        }
+    }
+    const json::value *properties = rule.if_contains("properties");
+    for (const auto &entry : object) {
+        if (properties && !properties->get_object().contains(entry.key())) {
+            add("must not have a member", std::string_view(entry.key()));
+        }
+    }
+    return text;
+}
+
+/// Collects violations in the order in which the validator reports them, from the inside out.
+class FaultList
+{
+public:
+    FaultList(const json::value &schema, const json::value &document)
+        : m_schema(schema), m_document(document)
+    {
+    }
+
+    void add(const std::string &pointer, const std::string &description)
+    {
+        const json::object *rule = ruleAt(m_schema, pointer);
+        const json::value *value = find(m_document, pointer);
+        const bool object = rule && value && value->is_object() && rule->contains("properties");
+        const bool container = value && (value->is_object() || value->is_array());
+        std::string text;
+        if (object) {
+            text = memberFaults(*rule, value->get_object());
+        } else if (rule && !(container && hasInside(pointer))) {
+            text = ruleText(*rule);
+        }
+        // An outer violation without a fault of its own only follows from the inner one.
+        if (text.empty() && !hasInside(pointer)) {
+            text = description;
+        }
+        // The validator reports each missing or unknown member of an object separately.
+        const bool known = std::ranges::any_of(m_faults, [&](const JsonFault &other) {
+            return other.path == pointer && other.rule == text;
+        });
+        if (!text.empty() && !known) {
+            m_faults.push_back({pointer, object ? std::string() : textOf(value), std::move(text)});
+        }
+    }
+
+    std::vector<JsonFault> take() { return std::move(m_faults); }
+
+private:
+    bool hasInside(const std::string &pointer) const
+    {
+        return std::ranges::any_of(m_faults, [&](const JsonFault &inner) {
+            return inner.path.starts_with(pointer + '/');
+        });
+    }
+
+    const json::value &m_schema;
+    const json::value &m_document;
+    std::vector<JsonFault> m_faults;
+};
+
 } // namespace
 
 std::vector<JsonFault> checkSchema(SchemaKind kind, std::string_view text, std::error_code &ec)
@@ -197,29 +338,22 @@
     const json::value document = parseText(text, parseError);
     if (parseError) {
         ec = WireError::BadJson;
-        return {{"", "", parseError.message()}};
+        return {{"", "", "must be JSON: " + parseError.message()}};
     }
     valijson::Validator validator;
     valijson::ValidationResults results;
     const valijson::adapters::BoostJsonAdapter target(document);
-    std::vector<JsonFault> faults;
     if (validator.validate(schemaOf(kind), target, &results)) {
-        return faults;
+        return {};
     }
     ec = WireError::BadField;
-    // The innermost violation comes first and names the value; the outer ones only follow from it.
-    std::vector<std::string> reported;
+    const json::value schema = parseText(schemaText(kind), parseError);
+    FaultList faults(schema, document);
     valijson::ValidationResults::Error error;
     while (results.popError(error)) {
-        const std::string pointer = pointerOf(error.context);
-        const bool outer = std::ranges::any_of(
-            reported, [&](const std::string &inner) { return inner.starts_with(pointer + '/'); });
-        if (!outer) {
-            reported.push_back(pointer);
-            faults.push_back({pointer, valueAt(document, pointer), error.description});
-        }
+        faults.add(pointerOf(error.context), error.description);
     }
-    return faults;
+    return faults.take();
 }
 
 } // namespace Coltsfootwell
--- /dev/null
+++ b/src/wire/JsonFault.cpp
@@ -0,0 +1,11 @@
+#include "wire/JsonFault.h"
+
+namespace Coltsfootwell {
+
+std::string faultLine(const JsonFault &fault)
+{
+    const std::string value = fault.value.empty() ? std::string() : fault.value + ' ';
+    return (fault.path.empty() ? "the document" : fault.path) + ": " + value + fault.rule;
+}
+
+} // namespace Coltsfootwell
--- a/src/wire/JsonFault.h
+++ b/src/wire/JsonFault.h
@@ -16,4 +16,8 @@
     std::string rule;
 };
 
+/// \param fault any fault.
+/// \return one line that names path, value and rule.
+std::string faultLine(const JsonFault &fault);
+
 } // namespace Coltsfootwell
--- a/standin/BackendServer.cpp
+++ b/standin/BackendServer.cpp
@@ -156,6 +156,10 @@
             return ExitBadHistory;
         }
         program.run();
+    } catch (const boost::system::system_error &error) {
+        std::cerr << "coltsfoot-backend: cannot listen on port " << options.port
+                  << " beside daemon " << options.daemon << ": " << error.code().message() << '\n';
+        return ExitCannotListen;
     } catch (const std::exception &error) {
         std::cerr << "coltsfoot-backend: cannot listen on port " << options.port
                   << " beside daemon " << options.daemon << ": " << error.what() << '\n';
--- a/standin/LogServer.cpp
+++ b/standin/LogServer.cpp
@@ -80,6 +80,10 @@
 int main(int argc, char **argv)
 {
     CLI::App app("Stand-in log service for tests and demonstrations.");
+    app.footer(
+        "Exit codes: 0 stopped, or faults set; 1 cannot listen, or the log does not answer;\n"
+        "100-199 bad command line.");
+    app.set_version_flag("--version", COLTSFOOTWELL_VERSION);
     Options options;
     bool faultsOnly = false;
     app.add_option("--listen", options.listen, "IP number and port")->capture_default_str();
--- a/test/error/ConfigurationFaults.cpp
+++ b/test/error/ConfigurationFaults.cpp
@@ -59,6 +59,25 @@
     CHECK(missing.rule.find("logRegion") != std::string::npos);
 }
 
+TEST_CASE("the rule is named in words, with range, form or choice")
+{
+    const auto ruleOf = [](std::string_view from, std::string_view to) {
+        return onlyFault(SchemaKind::Configuration, replaced(sampleText(), from, to)).rule;
+    };
+    CHECK(ruleOf("\"slots\":4", "\"slots\":0") == "must be an integer from 1 to 10000");
+    CHECK(ruleOf("\"slots\":4", "\"slots\":\"many\"") == "must be an integer from 1 to 10000");
+    CHECK(ruleOf("\"whenIsolated\":\"refuse\"", "\"whenIsolated\":\"ask\"")
+          == "must be \"refuse\" or \"serve\"");
+    CHECK(ruleOf("\"slots\":4", "\"slot\":4") == "must not have a member \"slot\"");
+    std::error_code ec;
+    const auto faults = checkSchema(SchemaKind::DaemonSettings, R"({"listen":"here:1"})", ec);
+    REQUIRE(faults.size() == 2);
+    CHECK(faultLine(faults[0]) == R"(/listen: "here:1" must have the form "IP number:port")");
+    CHECK(faultLine(faults[1])
+          == R"(the document: must have a member "id", must have a member "region", )"
+             R"(must have a member "dataCentre")");
+}
+
 TEST_CASE("settings with an unknown field or a bad address are refused")
 {
     const std::string good
