One reader for endpoints and one for whole numbers

Cause: "IP number:port" was read in four places (settings, coltsfootctl, coltsfoot-load, member records, the last with a JSON parser for the port) and written in six; two files in src/wire had the same function for whole numbers.

Change: wire/EndpointText and wire/TextNumber.

Ruled out: a shared header for parsing JSON texts, which would pull Boost.JSON into headers.

--- a/src/programs/DaemonSettings.cpp
+++ b/src/programs/DaemonSettings.cpp
@@ -1,12 +1,11 @@
 #include "programs/DaemonSettings.h"
 
 #include "wire/ConfigurationSchema.h"
+#include "wire/EndpointText.h"
 #include "wire/WireError.h"
 
 #include <boost/json.hpp>
 
-#include <charconv>
-
 namespace Coltsfootwell {
 
 namespace {
@@ -29,17 +28,11 @@
 
 Endpoint endpointOf(std::string_view text, const std::string &path, JsonFault &fault)
 {
-    Endpoint endpoint;
-    const std::size_t colon = std::min(text.rfind(':'), text.size());
-    const std::string_view port = text.substr(std::min(colon + 1, text.size()));
-    const auto [end, error]
-        = std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
-    endpoint.address = text.substr(0, colon);
-    const bool whole = error == std::errc() && end == port.data() + port.size();
-    if ((!whole || endpoint.address.empty()) && fault.rule.empty()) {
+    const auto endpoint = endpointFromText(text);
+    if (!endpoint && fault.rule.empty()) {
         fault = {path, std::string(text), "must have the form \"IP number:port\""};
     }
-    return endpoint;
+    return endpoint.value_or(Endpoint {});
 }
 
 /// The schema has been checked.
--- a/src/programs/LoadRun.cpp
+++ b/src/programs/LoadRun.cpp
@@ -1,6 +1,7 @@
 #include "programs/LoadRun.h"
 
 #include "programs/LoadTargets.h"
+#include "wire/EndpointText.h"
 #include "wire/HeaderNames.h"
 
 #include <boost/asio.hpp>
@@ -226,7 +227,7 @@
     /// The last try decides the outcome.
     static void record(Exchange &exchange, const Endpoint &target, LoadResult &result)
     {
-        result.target = target.address + ':' + std::to_string(target.port);
+        result.target = endpointText(target);
         result.whole = exchange.whole;
         result.status = 0;
         result.reason.clear();
--- a/src/programs/LoadTargets.cpp
+++ b/src/programs/LoadTargets.cpp
@@ -1,9 +1,10 @@
 #include "programs/LoadTargets.h"
 
+#include "wire/EndpointText.h"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
-#include <charconv>
 
 namespace Coltsfootwell {
 
@@ -72,7 +73,8 @@
         if (!address || !address->is_string()) {
             continue;
         }
-        Endpoint endpoint = loadEndpoint(std::string_view(address->get_string()));
+        Endpoint endpoint
+            = endpointFromText(std::string_view(address->get_string())).value_or(Endpoint {});
         if (const json::value *port = item.get_object().if_contains("port")) {
             endpoint.address = std::string_view(address->get_string());
             endpoint.port = port->to_number<std::uint16_t>(ec);
@@ -84,20 +86,4 @@
     return daemons;
 }
 
-Endpoint loadEndpoint(std::string_view text)
-{
-    Endpoint endpoint;
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string_view::npos) {
-        return endpoint;
-    }
-    const std::string_view port = text.substr(colon + 1);
-    const auto [end, error]
-        = std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
-    if (error == std::errc() && end == port.data() + port.size()) {
-        endpoint.address = text.substr(0, colon);
-    }
-    return endpoint;
-}
-
 } // namespace Coltsfootwell
--- a/src/programs/LoadTargets.h
+++ b/src/programs/LoadTargets.h
@@ -46,8 +46,4 @@
 /// \return the daemons; empty for anything else.
 std::vector<Endpoint> decodeDaemonList(std::string_view text);
 
-/// \param text "IP number:port".
-/// \return the endpoint; its address is empty for other text.
-Endpoint loadEndpoint(std::string_view text);
-
 } // namespace Coltsfootwell
--- a/src/programs/OperatorCommands.cpp
+++ b/src/programs/OperatorCommands.cpp
@@ -3,6 +3,7 @@
 #include "programs/ConfigurationFile.h"
 #include "wire/ConfigurationJson.h"
 #include "wire/ConfigurationRecordJson.h"
+#include "wire/EndpointText.h"
 #include "wire/JsonDiff.h"
 
 #include <algorithm>
@@ -17,11 +18,6 @@
 /// was accepted in the lost history.
 constexpr ConfigurationVersion VersionsPerReset = 1'000'000;
 
-std::string textOf(const Endpoint &endpoint)
-{
-    return endpoint.address + ':' + std::to_string(endpoint.port);
-}
-
 bool hasInForce(const DaemonAnswer &answer, ConfigurationVersion version)
 {
     return answer.status && answer.status->version >= version && answer.status->fresh;
@@ -148,7 +144,7 @@
         return noDaemons(OperatorExit::LogUnavailable);
     }
     for (const DaemonAnswer &answer : m_session.ask(endpoints)) {
-        m_out << textOf(answer.endpoint);
+        m_out << endpointText(answer.endpoint);
         if (const auto &status = answer.status) {
             m_out << ' ' << status->id.name << ' ' << status->dataCentre << " version "
                   << status->version << (status->fresh ? " fresh" : " stale");
@@ -265,7 +261,7 @@
         if (waited >= m_options.wait) {
             for (const DaemonAnswer &answer : answers) {
                 if (!hasInForce(answer, version)) {
-                    m_error << textOf(answer.endpoint)
+                    m_error << endpointText(answer.endpoint)
                             << (answer.status ? ": an older or stale version\n"
                                               : ": does not answer\n");
                 }
--- a/src/programs/coltsfoot-load.cpp
+++ b/src/programs/coltsfoot-load.cpp
@@ -2,6 +2,7 @@
 #include "programs/LoadRun.h"
 #include "programs/LoadTargets.h"
 #include "programs/ProgramFiles.h"
+#include "wire/EndpointText.h"
 
 #include <CLI/CLI.hpp>
 
@@ -43,7 +44,7 @@
 bool readPlan(const Options &options, LoadPlan &plan)
 {
     for (const std::string &text : options.targets) {
-        plan.targets.push_back(loadEndpoint(text));
+        plan.targets.push_back(endpointFromText(text).value_or(Endpoint {}));
         if (plan.targets.back().address.empty()) {
             std::cerr << "coltsfoot-load: --target " << text
                       << " must have the form \"IP number:port\"\n";
--- a/src/programs/coltsfootctl.cpp
+++ b/src/programs/coltsfootctl.cpp
@@ -1,5 +1,6 @@
 // The operators' tool: publishes configurations and shows which are in force.
 #include "programs/OperatorCommands.h"
+#include "wire/EndpointText.h"
 
 #include <CLI/CLI.hpp>
 
@@ -15,16 +16,6 @@
     = "Exit codes: 0 done, 2 bad input, 3 conflict (another operator was first, or the history is "
       "lost), 4 log unavailable, 5 not in force everywhere in time.";
 
-bool readEndpoint(const std::string &text, Endpoint &endpoint)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos || colon == 0) {
-        return false;
-    }
-    endpoint.address = text.substr(0, colon);
-    return CLI::detail::lexical_cast(text.substr(colon + 1), endpoint.port);
-}
-
 /// What the command line asks for.
 struct CommandLine
 {
@@ -101,12 +92,12 @@
         return app.exit(error) == 0 ? 0 : static_cast<int>(OperatorExit::BadInput);
     }
     for (const std::string &text : line.daemons) {
-        Endpoint endpoint;
-        if (!readEndpoint(text, endpoint)) {
-            std::cerr << "--daemon: \"" << text << "\" must have the form IP number:port\n";
+        const auto endpoint = endpointFromText(text);
+        if (!endpoint) {
+            std::cerr << "--daemon: \"" << text << "\" must have the form \"IP number:port\"\n";
             return static_cast<int>(OperatorExit::BadInput);
         }
-        line.options.daemons.push_back(endpoint);
+        line.options.daemons.push_back(*endpoint);
     }
     line.options.wait = std::chrono::milliseconds(static_cast<int>(line.waitSeconds * 1000));
     OperatorCommands commands(line.options, std::cout, std::cerr);
--- a/src/services/HttpFetch.cpp
+++ b/src/services/HttpFetch.cpp
@@ -1,5 +1,7 @@
 #include "services/HttpFetch.h"
 
+#include "wire/EndpointText.h"
+
 #include "services/HttpExchange.h"
 
 namespace Coltsfootwell {
@@ -30,7 +32,7 @@
     head->method = "GET";
     head->target = "/coltsfootwell/" + std::string(path);
     ExchangeRequest request;
-    request.headers = {{"Host", endpoint.address + ':' + std::to_string(endpoint.port)}};
+    request.headers = {{"Host", endpointText(endpoint)}};
     request.head = std::move(head);
     request.connectTimeout = ConnectTimeout;
     request.progressTimeout = ProgressTimeout;
--- a/src/services/SyncExchange.cpp
+++ b/src/services/SyncExchange.cpp
@@ -1,5 +1,7 @@
 #include "services/SyncExchange.h"
 
+#include "wire/EndpointText.h"
+
 namespace Coltsfootwell {
 
 namespace {
@@ -60,8 +62,7 @@
     head->target = "/coltsfootwell/sync";
     ExchangeRequest request;
     request.head = head;
-    request.headers = {{"Host", with.address + ':' + std::to_string(with.port)},
-                       {"Content-Type", "application/x-protobuf"}};
+    request.headers = {{"Host", endpointText(with)}, {"Content-Type", "application/x-protobuf"}};
     request.body.bytes = std::make_shared<const std::string>(std::move(body));
     request.connectTimeout = ConnectTimeout;
     request.progressTimeout = ProgressTimeout;
--- a/src/wire/CallEnvelope.cpp
+++ b/src/wire/CallEnvelope.cpp
@@ -2,11 +2,11 @@
 
 #include "decisions/CallFacts.h"
 #include "wire/HeaderNames.h"
+#include "wire/TextNumber.h"
 #include "wire/WireError.h"
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cstdio>
 
 namespace Coltsfootwell {
@@ -16,18 +16,6 @@
 constexpr std::chrono::milliseconds MaxDeadline = std::chrono::hours(1);
 constexpr std::size_t MaxKeyLength = 200;
 
-template <typename Number>
-std::optional<Number> numberFromText(std::string_view text, int base = 10)
-{
-    Number value {};
-    const char *end = text.data() + text.size();
-    const auto [position, error] = std::from_chars(text.data(), end, value, base);
-    if (error != std::errc() || position != end) {
-        return std::nullopt;
-    }
-    return value;
-}
-
 bool equalNames(std::string_view left, std::string_view right)
 {
     const auto lower = [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c; };
--- a/src/wire/ConfigurationRecordJson.cpp
+++ b/src/wire/ConfigurationRecordJson.cpp
@@ -2,6 +2,7 @@
 
 #include "wire/ConfigurationJson.h"
 #include "wire/ConfigurationSchema.h"
+#include "wire/EndpointText.h"
 
 #include <boost/json.hpp>
 
@@ -23,13 +24,13 @@
     const std::string text = json::serialize(body);
     std::error_code ec;
     if (const auto faults = checkSchema(SchemaKind::Configuration, text, ec); ec) {
-        fault = faults.front().path + ' ' + faults.front().value + ' ' + faults.front().rule;
+        fault = faultLine(faults.front());
         return nullptr;
     }
     JsonFault jsonFault;
     auto configuration = std::make_shared<Configuration>(decodeConfiguration(text, jsonFault, ec));
     if (ec) {
-        fault = jsonFault.path + ' ' + jsonFault.value + ' ' + jsonFault.rule;
+        fault = faultLine(jsonFault);
         return nullptr;
     }
     return configuration;
@@ -148,11 +149,10 @@
 
 std::string encodeMember(const MemberRecord &member)
 {
-    return json::serialize(json::object {
-        {"type", "member"},
-        {"id", member.id.name},
-        {"incarnation", member.id.incarnation},
-        {"address", member.endpoint.address + ':' + std::to_string(member.endpoint.port)}});
+    return json::serialize(json::object {{"type", "member"},
+                                         {"id", member.id.name},
+                                         {"incarnation", member.id.incarnation},
+                                         {"address", endpointText(member.endpoint)}});
 }
 
 std::optional<MemberRecord> decodeMember(std::string_view bytes)
@@ -162,13 +162,11 @@
         const json::object &object = value.as_object();
         MemberRecord member;
         member.id = {textAt(object, "id"), object.at("incarnation").to_number<Incarnation>()};
-        const std::string address = textAt(object, "address");
-        const std::size_t colon = address.rfind(':');
-        if (member.id.name.empty() || colon == std::string::npos) {
+        const auto endpoint = endpointFromText(textAt(object, "address"));
+        if (member.id.name.empty() || !endpoint) {
             return std::nullopt;
         }
-        member.endpoint.address = address.substr(0, colon);
-        member.endpoint.port = json::parse(address.substr(colon + 1)).to_number<std::uint16_t>();
+        member.endpoint = *endpoint;
         return member;
     } catch (const std::exception &) {
         return std::nullopt;
--- a/src/wire/DaemonListJson.cpp
+++ b/src/wire/DaemonListJson.cpp
@@ -1,5 +1,7 @@
 #include "wire/DaemonListJson.h"
 
+#include "wire/EndpointText.h"
+
 #include <boost/json.hpp>
 
 namespace Coltsfootwell {
@@ -11,10 +13,9 @@
     for (const Member &member : members) {
         const bool inService = !configuration || configuration->inService(member.dataCentre);
         if (member.state == MemberState::Alive && !member.leaving && inService) {
-            daemons.emplace_back(json::object {
-                {"address", member.endpoint.address + ':' + std::to_string(member.endpoint.port)},
-                {"dataCentre", member.dataCentre},
-                {"region", member.region}});
+            daemons.emplace_back(json::object {{"address", endpointText(member.endpoint)},
+                                               {"dataCentre", member.dataCentre},
+                                               {"region", member.region}});
         }
     }
     return json::serialize(
--- a/src/wire/MintedKey.cpp
+++ b/src/wire/MintedKey.cpp
@@ -1,9 +1,10 @@
 #include "wire/MintedKey.h"
 
+#include "wire/TextNumber.h"
+
 #include <boost/json.hpp>
 
 #include <array>
-#include <charconv>
 #include <cstdio>
 
 namespace Coltsfootwell {
@@ -14,15 +15,6 @@
 constexpr std::size_t TimeDigits = 8;
 constexpr std::size_t RandomDigits = 16;
 
-template <typename Number>
-std::optional<Number> numberOf(std::string_view text, int base)
-{
-    Number n {};
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), n, base);
-    const bool whole = error == std::errc() && end == text.data() + text.size();
-    return whole ? std::optional(n) : std::nullopt;
-}
-
 } // namespace
 
 bool isMinted(std::string_view key)
@@ -50,9 +42,10 @@
         || text.size() - last - 1 != TimeDigits + RandomDigits) {
         return std::nullopt;
     }
-    const auto incarnation = numberOf<Incarnation>(text.substr(middle + 1, last - middle - 1), 10);
-    const auto minted = numberOf<std::uint32_t>(text.substr(last + 1, TimeDigits), 16);
-    const auto random = numberOf<std::uint64_t>(text.substr(last + 1 + TimeDigits), 16);
+    const auto incarnation
+        = numberFromText<Incarnation>(text.substr(middle + 1, last - middle - 1), 10);
+    const auto minted = numberFromText<std::uint32_t>(text.substr(last + 1, TimeDigits), 16);
+    const auto random = numberFromText<std::uint64_t>(text.substr(last + 1 + TimeDigits), 16);
     if (!incarnation || !minted || !random) {
         return std::nullopt;
     }
