Addresses on command lines and in settings must be IP numbers

The questionnaire allowed deadlines and bodies above the limits of the configuration, so that the error came only after the last answer.

Change: programs/EndpointArgument checks the IP number for all three; the questionnaire has the configuration's limits.

--- a/src/programs/DaemonSettings.cpp
+++ b/src/programs/DaemonSettings.cpp
@@ -1,7 +1,7 @@
 #include "programs/DaemonSettings.h"
 
+#include "programs/EndpointArgument.h"
 #include "wire/ConfigurationSchema.h"
-#include "wire/EndpointText.h"
 #include "wire/WireError.h"
 
 #include <boost/json.hpp>
@@ -28,9 +28,9 @@
 
 Endpoint endpointOf(std::string_view text, const std::string &path, JsonFault &fault)
 {
-    const auto endpoint = endpointFromText(text);
+    const auto endpoint = endpointArgument(text);
     if (!endpoint && fault.rule.empty()) {
-        fault = {path, std::string(text), "must have the form \"IP number:port\""};
+        fault = {path, std::string(text), std::string(EndpointRule)};
     }
     return endpoint.value_or(Endpoint {});
 }
--- a/src/programs/SetupAnswers.cpp
+++ b/src/programs/SetupAnswers.cpp
@@ -12,6 +12,9 @@
 
 constexpr std::size_t MaxNameLength = 63;
 constexpr double MaxOneWayMs = 1000;
+/// The configuration allows no more.
+constexpr double MaxDeadlineMs = 600'000;
+constexpr double MaxBodyMb = 1073;
 
 std::string nameRule(const std::string &name)
 {
@@ -89,9 +92,9 @@
     const double shortest = std::ceil(2 * service.answerMs + 2 * answers.regionsMs);
     service.deadlineMs
         = count(ask, {id + "deadlineMs", "Deadline of a call" + of + " without its own, in ms", {}},
-                shortest, 3'600'000);
-    service.maxBodyMb
-        = ask.number({id + "maxBodyMb", "Largest request body" + of + " in MB", "16"}, 0.001, 4096);
+                shortest, MaxDeadlineMs);
+    service.maxBodyMb = ask.number({id + "maxBodyMb", "Largest request body" + of + " in MB", "16"},
+                                   0.001, MaxBodyMb);
     service.coldCalls
         = count(ask, {id + "coldCalls", "Calls at once that a worker" + of + " bears cold", "1"}, 1,
                 service.slots);
--- a/src/programs/coltsfoot-load.cpp
+++ b/src/programs/coltsfoot-load.cpp
@@ -1,8 +1,8 @@
 // Open-loop load and experiment tool.
+#include "programs/EndpointArgument.h"
 #include "programs/LoadRun.h"
 #include "programs/LoadTargets.h"
 #include "programs/ProgramFiles.h"
-#include "wire/EndpointText.h"
 
 #include <CLI/CLI.hpp>
 
@@ -44,12 +44,12 @@
 bool readPlan(const Options &options, LoadPlan &plan)
 {
     for (const std::string &text : options.targets) {
-        plan.targets.push_back(endpointFromText(text).value_or(Endpoint {}));
-        if (plan.targets.back().address.empty()) {
-            std::cerr << "coltsfoot-load: --target " << text
-                      << " must have the form \"IP number:port\"\n";
+        const auto endpoint = endpointArgument(text);
+        if (!endpoint) {
+            std::cerr << "coltsfoot-load: --target: \"" << text << "\" " << EndpointRule << '\n';
             return false;
         }
+        plan.targets.push_back(*endpoint);
     }
     std::error_code ec;
     const std::string text = readFile(options.mix, ec);
--- a/src/programs/coltsfootctl.cpp
+++ b/src/programs/coltsfootctl.cpp
@@ -1,6 +1,6 @@
 // The operators' tool: publishes configurations and shows which are in force.
+#include "programs/EndpointArgument.h"
 #include "programs/OperatorCommands.h"
-#include "wire/EndpointText.h"
 
 #include <CLI/CLI.hpp>
 
@@ -92,9 +92,9 @@
         return app.exit(error) == 0 ? 0 : static_cast<int>(OperatorExit::BadInput);
     }
     for (const std::string &text : line.daemons) {
-        const auto endpoint = endpointFromText(text);
+        const auto endpoint = endpointArgument(text);
         if (!endpoint) {
-            std::cerr << "--daemon: \"" << text << "\" must have the form \"IP number:port\"\n";
+            std::cerr << "--daemon: \"" << text << "\" " << EndpointRule << '\n';
             return static_cast<int>(OperatorExit::BadInput);
         }
         line.options.daemons.push_back(*endpoint);
