--- a/src/programs/DaemonSettings.cpp
+++ b/src/programs/DaemonSettings.cpp
@@ -1,12 +1,11 @@
 #include "programs/DaemonSettings.h"
 
+#include "programs/EndpointArgument.h"
 #include "wire/ConfigurationSchema.h"
 #include "wire/WireError.h"
 
 #include <boost/json.hpp>
 
-#include <charconv>
-
 namespace Coltsfootwell {
 
 namespace {
@@ -22,24 +21,18 @@
     }
     if ((value || required) && fault.rule.empty()) {
         fault = {'/' + std::string(key), value ? json::serialize(*value) : std::string(),
-                 "must be a string"};
+                 value ? "must be a string" : "must be given"};
     }
     return {};
 }
 
 Endpoint endpointOf(std::string_view text, const std::string &path, JsonFault &fault)
 {
-    Endpoint endpoint;
-    const std::size_t colon = std::min(text.rfind(':'), text.size());
-    const std::string_view port = text.substr(std::min(colon + 1, text.size()));
-    const auto [end, error]
-        = std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
-    endpoint.address = text.substr(0, colon);
-    const bool whole = error == std::errc() && end == port.data() + port.size();
-    if ((!whole || endpoint.address.empty()) && fault.rule.empty()) {
-        fault = {path, std::string(text), "must have the form \"IP number:port\""};
+    const auto endpoint = endpointArgument(text);
+    if (!endpoint && fault.rule.empty()) {
+        fault = {path, std::string(text), std::string(EndpointRule)};
     }
-    return endpoint;
+    return endpoint.value_or(Endpoint {});
 }
 
 /// The schema has been checked.
@@ -51,7 +44,9 @@
     const char *key = settings.embedded ? "listen" : "address";
     settings.address = textAt(log, key, true, fault);
     if (settings.address.empty()) {
-        fault.path = std::string("/log/") + key;
+        fault = {std::string("/log/") + key, "",
+                 settings.embedded ? "must be given with \"embedded\": true"
+                                   : "must be given without \"embedded\": true"};
     }
     if (const json::value *seconds = log.if_contains("retentionSeconds")) {
         settings.retention = std::chrono::seconds(seconds->to_number<std::int64_t>());
--- a/src/programs/coltsfoot-load.cpp
+++ b/src/programs/coltsfoot-load.cpp
@@ -1,4 +1,5 @@
 // Open-loop load and experiment tool.
+#include "programs/EndpointArgument.h"
 #include "programs/LoadRun.h"
 #include "programs/LoadTargets.h"
 #include "programs/ProgramFiles.h"
@@ -43,12 +44,12 @@
 bool readPlan(const Options &options, LoadPlan &plan)
 {
     for (const std::string &text : options.targets) {
-        plan.targets.push_back(loadEndpoint(text));
-        if (plan.targets.back().address.empty()) {
-            std::cerr << "coltsfoot-load: --target " << text
-                      << " must have the form \"IP number:port\"\n";
+        const auto endpoint = endpointArgument(text);
+        if (!endpoint) {
+            std::cerr << "coltsfoot-load: --target: \"" << text << "\" " << EndpointRule << '\n';
             return false;
         }
+        plan.targets.push_back(*endpoint);
     }
     std::error_code ec;
     const std::string text = readFile(options.mix, ec);
@@ -59,8 +60,7 @@
     JsonFault fault;
     plan.mix = decodeLoadMix(text, fault, ec);
     if (ec) {
-        std::cerr << "coltsfoot-load: " << options.mix << ": " << fault.path << ' ' << fault.value
-                  << ' ' << fault.rule << '\n';
+        std::cerr << "coltsfoot-load: " << options.mix << ": " << faultLine(fault) << '\n';
         return false;
     }
     return true;
@@ -72,7 +72,7 @@
     if (!options.history.empty()) {
         history.open(options.history, std::ios::trunc);
         if (!history) {
-            std::cerr << "coltsfoot-load: cannot write " << options.history << '\n';
+            std::cerr << "coltsfoot-load: " << options.history << ": cannot be written\n";
             return ExitCannotWrite;
         }
         plan.ended = [&history](const LoadResult &result) { history << loadHistoryLine(result); };
--- a/test/error/LogStopsAnswering.cpp
+++ b/test/error/LogStopsAnswering.cpp
@@ -216,3 +216,14 @@
     scene.executor.advance(1ms);
     CHECK_FALSE(scene.last.fresh);
 }
+
+TEST_CASE("a new version read from the log is never reported as stale")
+{
+    Scene scene;
+    scene.log->append(ConfigurationStream, "2", encodeRecord(samplePublish(1, "aisyah")), {},
+                      [](const AppendResult &) {});
+    scene.executor.advance(500ms);
+    CHECK(scene.last.configuration->version == 2);
+    CHECK(scene.last.fresh);
+    CHECK(scene.staleNews == 0);
+}
