Daemons with old evidence ask the log's region every second

Cause: outside the log's region the random pings of 2.5 s meet none of three regions' one third with a probability of (2/3)^12, so that about 5 of 667 daemons would refuse work at any moment of a log outage.

Change: service configuration tells membership the log's region; a daemon whose evidence is older than 1 s pings a random live member there each second.

--- a/src/decisions/Freshness.h
+++ b/src/decisions/Freshness.h
@@ -87,6 +87,9 @@
     /// \return the next time at which the verdict may change by itself, if any.
     std::optional<TimePoint> nextChange(TimePoint now) const;
 
+    /// \return region of the log; empty before the first version.
+    const std::string &logRegion() const { return m_logRegion; }
+
     /// \return longest age of evidence.
     Duration limit() const { return m_limit; }
 
--- a/src/decisions/Membership.cpp
+++ b/src/decisions/Membership.cpp
@@ -51,6 +51,7 @@
     m_joined = m_joined || now - *m_started >= JoinTime;
     pingMembers(now);
     pingReader(now);
+    pingWitness(now);
     askSeeds(now);
     wantFirstSync(now);
     m_table.expire(now);
@@ -280,6 +281,22 @@
     }
 }
 
+void Membership::pingWitness(TimePoint now)
+{
+    const bool old = !m_fresh || now - *m_fresh > OldEvidence;
+    if (!old || m_logRegion.empty() || now < m_nextWitnessPing) {
+        return;
+    }
+    m_nextWitnessPing = now + WitnessPingPeriod;
+    const auto witness = m_table.pick(m_random, [this](std::size_t i) {
+        const Member &member = m_table.members()[i];
+        return i != 0 && member.state == MemberState::Alive && member.region == m_logRegion;
+    });
+    if (witness) {
+        ping(*witness, false, now);
+    }
+}
+
 void Membership::askSeeds(TimePoint now)
 {
     const auto others = m_table.members().subspan(1);
--- a/src/decisions/Membership.h
+++ b/src/decisions/Membership.h
@@ -108,6 +108,9 @@
     /// and a third of 1,000 daemons would fill the link between regions.
     static constexpr std::size_t GossipBytesPerSecond = 5'000;
     static constexpr std::size_t GossipBurstBytes = 2'400;
+    /// Between questions to the log's region while the own evidence is old. The 12 random pings of
+    /// 2.5 s miss one region of three with a probability of (2/3)^12, 1 in 130.
+    static constexpr std::chrono::seconds WitnessPingPeriod {1};
     static constexpr std::size_t IndirectPings = 3;
     static constexpr std::size_t ConfirmingObservers = 2;
     static constexpr std::size_t MaxSeeds = 64;
@@ -147,6 +150,9 @@
     void setEvidence(ConfigurationVersion version, std::optional<TimePoint> fresh,
                      bool logReachable);
 
+    /// \brief Sets the region whose daemons are asked for the log while the own evidence is old.
+    void setLogRegion(std::string_view region) { m_logRegion = region; }
+
     /// \return all records, for a full sync.
     std::vector<MemberRecord> allRecords(TimePoint now) const;
 
@@ -204,6 +210,7 @@
     void reportEnd(const Probe &probe, bool answered);
     void pingMembers(TimePoint now);
     void pingReader(TimePoint now);
+    void pingWitness(TimePoint now);
     void askSeeds(TimePoint now);
     void wantFirstSync(TimePoint now);
     void advanceProbes(TimePoint now);
@@ -229,11 +236,13 @@
     ConfigurationVersion m_version = 0;
     std::optional<TimePoint> m_fresh;
     bool m_logReachable = false;
+    std::string m_logRegion;
 
     std::optional<TimePoint> m_started;
     TimePoint m_lastTick {};
     TimePoint m_nextPing {};
     TimePoint m_nextReaderPing {};
+    TimePoint m_nextWitnessPing {};
     TimePoint m_nextUnreachablePing {};
     TimePoint m_nextDigest {};
     std::optional<TimePoint> m_askedSeeds;
--- a/src/services/ConfigurationService.cpp
+++ b/src/services/ConfigurationService.cpp
@@ -300,9 +300,10 @@
     void sendEvidence(bool always)
     {
         const LogEvidence evidence {m_fold.version(), m_freshness.freshAt(),
-                                    m_freshness.logReachable(now())};
+                                    m_freshness.logReachable(now()), m_freshness.logRegion()};
         if (always || evidence.version != m_evidence.version || evidence.fresh != m_evidence.fresh
-            || evidence.logReachable != m_evidence.logReachable) {
+            || evidence.logReachable != m_evidence.logReachable
+            || evidence.logRegion != m_evidence.logRegion) {
             m_evidence = evidence;
             m_membership.send(evidence);
         }
--- a/src/services/Membership.cpp
+++ b/src/services/Membership.cpp
@@ -152,6 +152,7 @@
     void handle(const LogEvidence &evidence)
     {
         m_membership.setEvidence(evidence.version, evidence.fresh, evidence.logReachable);
+        m_membership.setLogRegion(evidence.logRegion);
     }
 
     void handle(const SeedsLearned &seeds) { m_membership.learnSeeds(seeds.endpoints); }
--- a/src/services/MembershipMessages.h
+++ b/src/services/MembershipMessages.h
@@ -46,6 +46,8 @@
     std::optional<TimePoint> fresh;
     /// True when this daemon has reached the log itself within the freshness time.
     bool logReachable = false;
+    /// Region of the log; empty while unknown.
+    std::string logRegion;
 };
 
 /// \brief Addresses of daemons that were learned elsewhere, such as from the log.
--- a/test/MembershipSimulation.h
+++ b/test/MembershipSimulation.h
@@ -267,14 +267,21 @@
 
     void carryOut(std::size_t index, const PingEnded &ended)
     {
-        m_processes[index].pingsEnded.push_back(ended);
+        append(m_processes[index].pingsEnded, ended);
     }
 
     void carryOut(std::size_t index, const PeerAnswered &answer)
     {
-        m_processes[index].answers.push_back(answer);
-        if (m_processes[index].answers.size() > 100) {
-            m_processes[index].answers.erase(m_processes[index].answers.begin());
+        append(m_processes[index].answers, answer);
+    }
+
+    /// Keeps the last 100 only.
+    template <typename Output>
+    static void append(std::vector<Output> &outputs, const Output &output)
+    {
+        outputs.push_back(output);
+        if (outputs.size() > 100) {
+            outputs.erase(outputs.begin());
         }
     }
 
