Measurement of one hop by each transport

transport-bench runs gRPC unary, HttpExchange, a frame over TCP and a UDP datagram in alternating rounds of one run and compares the memory of connections used once. The calls of one trial went through a relay of the fault tests on the way between the daemons, so the fleets of bench.py have none now, and a fleet that cannot start is stopped.

--- a/test/performance/TransportHops.cpp
+++ b/test/performance/TransportHops.cpp
@@ -21,8 +21,9 @@
 
 private:
     GrpcServer m_server;
-    std::unique_ptr<logservice::Log::Stub> m_stub = logservice::Log::NewStub(
-        grpc::CreateChannel(GrpcServer::address(), grpc::InsecureChannelCredentials()));
+    std::unique_ptr<::coltsfootwell::logservice::Log::Stub> m_stub
+        = ::coltsfootwell::logservice::Log::NewStub(
+            grpc::CreateChannel(GrpcServer::address(), grpc::InsecureChannelCredentials()));
 };
 
 class HttpHop final : public TransportHop
@@ -35,8 +36,8 @@
     TcpServer m_server {HttpPort, echoHttp};
     asio::io_context m_context {1};
     AsioExecutor m_executor {m_context};
-    std::shared_ptr<HttpPool> m_pool = std::make_shared<HttpPool>(
-        m_context, Endpoint {"127.0.0.1", m_server.endpoint().port()});
+    std::shared_ptr<HttpPool> m_pool
+        = std::make_shared<HttpPool>(m_context, Endpoint {"127.0.0.1", m_server.endpoint().port()});
 };
 
 class FrameHop final : public TransportHop
--- a/test/performance/TransportMemory.cpp
+++ b/test/performance/TransportMemory.cpp
@@ -28,8 +28,8 @@
     AsioExecutor executor(context);
     std::vector<std::shared_ptr<HttpPool>> pools;
     const auto open = [&] {
-        pools.push_back(std::make_shared<HttpPool>(
-            context, Endpoint {"127.0.0.1", server.endpoint().port()}));
+        pools.push_back(
+            std::make_shared<HttpPool>(context, Endpoint {"127.0.0.1", server.endpoint().port()}));
         return exchangeOnce(context, executor, pools.back());
     };
     open();
@@ -45,12 +45,12 @@
 ConnectionMemory grpcChannelMemory(unsigned n)
 {
     GrpcServer server;
-    std::vector<std::unique_ptr<logservice::Log::Stub>> stubs;
+    std::vector<std::unique_ptr<::coltsfootwell::logservice::Log::Stub>> stubs;
     const auto open = [&] {
         grpc::ChannelArguments arguments;
         // Channels to one address would otherwise share one connection.
         arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
-        stubs.push_back(logservice::Log::NewStub(grpc::CreateCustomChannel(
+        stubs.push_back(::coltsfootwell::logservice::Log::NewStub(grpc::CreateCustomChannel(
             GrpcServer::address(), grpc::InsecureChannelCredentials(), arguments)));
         return appendOnce(*stubs.back());
     };
--- a/test/performance/TransportServers.cpp
+++ b/test/performance/TransportServers.cpp
@@ -50,7 +50,9 @@
 
 } // namespace
 
-ServerThread::ServerThread() : m_work(asio::make_work_guard(m_context)) { }
+ServerThread::ServerThread() : m_work(asio::make_work_guard(m_context))
+{
+}
 
 ServerThread::~ServerThread()
 {
@@ -105,8 +107,7 @@
     }
 }
 
-UdpServer::UdpServer()
-    : m_socket(m_thread.context(), {asio::ip::address_v4::loopback(), UdpPort})
+UdpServer::UdpServer() : m_socket(m_thread.context(), {asio::ip::address_v4::loopback(), UdpPort})
 {
     co_spawn(m_thread.context(), echo(), asio::detached);
     m_thread.start();
@@ -128,8 +129,8 @@
 }
 
 grpc::Status GrpcServer::Service::Append(grpc::ServerContext *,
-                                         const logservice::AppendRequest *request,
-                                         logservice::AppendAnswer *answer)
+                                         const ::coltsfootwell::logservice::AppendRequest *request,
+                                         ::coltsfootwell::logservice::AppendAnswer *answer)
 {
     answer->set_offset(request->content().size());
     return grpc::Status::OK;
@@ -164,9 +165,8 @@
     bool isWhole = false;
     ExchangeHandlers handlers;
     handlers.mayBegin = [] { return true; };
-    handlers.answered = [&bytes](const AnswerHead &, const BodyPipePtr &pipe) {
-        readAll(pipe, bytes);
-    };
+    handlers.answered
+        = [&bytes](const AnswerHead &, const BodyPipePtr &pipe) { readAll(pipe, bytes); };
     handlers.lost = [](AttemptLost) {};
     handlers.ended = [&isWhole](bool whole) { isWhole = whole; };
     const auto exchange = std::make_shared<HttpExchange>(context, executor, pool,
@@ -177,13 +177,13 @@
     return isWhole && bytes == HopBodyBytes;
 }
 
-bool appendOnce(logservice::Log::Stub &stub)
+bool appendOnce(::coltsfootwell::logservice::Log::Stub &stub)
 {
     grpc::ClientContext context;
     context.set_deadline(std::chrono::system_clock::now() + StepLimit);
-    logservice::AppendRequest request;
+    ::coltsfootwell::logservice::AppendRequest request;
     request.set_content(std::string(HopBodyBytes, 'x'));
-    logservice::AppendAnswer answer;
+    ::coltsfootwell::logservice::AppendAnswer answer;
     return stub.Append(&context, request, &answer).ok() && answer.offset() == HopBodyBytes;
 }
 
--- a/test/performance/TransportServers.h
+++ b/test/performance/TransportServers.h
@@ -97,11 +97,12 @@
     static std::string address() { return "127.0.0.1:" + std::to_string(GrpcPort); }
 
 private:
-    class Service final : public logservice::Log::Service
+    class Service final : public ::coltsfootwell::logservice::Log::Service
     {
     public:
-        grpc::Status Append(grpc::ServerContext *, const logservice::AppendRequest *request,
-                            logservice::AppendAnswer *answer) override;
+        grpc::Status Append(grpc::ServerContext *,
+                            const ::coltsfootwell::logservice::AppendRequest *request,
+                            ::coltsfootwell::logservice::AppendAnswer *answer) override;
     };
 
     Service m_service;
@@ -117,6 +118,6 @@
                   const std::shared_ptr<HttpPool> &pool);
 
 /// \return false when the append failed.
-bool appendOnce(logservice::Log::Stub &stub);
+bool appendOnce(::coltsfootwell::logservice::Log::Stub &stub);
 
 } // namespace Coltsfootwell::Testing
--- a/test/performance/bench.py
+++ b/test/performance/bench.py
@@ -64,15 +64,21 @@
     directory = pathlib.Path(tempfile.mkdtemp(prefix="coltsfootwell-bench-"))
     mix = mix or [{"name": "read", "method": "GET", "path": "/bookings/x", "deadlineMs": 2000}]
     (directory / "mix.json").write_text(json.dumps(mix))
-    subprocess.run([BUILD / "coltsfoot-load", "--target", f"127.0.0.1:{port}", "--mix", directory / "mix.json",
+    subprocess.run([BUILD / "coltsfoot-load", "--target", f"127.0.0.1:{port}", "--fixed-targets",
+                    "--mix", directory / "mix.json",
                     "--rate", str(rate), "--seconds", str(seconds), "--seed", str(seed), "--report",
                     directory / "report.json"], check=True, stdout=subprocess.DEVNULL, stdin=subprocess.DEVNULL)
     return json.loads((directory / "report.json").read_text())
 
 
 def start(base_port, daemons, **options):
-    f = fleet.Fleet(base_port, daemons, ["bookings"], **options)
-    f.start()
+    """Starts a fleet without the relays of the fault tests: a relay would add its own time to each hop."""
+    f = fleet.Fleet(base_port, daemons, ["bookings"], relays=False, **options)
+    try:
+        f.start()
+    except BaseException:
+        f.stop()
+        raise
     return f
 
 
@@ -81,7 +87,6 @@
               slots=64, service_ms=0, cold_slots=64)
     try:
         serving, entry = f.daemons["d1"], f.daemons["e1"]
-        # The relays of the fault tests stay out of the path.
         ports = {"direct": serving.backend_port, "one daemon": serving.port, "two daemons": entry.port}
         samples = {name: [] for name in ports}
         for i in range(rounds):
@@ -105,7 +110,7 @@
     rows = []
     for i, n in enumerate(counts):
         daemons = [(f"d{k}", "klang", f"klang-{'ab'[k % 2]}", None) for k in range(n)]
-        f = start(FIRST_PORT + PORTS_PER_CASE * ((i + 1) % 2), daemons, relays=False)
+        f = start(FIRST_PORT + PORTS_PER_CASE * ((i + 1) % 2), daemons)
         try:
             time.sleep(3)
             pids = {d.name: d.process.child.pid for d in f.daemons.values()}
