--- a/src/programs/LoadRun.cpp
+++ b/src/programs/LoadRun.cpp
@@ -97,7 +97,9 @@
     LoadSummary run()
     {
         asio::co_spawn(m_context, sendAll(), asio::detached);
-        asio::co_spawn(m_context, learnTargets(), asio::detached);
+        if (!m_plan.fixedTargets) {
+            asio::co_spawn(m_context, learnTargets(), asio::detached);
+        }
         m_context.run();
         return std::move(m_summary);
     }
--- a/src/programs/LoadRun.h
+++ b/src/programs/LoadRun.h
@@ -15,6 +15,8 @@
     std::vector<LoadCall> mix;
     /// Daemons to start with.
     std::vector<Endpoint> targets;
+    /// True to call no other daemons than these.
+    bool fixedTargets = false;
     double callsPerSecond = 100;
     std::chrono::milliseconds duration {5000};
     std::uint64_t seed = 1;
--- a/src/programs/coltsfoot-load.cpp
+++ b/src/programs/coltsfoot-load.cpp
@@ -101,6 +101,8 @@
     LoadPlan plan;
     app.add_option("--target", options.targets, "daemon as IP number:port; may be repeated")
         ->required();
+    app.add_flag("--fixed-targets", plan.fixedTargets,
+                 "call only the given daemons, none that they name");
     app.add_option("--mix", options.mix, "JSON file with the kinds of calls")->required();
     app.add_option("--rate", plan.callsPerSecond, "calls per second on average")
         ->check(CLI::Range(0.01, 100'000.0));
--- a/test/performance/bench.py
+++ b/test/performance/bench.py
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import signal
 import subprocess
 import sys
 import tempfile
@@ -168,6 +169,8 @@
     parser.add_argument("cases", nargs="*", default=["latency", "core", "idle"])
     parser.add_argument("--quick", action="store_true", help="shorter rounds, for trying the script")
     options = parser.parse_args()
+    # An exit by exception lets each case stop the processes that it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     for case in options.cases:
         if case == "latency":
             bench_latency(2 if options.quick else 5, 1 if options.quick else 3)
