--- a/src/decisions/CallFlow.h
+++ b/src/decisions/CallFlow.h
@@ -8,7 +8,7 @@
 #include "decisions/CallFacts.h"
 #include "decisions/Guards.h"
 #include "decisions/Outcome.h"
-#include "decisions/RetryBudget.h"
+#include "decisions/RetryStrategy.h"
 #include "decisions/Routing.h"
 #include "decisions/RunLedger.h"
 
@@ -74,7 +74,7 @@
 {
     Routing &routing;
     Random &random;
-    RetryBudget &budget;
+    RetryStrategy &budget;
     /// Time after which an idempotent call is sent a second time; nothing for no hedges.
     std::optional<Duration> hedgeAfter;
     const Guards &guards = FullGuards;
--- a/src/decisions/RetryBudget.h
+++ b/src/decisions/RetryBudget.h
@@ -2,6 +2,8 @@
 // the load.
 #pragma once
 
+#include "decisions/RetryStrategy.h"
+
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -10,7 +12,7 @@
 namespace Coltsfootwell {
 
 /// \brief Token buckets, one for each service and tenant.
-class RetryBudget
+class RetryBudget final : public RetryStrategy
 {
 public:
     static constexpr double Capacity = 10.0;
@@ -24,12 +26,11 @@
     /// \param share see the constructor.
     void shareChanged(double share) { m_share = share; }
 
-    /// \brief Counts a first attempt.
-    void firstAttempt(std::string_view service, std::string_view tenant);
+    void firstAttempt(std::string_view service, std::string_view tenant) override;
 
     /// \brief Takes a token for a retry or a hedge.
     /// \return false when there is none.
-    bool take(std::string_view service, std::string_view tenant);
+    bool take(std::string_view service, std::string_view tenant) override;
 
     /// \return number of buckets held.
     std::size_t size() const { return m_buckets.size(); }
--- /dev/null
+++ b/src/decisions/RetryStrategy.h
@@ -0,0 +1,22 @@
+// Decides whether a call may be sent again.
+#pragma once
+
+#include <string_view>
+
+namespace Coltsfootwell {
+
+/// \brief What allows retries and hedges.
+class RetryStrategy
+{
+public:
+    virtual ~RetryStrategy() = default;
+
+    /// \brief Counts a first attempt.
+    virtual void firstAttempt(std::string_view service, std::string_view tenant) = 0;
+
+    /// \brief Asks for a retry or a hedge.
+    /// \return false when the call may not be sent again.
+    virtual bool take(std::string_view service, std::string_view tenant) = 0;
+};
+
+} // namespace Coltsfootwell
--- a/src/services/Calls.cpp
+++ b/src/services/Calls.cpp
@@ -2,6 +2,7 @@
 
 #include "decisions/AnswerTimes.h"
 #include "decisions/CallFlow.h"
+#include "decisions/RetryBudget.h"
 #include "services/CallRules.h"
 #include "services/CallsMessage.h"
 #include "services/KeyedCalls.h"
--- a/test/CallWorld.h
+++ b/test/CallWorld.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "decisions/CallFlow.h"
+#include "decisions/RetryBudget.h"
 #include "kernel/ManualExecutor.h"
 
 #include <deque>
--- a/test/FlowBench.h
+++ b/test/FlowBench.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "decisions/CallFlow.h"
+#include "decisions/RetryBudget.h"
 
 namespace Coltsfootwell::Test {
 
--- a/test/performance/PolicyBench.cpp
+++ b/test/performance/PolicyBench.cpp
@@ -2,7 +2,10 @@
 // against their budget, and of the cost of a pick.
 #include "RoutingWorld.h"
 #include "decisions/ProbeBudget.h"
+#include "decisions/RegionBudget.h"
 #include "performance/PolicyModel.h"
+#include "performance/RegionModel.h"
+#include "performance/RetryModel.h"
 
 #include <array>
 #include <cstdio>
@@ -84,6 +87,87 @@
     }
 }
 
+void printRetries(const RetryCase &retryCase)
+{
+    const RetryResult result = runRetryCase(retryCase);
+    const auto ratio = [](std::uint64_t n, std::uint64_t of) {
+        return static_cast<double>(n) / static_cast<double>(std::max<std::uint64_t>(1, of));
+    };
+    std::printf("{\"case\": \"retries\", \"strategy\": \"%s\", \"outage\": %.1f, \"levels\": %u, "
+                "\"refusalsPassedOn\": %s, \"calls\": %llu, \"answered\": %.4f, "
+                "\"retriesPerFirstAttempt\": %.4f, \"deepestAttemptsPerCall\": %.4f}\n",
+                retryCase.strategy.c_str(), retryCase.outage, retryCase.levels,
+                retryCase.passRefusalsOn ? "true" : "false",
+                static_cast<unsigned long long>(result.calls), ratio(result.answered, result.calls),
+                ratio(result.deepestAttempts - result.deepestCalls, result.deepestCalls),
+                ratio(result.deepestAttempts, result.calls));
+}
+
+/// Retries in a full outage and in one of a tenth, against retries without a budget.
+void benchRetries()
+{
+    constexpr unsigned NestedLevels = 5;
+    for (const double outage : {1.0, 0.1}) {
+        for (const char *strategy : {"budget", "always-3"}) {
+            RetryCase retryCase;
+            retryCase.strategy = strategy;
+            retryCase.outage = outage;
+            printRetries(retryCase);
+            retryCase.levels = NestedLevels;
+            printRetries(retryCase);
+            retryCase.passRefusalsOn = true;
+            printRetries(retryCase);
+        }
+    }
+}
+
+/// Service while half of the servers leave and return cold.
+void benchDataCentre()
+{
+    constexpr std::array<const char *, 3> Names {"before", "out", "back"};
+    for (const double load : {0.3, 0.45, 0.6}) {
+        PolicyCase policyCase;
+        policyCase.scenario = "data-centre";
+        policyCase.load = load;
+        const PolicyResult result = runPolicyCase(policyCase);
+        for (std::size_t i = 0; i < Names.size(); ++i) {
+            const PhaseResult &phase = result.phases[i];
+            std::printf("{\"case\": \"data-centre\", \"load\": %.2f, \"phase\": \"%s\", "
+                        "\"calls\": %llu, \"good\": %llu, \"late\": %llu, \"refused\": %llu}\n",
+                        load, Names[i], static_cast<unsigned long long>(phase.calls),
+                        static_cast<unsigned long long>(phase.good),
+                        static_cast<unsigned long long>(phase.late),
+                        static_cast<unsigned long long>(phase.refused));
+        }
+        std::printf("{\"case\": \"data-centre-return\", \"load\": %.2f, \"runsWhileOut\": %llu, "
+                    "\"secondsToLastBad\": %.1f, \"secondsToShare\": %.1f, \"shareAtEnd\": %.3f, "
+                    "\"p99ms\": %.1f}\n",
+                    load, static_cast<unsigned long long>(result.runsWhileOut),
+                    result.secondsToLastBad, result.secondsToShare, result.shareAtEnd,
+                    result.percentile(0.99));
+    }
+}
+
+/// Bytes on the link between regions while the own region is short of capacity.
+void benchRegionLink()
+{
+    for (const unsigned senders : {1U, 4U, 16U}) {
+        RegionCase regionCase;
+        regionCase.senders = senders;
+        const RegionResult result = runRegionCase(regionCase);
+        std::printf("{\"case\": \"region-link\", \"senders\": %u, \"shortage\": %.2f, "
+                    "\"calls\": %llu, \"sentAway\": %llu, \"refused\": %llu, "
+                    "\"bytesPerSecond\": %.0f, \"peakBytesPerSecond\": %.0f, "
+                    "\"budgetBytesPerSecond\": %.0f, \"linkBytesPerSecond\": %llu}\n",
+                    senders, regionCase.shortage, static_cast<unsigned long long>(result.calls),
+                    static_cast<unsigned long long>(result.sentAway),
+                    static_cast<unsigned long long>(result.refused), result.bytesPerSecond,
+                    result.peakBytesPerSecond,
+                    RegionBudget::LinkShare * static_cast<double>(ModelLinkBytesPerSecond),
+                    static_cast<unsigned long long>(ModelLinkBytesPerSecond));
+    }
+}
+
 /// Wall-clock cost of picks among 1,000 members, 34 of which serve the call.
 void benchPick()
 {
@@ -141,6 +225,9 @@
     benchPick();
     benchProbes();
     benchOverload();
+    benchRetries();
+    benchDataCentre();
+    benchRegionLink();
     for (const char *scenario : {"even", "straggler", "fail-fast", "stale-reports", "cold-turn"}) {
         benchScenario(scenario);
     }
--- a/test/performance/PolicyModel.cpp
+++ b/test/performance/PolicyModel.cpp
@@ -28,6 +28,14 @@
 constexpr double ColdBears = 2;
 constexpr unsigned ColdAnswers = 100;
 constexpr milliseconds StaleFor {1000};
+constexpr seconds OutAt {8};
+constexpr seconds BackAt {14};
+/// An entry daemon learns of a change within this time: one poll of the log by a reader and one
+/// ping of a reader.
+constexpr milliseconds NewsTime {750};
+constexpr milliseconds Window {500};
+constexpr double ReturnedShare = 0.4;
+constexpr std::size_t LastWindows = 4;
 
 struct Call
 {
@@ -44,6 +52,7 @@
     Admission admission;
     std::deque<Call> waiting;
     std::deque<Call> backlog;
+    bool out = false;
     unsigned running = 0;
     unsigned coldAnswersLeft = 0;
     LoadReport published;
@@ -55,7 +64,9 @@
 public:
     explicit Model(const PolicyCase &policyCase) : m_case(policyCase), m_random(policyCase.seed)
     {
-        addMembers(m_members, "a", "a1", "s", ModelServers, ModelSlots);
+        const unsigned leaving = is("data-centre") ? ModelServers / 2 : 0;
+        addMembers(m_members, "a", "a1", "s", ModelServers - leaving, ModelSlots);
+        addMembers(m_members, "a", "a2", "s", leaving, ModelSlots);
         const ConfigurationPtr configuration = configurationFor(m_members);
         ServiceRules rules;
         rules.coldStart = {2, 10};
@@ -63,9 +74,9 @@
         for (unsigned i = 0; i < ModelServers; ++i) {
             m_servers[i].admission.rulesChanged(rules);
             m_servers[i].admission.announced(ModelSlots, m_now);
-            m_routings.push_back(std::make_unique<Routing>(Place {m_members[i].id, "a", "a1"},
-                                                           m_random,
-                                                           makeRoutingStrategy(m_case.strategy)));
+            m_routings.push_back(
+                std::make_unique<Routing>(Place {m_members[i].id, "a", m_members[i].dataCentre},
+                                          m_random, makeRoutingStrategy(m_case.strategy)));
             m_routings.back()->membersChanged(m_members);
             m_routings.back()->configurationChanged(configuration);
         }
@@ -80,6 +91,10 @@
         if (is("stale-reports")) {
             publishReports();
         }
+        if (is("data-centre")) {
+            after(OutAt, [this] { publishInService(false); });
+            after(BackAt, [this] { publishInService(true); });
+        }
         while (!m_events.empty()) {
             const Event event = m_events.top();
             m_events.pop();
@@ -87,6 +102,9 @@
             event.action();
         }
         std::ranges::sort(m_result.latencies);
+        if (is("data-centre")) {
+            judgeReturn();
+        }
         return std::move(m_result);
     }
 
@@ -116,6 +134,84 @@
             static_cast<std::int64_t>(-std::log(1 - m_random.unit()) * meanNanoseconds));
     }
 
+    /// Each daemon learns of the configuration at its own time.
+    void publishInService(bool inService)
+    {
+        auto configuration = std::make_shared<Configuration>(*configurationFor(m_members));
+        configuration->version = inService ? 3 : 2;
+        configuration->dataCentres["a2"].inService = inService;
+        for (unsigned i = 0; i < ModelServers; ++i) {
+            after(Duration(m_random.below(Duration(NewsTime).count())),
+                  [this, i, configuration, inService] {
+                      m_routings[i]->configurationChanged(configuration);
+                      if (m_members[i].dataCentre == "a2") {
+                          Server &server = m_servers[i];
+                          server.out = !inService;
+                          if (inService) {
+                              server.coldAnswersLeft = ColdAnswers;
+                              decide(server, server.admission.warmAgain(m_now));
+                          }
+                      }
+                  });
+        }
+    }
+
+    PhaseResult *phaseOf(const Call &call)
+    {
+        if (!is("data-centre") || !measured(call)) {
+            return nullptr;
+        }
+        const Duration at = call.arrived - TimePoint();
+        return &m_result.phases[at < OutAt ? 0 : at < BackAt ? 1 : 2];
+    }
+
+    struct WindowCounts
+    {
+        unsigned runs = 0;
+        unsigned runsReturned = 0;
+        unsigned bad = 0;
+    };
+
+    WindowCounts &window()
+    {
+        const auto n = static_cast<std::size_t>((m_now - TimePoint()) / Window);
+        m_windows.resize(std::max(m_windows.size(), n + 1));
+        return m_windows[n];
+    }
+
+    void judgeReturn()
+    {
+        const std::size_t back = BackAt / Window;
+        // The load ends with the last window, which says nothing.
+        const std::size_t end = std::min<std::size_t>(m_windows.size(), End / Window);
+        WindowCounts last;
+        for (std::size_t i = back; i < end; ++i) {
+            const WindowCounts &counts = m_windows[i];
+            const std::chrono::duration<double> passed = (i + 1 - back) * Window;
+            if (counts.bad > 0) {
+                m_result.secondsToLastBad = passed.count();
+            }
+            if (m_result.secondsToShare < 0 && counts.runsReturned >= ReturnedShare * counts.runs) {
+                m_result.secondsToShare = passed.count();
+            }
+            if (i + LastWindows >= end) {
+                last.runs += counts.runs;
+                last.runsReturned += counts.runsReturned;
+            }
+        }
+        m_result.shareAtEnd = last.runsReturned / std::max(1.0, 1.0 * last.runs);
+    }
+
+    void countStart(const Server &server)
+    {
+        const auto number = static_cast<std::size_t>(&server - m_servers.data());
+        const bool returning = m_members[number].dataCentre == "a2";
+        const Duration at = m_now - TimePoint();
+        m_result.runsWhileOut += returning && at > OutAt + seconds(1) && at < BackAt ? 1 : 0;
+        window().runs += 1;
+        window().runsReturned += returning ? 1 : 0;
+    }
+
     void arrive()
     {
         if (m_now - TimePoint() > End) {
@@ -131,6 +227,9 @@
         call.arrived = m_now;
         call.deadline = m_now + m_case.deadline;
         m_result.calls += measured(call) ? 1 : 0;
+        if (PhaseResult *phase = phaseOf(call)) {
+            ++phase->calls;
+        }
         attempt(std::move(call));
     }
 
@@ -143,6 +242,10 @@
         const Target *target = std::get_if<Target>(&choice);
         if (!target || call.tried.size() == MaxAttempts) {
             m_result.refused += measured(call) ? 1 : 0;
+            if (PhaseResult *phase = phaseOf(call)) {
+                ++phase->refused;
+                window().bad += 1;
+            }
             return;
         }
         m_result.attempts += measured(call) ? 1 : 0;
@@ -165,6 +268,10 @@
             start(server, call);
             return;
         }
+        if (server.out) {
+            refuse(server, call);
+            return;
+        }
         Reason reason {};
         switch (server.admission.admit(call.id, call.deadline, m_now, reason)) {
         case AdmissionVerdict::Admitted:
@@ -225,6 +332,7 @@
             return;
         }
         ++server.running;
+        countStart(server);
         const bool first = &server == m_servers.data();
         m_result.runsOnFirst += first && measured(call) ? 1 : 0;
         if (first && server.coldAnswersLeft > 0 && m_now - TimePoint() > ColdTurnAt + seconds(1)) {
@@ -276,6 +384,11 @@
                 ++(!good                        ? m_result.failed
                        : m_now <= call.deadline ? m_result.good
                                                 : m_result.late);
+                if (PhaseResult *phase = phaseOf(call)) {
+                    const bool late = m_now > call.deadline;
+                    ++(late ? phase->late : phase->good);
+                    window().bad += late ? 1 : 0;
+                }
                 if (good) {
                     m_result.latencies.push_back(
                         std::chrono::duration<double, std::milli>(m_now - call.arrived).count());
@@ -314,6 +427,7 @@
     std::vector<std::unique_ptr<Routing>> m_routings;
     std::priority_queue<Event> m_events;
     PolicyResult m_result;
+    std::vector<WindowCounts> m_windows;
     TimePoint m_now {};
     std::uint64_t m_number = 0;
     std::uint64_t m_calls = 0;
