--- a/src/programs/LoadPlot.cpp
+++ b/src/programs/LoadPlot.cpp
@@ -43,8 +43,14 @@
 std::vector<double> decades(const Axis &axis)
 {
     std::vector<double> ticks;
+    // Up to two decades would have no more than three ticks without those between.
+    const bool few = axis.to / axis.from < 101;
     for (double v = axis.from; v <= axis.to * 1.01; v *= 10) {
         ticks.push_back(v);
+        if (few && v * 9.9 < axis.to) {
+            ticks.push_back(2 * v);
+            ticks.push_back(5 * v);
+        }
     }
     return ticks;
 }
