Full syncs send a summary and get only what differs

Cause: each sync request carried all records. Change: a request has 8 bytes for each member, a hash of its identity with its state; the answer has only the records that differ. Requests and answers are bounded to 4 KB/s with a burst of 40 KB, and a daemon whose list once agreed syncs at most every 5 s. A sync only fetches; the other daemon fetches in its own syncs. membership-cost mass-start N and mass-loss N measure a start of all and the loss of a third, with the bytes of each kind of message. Ruled out: hashes of groups of members, since a lost third changes all groups.

--- a/src/decisions/Membership.cpp
+++ b/src/decisions/Membership.cpp
@@ -44,7 +44,7 @@
     } else if (now - m_lastTick > PauseTime) {
         pause(now);
     }
-    refillGossip(now - m_lastTick);
+    refillBudgets(now - m_lastTick);
     m_lastTick = now;
     advanceProbes(now);
     judgeSuspicions(now);
@@ -67,7 +67,7 @@
     if (m_started && now - m_lastTick > PauseTime) {
         // Datagrams that waited during a pause may be handled before the next tick.
         pause(now);
-        refillGossip(now - m_lastTick);
+        refillBudgets(now - m_lastTick);
         m_lastTick = now;
     }
     const Member &from = datagram.from.member;
@@ -127,7 +127,7 @@
     m_outputs.emplace_back(PeerAnswered {from.id, from.endpoint, from.region, evidence.version,
                                          fresh, evidence.logReachable});
     if (ack.digest) {
-        compareDigest(*ack.digest, from.endpoint);
+        compareDigest(*ack.digest, from.endpoint, now);
     }
 }
 
@@ -214,11 +214,13 @@
     m_table.restartSuspicions(now);
 }
 
-void Membership::refillGossip(Duration elapsed)
+void Membership::refillBudgets(Duration elapsed)
 {
     const double seconds = std::min(std::chrono::duration<double>(elapsed).count(), 1.0);
     m_gossipBytes = std::min(
         m_gossipBytes + static_cast<std::size_t>(GossipBytesPerSecond * seconds), GossipBurstBytes);
+    m_syncBytes = std::min(m_syncBytes + static_cast<std::size_t>(SyncBytesPerSecond * seconds),
+                           SyncBurstBytes);
 }
 
 void Membership::pingMembers(TimePoint now)
--- a/src/decisions/Membership.h
+++ b/src/decisions/Membership.h
@@ -8,6 +8,7 @@
 
 #include "decisions/Datagram.h"
 #include "decisions/MemberTable.h"
+#include "decisions/SyncMessages.h"
 
 #include <span>
 #include <string>
@@ -23,7 +24,7 @@
     Datagram datagram;
 };
 
-/// \brief Exchange all records with another daemon, then call finishSync().
+/// \brief Send askSync() to another daemon, then pass its answer to finishSync().
 struct SyncWanted
 {
     Endpoint with;
@@ -97,6 +98,11 @@
     /// and a third of 1,000 daemons would fill the link between regions.
     static constexpr std::size_t GossipBytesPerSecond = 5'000;
     static constexpr std::size_t GossipBurstBytes = 2'400;
+    /// Bounds requests and answers of full syncs, sent and received.
+    static constexpr std::size_t SyncBytesPerSecond = 4'000;
+    static constexpr std::size_t SyncBurstBytes = 40'000;
+    /// Least time between full syncs of a daemon whose list was once equal to another one.
+    static constexpr std::chrono::seconds SyncPeriod {5};
     static constexpr std::size_t IndirectPings = 3;
     static constexpr std::size_t ConfirmingObservers = 2;
     static constexpr std::size_t MaxSeeds = 64;
@@ -136,17 +142,18 @@
     void setEvidence(ConfigurationVersion version, std::optional<TimePoint> fresh,
                      bool logReachable);
 
-    /// \return all records, for a full sync.
-    std::vector<MemberRecord> allRecords(TimePoint now) const;
+    /// \return the request of a full sync that starts now.
+    SyncRequest askSync(TimePoint now);
 
     /// \brief Answers a full sync.
-    /// \param records of the asker, which are taken over.
-    /// \param missing gets the records that the asker lacks or has in an older state.
-    Outputs answerSync(std::span<const MemberRecord> records, std::vector<MemberRecord> &missing,
-                       TimePoint now);
+    /// \param request of another daemon, whose own record is taken over.
+    /// \param answer gets the records that the asker lacks or has in an older state, as far as the
+    /// bytes for syncs allow.
+    Outputs answerSync(const SyncRequest &request, SyncAnswer &answer, TimePoint now);
 
     /// \brief Takes over the answer of a full sync.
-    Outputs finishSync(std::span<const MemberRecord> records, TimePoint now);
+    /// \param partial true when the other daemon has further records.
+    Outputs finishSync(std::span<const MemberRecord> records, TimePoint now, bool partial = false);
 
     std::span<const Member> members() const { return m_table.members(); }
     std::uint64_t revision() const { return m_table.revision(); }
@@ -187,7 +194,7 @@
     void learnOfSelf(const Member &heard);
     void changeSelf(Member self);
     void pause(TimePoint now);
-    void refillGossip(Duration elapsed);
+    void refillBudgets(Duration elapsed);
     void pingMembers(TimePoint now);
     void pingReader(TimePoint now);
     void askSeeds(TimePoint now);
@@ -196,7 +203,10 @@
     void askOthersToPing(const Probe &probe, TimePoint now);
     void suspect(const std::string &name, TimePoint now);
     void judgeSuspicions(TimePoint now);
-    void compareDigest(std::uint64_t digest, const Endpoint &with);
+    void compareDigest(std::uint64_t digest, const Endpoint &with, TimePoint now);
+    void wantSync(const Endpoint &with, TimePoint now);
+    void spendSync(std::size_t bytes);
+    std::size_t summaryBytes() const;
     void ping(std::size_t index, bool wantDigest, TimePoint now);
     void send(const Endpoint &to, std::variant<Ping, Ack, IndirectPing, IndirectAck> body,
               std::optional<std::size_t> about, TimePoint now);
@@ -226,6 +236,7 @@
     TimePoint m_nextSync {};
     std::size_t m_readerTurn = 0;
     std::size_t m_gossipBytes = GossipBurstBytes;
+    std::size_t m_syncBytes = SyncBurstBytes;
     unsigned m_mismatches = 0;
     bool m_matched = false;
     bool m_joined = false;
--- a/src/services/Membership.cpp
+++ b/src/services/Membership.cpp
@@ -222,7 +222,7 @@
         if (m_sync.isRunning()) {
             return;
         }
-        std::string body = encodeSync(m_membership.allRecords(now()));
+        std::string body = encodeSyncRequest(m_membership.askSync(now()));
         m_bytesSent += body.size();
         m_sync.start(wanted.with, std::move(body),
                      [this](const std::optional<std::string> &answer) {
@@ -246,28 +246,28 @@
     {
         m_bytesReceived += bytes.size();
         std::error_code ec;
-        const std::vector<MemberRecord> records = decodeSync(bytes, ec);
+        const SyncAnswer answer = decodeSyncAnswer(bytes, ec);
         if (ec) {
             ++m_malformed;
             return;
         }
-        perform(m_membership.finishSync(records, now()));
+        perform(m_membership.finishSync(answer.records, now(), answer.partial));
     }
 
     void answerSync(const ControlRequest &request)
     {
         m_bytesReceived += request.body.size();
         std::error_code ec;
-        const std::vector<MemberRecord> records = decodeSync(request.body, ec);
+        const SyncRequest asked = decodeSyncRequest(request.body, ec);
         if (ec || request.method != "POST") {
             ++m_malformed;
             request.reply(ControlAnswer {400, "application/json",
-                                         R"({"error":"not a POST of member records"})"});
+                                         R"({"error":"not a POST of a summary of members"})"});
             return;
         }
-        std::vector<MemberRecord> missing;
-        perform(m_membership.answerSync(records, missing, now()));
-        std::string answer = encodeSync(missing);
+        SyncAnswer differing;
+        perform(m_membership.answerSync(asked, differing, now()));
+        std::string answer = encodeSyncAnswer(differing);
         m_bytesSent += answer.size();
         request.reply(ControlAnswer {200, "application/x-protobuf", std::move(answer)});
     }
--- a/src/services/SyncExchange.h
+++ b/src/services/SyncExchange.h
@@ -1,4 +1,4 @@
-// Asks another daemon for a full exchange of member records.
+// Asks another daemon for a records that differ.
 #pragma once
 
 #include "kernel/Executor.h"
@@ -29,7 +29,7 @@
 
     /// \brief Starts an exchange; only when none is running.
     /// \param with daemon to ask.
-    /// \param body encoded records.
+    /// \param body encoded request.
     /// \param done gets the encoded answer, or nothing when the exchange has failed.
     void start(const Endpoint &with, std::string body,
                std::function<void(std::optional<std::string>)> done);
--- a/src/wire/MembershipCodec.cpp
+++ b/src/wire/MembershipCodec.cpp
@@ -242,19 +242,48 @@
     return datagram;
 }
 
-std::string encodeSync(std::span<const MemberRecord> records)
+std::string encodeSyncRequest(const SyncRequest &request)
 {
-    Wire::Sync wire;
-    for (const MemberRecord &record : records) {
+    Wire::SyncRequest wire;
+    encodeRecord(request.from, *wire.mutable_from());
+    wire.mutable_known()->Add(request.known.begin(), request.known.end());
+    wire.set_max_bytes(request.maxBytes);
+    return wire.SerializeAsString();
+}
+
+SyncRequest decodeSyncRequest(std::string_view bytes, std::error_code &ec)
+{
+    ec.clear();
+    SyncRequest request;
+    Wire::SyncRequest wire;
+    if (!parse(bytes, wire) || !wire.has_from() || wire.from().brief()) {
+        ec = WireError::BadFrame;
+        return request;
+    }
+    if (static_cast<std::size_t>(wire.known_size()) > MaxSyncRecords) {
+        ec = WireError::BadField;
+        return request;
+    }
+    request.from = decodeRecord(wire.from(), ec);
+    request.known.assign(wire.known().begin(), wire.known().end());
+    request.maxBytes = wire.max_bytes();
+    return request;
+}
+
+std::string encodeSyncAnswer(const SyncAnswer &answer)
+{
+    Wire::SyncAnswer wire;
+    for (const MemberRecord &record : answer.records) {
         encodeRecord(record, *wire.add_records());
     }
+    wire.set_partial(answer.partial);
     return wire.SerializeAsString();
 }
 
-std::vector<MemberRecord> decodeSync(std::string_view bytes, std::error_code &ec)
+SyncAnswer decodeSyncAnswer(std::string_view bytes, std::error_code &ec)
 {
     ec.clear();
-    Wire::Sync wire;
+    Wire::SyncAnswer wire;
     if (!parse(bytes, wire)) {
         ec = WireError::BadFrame;
         return {};
@@ -263,7 +292,7 @@
         ec = WireError::BadField;
         return {};
     }
-    return decodeRecords(wire.records(), ec);
+    return {decodeRecords(wire.records(), ec), wire.partial()};
 }
 
 } // namespace Coltsfootwell
--- a/src/wire/MembershipCodec.h
+++ b/src/wire/MembershipCodec.h
@@ -2,18 +2,17 @@
 #pragma once
 
 #include "decisions/Datagram.h"
+#include "decisions/SyncMessages.h"
 
-#include <span>
 #include <string>
 #include <string_view>
 #include <system_error>
-#include <vector>
 
 namespace Coltsfootwell {
 
 /// Longest name of a daemon, region, data centre or service in a record.
 constexpr std::size_t MaxWireNameBytes = 64;
-/// Most records in a full sync.
+/// Most entries of a full sync.
 constexpr std::size_t MaxSyncRecords = 10'000;
 
 /// \param datagram at most Datagram::MaxRecords records.
@@ -25,12 +24,20 @@
 /// \return normalised records; meaningless when ec is set.
 Datagram decodeDatagram(std::string_view bytes, std::error_code &ec);
 
-/// \param records of a full sync.
-std::string encodeSync(std::span<const MemberRecord> records);
+/// \param request with at most MaxSyncRecords entries.
+std::string encodeSyncRequest(const SyncRequest &request);
+
+/// \param bytes as received.
+/// \param ec WireError::BadFrame or WireError::BadField, or cleared.
+/// \return meaningless when ec is set.
+SyncRequest decodeSyncRequest(std::string_view bytes, std::error_code &ec);
+
+/// \param answer with at most MaxSyncRecords records.
+std::string encodeSyncAnswer(const SyncAnswer &answer);
 
 /// \param bytes as received.
 /// \param ec WireError::BadFrame or WireError::BadField, or cleared.
 /// \return normalised records; meaningless when ec is set.
-std::vector<MemberRecord> decodeSync(std::string_view bytes, std::error_code &ec);
+SyncAnswer decodeSyncAnswer(std::string_view bytes, std::error_code &ec);
 
 } // namespace Coltsfootwell
--- a/test/MembershipSimulation.h
+++ b/test/MembershipSimulation.h
@@ -13,6 +13,7 @@
 #include <queue>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 namespace Coltsfootwell::Testing {
@@ -41,6 +42,17 @@
     std::vector<PeerAnswered> answers;
 };
 
+/// \brief A message on its way between two processes.
+struct Transfer
+{
+    using Content = std::variant<const Datagram *, const SyncRequest *, const SyncAnswer *>;
+
+    std::size_t from = 0;
+    std::size_t to = 0;
+    bool arrives = false;
+    Content content;
+};
+
 /// \brief Network and clock.
 class MembershipSimulation
 {
@@ -57,8 +69,9 @@
     double lossRate = 0;
     /// Called with each datagram; replaces it by what the receiver decodes.
     std::function<Datagram(Datagram)> onSend = [](Datagram datagram) { return datagram; };
-    /// Called with the records of each full sync, in either direction.
-    std::function<void(std::span<const MemberRecord>)> onSync = [](auto) {};
+
+    /// Called with each message, also when the network loses it; bytes are for the caller to count.
+    std::function<void(const Transfer &)> onTransfer = [](const Transfer &) {};
 
     TimePoint now() const { return m_now; }
     std::deque<Process> &processes() { return m_processes; }
@@ -204,6 +217,16 @@
         });
     }
 
+    /// Reports a message to the observer of traffic.
+    void report(std::size_t from, const Endpoint &to, Transfer::Content content)
+    {
+        if (const auto it = m_byEndpoint.find(to); it != m_byEndpoint.end()) {
+            const Process &target = m_processes[it->second];
+            const bool arrives = target.running && !isCut(m_processes[from], target);
+            onTransfer({from, it->second, arrives, content});
+        }
+    }
+
     void deliver(std::size_t from, const Endpoint &to, std::function<void(std::size_t)> task)
     {
         const auto it = m_byEndpoint.find(to);
@@ -239,6 +262,7 @@
     void carryOut(std::size_t index, const DatagramToSend &out)
     {
         Datagram datagram = onSend(out.datagram);
+        report(index, out.to, &datagram);
         if (m_random.unit() < lossRate) {
             return;
         }
@@ -251,15 +275,17 @@
 
     void carryOut(std::size_t index, const SyncWanted &wanted)
     {
-        auto records = std::make_shared<std::vector<MemberRecord>>(
-            m_processes[index].membership->allRecords(m_now));
-        onSync(*records);
-        deliver(index, wanted.with, [this, index, records](std::size_t target) {
-            auto missing = std::make_shared<std::vector<MemberRecord>>();
-            perform(target, m_processes[target].membership->answerSync(*records, *missing, m_now));
-            onSync(*missing);
-            deliver(target, endpointOf(index), [this, missing](std::size_t asker) {
-                perform(asker, m_processes[asker].membership->finishSync(*missing, m_now));
+        const auto request
+            = std::make_shared<SyncRequest>(m_processes[index].membership->askSync(m_now));
+        report(index, wanted.with, request.get());
+        deliver(index, wanted.with, [this, index, request](std::size_t target) {
+            const auto answer = std::make_shared<SyncAnswer>();
+            perform(target, m_processes[target].membership->answerSync(*request, *answer, m_now));
+            report(target, endpointOf(index), answer.get());
+            deliver(target, endpointOf(index), [this, answer](std::size_t asker) {
+                perform(asker,
+                        m_processes[asker].membership->finishSync(answer->records, m_now,
+                                                                  answer->partial));
             });
         });
     }
--- a/test/error/MembershipDecoding.cpp
+++ b/test/error/MembershipDecoding.cpp
@@ -53,7 +53,11 @@
     std::error_code ec;
     CHECK(decodeDatagram(encodeDatagram(sample()), ec) == sample());
     CHECK_FALSE(ec);
-    CHECK(decodeSync(encodeSync(sample().records), ec) == sample().records);
+    const SyncRequest request {sample().from, {1, ~std::uint64_t(0)}, 40'000};
+    CHECK(decodeSyncRequest(encodeSyncRequest(request), ec) == request);
+    CHECK_FALSE(ec);
+    const SyncAnswer answer {sample().records, true};
+    CHECK(decodeSyncAnswer(encodeSyncAnswer(answer), ec) == answer);
     CHECK_FALSE(ec);
 }
 
@@ -150,6 +154,7 @@
         if (!ec) {
             RC_ASSERT(encodeDatagram(decoded).size() <= Datagram::MaxBytes);
         }
-        decodeSync(bytes, ec);
+        decodeSyncRequest(bytes, ec);
+        decodeSyncAnswer(bytes, ec);
     }));
 }
--- /dev/null
+++ b/test/performance/MassChange.cpp
@@ -0,0 +1,208 @@
+#include "performance/MassChange.h"
+
+#include "MembershipSimulation.h"
+#include "wire/MembershipCodec.h"
+
+#include <array>
+#include <numeric>
+
+namespace Coltsfootwell::Testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// IPv4 and UDP headers of a datagram.
+constexpr std::size_t DatagramHeaderBytes = 28;
+/// Window over which the traffic of one member is averaged.
+constexpr std::size_t WindowSeconds = 10;
+constexpr auto StartTime = 60s;
+constexpr auto SettlingTime = 15s;
+constexpr auto LossTime = 60s;
+constexpr auto ReturnTime = 60s;
+constexpr std::uint64_t Seed = 17;
+
+enum Kind { PingKind, AckKind, IndirectKind, GossipKind, SyncRequestKind, SyncAnswerKind, Kinds };
+constexpr std::array<std::string_view, Kinds> KindNames {"ping",   "ack",         "indirect",
+                                                         "gossip", "syncRequest", "syncAnswer"};
+
+/// \brief Bytes sent and received by each member in each second, and in all by kind.
+class TrafficLog
+{
+public:
+    explicit TrafficLog(std::size_t n) : m_current(n) { }
+
+    void add(const Transfer &transfer)
+    {
+        std::visit([&](const auto *content) { count(transfer, *content); }, transfer.content);
+    }
+
+    void endSecond()
+    {
+        m_seconds.push_back(m_current);
+        std::ranges::fill(m_current, 0);
+    }
+
+    /// \return highest mean over all members in one second, bytes/s.
+    double peakMean() const
+    {
+        double peak = 0;
+        for (const auto &second : m_seconds) {
+            const double sum = std::accumulate(second.begin(), second.end(), 0.0);
+            peak = std::max(peak, sum / static_cast<double>(second.size()));
+        }
+        return peak;
+    }
+
+    /// \return highest traffic of one member averaged over a window, bytes/s.
+    double peakOfMember() const
+    {
+        double peak = 0;
+        for (std::size_t member = 0; member < m_current.size(); ++member) {
+            double sum = 0;
+            for (std::size_t i = 0; i < m_seconds.size(); ++i) {
+                sum += m_seconds[i][member];
+                sum -= i >= WindowSeconds ? m_seconds[i - WindowSeconds][member] : 0;
+                peak = std::max(peak, sum / WindowSeconds);
+            }
+        }
+        return peak;
+    }
+
+    /// Prints bytes per member and second of each kind.
+    void printKinds() const
+    {
+        const auto memberSeconds = static_cast<double>(m_current.size() * m_seconds.size());
+        for (std::size_t kind = 0; kind < Kinds; ++kind) {
+            std::cout << ",\"" << KindNames[kind] << "\":" << m_byKind[kind] / memberSeconds;
+        }
+    }
+
+private:
+    void count(const Transfer &transfer, const Datagram &datagram)
+    {
+        const std::size_t bytes = encodeDatagram(datagram).size() + DatagramHeaderBytes;
+        const std::size_t plain
+            = encodeDatagram({datagram.from, datagram.body, {}}).size() + DatagramHeaderBytes;
+        constexpr std::array<Kind, 4> ByBody {PingKind, AckKind, IndirectKind, IndirectKind};
+        add(transfer, ByBody[datagram.body.index()], plain);
+        add(transfer, GossipKind, bytes - plain);
+    }
+
+    void count(const Transfer &transfer, const SyncRequest &request)
+    {
+        // Nothing but the handshake is sent to a member that cannot be reached.
+        add(transfer, SyncRequestKind, transfer.arrives ? encodeSyncRequest(request).size() : 0);
+    }
+
+    void count(const Transfer &transfer, const SyncAnswer &answer)
+    {
+        add(transfer, SyncAnswerKind, encodeSyncAnswer(answer).size());
+    }
+
+    void add(const Transfer &transfer, Kind kind, std::size_t bytes)
+    {
+        const auto amount = static_cast<double>(bytes);
+        m_current[transfer.from] += amount;
+        m_current[transfer.to] += transfer.arrives ? amount : 0;
+        m_byKind[kind] += transfer.arrives ? 2 * amount : amount;
+    }
+
+    std::vector<double> m_current;
+    std::vector<std::vector<double>> m_seconds;
+    std::array<double, Kinds> m_byKind {};
+};
+
+/// Nine data centres in three regions with names of the usual length.
+std::pair<std::string, std::string> placeOf(std::size_t index)
+{
+    const std::string region = "nordeste-region" + std::to_string(index % 3);
+    return {region, region.substr(0, 8) + '-' + std::to_string(index % 9)};
+}
+
+bool isLost(const Process &process)
+{
+    return process.self.region == placeOf(2).first;
+}
+
+bool sees(const Process &process, std::size_t alive)
+{
+    return std::ranges::count(process.membership->members(), MemberState::Alive, &Member::state)
+        == static_cast<std::ptrdiff_t>(alive);
+}
+
+/// \return seconds after which each process saw the wanted number of live members, and went on to
+/// do so until the end; -1 when it never did.
+double run(MembershipSimulation &simulation, std::string_view phase, Duration time,
+           const std::function<std::size_t(const Process &)> &wanted)
+{
+    TrafficLog log(simulation.processes().size());
+    simulation.onTransfer = [&log](const Transfer &transfer) { log.add(transfer); };
+    const TimePoint start = simulation.now();
+    double settled = -1;
+    while (simulation.now() - start < time) {
+        simulation.run(1s);
+        log.endSecond();
+        const bool all = std::ranges::all_of(simulation.processes(), [&](const Process &process) {
+            return sees(process, wanted(process));
+        });
+        const auto at = std::chrono::duration<double>(simulation.now() - start).count();
+        settled = !all ? -1 : settled < 0 ? at : settled;
+    }
+    simulation.onTransfer = [](const Transfer &) {};
+    std::cout << "{\"members\":" << simulation.processes().size() << ",\"phase\":\"" << phase
+              << "\",\"settledSeconds\":" << settled
+              << ",\"peakMeanBytesPerSecond\":" << log.peakMean()
+              << ",\"peakMemberBytesPer10s\":" << log.peakOfMember();
+    log.printKinds();
+    std::cout << "}" << std::endl;
+    return settled;
+}
+
+void startAll(MembershipSimulation &simulation, std::size_t n)
+{
+    simulation.startMany(n, placeOf);
+    for (Process &process : simulation.processes()) {
+        process.membership->changeBackend("estoque-consulta", BackendState::Warm, 9);
+    }
+}
+
+/// Gives every daemon the whole list, which is cheaper than to let 1,000 of them find each other.
+void settle(MembershipSimulation &simulation)
+{
+    SyncAnswer all;
+    for (Process &process : simulation.processes()) {
+        all.records.push_back({process.membership->members().front(), {}, {}, false});
+    }
+    for (Process &process : simulation.processes()) {
+        process.membership->finishSync(all.records, simulation.now());
+    }
+    simulation.run(SettlingTime);
+}
+
+} // namespace
+
+void measureMassStart(std::size_t n)
+{
+    MembershipSimulation simulation(Seed);
+    startAll(simulation, n);
+    run(simulation, "start", StartTime, [n](const Process &) { return n; });
+}
+
+void measureMassLoss(std::size_t n)
+{
+    MembershipSimulation simulation(Seed);
+    startAll(simulation, n);
+    settle(simulation);
+    run(simulation, "steady", SettlingTime, [n](const Process &) { return n; });
+    const auto lost
+        = static_cast<std::size_t>(std::ranges::count_if(simulation.processes(), isLost));
+    simulation.isCut
+        = [](const Process &from, const Process &to) { return isLost(from) != isLost(to); };
+    run(simulation, "loss", LossTime,
+        [=](const Process &process) { return isLost(process) ? lost : n - lost; });
+    simulation.isCut = [](const Process &, const Process &) { return false; };
+    run(simulation, "return", ReturnTime, [n](const Process &) { return n; });
+}
+
+} // namespace Coltsfootwell::Testing
--- a/test/performance/MembershipCost.cpp
+++ b/test/performance/MembershipCost.cpp
@@ -1,6 +1,8 @@
 // Measures what membership costs a daemon as the number of members grows: one JSON line for each
-// number of members. Usage: membership-cost [N...]
+// number of members. Usage: membership-cost [N...], membership-cost mass-loss N or
+// membership-cost mass-start N.
 #include "MembershipSimulation.h"
+#include "performance/MassChange.h"
 #include "wire/MembershipCodec.h"
 
 #include <ctime>
@@ -163,8 +165,12 @@
         std::error_code ec;
         return decodeDatagram(bytes, ec);
     };
-    simulation.onSync = [&traffic](std::span<const MemberRecord> records) {
-        traffic.syncBytes += encodeSync(records).size();
+    simulation.onTransfer = [&traffic](const Transfer &transfer) {
+        if (const auto *request = std::get_if<const SyncRequest *>(&transfer.content)) {
+            traffic.syncBytes += encodeSyncRequest(**request).size();
+        } else if (const auto *answer = std::get_if<const SyncAnswer *>(&transfer.content)) {
+            traffic.syncBytes += encodeSyncAnswer(**answer).size();
+        }
     };
     simulation.startMany(n, placeOf);
     for (Process &process : simulation.processes()) {
@@ -204,6 +210,11 @@
 int main(int argc, char **argv)
 {
     std::vector<std::size_t> sizes {64, 250, 1000};
+    if (argc == 3 && std::string_view(argv[1]).starts_with("mass-")) {
+        const bool isLoss = std::string_view(argv[1]) == "mass-loss";
+        (isLoss ? measureMassLoss : measureMassStart)(std::strtoul(argv[2], nullptr, 10));
+        return 0;
+    }
     if (argc > 1) {
         sizes.clear();
         for (int i = 1; i < argc; ++i) {
