--- a/src/decisions/MemberTable.h
+++ b/src/decisions/MemberTable.h
@@ -73,8 +73,8 @@
     /// \return bytes that the records take at most.
     std::size_t takeGossip(std::size_t bytes, std::vector<MemberRecord> &records, TimePoint now);
 
-    /// \return true while records wait to be passed on.
-    bool hasGossip() const { return !m_queue.empty(); }
+    /// \return number of records that wait to be passed on.
+    std::size_t gossipCount() const { return m_queue.size(); }
 
     /// \return hash of the names, incarnations and sequences of all members that are not down.
     ///
--- a/src/decisions/Membership.cpp
+++ b/src/decisions/Membership.cpp
@@ -44,7 +44,7 @@
     } else if (now - m_lastTick > PauseTime) {
         pause(now);
     }
-    refillGossip(now - m_lastTick);
+    refillBudgets(now - m_lastTick);
     m_lastTick = now;
     advanceProbes(now);
     judgeSuspicions(now);
@@ -53,8 +53,11 @@
     pingReader(now);
     pingWitness(now);
     askSeeds(now);
-    wantFirstSync(now);
-    m_table.expire(now);
+    wantDueSync(now);
+    if (now >= m_nextExpiry) {
+        m_nextExpiry = now + ExpiryPeriod;
+        m_table.expire(now);
+    }
     return m_outputs;
 }
 
@@ -68,7 +71,7 @@
     if (m_started && now - m_lastTick > PauseTime) {
         // Datagrams that waited during a pause may be handled before the next tick.
         pause(now);
-        refillGossip(now - m_lastTick);
+        refillBudgets(now - m_lastTick);
         m_lastTick = now;
     }
     const Member &from = datagram.from.member;
@@ -77,6 +80,7 @@
     }
     learn(datagram.from, now);
     for (const MemberRecord &record : datagram.records) {
+        spendGossip(encodedBound(record));
         learn(record, now);
     }
     if (!m_replaced) {
@@ -130,7 +134,7 @@
     m_outputs.emplace_back(PeerAnswered {from.id, from.endpoint, from.region, evidence.version,
                                          fresh, evidence.logReachable, probe.sent});
     if (ack.digest) {
-        compareDigest(*ack.digest, from.endpoint);
+        compareDigest(*ack.digest, from.endpoint, now);
     }
 }
 
@@ -226,11 +230,18 @@
     m_table.restartSuspicions(now);
 }
 
-void Membership::refillGossip(Duration elapsed)
+void Membership::refillBudgets(Duration elapsed)
 {
     const double seconds = std::min(std::chrono::duration<double>(elapsed).count(), 1.0);
     m_gossipBytes = std::min(
         m_gossipBytes + static_cast<std::size_t>(GossipBytesPerSecond * seconds), GossipBurstBytes);
+    const auto syncBytes = static_cast<std::size_t>(SyncBytesPerSecond * seconds);
+    m_syncBytes = std::min(m_syncBytes + syncBytes, m_synced ? SyncBurstBytes : FirstSyncBytes);
+}
+
+void Membership::spendGossip(std::size_t bytes)
+{
+    m_gossipBytes -= std::min(bytes, m_gossipBytes);
 }
 
 void Membership::pingMembers(TimePoint now)
@@ -240,11 +251,17 @@
     }
     m_nextPing = std::max(m_nextPing + PingPeriod, now);
     const bool wantDigest = now >= m_nextDigest;
-    const auto live = m_table.pick(m_random, [this](std::size_t i) { return isPingable(i); });
+    const auto live = m_table.pick(m_random, [this, wantDigest](std::size_t i) {
+        // A suspect member would hardly answer with its digest.
+        return isPingable(i) && (!wantDigest || m_table.members()[i].state == MemberState::Alive);
+    });
     if (live) {
-        ping(*live, wantDigest, now, true);
+        ping(*live, PingPurpose::Random, wantDigest, now);
         if (wantDigest) {
-            m_nextDigest = now + (m_matched ? DigestPeriod : FirstDigestPeriod);
+            m_nextDigest = now
+                + (!m_matched     ? FirstDigestPeriod
+                       : m_agreed ? DigestPeriod
+                                  : SyncPeriod);
         }
     }
     if (now < m_nextUnreachablePing) {
@@ -255,7 +272,7 @@
         return m_table.members()[i].state == MemberState::Unreachable;
     });
     if (lost) {
-        ping(*lost, false, now);
+        ping(*lost, PingPurpose::Lost, false, now);
     }
 }
 
@@ -277,7 +294,9 @@
     }
     if (!readers.empty()) {
         const Member *reader = readers[m_readerTurn++ % readers.size()];
-        ping(static_cast<std::size_t>(reader - m_table.members().data()), false, now);
+        // With the gossip of all that ping it, a reader received 20 KB/s after a mass loss.
+        ping(static_cast<std::size_t>(reader - m_table.members().data()), PingPurpose::Reader,
+             false, now);
     }
 }
 
@@ -293,7 +312,7 @@
         return i != 0 && member.state == MemberState::Alive && member.region == m_logRegion;
     });
     if (witness) {
-        ping(*witness, false, now);
+        ping(*witness, PingPurpose::Witness, false, now);
     }
 }
 
@@ -383,9 +402,9 @@
 
 void Membership::judgeSuspicions(TimePoint now)
 {
+    const Duration time = suspicionTime();
     for (std::size_t i = 1; i < m_table.members().size(); ++i) {
-        if (m_table.members()[i].state != MemberState::Suspect
-            || now - m_table.since(i) < suspicionTime()) {
+        if (m_table.members()[i].state != MemberState::Suspect || now - m_table.since(i) < time) {
             continue;
         }
         const std::size_t needed = std::min(ConfirmingObservers, m_table.aliveCount());
@@ -399,20 +418,20 @@
     }
 }
 
-void Membership::ping(std::size_t index, bool wantDigest, TimePoint now, bool random)
+void Membership::ping(std::size_t index, PingPurpose purpose, bool wantDigest, TimePoint now)
 {
     const Member &target = m_table.members()[index];
     const std::uint64_t nonce = m_random.next();
-    m_probes.push_back({nonce, target.id.name, now, false, random});
+    m_probes.push_back({nonce, target.id.name, now, false, purpose == PingPurpose::Random});
     ++m_counts.pings;
     // The target refutes a doubt about itself.
     const bool doubted = target.state != MemberState::Alive;
     send(target.endpoint, Ping {nonce, wantDigest}, doubted ? std::optional(index) : std::nullopt,
-         now);
+         now, purpose != PingPurpose::Reader);
 }
 
 void Membership::send(const Endpoint &to, std::variant<Ping, Ack, IndirectPing, IndirectAck> body,
-                      std::optional<std::size_t> about, TimePoint now)
+                      std::optional<std::size_t> about, TimePoint now, bool gossip)
 {
     DatagramToSend out {to, {m_table.record(0, now), std::move(body), {}}};
     std::size_t bytes = Datagram::MaxBytes - BodyBoundBytes - encodedBound(out.datagram.from);
@@ -420,7 +439,10 @@
         out.datagram.records.push_back(m_table.newsOf(*about, now));
         bytes -= std::min(bytes, encodedBound(out.datagram.records.back()));
     }
-    m_gossipBytes -= m_table.takeGossip(std::min(bytes, m_gossipBytes), out.datagram.records, now);
+    if (gossip) {
+        bytes = std::min(bytes, m_gossipBytes);
+        m_gossipBytes -= m_table.takeGossip(bytes, out.datagram.records, now);
+    }
     m_outputs.emplace_back(std::move(out));
 }
 
--- a/src/decisions/Membership.h
+++ b/src/decisions/Membership.h
@@ -8,6 +8,7 @@
 
 #include "decisions/Datagram.h"
 #include "decisions/MemberTable.h"
+#include "decisions/SyncMessages.h"
 
 #include <span>
 #include <string>
@@ -23,7 +24,7 @@
     Datagram datagram;
 };
 
-/// \brief Exchange all records with another daemon, then call finishSync().
+/// \brief Send askSync() to another daemon, then pass its answer to finishSync().
 struct SyncWanted
 {
     Endpoint with;
@@ -106,11 +107,26 @@
     static constexpr std::chrono::seconds OldEvidence {1};
     /// Bounds what the loss or return of a region costs: without the bound a daemon sent 20 KB/s,
     /// and a third of 1,000 daemons would fill the link between regions.
-    static constexpr std::size_t GossipBytesPerSecond = 5'000;
+    /// Records that are received count too, so that a log reader, which gets more, sends less.
+    static constexpr std::size_t GossipBytesPerSecond = 4'000;
     static constexpr std::size_t GossipBurstBytes = 2'400;
     /// Between questions to the log's region while the own evidence is old. The 12 random pings of
     /// 2.5 s miss one region of three with a probability of (2/3)^12, 1 in 130.
     static constexpr std::chrono::seconds WitnessPingPeriod {1};
+    /// Bounds requests and answers of full syncs, sent and received.
+    static constexpr std::size_t SyncBytesPerSecond = 5'000;
+    static constexpr std::size_t SyncBurstBytes = 20'000;
+    /// Room of a daemon that has just started: a list of 1,000 members takes 110 KB.
+    static constexpr std::size_t FirstSyncBytes = 120'000;
+    /// Least time between full syncs of a daemon whose list was once equal to another one, and
+    /// between comparisons while lists differ. With 10 s and three comparisons that differ, the
+    /// last of 250 members took over 40 s to learn of the loss of a third.
+    static constexpr std::chrono::seconds SyncPeriod {3};
+    /// With this many records to pass on a daemon also syncs every SyncPeriod, since a sync sends a
+    /// record once and gossip several times.
+    static constexpr std::size_t MassNews = 64;
+    /// Between searches for members to forget, which take a look at each member.
+    static constexpr std::chrono::seconds ExpiryPeriod {1};
     static constexpr std::size_t IndirectPings = 3;
     static constexpr std::size_t ConfirmingObservers = 2;
     static constexpr std::size_t MaxSeeds = 64;
@@ -153,17 +169,18 @@
     /// \brief Sets the region whose daemons are asked for the log while the own evidence is old.
     void setLogRegion(std::string_view region) { m_logRegion = region; }
 
-    /// \return all records, for a full sync.
-    std::vector<MemberRecord> allRecords(TimePoint now) const;
+    /// \return the request of a full sync that starts now.
+    SyncRequest askSync(TimePoint now);
 
     /// \brief Answers a full sync.
-    /// \param records of the asker, which are taken over.
-    /// \param missing gets the records that the asker lacks or has in an older state.
-    Outputs answerSync(std::span<const MemberRecord> records, std::vector<MemberRecord> &missing,
-                       TimePoint now);
+    /// \param request of another daemon, whose own record is taken over.
+    /// \param answer gets the records that the asker lacks or has in an older state, as far as the
+    /// bytes for syncs allow.
+    Outputs answerSync(const SyncRequest &request, SyncAnswer &answer, TimePoint now);
 
     /// \brief Takes over the answer of a full sync.
-    Outputs finishSync(std::span<const MemberRecord> records, TimePoint now);
+    /// \param partial true when the other daemon has further records.
+    Outputs finishSync(std::span<const MemberRecord> records, TimePoint now, bool partial = false);
 
     std::span<const Member> members() const { return m_table.members(); }
     std::uint64_t revision() const { return m_table.revision(); }
@@ -173,6 +190,17 @@
     bool hasJoined() const { return m_joined; }
 
 private:
+    enum class PingPurpose {
+        /// The periodic ping to a random member.
+        Random,
+        /// To a log reader, which gets many pings and so carries no gossip.
+        Reader,
+        /// To the log's region, while the own evidence is old.
+        Witness,
+        /// To an unreachable member.
+        Lost,
+    };
+
     struct Probe
     {
         std::uint64_t nonce = 0;
@@ -206,21 +234,25 @@
     void learnOfSelf(const Member &heard);
     void changeSelf(Member self);
     void pause(TimePoint now);
-    void refillGossip(Duration elapsed);
+    void refillBudgets(Duration elapsed);
     void reportEnd(const Probe &probe, bool answered);
     void pingMembers(TimePoint now);
     void pingReader(TimePoint now);
     void pingWitness(TimePoint now);
     void askSeeds(TimePoint now);
-    void wantFirstSync(TimePoint now);
+    void wantDueSync(TimePoint now);
     void advanceProbes(TimePoint now);
     void askOthersToPing(const Probe &probe, TimePoint now);
     void suspect(const std::string &name, TimePoint now);
     void judgeSuspicions(TimePoint now);
-    void compareDigest(std::uint64_t digest, const Endpoint &with);
-    void ping(std::size_t index, bool wantDigest, TimePoint now, bool random = false);
+    void compareDigest(std::uint64_t digest, const Endpoint &with, TimePoint now);
+    void wantSync(const Endpoint &with, TimePoint now);
+    void spendSync(std::size_t bytes);
+    std::size_t summaryBytes() const;
+    void spendGossip(std::size_t bytes);
+    void ping(std::size_t index, PingPurpose purpose, bool wantDigest, TimePoint now);
     void send(const Endpoint &to, std::variant<Ping, Ack, IndirectPing, IndirectAck> body,
-              std::optional<std::size_t> about, TimePoint now);
+              std::optional<std::size_t> about, TimePoint now, bool gossip = true);
     bool isPingable(std::size_t index) const;
     AgedEvidence agedEvidence(TimePoint now) const;
     Duration suspicionTime() const;
@@ -245,11 +277,15 @@
     TimePoint m_nextWitnessPing {};
     TimePoint m_nextUnreachablePing {};
     TimePoint m_nextDigest {};
+    TimePoint m_nextExpiry {};
     std::optional<TimePoint> m_askedSeeds;
     TimePoint m_nextSync {};
     std::size_t m_readerTurn = 0;
     std::size_t m_gossipBytes = GossipBurstBytes;
-    unsigned m_mismatches = 0;
+    std::size_t m_syncBytes = FirstSyncBytes;
+    /// The last comparison of digests found equal lists.
+    bool m_agreed = false;
+    /// Any comparison did.
     bool m_matched = false;
     bool m_joined = false;
     bool m_synced = false;
