--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -1,9 +1,9 @@
 #include "services/CallerSession.h"
 
+#include "services/HopSpan.h"
 #include "services/HttpIo.h"
 #include "services/ServiceNames.h"
 #include "wire/HeaderNames.h"
-#include "wire/TraceContext.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -225,7 +225,7 @@
         std::error_code ec;
         CallEnvelope envelope = decodeEnvelope(head->headers, fault, ec);
         m_echo = envelope.attempt ? attemptText(envelope.attempt->attempt) : std::string();
-        beginSpan(envelope, *head);
+        m_span.begin(envelope, *head);
         if (ec) {
             m_keepAlive = false;
             co_return co_await writeRefusal({Outcome::NotRun, Reason::BadHeader},
@@ -374,32 +374,11 @@
         co_return co_await writeRefusal(refused, {});
     }
 
-    /// Passes the identity of this hop on, so that the next hop's span is joined to it.
-    void beginSpan(CallEnvelope &envelope, const CallHead &head)
-    {
-        m_span = {};
-        m_span.parent = envelope.traceParent;
-        m_span.name = envelope.attempt ? "run" : "call";
-        m_span.service = envelope.attempt ? envelope.attempt->service : std::string();
-        m_span.method = head.method;
-        m_span.began = std::chrono::system_clock::now();
-        m_spanStart = m_context->executor.now();
-        envelope.traceParent = traceText(childSpan(envelope.traceParent, m_context->random));
-        m_span.traceParent = envelope.traceParent;
-    }
-
-    /// Nothing of a call outside its home regions is kept, so it has no span here.
     void endSpan(Outcome outcome, std::optional<Reason> reason, unsigned status)
     {
-        if (m_span.traceParent.empty() || reason == Reason::OutsideHomeRegions) {
-            m_span = {};
-            return;
-        }
-        m_span.outcome = outcomeName(outcome);
-        m_span.reason = reason ? std::string(reasonName(*reason)) : std::string();
-        m_span.status = status;
-        m_span.elapsed = m_context->executor.now() - m_spanStart;
-        m_context->telemetry.send(std::exchange(m_span, {}));
+        if (auto span = m_span.end(outcome, reason, status)) {
+            m_context->telemetry.send(std::move(*span));
+        }
     }
 
     /// Tells the owner of the call when the other side closes the connection before it has its
@@ -543,8 +522,7 @@
     std::shared_ptr<SessionContext> m_context;
     std::function<void()> m_hangup;
     std::string m_echo;
-    SpanEnded m_span;
-    TimePoint m_spanStart {};
+    HopSpan m_span {m_context->executor, m_context->random};
     bool m_keepAlive = true;
     bool m_headRequest = false;
     bool m_busy = false;
