guards.py gives the same verdict each run

Cause: a guard that is off breaks its promise only when a call is in the wrong place at the moment of the fault. Change: a scenario of its own for keys whose first answer is lost, which also runs with all guards on, and up to four seeds for each guard. The checks of the daemon are unchanged. Ruled out: shared ports.

--- a/test/fault/guards.py
+++ b/test/fault/guards.py
@@ -30,7 +30,7 @@
 RUNS = (
     ("retry-after-not-run", "7 at most once", cell("answer", "answer lost")),
     ("not-run-proof", "6 not run is true", cell("answer", "answer lost")),
-    ("key-after-not-run", "7 at most once, keys", cell("answer", "answer lost")),
+    ("key-after-not-run", "7 at most once, keys", promises.key_answers_lost),
     ("out-of-service", "3 data centre out", promises.data_centre_out),
     ("out-of-service", "8 leaving backend server", promises.backend_leaves),
     ("freshness", "3 data centre out, news missed", promises.data_centre_out_unheard),
@@ -40,6 +40,21 @@
 )
 
 
+# A guard that is off breaks its promise with a high probability in one run, not with certainty: whether a
+# call is in the wrong place at the moment of the fault depends on the scheduling of the processes.
+MAX_TRIES = 4
+
+
+def violations_of(scenario, port, binary, seed):
+    """Runs a scenario with up to MAX_TRIES seeds until its checker rejects a run."""
+    faults = []
+    for i in range(MAX_TRIES):
+        faults = scenario(port, binary, seed + i)
+        if faults:
+            break
+    return faults
+
+
 def wrapper(directory, guard):
     path = directory / f"daemon-{guard}"
     path.write_text(WRAPPER.format(guard=guard, binary=fleet.BUILD / "test" / "coltsfootd-unguarded"))
@@ -58,7 +73,7 @@
         futures = {}
         for i, (guard, promise, scenario) in enumerate(RUNS):
             binary = wrapper(directory, guard)
-            futures[pool.submit(scenario, FIRST_PORT + i * PORTS_PER_RUN, binary, options.seed)] = (guard, promise)
+            futures[pool.submit(violations_of, scenario, FIRST_PORT + i * PORTS_PER_RUN, binary, options.seed)] = (guard, promise)
         for future in concurrent.futures.as_completed(futures):
             guard, promise = futures[future]
             faults = future.result()
--- a/test/fault/promises.py
+++ b/test/fault/promises.py
@@ -245,6 +245,23 @@
         f.stop()
 
 
+def key_answers_lost(port, binary, seed):
+    """Promise 7: repeats of keys whose first answer was lost after the effect."""
+    f = start(port, binary=binary)
+    try:
+        crowd = callers.Callers(entry_ports(f, "e1", "b1"), ["keyed"], threads=8, seed=seed)
+        for _ in range(4):
+            time.sleep(0.4)
+            for name in ("a1", "a2", "b1"):
+                f.post_backend(f.daemons[name], "/fault", {"loseAnswers": 10})
+        time.sleep(1)
+        calls = crowd.stop()
+        runs = f.runs()
+        return checkers.at_most_once(calls, runs) + checkers.not_run_is_true(calls, runs)
+    finally:
+        f.stop()
+
+
 def own_keys(port, binary, seed):
     """Promise 7: two daemons get the same caller-minted key at once; lost append answers, a frozen log."""
     f = start(port, binary=binary, service_ms=20)
@@ -271,7 +288,7 @@
 
 
 SCENARIOS = (data_centre_out, data_centre_out_unheard, backend_leaves, planned_stop, cold_start, cold_without_warning,
-             versions, home_regions, probe_budget, owner_gone, own_keys)
+             versions, home_regions, probe_budget, owner_gone, own_keys, key_answers_lost)
 
 
 def main():
--- a/test/fault/relay.py
+++ b/test/fault/relay.py
@@ -173,6 +173,8 @@
         self.loop.set_exception_handler(lambda loop, context: None)
         for relay in self.relays:
             relay.server.close()
+            if relay.datagrams:
+                relay.udp.close()
         tasks = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
         for task in tasks:
             task.cancel()
