--- a/test/fault/fleet.py
+++ b/test/fault/fleet.py
@@ -111,6 +111,14 @@
                         "homeRegions": home_regions.get(name, [])} for name in services]}
 
     def start(self):
+        try:
+            self._start()
+        except BaseException:
+            # A fleet that is not ready must leave no processes behind.
+            self.stop()
+            raise
+
+    def _start(self):
         self.log.start()
         for daemon in self.daemons.values():
             if self.relays:
