--- a/src/decisions/AttemptLifecycle.cpp
+++ b/src/decisions/AttemptLifecycle.cpp
@@ -36,18 +36,10 @@
     // clang-format off
     struct transition_table : boost::mpl::vector< // NOLINT(readability-identifier-naming)
         Move<S::Unsent, E::Sent, S::Sent>,
-        Move<S::Unsent, E::NeverSent, S::NotRun>,
-        Move<S::Sent, E::NeverSent, S::NotRun>,
+        Move<S::Unsent, E::Refused, S::NotRun>,
         Move<S::Sent, E::Refused, S::NotRun>,
-        Move<S::Sent, E::RevocationAsked, S::Revoking>,
         Move<S::Sent, E::Answered, S::Answered>,
-        Move<S::Sent, E::GivenUp, S::Unknown>,
-        Move<S::Revoking, E::NeverSent, S::NotRun>,
-        Move<S::Revoking, E::Refused, S::NotRun>,
-        Move<S::Revoking, E::RevocationConfirmed, S::NotRun>,
-        Move<S::Revoking, E::RevocationFailed, S::Sent>,
-        Move<S::Revoking, E::Answered, S::Answered>,
-        Move<S::Revoking, E::GivenUp, S::Unknown>
+        Move<S::Sent, E::GivenUp, S::Unknown>
     > { };
     // clang-format on
 
@@ -58,8 +50,7 @@
 };
 
 /// In the order in which MSM numbers the states: sources first, then targets that are no source.
-constexpr std::array StateOrder {S::Unsent, S::Sent,     S::Revoking,
-                                 S::NotRun, S::Answered, S::Unknown};
+constexpr std::array StateOrder {S::Unsent, S::Sent, S::NotRun, S::Answered, S::Unknown};
 
 } // namespace
 
@@ -85,11 +76,7 @@
 {
     static constexpr std::array Takers {
         &Machine::take<E::Sent>,
-        &Machine::take<E::NeverSent>,
         &Machine::take<E::Refused>,
-        &Machine::take<E::RevocationAsked>,
-        &Machine::take<E::RevocationConfirmed>,
-        &Machine::take<E::RevocationFailed>,
         &Machine::take<E::Answered>,
         &Machine::take<E::GivenUp>,
     };
@@ -103,7 +90,7 @@
 
 bool AttemptLifecycle::open() const
 {
-    return state() == S::Sent || state() == S::Revoking;
+    return state() == S::Sent;
 }
 
 } // namespace Coltsfootwell
--- a/src/decisions/AttemptLifecycle.h
+++ b/src/decisions/AttemptLifecycle.h
@@ -10,8 +10,6 @@
 enum class AttemptState : std::uint8_t {
     Unsent,
     Sent,
-    /// The serving daemon was asked never to start the attempt.
-    Revoking,
     /// The attempt has not started and never will.
     NotRun,
     Answered,
@@ -22,13 +20,8 @@
 /// \brief What a sender learns of its attempt.
 enum class AttemptEvent : std::uint8_t {
     Sent,
-    /// No byte left this daemon.
-    NeverSent,
+    /// The serving daemon has not run it, or no byte left this daemon.
     Refused,
-    RevocationAsked,
-    RevocationConfirmed,
-    /// The revocation failed, but the answer may still come.
-    RevocationFailed,
     Answered,
     /// The answer will not come.
     GivenUp,
@@ -49,7 +42,7 @@
 
     AttemptState state() const;
 
-    /// \return true while an answer, a refusal or a verdict may still come.
+    /// \return true while an answer or a refusal may still come.
     bool open() const;
 
 private:
--- /dev/null
+++ b/src/decisions/BackendRegistration.cpp
@@ -0,0 +1,58 @@
+#include "decisions/BackendRegistration.h"
+
+namespace Coltsfootwell {
+
+RegistrationChange BackendRegistration::heard(const BackendHeartbeat &heartbeat, TimePoint now)
+{
+    const bool hasLeft = heartbeat.instance == m_leftInstance && heartbeat.born <= m_leftBorn;
+    if (hasLeft || isOlder(heartbeat)) {
+        return RegistrationChange::Outdated;
+    }
+    const bool same = m_current && m_current->instance == heartbeat.instance
+        && m_current->born == heartbeat.born;
+    m_current = heartbeat;
+    m_lastHeard = now;
+    if (!same) {
+        m_leavingSince.reset();
+    }
+    if (heartbeat.state == AnnouncedState::Draining) {
+        if (m_leavingSince) {
+            return RegistrationChange::Renewed;
+        }
+        m_leavingSince = now;
+        return RegistrationChange::Leaving;
+    }
+    if (!same) {
+        return RegistrationChange::Replaced;
+    }
+    // A process that has announced its end stays on its way out.
+    return RegistrationChange::Renewed;
+}
+
+RegistrationChange BackendRegistration::left(const std::string &instance, TimePoint now)
+{
+    if (m_current && m_current->instance != instance) {
+        return RegistrationChange::Outdated;
+    }
+    m_leftInstance = instance;
+    m_leftBorn = m_current ? m_current->born : 0;
+    if (!m_current || m_leavingSince) {
+        return RegistrationChange::Renewed;
+    }
+    m_leavingSince = now;
+    return RegistrationChange::Leaving;
+}
+
+bool BackendRegistration::isOlder(const BackendHeartbeat &heartbeat) const
+{
+    if (!m_current) {
+        return false;
+    }
+    if (heartbeat.instance == m_current->instance && heartbeat.born == m_current->born) {
+        return heartbeat.sequence <= m_current->sequence;
+    }
+    // Processes that do not say when they were born replace each other in the order of arrival.
+    return heartbeat.born != 0 && m_current->born != 0 && heartbeat.born < m_current->born;
+}
+
+} // namespace Coltsfootwell
--- a/src/decisions/CallFacts.h
+++ b/src/decisions/CallFacts.h
@@ -3,6 +3,7 @@
 
 #include "kernel/Time.h"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -14,7 +15,7 @@
 struct CallFacts
 {
     std::string service;
-    std::string tenant;
+    std::string customer;
     bool idempotent = false;
     /// Empty when every region may serve the call.
     std::vector<std::string> homeRegions;
@@ -23,6 +24,16 @@
     TimePoint deadline {};
     /// False when the body is streamed and can be sent once only.
     bool bodyReplayable = true;
+    TimePoint received {};
+    /// Time by which an answer has its full value.
+    TimePoint objective {};
+    /// Most backend servers that may run the call.
+    unsigned maxAttempts = 3;
+    /// Rank among the calls of the service; 0 goes first.
+    unsigned priority = 0;
+    /// True for a call that a backend server makes while it runs another.
+    bool nested = false;
+    std::uint64_t bodyBytes = 0;
 };
 
 } // namespace Coltsfootwell
--- a/src/decisions/CallFlow.cpp
+++ b/src/decisions/CallFlow.cpp
@@ -6,19 +6,17 @@
 
 namespace {
 
-/// An unanswered attempt is revoked at this part of the time it has, ...
-constexpr int ProgressShare = 2;
-/// ... but early enough for a verdict to count.
-constexpr Duration MaxProgressWait = MaxVerdictAge / 2;
-/// The last revocation before the deadline takes at most this part of the time an attempt has.
-constexpr int LeadShare = 4;
-
 /// Reasons that hold for every serving daemon.
 bool holdsEverywhere(Reason reason)
 {
     return reason == Reason::OutsideHomeRegions || reason == Reason::Deadline;
 }
 
+Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
 } // namespace
 
 CallFlow::CallFlow(CallFacts facts, const CallFlowParts &parts)
@@ -33,16 +31,8 @@
         refuse(Reason::Deadline);
         return finish();
     }
-    m_parts.budget.firstAttempt(m_facts.service, m_facts.tenant);
-    const Routing::Choice choice = m_parts.routing.pick(m_facts, {}, now);
-    if (const auto *target = std::get_if<Target>(&choice)) {
-        send(*target, now);
-        if (m_facts.idempotent && m_facts.bodyReplayable && m_parts.hedgeAfter) {
-            m_hedgeAt = now + *m_parts.hedgeAfter;
-        }
-    } else {
-        refuse(std::get<Reason>(choice));
-    }
+    m_parts.budget.firstAttempt(m_facts.service, now);
+    place(AttemptCause::First, now);
     return finish();
 }
 
@@ -50,79 +40,63 @@
                                               TimePoint now)
 {
     m_actions.clear();
-    if (Attempt *it = find(attempt); it && !m_finished && it->lifecycle.open()) {
-        it->lifecycle.process(AttemptEvent::Refused);
-        m_lastReason = reason;
-        m_lastRefused = true;
-        settle(now);
+    Attempt *it = find(attempt);
+    if (!it || m_finished || !it->lifecycle.open()) {
+        return finish();
+    }
+    it->lifecycle.process(AttemptEvent::Refused);
+    m_lastReason = reason;
+    m_excluded.push_back(it->target.daemon);
+    if (anyOpen()) {
+        return finish();
+    }
+    if (holdsEverywhere(reason)) {
+        refuse(reason);
+    } else if (m_failedAnswer) {
+        retryAfterFailure(now);
+    } else if (m_excluded.size() >= RefusalsUntilPause) {
+        pause(reason, now);
+    } else {
+        place(AttemptCause::Refusal, now);
     }
     return finish();
 }
 
-std::span<const CallAction> CallFlow::lost(const AttemptId &attempt, AttemptLoss loss,
-                                           bool bodyTaken, TimePoint now)
+std::span<const CallAction> CallFlow::lost(const AttemptId &attempt, TimePoint now)
 {
     m_actions.clear();
-    m_bodyTaken = m_bodyTaken || (bodyTaken && !m_facts.bodyReplayable);
     Attempt *it = find(attempt);
     if (!it || m_finished || !it->lifecycle.open()) {
         return finish();
     }
-    it->connected = false;
-    m_lastReason = loss == AttemptLoss::Unsent ? Reason::NoBackendServer : Reason::AnswerLost;
-    m_lastRefused = false;
-    if (loss == AttemptLoss::Unsent) {
-        it->lifecycle.process(AttemptEvent::NeverSent);
-    } else if (it->started || (m_facts.idempotent && maySendAgain())) {
-        giveUp(*it);
-    } else if (it->lifecycle.state() == AttemptState::Sent) {
-        revoke(*it);
+    it->lifecycle.process(AttemptEvent::GivenUp);
+    m_lastReason = Reason::AnswerLost;
+    m_excluded.push_back(it->target.daemon);
+    if (!anyOpen()) {
+        retryAfterFailure(now);
     }
-    settle(now);
     return finish();
 }
 
-std::span<const CallAction> CallFlow::answered(const AttemptId &attempt, TimePoint now)
+std::span<const CallAction> CallFlow::answered(const AttemptId &attempt, bool good, TimePoint now)
 {
     m_actions.clear();
     Attempt *it = find(attempt);
     if (!it || m_finished || !it->lifecycle.open()) {
-        m_actions.emplace_back(StopAttempt {attempt});
         return m_actions;
     }
     it->lifecycle.process(AttemptEvent::Answered);
-    m_finished = true;
-    stopAll();
-    m_actions.emplace_back(DeliverAnswer {attempt});
-    return finish();
-}
-
-std::span<const CallAction> CallFlow::revocationEnded(const AttemptId &attempt,
-                                                      std::optional<RevokeVerdict> verdict,
-                                                      TimePoint now)
-{
-    m_actions.clear();
-    Attempt *it = find(attempt);
-    if (!it || m_finished || it->lifecycle.state() != AttemptState::Revoking) {
-        return finish();
+    if (good) {
+        m_finished = true;
+        stopOpen();
+        m_actions.emplace_back(DeliverAnswer {attempt});
+        return m_actions;
     }
-    it->started = it->started || verdict == RevokeVerdict::Started;
-    if (verdict == RevokeVerdict::NeverStarts && m_parts.guards.verdictCounts(now - it->sentAt)) {
-        it->lifecycle.process(AttemptEvent::RevocationConfirmed);
-        m_lastReason = Reason::Revoked;
-        m_lastRefused = false;
-        if (it->connected) {
-            m_actions.emplace_back(StopAttempt {attempt});
-        }
-    } else if (it->connected && verdict != RevokeVerdict::WrongIncarnation) {
-        it->lifecycle.process(AttemptEvent::RevocationFailed);
-        if (!it->started && now < it->lastRevokeAt) {
-            it->revokeAt = it->lastRevokeAt;
-        }
-    } else {
-        giveUp(*it);
+    m_failedAnswer = attempt;
+    m_excluded.push_back(it->target.daemon);
+    if (!anyOpen()) {
+        retryAfterFailure(now);
     }
-    settle(now);
     return finish();
 }
 
@@ -133,17 +107,14 @@
         return m_actions;
     }
     if (now >= m_facts.deadline) {
-        for (Attempt &attempt : m_attempts) {
-            giveUp(attempt);
-        }
+        stopOpen();
         refuse(Reason::Deadline);
         return finish();
     }
-    for (Attempt &attempt : m_attempts) {
-        if (attempt.revokeAt && now >= *attempt.revokeAt
-            && attempt.lifecycle.state() == AttemptState::Sent) {
-            revoke(attempt);
-        }
+    if (m_placeAt && now >= *m_placeAt) {
+        m_placeAt.reset();
+        m_excluded.clear();
+        place(AttemptCause::Refusal, now);
     }
     if (m_hedgeAt && now >= *m_hedgeAt) {
         hedge(now);
@@ -155,7 +126,7 @@
 {
     m_actions.clear();
     if (!m_finished) {
-        stopAll();
+        stopOpen();
         refuse(Reason::Cancelled);
     }
     return finish();
@@ -167,119 +138,130 @@
     return it == m_attempts.end() ? nullptr : &*it;
 }
 
-void CallFlow::send(const Target &target, TimePoint now)
+void CallFlow::place(AttemptCause cause, TimePoint now)
+{
+    const Placement::Choice choice = m_parts.placement.pick(m_facts, m_excluded, now);
+    if (const auto *placed = std::get_if<PlacedAttempt>(&choice)) {
+        send(*placed, cause, now);
+    } else {
+        pause(std::get<Reason>(choice), now);
+    }
+}
+
+void CallFlow::send(const PlacedAttempt &placed, AttemptCause cause, TimePoint now)
 {
     Attempt attempt;
     attempt.id = {m_parts.random.next(), m_parts.random.next()};
-    attempt.target = target;
+    attempt.target = placed.target;
     attempt.sentAt = now;
-    const Duration left = m_facts.deadline - now;
-    attempt.revokeAt = now + std::min<Duration>(left / ProgressShare, MaxProgressWait);
-    attempt.lastRevokeAt
-        = m_facts.deadline - std::min<Duration>(MaxRevocationLead, left / LeadShare);
+    attempt.expected = placed.expected;
     attempt.lifecycle.process(AttemptEvent::Sent);
-    m_actions.emplace_back(SendAttempt {attempt.id, target});
+    m_actions.emplace_back(SendAttempt {attempt.id, placed, cause});
     m_attempts.push_back(std::move(attempt));
+    if (cause != AttemptCause::Hedge) {
+        planHedge(now);
+    }
 }
 
-void CallFlow::revoke(Attempt &attempt)
+/// Waits for a server to become free, as long as an answer within the objective is possible.
+void CallFlow::pause(Reason reason, TimePoint now)
 {
-    attempt.revokeAt.reset();
-    attempt.lifecycle.process(AttemptEvent::RevocationAsked);
-    m_actions.emplace_back(SendRevocation {attempt.id, attempt.target});
+    m_lastReason = reason;
+    const TimePoint last = std::min(m_facts.objective, m_facts.deadline);
+    if (now + PauseTime >= last) {
+        refuse(reason);
+        return;
+    }
+    m_placeAt = now + PauseTime;
 }
 
-void CallFlow::giveUp(Attempt &attempt)
+void CallFlow::retryAfterFailure(TimePoint now)
 {
-    if (attempt.lifecycle.open()) {
-        attempt.lifecycle.process(AttemptEvent::GivenUp);
-        m_actions.emplace_back(StopAttempt {attempt.id});
+    const bool allowed = std::ranges::all_of(m_attempts, [this](const Attempt &attempt) {
+        return m_parts.guards.mayRetryAfter(attempt.lifecycle.state(), m_facts.idempotent);
+    });
+    if (allowed && mayRunAgain()) {
+        const Placement::Choice choice = m_parts.placement.pick(m_facts, m_excluded, now);
+        const auto *placed = std::get_if<PlacedAttempt>(&choice);
+        if (placed && m_parts.budget.take(m_facts.service, now)) {
+            send(*placed, AttemptCause::Failure, now);
+            return;
+        }
+    }
+    if (m_failedAnswer) {
+        m_finished = true;
+        m_actions.emplace_back(DeliverAnswer {*m_failedAnswer});
+        return;
     }
+    refuse(m_lastReason);
 }
 
-void CallFlow::stopAll()
+void CallFlow::planHedge(TimePoint now)
 {
-    for (Attempt &attempt : m_attempts) {
-        giveUp(attempt);
+    m_hedgeAt.reset();
+    if (!m_facts.idempotent || !mayRunAgain()) {
+        return;
+    }
+    const Duration expected = m_attempts.back().expected;
+    const TimePoint latest = m_facts.objective - scaled(expected, HedgeLead);
+    const TimePoint earliest = now + scaled(expected, HedgeAfter);
+    if (earliest < m_facts.objective) {
+        m_hedgeAt = std::max(latest, earliest);
     }
 }
 
-bool CallFlow::anyOpen() const
+void CallFlow::hedge(TimePoint now)
 {
-    return std::ranges::any_of(m_attempts,
-                               [](const Attempt &attempt) { return attempt.lifecycle.open(); });
+    m_hedgeAt.reset();
+    if (!anyOpen() || !mayRunAgain()) {
+        return;
+    }
+    std::vector<DaemonId> excluded = m_excluded;
+    for (const Attempt &attempt : m_attempts) {
+        excluded.push_back(attempt.target.daemon);
+    }
+    const Placement::Choice choice = m_parts.placement.pick(m_facts, excluded, now);
+    const auto *placed = std::get_if<PlacedAttempt>(&choice);
+    // A second run that would be late as well only adds load.
+    if (placed && now + placed->expected <= m_facts.objective
+        && m_parts.budget.take(m_facts.service, now)) {
+        send(*placed, AttemptCause::Hedge, now);
+    }
 }
 
-bool CallFlow::maySendAgain() const
+void CallFlow::stopOpen()
 {
-    return m_attempts.size() < MaxAttempts && !m_bodyTaken;
+    for (Attempt &attempt : m_attempts) {
+        if (attempt.lifecycle.open()) {
+            attempt.lifecycle.process(AttemptEvent::GivenUp);
+            m_actions.emplace_back(StopAttempt {attempt.id});
+        }
+    }
 }
 
-std::optional<Target> CallFlow::nextTarget(TimePoint now)
+bool CallFlow::anyOpen() const
 {
-    std::vector<DaemonId> tried;
-    std::ranges::transform(m_attempts, std::back_inserter(tried),
-                           [](const Attempt &attempt) { return attempt.target.daemon; });
-    Routing::Choice choice = m_parts.routing.pick(m_facts, tried, now);
-    // A daemon that refused would refuse again; one whose connection broke may be back.
-    if (std::holds_alternative<Reason>(choice) && !m_lastRefused) {
-        choice = m_parts.routing.pick(m_facts, {}, now);
-    }
-    const auto *target = std::get_if<Target>(&choice);
-    return target ? std::optional(*target) : std::nullopt;
+    return std::ranges::any_of(m_attempts,
+                               [](const Attempt &attempt) { return attempt.lifecycle.open(); });
 }
 
-/// Decides what follows when no attempt is open any more.
-void CallFlow::settle(TimePoint now)
+std::size_t CallFlow::runs() const
 {
-    if (m_finished || anyOpen()) {
-        return;
-    }
-    const bool allowed = std::ranges::all_of(m_attempts, [this](const Attempt &attempt) {
-        return m_parts.guards.mayRetryAfter(attempt.lifecycle.state(), m_facts.idempotent);
-    });
-    if (now >= m_facts.deadline) {
-        refuse(Reason::Deadline);
-        return;
-    }
-    if (!allowed || !maySendAgain() || (m_lastRefused && holdsEverywhere(m_lastReason))) {
-        refuse(m_lastReason);
-        return;
-    }
-    const std::optional<Target> target = nextTarget(now);
-    if (!target) {
-        refuse(m_lastReason);
-    } else if (!m_parts.budget.take(m_facts.service, m_facts.tenant)) {
-        refuse(outcome() == Outcome::NotRun ? Reason::RetryBudget : m_lastReason);
-    } else {
-        send(*target, now);
-    }
+    return static_cast<std::size_t>(std::ranges::count_if(m_attempts, [](const Attempt &attempt) {
+        return attempt.lifecycle.state() != AttemptState::NotRun;
+    }));
 }
 
-void CallFlow::hedge(TimePoint now)
+bool CallFlow::mayRunAgain() const
 {
-    m_hedgeAt.reset();
-    if (!maySendAgain() || m_attempts.size() != 1) {
-        return;
-    }
-    const std::vector<DaemonId> tried {m_attempts.front().target.daemon};
-    const Routing::Choice choice = m_parts.routing.pick(m_facts, tried, now);
-    if (const auto *target = std::get_if<Target>(&choice);
-        target && m_parts.budget.take(m_facts.service, m_facts.tenant)) {
-        send(*target, now);
-    }
+    return runs() < m_facts.maxAttempts;
 }
 
 void CallFlow::armTimer()
 {
     TimePoint at = m_facts.deadline;
-    if (m_hedgeAt) {
-        at = std::min(at, *m_hedgeAt);
-    }
-    for (const Attempt &attempt : m_attempts) {
-        if (attempt.revokeAt && attempt.lifecycle.state() == AttemptState::Sent) {
-            at = std::min(at, *attempt.revokeAt);
-        }
+    for (const auto &next : {m_hedgeAt, m_placeAt}) {
+        at = next ? std::min(at, *next) : at;
     }
     m_actions.emplace_back(SetTimer {at});
 }
@@ -296,15 +278,11 @@
 void CallFlow::refuse(Reason reason)
 {
     m_finished = true;
-    const bool revoked = reason == Reason::Revoked;
     const Outcome told = outcome();
     // A refusal of the last attempt must not hide that an earlier one may have run.
     const bool hidden
         = told == Outcome::Unknown && reason != Reason::Deadline && reason != Reason::Cancelled;
-    m_actions.emplace_back(RefuseCall {told,
-                                       hidden        ? Reason::AnswerLost
-                                           : revoked ? Reason::Deadline
-                                                     : reason});
+    m_actions.emplace_back(RefuseCall {told, hidden ? Reason::AnswerLost : reason});
 }
 
 std::span<const CallAction> CallFlow::finish()
--- a/src/decisions/CallFlow.h
+++ b/src/decisions/CallFlow.h
@@ -1,16 +1,15 @@
-// Steers one call on the entry daemon: attempts, retries, revocations, and what the caller is told.
+// Steers one call on the entry daemon: attempts, retries, hedges, and what the caller is told.
 //
 // The caller is told "not run" only when no attempt can have reached a backend server: every
-// attempt was refused, never sent, or revoked before it started.
+// attempt was refused or never sent.
 #pragma once
 
 #include "decisions/AttemptLifecycle.h"
 #include "decisions/CallFacts.h"
 #include "decisions/Guards.h"
 #include "decisions/Outcome.h"
+#include "decisions/Placement.h"
 #include "decisions/RetryStrategy.h"
-#include "decisions/Routing.h"
-#include "decisions/RunLedger.h"
 
 #include <optional>
 #include <span>
@@ -19,18 +18,23 @@
 
 namespace Coltsfootwell {
 
-/// \brief Sends the call to a serving daemon.
-struct SendAttempt
-{
-    AttemptId attempt;
-    Target target;
+/// \brief Why an attempt is made.
+enum class AttemptCause {
+    First,
+    /// The last one was refused and has not run.
+    Refusal,
+    /// The last one failed or its answer was lost.
+    Failure,
+    /// The last one has not answered and would be late.
+    Hedge,
 };
 
-/// \brief Asks a serving daemon never to start an attempt.
-struct SendRevocation
+/// \brief Sends the call to a serving daemon.
+struct SendAttempt
 {
     AttemptId attempt;
-    Target target;
+    PlacedAttempt placed;
+    AttemptCause cause = AttemptCause::First;
 };
 
 /// \brief Closes an attempt whose answer is no longer wanted.
@@ -58,25 +62,14 @@
     TimePoint at;
 };
 
-using CallAction
-    = std::variant<SendAttempt, SendRevocation, StopAttempt, DeliverAnswer, RefuseCall, SetTimer>;
-
-/// \brief Why an attempt has no answer.
-enum class AttemptLoss {
-    /// No byte was sent.
-    Unsent,
-    /// The attempt may have reached the serving daemon.
-    Sent,
-};
+using CallAction = std::variant<SendAttempt, StopAttempt, DeliverAnswer, RefuseCall, SetTimer>;
 
 /// \brief What a call needs besides its facts; all references outlive the call.
 struct CallFlowParts
 {
-    Routing &routing;
+    Placement &placement;
     Random &random;
     RetryStrategy &budget;
-    /// Time after which an idempotent call is sent a second time; nothing for no hedges.
-    std::optional<Duration> hedgeAfter;
     const Guards &guards = FullGuards;
 };
 
@@ -85,10 +78,14 @@
 class CallFlow
 {
 public:
-    static constexpr unsigned MaxAttempts = 3;
-    /// Longest time before the deadline at which an unanswered attempt is revoked. Covers a round
-    /// trip between regions (60 ms) over a new connection.
-    static constexpr std::chrono::milliseconds MaxRevocationLead {250};
+    /// Refusals in a row after which the call waits before it is placed again.
+    static constexpr std::size_t RefusalsUntilPause = 4;
+    /// Time between two searches for a free server.
+    static constexpr std::chrono::milliseconds PauseTime {12};
+    /// A hedge is sent this many times the expected time before the objective.
+    static constexpr double HedgeLead = 1.4;
+    /// An attempt is given this many times its expected time before it is hedged.
+    static constexpr double HedgeAfter = 1.6;
 
     /// \param facts the call.
     /// \param parts see CallFlowParts.
@@ -96,19 +93,12 @@
 
     std::span<const CallAction> begin(TimePoint now);
     std::span<const CallAction> refused(const AttemptId &attempt, Reason reason, TimePoint now);
-    std::span<const CallAction> lost(const AttemptId &attempt, AttemptLoss loss, bool bodyTaken,
-                                     TimePoint now);
-    std::span<const CallAction> answered(const AttemptId &attempt, TimePoint now);
-    /// \param verdict the serving daemon's reply; nothing when it did not reply in time.
-    std::span<const CallAction> revocationEnded(const AttemptId &attempt,
-                                                std::optional<RevokeVerdict> verdict,
-                                                TimePoint now);
+    std::span<const CallAction> lost(const AttemptId &attempt, TimePoint now);
+    /// \param good false for a failure of the backend server.
+    std::span<const CallAction> answered(const AttemptId &attempt, bool good, TimePoint now);
     std::span<const CallAction> timeout(TimePoint now);
     std::span<const CallAction> cancelled(TimePoint now);
 
-    /// \brief A streamed body was read by an attempt, so that no other attempt can have it.
-    void bodyTaken() { m_bodyTaken = true; }
-
     /// \return true when the caller has its answer or refusal.
     bool finished() const { return m_finished; }
 
@@ -118,27 +108,22 @@
         AttemptId id;
         Target target;
         TimePoint sentAt;
-        /// Time of the next revocation, when there is one to come.
-        std::optional<TimePoint> revokeAt;
-        /// Time of the revocation shortly before the deadline.
-        TimePoint lastRevokeAt;
+        Duration expected {};
         AttemptLifecycle lifecycle;
-        /// False once the answer cannot come any more.
-        bool connected = true;
-        /// True once the serving daemon has said that it started the attempt.
-        bool started = false;
     };
 
     Attempt *find(const AttemptId &id);
-    void send(const Target &target, TimePoint now);
-    void revoke(Attempt &attempt);
-    void giveUp(Attempt &attempt);
-    void stopAll();
-    bool anyOpen() const;
-    bool maySendAgain() const;
-    std::optional<Target> nextTarget(TimePoint now);
-    void settle(TimePoint now);
+    void place(AttemptCause cause, TimePoint now);
+    void send(const PlacedAttempt &placed, AttemptCause cause, TimePoint now);
+    void pause(Reason reason, TimePoint now);
+    void retryAfterFailure(TimePoint now);
     void hedge(TimePoint now);
+    void planHedge(TimePoint now);
+    void stopOpen();
+    bool anyOpen() const;
+    /// Attempts that may have run.
+    std::size_t runs() const;
+    bool mayRunAgain() const;
     void armTimer();
     Outcome outcome() const;
     void refuse(Reason reason);
@@ -148,10 +133,13 @@
     CallFlowParts m_parts;
     std::vector<Attempt> m_attempts;
     std::vector<CallAction> m_actions;
+    /// Daemons that are not asked again before the next pause.
+    std::vector<DaemonId> m_excluded;
     std::optional<TimePoint> m_hedgeAt;
-    Reason m_lastReason = Reason::AnswerLost;
-    bool m_lastRefused = false;
-    bool m_bodyTaken = false;
+    std::optional<TimePoint> m_placeAt;
+    /// A failure of a backend server, delivered when nothing better comes.
+    std::optional<AttemptId> m_failedAnswer;
+    Reason m_lastReason = Reason::Overloaded;
     bool m_finished = false;
 };
 
--- a/src/decisions/Configuration.h
+++ b/src/decisions/Configuration.h
@@ -25,6 +25,10 @@
 {
     unsigned initialSlots = 1;
     unsigned growAfterAnswers = 10;
+    /// Calls per second that a cold server bears; 0 when the service does not say.
+    double callsPerSecond = 0;
+    /// How long a server stays cold after its start; zero when the service does not say.
+    std::chrono::milliseconds lasts {0};
 };
 
 /// \brief Backend servers of one kind and the rules for calls to them.
@@ -37,16 +41,52 @@
     ColdStart coldStart;
     double probesPerSecond = 2.0;
     IsolationPolicy whenIsolated = IsolationPolicy::Refuse;
+    /// Path that backend servers answer with their health and load.
+    std::string healthPath = "/load";
+};
+
+/// \brief One of several services that share the calls of a route.
+struct WeightedService
+{
+    std::string service;
+    double weight = 1;
+
+    bool operator==(const WeightedService &) const = default;
 };
 
 /// \brief Calls whose path begins with a prefix.
 struct Route
 {
+    /// Unique name; empty when the route has none.
+    std::string name;
+    /// Host header of its calls; empty for every host.
+    std::string host;
     std::string prefix;
     std::string service;
+    /// Services that share its calls by weight; empty when `service` gets all.
+    std::vector<WeightedService> split;
     std::vector<std::string> idempotentMethods;
+    /// True when every call may run more than once, whatever its method.
+    bool idempotent = false;
     /// Empty when every region may serve the call.
     std::vector<std::string> homeRegions;
+    /// Longest time that a caller is kept waiting; zero for no limit.
+    std::chrono::milliseconds timeout {0};
+    /// Time within which an answer has its full value; zero when the route has no objective.
+    std::chrono::milliseconds objective {0};
+    /// Most backend servers that one call may run on.
+    unsigned maxAttempts = 3;
+    /// Rank among the calls of a service; 0 goes first.
+    unsigned priority = 0;
+};
+
+/// \brief What one HTTP request may be like.
+struct RequestLimits
+{
+    std::uint64_t headerBytes = 32 * 1024;
+    std::uint64_t bodyBytes = 16ULL << 20;
+    std::chrono::milliseconds headerTimeout {10'000};
+    std::chrono::milliseconds idleTimeout {60'000};
 };
 
 struct DataCentreRules
@@ -71,16 +111,22 @@
     std::map<std::string, DataCentreRules, std::less<>> dataCentres;
     std::map<std::string, ServiceRules, std::less<>> services;
     std::vector<Route> routes;
-    /// Home regions of tenants that have any.
-    std::map<std::string, std::vector<std::string>, std::less<>> tenantRegions;
+    /// Home regions of customers that have any.
+    std::map<std::string, std::vector<std::string>, std::less<>> customerRegions;
     /// Names of daemons whose backend server operators have drained.
     std::set<std::string, std::less<>> drained;
     Limits limits;
+    RequestLimits requests;
 
     /// \param path path of a call.
     /// \return the route with the longest prefix of the path that ends at a path segment, or null.
     const Route *routeFor(std::string_view path) const;
 
+    /// \param host host of a call without its port.
+    /// \param path path of a call.
+    /// \return the route of that host with the longest prefix of the path, or null.
+    const Route *routeFor(std::string_view host, std::string_view path) const;
+
     /// \param dataCentre name of a data centre.
     /// \return false when it is unknown or taken out of service.
     bool inService(std::string_view dataCentre) const;
--- a/src/decisions/ConfigurationRules.cpp
+++ b/src/decisions/ConfigurationRules.cpp
@@ -31,8 +31,8 @@
             checkService("/services/" + name, rules);
         }
         checkRoutes();
-        for (const auto &[tenant, regions] : m_candidate.tenantRegions) {
-            checkRegions("/tenants/" + tenant + "/homeRegions", regions);
+        for (const auto &[customer, regions] : m_candidate.customerRegions) {
+            checkRegions("/customers/" + customer + "/homeRegions", regions);
         }
         checkLimits();
         return std::move(m_violations);
--- a/src/decisions/Guards.h
+++ b/src/decisions/Guards.h
@@ -4,15 +4,9 @@
 
 #include "decisions/AttemptLifecycle.h"
 #include "decisions/Ids.h"
-#include "decisions/Outcome.h"
-#include "kernel/Time.h"
 
 namespace Coltsfootwell {
 
-/// A tombstone lasts for 120 s of the receiver's running time; half of it covers the time that an
-/// attempt and its revocation spend on the way.
-constexpr std::chrono::seconds MaxVerdictAge {60};
-
 /// \brief One function for each rule.
 struct Guards
 {
@@ -20,14 +14,8 @@
     bool (*mayRetryAfter)(AttemptState ended, bool idempotent);
     /// Does an attempt in this state allow the outcome "not run"?
     bool (*provesNotRun)(AttemptState state);
-    /// Does a verdict count this long after the attempt was sent?
-    bool (*verdictCounts)(Duration sinceSent);
     /// Does a serving daemon refuse a run that it has promised never to start?
     bool (*honoursTombstones)();
-    /// May a run start in a process other than the one it names?
-    bool (*isForThisProcess)(const DaemonId &named, const DaemonId &self);
-    /// May a key's call run again after a run with this outcome?
-    bool (*freesKey)(Outcome outcome);
 };
 
 /// \brief All rules in force; the only table that the daemon uses.
@@ -36,10 +24,7 @@
     [](AttemptState state) {
         return state == AttemptState::Unsent || state == AttemptState::NotRun;
     },
-    [](Duration sinceSent) { return sinceSent <= MaxVerdictAge; },
     [] { return true; },
-    [](const DaemonId &named, const DaemonId &self) { return named == self; },
-    [](Outcome outcome) { return outcome == Outcome::NotRun; },
 };
 
 } // namespace Coltsfootwell
--- a/src/decisions/Load.h
+++ b/src/decisions/Load.h
@@ -14,6 +14,14 @@
     std::uint32_t waiting = 0;
     std::uint32_t limit = 0;
     BackendState state = BackendState::Absent;
+    /// Time that work takes at this moment, in percent of the usual time.
+    std::uint32_t slowness = 100;
+    /// Share of recent answers that were failures, in percent.
+    std::uint32_t failures = 0;
+    /// Usual time of one answer in microseconds; 0 when unknown.
+    std::uint32_t answerMicros = 0;
+
+    bool operator==(const LoadReport &) const = default;
 };
 
 } // namespace Coltsfootwell
--- a/src/decisions/Outcome.h
+++ b/src/decisions/Outcome.h
@@ -18,12 +18,9 @@
     BadHeader,
     BadDeadline,
     DepthExceeded,
-    BadKey,
     NoRoute,
     BodyTooLarge,
     OutsideHomeRegions,
-    KeyInProgress,
-    AnswerNotHeld,
     Overloaded,
     NoBackendServer,
     DataCentreOut,
@@ -33,16 +30,18 @@
     Cold,
     RetryBudget,
     RegionBudget,
-    WrongIncarnation,
-    Revoked,
-    LogUnavailable,
-    KeyOwnerGone,
-    KeyExpired,
+    WrongInstance,
+    Unreachable,
+    HeaderTooLarge,
+    RequestTimeout,
     Deadline,
     AnswerLost,
     Cancelled,
 };
 
+/// The reason with the highest number.
+constexpr Reason LastReason = Reason::Cancelled;
+
 /// \param outcome any value.
 /// \return its name in headers and metrics, such as "not-run".
 std::string_view outcomeName(Outcome outcome);
--- /dev/null
+++ b/src/decisions/ProbePlan.h
@@ -0,0 +1,50 @@
+// Decides when the backend server is probed. Probes cost the server time, so they are left out
+// while answers tell the same.
+#pragma once
+
+#include "kernel/Time.h"
+
+#include <cstdint>
+
+namespace Coltsfootwell {
+
+/// \brief What the daemon knows at the moment.
+struct ProbeNeed
+{
+    bool down = false;
+    bool busy = false;
+    bool slow = false;
+    bool cold = false;
+    /// Time of the last news about the server's speed.
+    TimePoint speedKnownAt {};
+};
+
+/// \brief Chooses the time of the next probe. One probe is under way at a time.
+///
+/// Load pattern: a server turns slow while calls run on it, so that no answer tells of it; or it
+/// becomes fast again while it gets no calls.
+class ProbePlan
+{
+public:
+    /// Age of news after which a busy server is asked.
+    static constexpr std::chrono::milliseconds BusyAge {120};
+    /// Age of news after which a slow server is asked whether it is fast again.
+    static constexpr std::chrono::milliseconds SlowAge {90};
+    static constexpr std::chrono::milliseconds DownAge {100};
+    static constexpr std::chrono::milliseconds ColdAge {400};
+    /// Age after which an idle server is asked whether it is well.
+    static constexpr std::chrono::milliseconds IdleAge {1500};
+    /// Most probes in one second.
+    static constexpr unsigned MaxPerSecond = 12;
+
+    /// \return time of the next probe.
+    TimePoint next(const ProbeNeed &need) const;
+
+    /// \brief A probe was sent.
+    void sent(TimePoint now);
+
+private:
+    TimePoint m_lastSent {};
+};
+
+} // namespace Coltsfootwell
--- a/src/decisions/RetryBudget.cpp
+++ b/src/decisions/RetryBudget.cpp
@@ -4,47 +4,47 @@
 
 namespace Coltsfootwell {
 
-void RetryBudget::firstAttempt(std::string_view service, std::string_view tenant)
+void RetryBudget::firstAttempt(std::string_view service, TimePoint now)
 {
-    double &tokens = bucket(service, tenant);
-    tokens = std::min(Capacity, tokens + m_share);
+    Bucket &own = bucket(service, now);
+    own.tokens = std::min(capacity(), own.tokens + m_limits.ratio * RatioUsed);
 }
 
-bool RetryBudget::take(std::string_view service, std::string_view tenant)
+bool RetryBudget::take(std::string_view service, TimePoint now)
 {
-    // Sums of tenths fall short of whole numbers by rounding.
-    constexpr double Rounding = 1e-9;
-    double &tokens = bucket(service, tenant);
-    if (tokens + Rounding < 1.0) {
+    Bucket &own = bucket(service, now);
+    if (own.tokens < 1.0) {
         return false;
     }
-    tokens = std::max(0.0, tokens - 1.0);
+    own.tokens -= 1.0;
     return true;
 }
 
-double &RetryBudget::bucket(std::string_view service, std::string_view tenant)
+double RetryBudget::left(std::string_view service, TimePoint now)
 {
-    std::string name(service);
-    name += '\0';
-    const std::string shared = name;
-    name += tenant;
-    if (const auto it = m_buckets.find(name); it != m_buckets.end()) {
-        return it->second;
-    }
-    const bool room = m_buckets.size() < MaxBuckets || makeRoom();
-    return m_buckets.try_emplace(room ? name : shared, InitialTokens).first->second;
+    return bucket(service, now).tokens;
 }
 
-bool RetryBudget::makeRoom()
+RetryBudget::Bucket &RetryBudget::bucket(std::string_view service, TimePoint now)
 {
-    // Only a bucket that would gain nothing by starting anew may be forgotten.
-    const auto it = std::ranges::find_if(
-        m_buckets, [](const auto &entry) { return entry.second >= InitialTokens; });
-    if (it == m_buckets.end()) {
-        return false;
+    const auto [it, added] = m_buckets.try_emplace(std::string(service));
+    Bucket &own = it->second;
+    if (added) {
+        own.tokens = std::max(1.0, capacity() / 2);
+    } else {
+        const std::chrono::duration<double> elapsed = now - own.at;
+        const std::chrono::duration<double> window = m_limits.window;
+        const double share = m_limits.slack * SlackUsed / static_cast<double>(m_daemons);
+        own.tokens = std::min(capacity(), own.tokens + share * (elapsed / window));
     }
-    m_buckets.erase(it);
-    return true;
+    own.at = now;
+    return own;
+}
+
+double RetryBudget::capacity() const
+{
+    // What is saved up in one window may be spent at once in the next, so it counts half.
+    return std::max(1.0, m_limits.slack * SlackUsed / static_cast<double>(m_daemons) / 2 + 1);
 }
 
 } // namespace Coltsfootwell
--- a/src/decisions/RetryBudget.h
+++ b/src/decisions/RetryBudget.h
@@ -1,46 +1,66 @@
-// Bounds retries and hedges to a share of the first attempts, so that an outage does not multiply
-// the load.
+// Bounds retries and hedges of all daemons together, so that an outage does not multiply the load.
 #pragma once
 
 #include "decisions/RetryStrategy.h"
+#include "kernel/Time.h"
 
-#include <cstddef>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 
 namespace Coltsfootwell {
 
-/// \brief Token buckets, one for each service and tenant.
+/// \brief Bounds that hold for all daemons together, for each service and in any window.
+struct RetryLimits
+{
+    /// Share of first attempts that may be repeated.
+    double ratio = 0.1;
+    /// Repeats allowed besides, in one window.
+    double slack = 10;
+    std::chrono::milliseconds window {10'000};
+};
+
+/// \brief One daemon's part of the budget: a token bucket for each service.
+///
+/// Load pattern: a service whose servers all fail; every daemon retries at the same moment, and the
+/// calls that a repeated run makes count as repeats again.
 class RetryBudget final : public RetryStrategy
 {
 public:
-    static constexpr double Capacity = 10.0;
-    static constexpr double InitialTokens = 3.0;
-    /// Tenants beyond this number share one bucket for each service.
-    static constexpr std::size_t MaxBuckets = 1024;
+    /// Part of the allowed ratio that is spent; the rest covers calls that repeated runs make.
+    static constexpr double RatioUsed = 0.4;
+    /// Part of the allowed slack that is spent.
+    static constexpr double SlackUsed = 0.6;
 
-    /// \param share tokens gained by each first attempt, from 0 to 1.
-    explicit RetryBudget(double share = 0.1) : m_share(share) { }
+    /// \param limits bounds of all daemons together.
+    explicit RetryBudget(RetryLimits limits = {}) : m_limits(limits) { }
 
-    /// \param share see the constructor.
-    void shareChanged(double share) { m_share = share; }
+    /// \param limits replace the earlier ones.
+    void limitsChanged(RetryLimits limits) { m_limits = limits; }
 
-    void firstAttempt(std::string_view service, std::string_view tenant) override;
+    /// \param daemons live daemons, this one included.
+    void daemonsChanged(std::size_t daemons) { m_daemons = daemons == 0 ? 1 : daemons; }
 
-    /// \brief Takes a token for a retry or a hedge.
-    /// \return false when there is none.
-    bool take(std::string_view service, std::string_view tenant) override;
+    void firstAttempt(std::string_view service, TimePoint now) override;
 
-    /// \return number of buckets held.
-    std::size_t size() const { return m_buckets.size(); }
+    bool take(std::string_view service, TimePoint now) override;
+
+    /// \return tokens that are left for a service.
+    double left(std::string_view service, TimePoint now);
 
 private:
-    double &bucket(std::string_view service, std::string_view tenant);
-    bool makeRoom();
+    struct Bucket
+    {
+        double tokens = 0;
+        TimePoint at {};
+    };
+
+    Bucket &bucket(std::string_view service, TimePoint now);
+    double capacity() const;
 
-    double m_share;
-    std::unordered_map<std::string, double> m_buckets;
+    RetryLimits m_limits;
+    std::size_t m_daemons = 1;
+    std::unordered_map<std::string, Bucket> m_buckets;
 };
 
 } // namespace Coltsfootwell
--- a/src/decisions/RetryStrategy.h
+++ b/src/decisions/RetryStrategy.h
@@ -1,6 +1,8 @@
-// Decides whether a call may be sent again.
+// Decides whether a call may be sent to a second backend server.
 #pragma once
 
+#include "kernel/Time.h"
+
 #include <string_view>
 
 namespace Coltsfootwell {
@@ -12,11 +14,11 @@
     virtual ~RetryStrategy() = default;
 
     /// \brief Counts a first attempt.
-    virtual void firstAttempt(std::string_view service, std::string_view tenant) = 0;
+    virtual void firstAttempt(std::string_view service, TimePoint now) = 0;
 
     /// \brief Asks for a retry or a hedge.
     /// \return false when the call may not be sent again.
-    virtual bool take(std::string_view service, std::string_view tenant) = 0;
+    virtual bool take(std::string_view service, TimePoint now) = 0;
 };
 
 } // namespace Coltsfootwell
--- a/src/decisions/RunLedger.cpp
+++ b/src/decisions/RunLedger.cpp
@@ -2,16 +2,12 @@
 
 namespace Coltsfootwell {
 
-RunLedger::RunLedger(DaemonId self, const Guards &guards)
-    : m_self(std::move(self)), m_guards(guards)
+RunLedger::RunLedger(const Guards &guards) : m_guards(guards)
 {
 }
 
-RunVerdict RunLedger::run(const AttemptId &attempt, const DaemonId &target)
+RunVerdict RunLedger::run(const AttemptId &attempt)
 {
-    if (!m_guards.isForThisProcess(target, m_self)) {
-        return RunVerdict::WrongIncarnation;
-    }
     if (const auto it = m_entries.find(attempt);
         it != m_entries.end() && (it->second == Entry::Started || m_guards.honoursTombstones())) {
         return it->second == Entry::Started ? RunVerdict::AlreadyStarted : RunVerdict::Revoked;
@@ -21,11 +17,8 @@
     return RunVerdict::Start;
 }
 
-RevokeVerdict RunLedger::revoke(const AttemptId &attempt, const DaemonId &target)
+RevokeVerdict RunLedger::revoke(const AttemptId &attempt)
 {
-    if (target != m_self) {
-        return RevokeVerdict::WrongIncarnation;
-    }
     if (const auto it = m_entries.find(attempt); it != m_entries.end()) {
         return it->second == Entry::Started ? RevokeVerdict::Started : RevokeVerdict::NeverStarts;
     }
--- a/src/decisions/RunLedger.h
+++ b/src/decisions/RunLedger.h
@@ -1,8 +1,8 @@
 // Keeps what one incarnation of a serving daemon has started or promised never to start.
 //
-// A run and its revocation may arrive in any order and on different connections. Whichever is
-// handled first wins, and the other one is told so. Only a revocation that wins makes "not run"
-// true.
+// A run and the question whether it has started may arrive in any order and on different
+// connections. Whichever is handled first wins: an attempt that is asked for before it arrives
+// never starts, which makes the answer "not run" true.
 #pragma once
 
 #include "decisions/Guards.h"
@@ -17,17 +17,15 @@
 /// \brief Answer to a run message.
 enum class RunVerdict {
     Start,
-    WrongIncarnation,
     Revoked,
     AlreadyStarted,
 };
 
-/// \brief Answer to a revocation.
+/// \brief Answer to the question whether an attempt has started.
 enum class RevokeVerdict {
     /// The attempt will never start in this incarnation.
     NeverStarts,
     Started,
-    WrongIncarnation,
     /// The table of tombstones is full, so nothing can be promised.
     CannotRevoke,
 };
@@ -41,19 +39,14 @@
     static constexpr unsigned RetentionTicks = 120;
     static constexpr std::size_t MaxTombstones = 100'000;
 
-    /// \param self the daemon and its incarnation.
     /// \param guards rules in force; outlives the object.
-    explicit RunLedger(DaemonId self, const Guards &guards = FullGuards);
+    explicit RunLedger(const Guards &guards = FullGuards);
 
     /// \brief Decides on a run message and records the start.
-    /// \param attempt the attempt.
-    /// \param target the daemon and incarnation that the message names.
-    RunVerdict run(const AttemptId &attempt, const DaemonId &target);
+    RunVerdict run(const AttemptId &attempt);
 
-    /// \brief Decides on a revocation and records it.
-    /// \param attempt the attempt.
-    /// \param target the daemon and incarnation that the message names.
-    RevokeVerdict revoke(const AttemptId &attempt, const DaemonId &target);
+    /// \brief Tells whether an attempt has started; one that has not never will.
+    RevokeVerdict revoke(const AttemptId &attempt);
 
     /// \brief Withdraws a start that was refused before a byte went to the backend server.
     /// \param attempt the attempt; it stays refused for good.
@@ -79,7 +72,6 @@
 
     void remember(const AttemptId &attempt, Entry entry);
 
-    DaemonId m_self;
     const Guards &m_guards;
     std::unordered_map<AttemptId, Entry> m_entries;
     std::deque<Expiry> m_expiries;
--- a/src/programs/Daemon.cpp
+++ b/src/programs/Daemon.cpp
@@ -1,18 +1,19 @@
 #include "programs/Daemon.h"
 
+#include "platform/PlatformInterface.h"
+#include "services/Announcements.h"
 #include "services/Backend.h"
 #include "services/Callers.h"
 #include "services/Calls.h"
-#include "services/Claims.h"
-#include "services/ConfigurationService.h"
+#include "services/ConfigurationFollower.h"
+#include "services/ControlListener.h"
 #include "services/DaemonList.h"
-#include "services/LogAccess.h"
-#include "services/LogClient.h"
-#include "services/LogServer.h"
+#include "services/DaemonRecords.h"
+#include "services/Links.h"
 #include "services/Membership.h"
-#include "services/Peers.h"
 #include "services/Stop.h"
 #include "services/Telemetry.h"
+#include "wire/OwnDialect.h"
 
 #include <algorithm>
 
@@ -20,73 +21,100 @@
 
 namespace {
 
+using std::chrono::milliseconds;
+
 constexpr std::uint64_t IncarnationsPerMillisecond = 65'536;
+/// A leaving backend server gets calls for this part of the time that it allows.
+constexpr double DrainShare = 0.6;
+/// Part of the time of a planned stop in which callers and peers learn of it.
+constexpr double LeaveShare = 0.45;
+/// The stop ends this long before the daemon would be killed.
+constexpr milliseconds GraceMargin {400};
+
+milliseconds part(milliseconds whole, double share)
+{
+    return milliseconds(static_cast<std::int64_t>(static_cast<double>(whole.count()) * share));
+}
 
 Incarnation newIncarnation(Random &random)
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+    const auto ms = std::chrono::duration_cast<milliseconds>(sinceEpoch).count();
     return static_cast<Incarnation>(ms) * IncarnationsPerMillisecond
         + random.below(IncarnationsPerMillisecond);
 }
 
-ConfigurationSettings configurationSettings(const DaemonSettings &settings, const DaemonId &id,
-                                            ConfigurationPtr initial)
+void addOwnRegistration(Kernel &kernel, const DaemonSettings &settings)
+{
+    kernel.add(makeAnnouncements(kernel, settings.listen.address));
+}
+
+const DaemonInterface &ownInterface()
 {
-    ConfigurationSettings configuration;
-    configuration.self = id;
-    configuration.region = settings.region;
-    configuration.dataCentre = settings.dataCentre;
-    configuration.endpoint = settings.advertise;
-    configuration.initial = std::move(initial);
-    configuration.retention = {settings.log.retention, settings.log.retentionRecords};
-    return configuration;
+    static const DaemonInterface interface {&ownDialect(), &ownControlFormat(), &makePlatformStore,
+                                            &addOwnRegistration, true};
+    return interface;
 }
 
 } // namespace
 
+const DaemonInterface *findInterface(std::string_view name)
+{
+    if (name == "own") {
+        return &ownInterface();
+    }
+    return name == "platform" ? &platformInterface() : nullptr;
+}
+
 void addDaemonServices(Kernel &kernel, boost::asio::io_context &context,
-                       const DaemonSettings &settings, ConfigurationPtr initial,
-                       Incarnation minIncarnation, DaemonEvents events,
-                       const DaemonStrategies &strategies)
+                       const DaemonSettings &settings, Incarnation minIncarnation,
+                       DaemonEvents events, const DaemonStrategies &strategies)
 {
+    const DaemonInterface &interface = *findInterface(settings.interface);
     const DaemonId id {settings.id, std::max(newIncarnation(kernel.random()), minIncarnation)};
     const Place place {id, settings.region, settings.dataCentre};
+    const auto store = [&]() -> std::shared_ptr<StoreClient> {
+        return settings.store ? interface.makeStore(kernel, context, *settings.store) : nullptr;
+    };
+
     MembershipSettings membership;
     membership.self.id = id;
-    membership.listen = settings.listen;
-    membership.self.endpoint = settings.advertise;
+    membership.listen = settings.peers;
+    membership.self.endpoint = settings.peers;
     membership.self.region = settings.region;
     membership.self.dataCentre = settings.dataCentre;
     membership.seeds = settings.seeds;
     membership.conflict = std::move(events.conflict);
 
-    kernel.add(makeStop(kernel, std::move(events.left)));
+    // Services stop in reverse order: callers first, what carries their answers last.
+    kernel.add(makeStop(kernel, {part(settings.grace, LeaveShare), settings.grace - GraceMargin,
+                                 std::move(events.left)}));
     kernel.add(makeTelemetry(kernel, id));
+    if (settings.admin) {
+        kernel.add(makeControlListener(kernel, context, {"admin", *settings.admin}));
+    }
+    if (settings.ready) {
+        kernel.add(makeControlListener(kernel, context, {"ready", *settings.ready}));
+    }
     kernel.add(makeMembership(kernel, context, membership));
-    if (settings.log.embedded) {
-        LogServerSettings log;
-        log.listen = settings.log.address;
-        log.retention = settings.log.retention;
-        log.maxRecords = settings.log.retentionRecords;
-        kernel.add(makeLogServer(kernel, log));
+    kernel.add(makeLinks(kernel, context, {settings.peers, id}));
+    kernel.add(makeConfiguration(
+        kernel, store(),
+        {interface.format, settings.dataCentres, settings.configurationFile}));
+    if (settings.store) {
+        kernel.add(makeDaemonRecords(kernel, store(), id, settings.peers));
     }
-    ConfigurationSettings configuration = configurationSettings(settings, id, std::move(initial));
-    configuration.filter = strategies.configurationFilter;
-    kernel.add(makeConfigurationService(
-        kernel, context, configuration,
-        settings.log.address.empty() ? nullptr
-                                     : makeGrpcLogClient(kernel.executor(), settings.log.address)));
-    if (!settings.log.address.empty()) {
-        kernel.add(
-            makeLogAccess(kernel, makeGrpcLogClient(kernel.executor(), settings.log.address)));
+    kernel.add(makeBackend(
+        kernel, context,
+        {place, interface.dialect, part(settings.drain, DrainShare), strategies.guards}));
+    interface.addRegistration(kernel, settings);
+    if (settings.registration) {
+        kernel.add(makeControlListener(kernel, context, {"registration", *settings.registration}));
     }
-    kernel.add(makeBackend(kernel, context, place, *strategies.guards));
-    kernel.add(makePeers(kernel, context));
-    kernel.add(makeClaims(kernel, id));
-    kernel.add(makeCalls(kernel, place, *strategies.guards));
+    kernel.add(makeCalls(kernel, {place, settings.service, settings.retries, strategies.guards}));
     kernel.add(makeDaemonList(kernel));
-    kernel.add(makeCallers(kernel, context, {settings.listen, id}));
+    kernel.add(makeCallers(kernel, context,
+                           {settings.listen, id, interface.dialect, interface.servesControl}));
 }
 
 } // namespace Coltsfootwell
--- a/src/programs/Daemon.h
+++ b/src/programs/Daemon.h
@@ -1,12 +1,15 @@
 // Puts the services of one daemon together.
 #pragma once
 
-#include "decisions/Configuration.h"
 #include "decisions/Guards.h"
 #include "kernel/Kernel.h"
 #include "programs/DaemonSettings.h"
-#include "services/ConfigurationService.h"
 #include "services/Membership.h"
+#include "services/StoreClient.h"
+#include "wire/ControlFormat.h"
+#include "wire/HttpDialect.h"
+
+#include <functional>
 
 namespace boost::asio {
 class io_context;
@@ -23,12 +26,28 @@
     std::function<void(const IncarnationConflict &)> conflict;
 };
 
+/// \brief How a daemon speaks with callers, backend servers and operators.
+struct DaemonInterface
+{
+    const HttpDialect *dialect = nullptr;
+    const ControlFormat *format = nullptr;
+    /// \return access to the store at an address.
+    std::shared_ptr<StoreClient> (*makeStore)(Kernel &, boost::asio::io_context &, const Endpoint &)
+        = nullptr;
+    /// Registers the services that take heartbeats of backend servers.
+    void (*addRegistration)(Kernel &, const DaemonSettings &) = nullptr;
+    /// True when callers may ask for paths below "/coltsfootwell/".
+    bool servesControl = true;
+};
+
+/// \param name of the settings.
+/// \return the interface; null for an unknown name.
+const DaemonInterface *findInterface(std::string_view name);
+
 /// \brief Rules that tests switch off to show that a check fails without them.
 struct DaemonStrategies
 {
     const Guards *guards = &FullGuards;
-    /// Changes what services are told of the configuration; nothing by default.
-    ConfigurationFilter configurationFilter = nullptr;
     /// False ends the process at a signal without a planned stop.
     bool plannedStop = true;
 };
@@ -37,13 +56,11 @@
 /// \param kernel gets the services; not started yet.
 /// \param context runs their sockets.
 /// \param settings the daemon's settings.
-/// \param initial configuration in force at the start, or null.
 /// \param minIncarnation lowest incarnation to take.
 /// \param events see DaemonEvents.
 /// \param strategies see DaemonStrategies.
 void addDaemonServices(Kernel &kernel, boost::asio::io_context &context,
-                       const DaemonSettings &settings, ConfigurationPtr initial,
-                       Incarnation minIncarnation, DaemonEvents events,
-                       const DaemonStrategies &strategies);
+                       const DaemonSettings &settings, Incarnation minIncarnation,
+                       DaemonEvents events, const DaemonStrategies &strategies);
 
 } // namespace Coltsfootwell
--- a/src/programs/DaemonMain.cpp
+++ b/src/programs/DaemonMain.cpp
@@ -1,10 +1,13 @@
 #include "programs/DaemonMain.h"
 
 #include "kernel/AsioExecutor.h"
-#include "programs/ConfigurationFile.h"
 #include "programs/ProgramFiles.h"
+#include "programs/SettingsWatch.h"
+#include "services/ConfigurationMessages.h"
+#include "services/LogOutput.h"
 #include "services/ServiceNames.h"
 #include "services/StopMessages.h"
+#include "services/TelemetryMessages.h"
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
@@ -24,6 +27,9 @@
 constexpr int ExitStartFailed = 3;
 constexpr int ExitReplaced = 4;
 
+/// Names the settings file when the command line does not.
+constexpr const char *SettingsVariable = "COLTSFOOTWELL_BOOT";
+
 std::uint64_t seedFromDevice()
 {
     std::random_device device;
@@ -38,56 +44,104 @@
     std::optional<Incarnation> taken;
 };
 
-RunResult runOnce(const DaemonSettings &settings, ConfigurationPtr initial, Random &random,
-                  Incarnation minIncarnation, const DaemonStrategies &strategies)
+/// Runs the services of one daemon until they stop.
+class DaemonRun
 {
-    boost::asio::io_context context(1);
-    AsioExecutor executor(context);
-    Kernel kernel(executor, random);
-    RunResult result;
-    DaemonEvents events;
-    events.left = [&context] { context.stop(); };
-    events.conflict = [&](const IncarnationConflict &heard) {
-        result.exitCode = heard.replaced ? ExitReplaced : 0;
-        result.taken = heard.replaced ? std::nullopt : std::optional(heard.heard);
-        executor.post([&] { kernel.stop([&context] { context.stop(); }); });
-    };
-    addDaemonServices(kernel, context, settings, std::move(initial), minIncarnation,
-                      std::move(events), strategies);
-    if (const std::error_code ec = kernel.start()) {
-        std::cerr << "coltsfootd: " << settings.id << " cannot start service \"" << kernel.failed()
-                  << "\" (listen " << settings.listen.address << ':' << settings.listen.port
-                  << (settings.log.embedded ? ", log listen " + settings.log.address : "")
-                  << "): " << ec.message() << '\n';
-        return {ExitStartFailed, {}};
+public:
+    DaemonRun(std::string settingsFile, DaemonSettings settings, Random &random,
+              const DaemonStrategies &strategies)
+        : m_settings(std::move(settings)), m_strategies(strategies), m_executor(m_context),
+          m_kernel(m_executor, random), m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
+          m_watch(m_kernel, std::move(settingsFile), m_settings)
+    {
+    }
+
+    RunResult run(Incarnation minIncarnation)
+    {
+        DaemonEvents events;
+        events.left = [this] { m_context.stop(); };
+        events.conflict = [this](const IncarnationConflict &heard) {
+            m_result.exitCode = heard.replaced ? ExitReplaced : 0;
+            m_result.taken = heard.replaced ? std::nullopt : std::optional(heard.heard);
+            m_executor.post([this] { m_kernel.stop([this] { m_context.stop(); }); });
+        };
+        addDaemonServices(m_kernel, m_context, m_settings, minIncarnation, std::move(events),
+                          m_strategies);
+        if (const std::error_code ec = m_kernel.start()) {
+            std::cerr << "coltsfootd: " << m_settings.id << " cannot start service \""
+                      << m_kernel.failed() << "\" (listen " << m_settings.listen.address << ':'
+                      << m_settings.listen.port << ", peers " << m_settings.peers.address << ':'
+                      << m_settings.peers.port << "): " << ec.message() << '\n';
+            return {ExitStartFailed, {}};
+        }
+        tell(LogEvent {"daemon.started", "",
+                       "region=" + m_settings.region + " dataCentre=" + m_settings.dataCentre
+                           + " interface=" + m_settings.interface
+                           + " version=" + COLTSFOOTWELL_VERSION});
+        waitForSignal();
+        m_watch.start();
+        m_context.run();
+        return m_result;
     }
-    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-    signals.async_wait([&](boost::system::error_code ec, int number) {
-        if (!ec) {
-            result.taken.reset();
-            if (!strategies.plannedStop) {
-                context.stop();
+
+private:
+    void tell(LogEvent event)
+    {
+        std::error_code unknown;
+        m_kernel.directory()
+            .find<TelemetryMessage>(ServiceName::Telemetry, unknown)
+            .send(std::move(event));
+    }
+
+    void waitForSignal()
+    {
+        m_signals.async_wait([this](boost::system::error_code ec, int number) {
+            if (ec) {
                 return;
             }
-            std::error_code unknown;
-            kernel.directory()
-                .find<StopMessage>(ServiceName::Stop, unknown)
-                .send(AskStop {"signal " + std::to_string(number)});
+            if (number == SIGHUP) {
+                m_watch.reload("signal");
+            } else {
+                stop(number);
+            }
+            waitForSignal();
+        });
+    }
+
+    void stop(int signal)
+    {
+        m_result.taken.reset();
+        if (!m_strategies.plannedStop) {
+            m_context.stop();
+            return;
         }
-    });
-    context.run();
-    return result;
-}
+        std::error_code unknown;
+        m_kernel.directory()
+            .find<StopMessage>(ServiceName::Stop, unknown)
+            .send(AskStop {"signal-" + std::to_string(signal)});
+    }
+
+    DaemonSettings m_settings;
+    const DaemonStrategies &m_strategies;
+    boost::asio::io_context m_context {1};
+    AsioExecutor m_executor;
+    Kernel m_kernel;
+    boost::asio::signal_set m_signals;
+    SettingsWatch m_watch;
+    RunResult m_result;
+};
 
-int run(const DaemonSettings &settings, const ConfigurationPtr &initial,
+int run(const std::string &settingsFile, const DaemonSettings &settings,
         const DaemonStrategies &strategies)
 {
     SeededRandom random(seedFromDevice());
-    RunResult result = runOnce(settings, initial, random, 0, strategies);
-    while (result.taken) {
+    RunResult result;
+    Incarnation least = 0;
+    do {
         // All services know the incarnation from their start, so they start again.
-        result = runOnce(settings, initial, random, *result.taken + 1, strategies);
-    }
+        result = DaemonRun(settingsFile, settings, random, strategies).run(least);
+        least = result.taken.value_or(0) + 1;
+    } while (result.taken);
     if (result.exitCode == ExitReplaced) {
         std::cerr << "coltsfootd: " << settings.id << " was replaced by a later process\n";
     }
@@ -100,7 +154,9 @@
 {
     CLI::App app("Load balancer daemon; runs beside one backend server.");
     std::string settingsFile;
-    app.add_option("--settings", settingsFile, "JSON file with the daemon's settings")->required();
+    app.add_option("--settings", settingsFile, "JSON file with the daemon's settings")
+        ->envname(SettingsVariable)
+        ->required();
     app.footer("Exit codes: 0 stopped as planned, 2 bad settings or configuration file, 3 cannot\n"
                "start, 4 replaced by a later process of the same id, 100-199 bad command line.");
     app.set_version_flag("--version", COLTSFOOTWELL_VERSION);
@@ -118,19 +174,8 @@
         std::cerr << "coltsfootd: " << settingsFile << ": " << faultLine(fault) << '\n';
         return ExitBadSettings;
     }
-    ConfigurationPtr initial;
-    if (!settings.configurationFile.empty()) {
-        std::vector<std::string> messages;
-        initial = std::make_shared<Configuration>(
-            readConfiguration(settings.configurationFile, messages));
-        for (const std::string &message : messages) {
-            std::cerr << "coltsfootd: " << message << '\n';
-        }
-        if (!messages.empty()) {
-            return ExitBadSettings;
-        }
-    }
-    return run(settings, initial, strategies);
+    openLog();
+    return run(settingsFile, settings, strategies);
 }
 
 } // namespace Coltsfootwell
--- a/src/programs/DaemonSettings.cpp
+++ b/src/programs/DaemonSettings.cpp
@@ -12,50 +12,88 @@
 
 namespace json = boost::json;
 
-std::string textAt(const json::object &object, std::string_view key, bool required,
-                   JsonFault &fault)
+/// Reads the members of a document whose form the schema has checked.
+class SettingsReader
 {
-    const json::value *value = object.if_contains(key);
-    if (value && value->is_string()) {
-        return std::string(std::string_view(value->get_string()));
+public:
+    SettingsReader(const json::object &object, JsonFault &fault) : m_object(object), m_fault(fault)
+    {
     }
-    if ((value || required) && fault.rule.empty()) {
-        fault = {'/' + std::string(key), value ? json::serialize(*value) : std::string(),
-                 value ? "must be a string" : "must be given"};
+
+    void text(std::string_view key, std::string &out) const
+    {
+        if (const json::value *value = m_object.if_contains(key)) {
+            out = std::string_view(value->get_string());
+        }
     }
-    return {};
-}
 
-Endpoint endpointOf(std::string_view text, const std::string &path, JsonFault &fault)
-{
-    const auto endpoint = endpointArgument(text);
-    if (!endpoint && fault.rule.empty()) {
-        fault = {path, std::string(text), std::string(EndpointRule)};
+    void seconds(std::string_view key, std::chrono::milliseconds &out) const
+    {
+        double n = std::chrono::duration<double>(out).count();
+        number(key, n);
+        out = std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::duration<double>(n));
     }
-    return endpoint.value_or(Endpoint {});
-}
 
-/// The schema has been checked.
-LogSettings logSettingsOf(const json::object &log, JsonFault &fault)
-{
-    LogSettings settings;
-    const json::value *embedded = log.if_contains("embedded");
-    settings.embedded = embedded && embedded->get_bool();
-    const char *key = settings.embedded ? "listen" : "address";
-    settings.address = textAt(log, key, true, fault);
-    if (settings.address.empty()) {
-        fault = {std::string("/log/") + key, "",
-                 settings.embedded ? "must be given with \"embedded\": true"
-                                   : "must be given without \"embedded\": true"};
+    void number(std::string_view key, double &out) const
+    {
+        if (const json::value *value = m_object.if_contains(key)) {
+            out = value->to_number<double>();
+        }
     }
-    if (const json::value *seconds = log.if_contains("retentionSeconds")) {
-        settings.retention = std::chrono::seconds(seconds->to_number<std::int64_t>());
+
+    std::optional<Endpoint> endpoint(std::string_view key) const
+    {
+        std::string name;
+        text(key, name);
+        return name.empty() ? std::nullopt : endpointOf(name, '/' + std::string(key));
     }
-    if (const json::value *records = log.if_contains("retentionRecords")) {
-        settings.retentionRecords = records->to_number<std::uint64_t>();
+
+    std::vector<Endpoint> endpoints(std::string_view key) const
+    {
+        std::vector<Endpoint> list;
+        if (const json::value *value = m_object.if_contains(key)) {
+            for (const json::value &item : value->get_array()) {
+                if (const auto endpoint = endpointOf(std::string_view(item.get_string()),
+                                                     '/' + std::string(key))) {
+                    list.push_back(*endpoint);
+                }
+            }
+        }
+        return list;
     }
-    return settings;
-}
+
+    std::map<std::string, std::string, std::less<>> texts(std::string_view key) const
+    {
+        std::map<std::string, std::string, std::less<>> map;
+        if (const json::value *value = m_object.if_contains(key)) {
+            for (const auto &entry : value->get_object()) {
+                map.emplace(std::string_view(entry.key()),
+                            std::string_view(entry.value().get_string()));
+            }
+        }
+        return map;
+    }
+
+    std::optional<SettingsReader> object(std::string_view key) const
+    {
+        const json::value *value = m_object.if_contains(key);
+        return value ? std::optional(SettingsReader(value->get_object(), m_fault)) : std::nullopt;
+    }
+
+private:
+    std::optional<Endpoint> endpointOf(std::string_view text, const std::string &path) const
+    {
+        const auto endpoint = endpointArgument(text);
+        if (!endpoint && m_fault.rule.empty()) {
+            m_fault = {path, std::string(text), std::string(EndpointRule)};
+        }
+        return endpoint;
+    }
+
+    const json::object &m_object;
+    JsonFault &m_fault;
+};
 
 } // namespace
 
@@ -69,26 +107,29 @@
         return settings;
     }
     const json::value document = json::parse(json::string_view(text.data(), text.size()));
-    const json::object &object = document.get_object();
-    settings.id = textAt(object, "id", true, fault);
-    settings.region = textAt(object, "region", true, fault);
-    settings.dataCentre = textAt(object, "dataCentre", true, fault);
-    settings.listen = endpointOf(textAt(object, "listen", true, fault), "/listen", fault);
-    settings.advertise = settings.listen;
-    if (object.contains("advertise")) {
-        settings.advertise
-            = endpointOf(textAt(object, "advertise", true, fault), "/advertise", fault);
-    }
-    settings.configurationFile = textAt(object, "configurationFile", false, fault);
-    if (const json::value *seeds = object.if_contains("seeds"); seeds && seeds->is_array()) {
-        for (const json::value &seed : seeds->get_array()) {
-            const std::string_view item
-                = seed.is_string() ? std::string_view(seed.get_string()) : std::string_view();
-            settings.seeds.push_back(endpointOf(item, "/seeds", fault));
-        }
-    }
-    if (const json::value *log = object.if_contains("log")) {
-        settings.log = logSettingsOf(log->get_object(), fault);
+    const SettingsReader reader(document.get_object(), fault);
+    reader.text("id", settings.id);
+    reader.text("region", settings.region);
+    reader.text("dataCentre", settings.dataCentre);
+    settings.dataCentres = reader.texts("dataCentres");
+    reader.text("interface", settings.interface);
+    reader.text("service", settings.service);
+    settings.listen = reader.endpoint("listen").value_or(Endpoint {});
+    const auto nextPort = static_cast<std::uint16_t>(settings.listen.port + 1);
+    settings.peers
+        = reader.endpoint("peers").value_or(Endpoint {settings.listen.address, nextPort});
+    settings.ready = reader.endpoint("ready");
+    settings.registration = reader.endpoint("registration");
+    settings.admin = reader.endpoint("admin");
+    settings.seeds = reader.endpoints("seeds");
+    reader.text("configurationFile", settings.configurationFile);
+    settings.store = reader.endpoint("store");
+    reader.seconds("drainSeconds", settings.drain);
+    reader.seconds("graceSeconds", settings.grace);
+    if (const auto retries = reader.object("retries")) {
+        retries->number("ratio", settings.retries.ratio);
+        retries->number("slack", settings.retries.slack);
+        retries->seconds("windowSeconds", settings.retries.window);
     }
     if (!fault.rule.empty()) {
         ec = WireError::BadField;
--- a/src/programs/DaemonSettings.h
+++ b/src/programs/DaemonSettings.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include "decisions/Member.h"
+#include "decisions/RetryBudget.h"
 #include "wire/JsonFault.h"
 
 #include <chrono>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -13,31 +15,36 @@
 
 namespace Coltsfootwell {
 
-/// \brief How a daemon reaches the log.
-struct LogSettings
-{
-    /// Address of the log service; empty for a daemon without a log.
-    std::string address;
-    /// True when this daemon runs the log of a single site, at `address`.
-    bool embedded = false;
-    std::chrono::seconds retention {24 * 3600};
-    /// Most records of a stream that the log keeps; 0 for no limit.
-    std::uint64_t retentionRecords = 0;
-};
-
 /// \brief One daemon's settings.
 struct DaemonSettings
 {
     std::string id;
     std::string region;
     std::string dataCentre;
+    /// All data centres and their regions; only needed where the configuration does not name them.
+    std::map<std::string, std::string, std::less<>> dataCentres;
+    /// "own" or the name of an adapter.
+    std::string interface = "own";
+    /// Service of the backend server beside this daemon; empty when only the server says.
+    std::string service;
+    /// HTTP address for callers.
     Endpoint listen;
-    /// Where others reach this daemon; the same as `listen` unless settings say otherwise.
-    Endpoint advertise;
+    /// TCP and UDP address for other daemons; the port after `listen` unless settings say otherwise.
+    Endpoint peers;
+    /// HTTP addresses for health checks, heartbeats, and metrics; none when empty.
+    std::optional<Endpoint> ready;
+    std::optional<Endpoint> registration;
+    std::optional<Endpoint> admin;
     std::vector<Endpoint> seeds;
-    /// File with the configuration to start from; empty when it comes from the log.
+    /// File with the configuration; empty when it comes from the store only.
     std::string configurationFile;
-    LogSettings log;
+    /// Address of the store; nothing for a site without one.
+    std::optional<Endpoint> store;
+    /// Time after which a leaving backend server must get no more calls.
+    std::chrono::milliseconds drain {3000};
+    /// Time that a planned stop may take.
+    std::chrono::milliseconds grace {30'000};
+    RetryLimits retries;
 };
 
 /// \brief Decodes settings.
--- a/src/programs/LoadMix.cpp
+++ b/src/programs/LoadMix.cpp
@@ -91,7 +91,7 @@
     FieldRow {"key", readKey},
     FieldRow {"repeats", readRepeats},
     FieldRow {"homeRegions", readText<&LoadCall::homeRegions>},
-    FieldRow {"tenant", readText<&LoadCall::tenant>},
+    FieldRow {"customer", readText<&LoadCall::customer>},
 };
 
 LoadCall decodeCall(const json::object &object, const std::string &path, JsonFault &fault)
--- a/src/programs/LoadMix.h
+++ b/src/programs/LoadMix.h
@@ -34,7 +34,7 @@
     /// Repeats through another daemon, with the same key, after "unknown" or a broken connection.
     unsigned repeats = 0;
     std::string homeRegions;
-    std::string tenant;
+    std::string customer;
 };
 
 /// \brief Decodes an array of objects with the members of LoadCall ("deadlineMs" for the deadline;
--- a/src/programs/LoadRun.cpp
+++ b/src/programs/LoadRun.cpp
@@ -212,8 +212,8 @@
         if (!call.homeRegions.empty()) {
             request.set(name(Header::HomeRegions), call.homeRegions);
         }
-        if (!call.tenant.empty()) {
-            request.set(name(Header::Tenant), call.tenant);
+        if (!call.customer.empty()) {
+            request.set(name(Header::Customer), call.customer);
         }
         if (!key.empty()) {
             request.set(name(Header::Key), key);
--- a/src/programs/SetupAnswers.cpp
+++ b/src/programs/SetupAnswers.cpp
@@ -156,11 +156,11 @@
          names(ask, {"/services", "Names of the services", {}}, services)) {
         answers.services.push_back(askService(ask, answers, name, prefixes));
     }
-    const std::vector<std::string> tenantNames = ask.list(
-        {"/tenants", "Tenants with home regions (comma-separated, may be empty)", ""}, nameRule);
-    for (const std::string &name : tenantNames) {
-        answers.tenants[name]
-            = ask.list({"/tenant/" + name + "/homeRegions", "Home regions of " + name, {}},
+    const std::vector<std::string> customerNames = ask.list(
+        {"/customers", "Customers with home regions (comma-separated, may be empty)", ""}, nameRule);
+    for (const std::string &name : customerNames) {
+        answers.customers[name]
+            = ask.list({"/customer/" + name + "/homeRegions", "Home regions of " + name, {}},
                        oneOf(answers.regions));
     }
     fault = ask.fault();
--- a/src/programs/SetupAnswers.h
+++ b/src/programs/SetupAnswers.h
@@ -37,7 +37,7 @@
     double regionsMs = 0;
     double clientsMs = 0;
     std::vector<ServiceAnswers> services;
-    std::map<std::string, std::vector<std::string>> tenants;
+    std::map<std::string, std::vector<std::string>> customers;
 };
 
 /// \brief Asks all questions.
--- a/src/programs/SetupExplain.cpp
+++ b/src/programs/SetupExplain.cpp
@@ -130,12 +130,12 @@
     for (const ServiceAnswers &service : answers.services) {
         explainService(page, answers, service, configuration.services.at(service.name));
     }
-    if (!answers.tenants.empty()) {
-        page.title(2, "Tenants");
+    if (!answers.customers.empty()) {
+        page.title(2, "Customers");
         page.table();
-        for (const auto &[name, regions] : answers.tenants) {
+        for (const auto &[name, regions] : answers.customers) {
             page.row(name, joined(regions),
-                     "Calls with this name in `Coltsfootwell-Tenant` stay in these regions.");
+                     "Calls with this name in `Coltsfootwell-Customer` stay in these regions.");
         }
     }
     return page.text();
--- a/src/programs/SetupPlan.cpp
+++ b/src/programs/SetupPlan.cpp
@@ -97,7 +97,7 @@
         configuration.routes.push_back(
             {service.prefix, service.name, service.idempotentMethods, service.homeRegions});
     }
-    configuration.tenantRegions.insert(answers.tenants.begin(), answers.tenants.end());
+    configuration.customerRegions.insert(answers.customers.begin(), answers.customers.end());
     configuration.limits.regionLinkBytesPerSecond = static_cast<std::uint64_t>(
         std::llround(answers.linkMbit * BytesPerMbit * answers.linkSharePercent / 100));
     return configuration;
--- a/src/services/Await.h
+++ b/src/services/Await.h
@@ -1,9 +1,8 @@
-// Lets coroutines wait for replies of other services and for chunks of body pipes.
+// Lets coroutines wait for replies of other services.
 // Only for .cpp files: it includes Asio.
 #pragma once
 
 #include "kernel/Mailbox.h"
-#include "services/BodyPipe.h"
 
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -45,35 +44,4 @@
     co_return co_await awaitCallback<std::optional<Answer>>(std::move(start));
 }
 
-/// \param pipe read from.
-/// \return its next chunk.
-inline boost::asio::awaitable<BodyChunk> readChunk(BodyPipe &pipe)
-{
-    std::function<void(std::function<void(BodyChunk)>)> start
-        = [&pipe](std::function<void(BodyChunk)> done) { pipe.read(std::move(done)); };
-    co_return co_await awaitCallback<BodyChunk>(std::move(start));
-}
-
-/// \param pipe written to.
-/// \param bytes next part of the body.
-/// \return false when the reader has gone.
-inline boost::asio::awaitable<bool> writeChunk(BodyPipe &pipe, std::string bytes)
-{
-    auto held = std::make_shared<std::string>(std::move(bytes));
-    std::function<void(std::function<void(bool)>)> start
-        = [&pipe, held](std::function<void(bool)> done) {
-              pipe.write(std::move(*held), std::move(done));
-          };
-    co_return co_await awaitCallback<bool>(std::move(start));
-}
-
-/// \param pipe that somebody else reads.
-/// \return true at the first read, false when the reader goes without reading.
-inline boost::asio::awaitable<bool> firstRead(BodyPipe &pipe)
-{
-    std::function<void(std::function<void(bool)>)> start
-        = [&pipe](std::function<void(bool)> done) { pipe.waitWanted(std::move(done)); };
-    co_return co_await awaitCallback<bool>(std::move(start));
-}
-
 } // namespace Coltsfootwell
--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -1,54 +1,82 @@
 #include "services/Backend.h"
 
-#include "decisions/Admission.h"
+#include "decisions/ProbePlan.h"
 #include "decisions/RunLedger.h"
-#include "services/BackendMonitor.h"
-#include "services/BackendRun.h"
-#include "services/CallsMessage.h"
+#include "decisions/SlotQueue.h"
+#include "services/HttpExchange.h"
+#include "services/BackendMessages.h"
+#include "services/BackendState.h"
+#include "services/ConfigurationMessages.h"
+#include "services/MembershipMessages.h"
 #include "services/ServiceError.h"
 #include "services/ServiceNames.h"
 #include "services/StopMessages.h"
 #include "services/TelemetryMessages.h"
-#include "wire/AnnouncementJson.h"
-#include "wire/RevocationJson.h"
+#include "wire/EndpointText.h"
 
 #include <algorithm>
+#include <array>
+#include <tuple>
 #include <unordered_map>
-#include <vector>
 
 namespace Coltsfootwell {
 
 namespace {
 
-constexpr std::chrono::seconds LedgerTick {1};
-constexpr std::chrono::seconds MaxIdle {30};
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr seconds LedgerTick {1};
+constexpr milliseconds ProbeTimeout {400};
+/// How often the need for a probe is looked at.
+constexpr milliseconds ProbeCheck {20};
+constexpr milliseconds IdleProbeCheck {100};
+/// Longest idle time of a connection for calls that may be sent again.
+constexpr Duration MaxIdleIdempotent = seconds(10);
+/// A server may forget an idle connection without notice, and what is sent then is lost.
+constexpr Duration MaxIdleOther = milliseconds(150);
+constexpr unsigned FirstServerError = 500;
+constexpr unsigned GatewayTimeout = 504;
+constexpr unsigned FirstFailure = 300;
+/// Slowness above which a server counts as slow, in percent.
+constexpr std::uint32_t SlowPercent = 180;
+
+/// A run that waits or works.
+struct Run
+{
+    RunAttempt attempt;
+    std::shared_ptr<HttpExchange> exchange;
+    TimePoint began;
+    bool hasSlot = false;
+    bool cancelled = false;
+    std::optional<Reason> stopped;
+};
 
 class Backend final : public Service
 {
 public:
-    Backend(Kernel &kernel, boost::asio::io_context &context, Place place, const Guards &guards)
-        : m_kernel(kernel), m_context(context), m_place(std::move(place)),
-          m_ledger(m_place.self, guards),
-          m_monitor(kernel, context, [this](const ProbeResult &result) { probed(result); }),
+    Backend(Kernel &kernel, boost::asio::io_context &context, BackendSettings settings)
+        : m_kernel(kernel), m_context(context), m_settings(std::move(settings)),
+          m_state(m_settings.place, m_settings.drainTime), m_ledger(*m_settings.guards),
           m_mailbox(kernel.executor(),
                     [this](BackendMessage message) {
                         std::visit([this](auto &&body) { handle(std::move(body)); },
                                    std::move(message));
                     }),
-          m_announceMailbox(kernel.executor(),
-                            [this](ControlRequest request) { announced(std::move(request)); }),
-          m_revokeMailbox(kernel.executor(),
-                          [this](ControlRequest request) { revoked(std::move(request)); }),
+          m_registrationMailbox(kernel.executor(),
+                                [this](RegistrationMessage message) {
+                                    std::visit([this](auto &&body) { handle(std::move(body)); },
+                                               std::move(message));
+                                }),
           m_configurationMailbox(kernel.executor(),
                                  [this](ConfigurationChanged news) { changed(std::move(news)); }),
           m_stopMailbox(kernel.executor(), [this](StopPhaseChanged news) {
-              m_stopping = news.phase != StopPhase::Running;
+              m_phase = news.phase;
+              report();
           })
     {
-        m_admission.useReports();
         kernel.directory().publish(name(), m_mailbox.address());
-        kernel.directory().publish(ServiceName::control("announce"), m_announceMailbox.address());
-        kernel.directory().publish(ServiceName::control("revoke"), m_revokeMailbox.address());
+        kernel.directory().publish(ServiceName::Registration, m_registrationMailbox.address());
         kernel.directory().publish(ServiceName::stopping(name()), m_stopMailbox.address());
     }
 
@@ -58,369 +86,651 @@
     {
         std::error_code ec;
         const Directory &directory = m_kernel.directory();
-        const auto membership = directory.find<MembershipMessage>(ServiceName::Membership, ec);
+        m_membership = directory.find<MembershipMessage>(ServiceName::Membership, ec);
         if (!ec) {
             m_telemetry = directory.find<TelemetryMessage>(ServiceName::Telemetry, ec);
         }
+        if (!ec) {
+            m_links = directory.find<LinksMessage>(ServiceName::Links, ec);
+        }
+        if (!ec) {
+            m_calls = directory.find<CallsMessage>(ServiceName::Calls, ec);
+        }
         if (!ec) {
             directory.find<ConfigurationMessage>(ServiceName::Configuration, ec)
                 .send(SubscribeConfiguration {m_configurationMailbox.address()});
         }
-        m_monitor.start(membership, m_telemetry);
         tick();
+        checkProbe();
         return ec ? make_error_code(ServiceError::MissingService) : std::error_code();
     }
 
     void stop(Task done) override
     {
-        m_monitor.stop();
-        m_kernel.executor().cancel(m_timer);
-        m_kernel.executor().cancel(m_queueTimer);
+        for (const TimerId timer : {m_tickTimer, m_queueTimer, m_probeTimer}) {
+            m_kernel.executor().cancel(timer);
+        }
         done();
     }
 
 private:
+    TimePoint now() const { return m_kernel.executor().now(); }
+
     void tick()
     {
         m_ledger.tick();
         if (m_pool) {
-            m_pool->expire(MaxIdle, now());
+            m_pool->expire(now());
         }
-        m_monitor.measure(m_admission.report());
-        m_timer = m_kernel.executor().after(LedgerTick, [this] { tick(); });
+        measure();
+        report();
+        m_tickTimer = m_kernel.executor().after(LedgerTick, [this] { tick(); });
+    }
+
+    void measure()
+    {
+        const LoadReport load = loadReport();
+        const std::string service = m_state.service();
+        m_telemetry.send(SetGauge {"backend_slots_in_use", service, double(load.inUse)});
+        m_telemetry.send(SetGauge {"backend_calls_waiting", service, double(load.waiting)});
+        m_telemetry.send(SetGauge {"backend_limit", service, double(load.limit)});
+        m_telemetry.send(SetGauge {"backend_slowness_percent", service, double(load.slowness)});
+        m_telemetry.send(SetGauge {"backend_failure_percent", service, double(load.failures)});
     }
 
     void changed(ConfigurationChanged news)
     {
-        const bool wasOut = m_configuration && outOfService();
-        m_configuration = std::move(news.configuration);
-        m_freshUntil = news.fresh ? news.freshUntil : TimePoint::min();
-        applyRules();
-        if (wasOut && m_configuration && !outOfService()) {
-            perform(m_admission.warmAgain(now()));
+        if (m_state.configurationChanged(std::move(news.configuration))) {
+            // The server may have turned cold meanwhile; a probe tells for how long.
+            const ServiceRules *rules = m_state.rules();
+            m_state.reportedCold(rules ? rules->coldStart.lasts : milliseconds(0), now());
+            m_probeSoon = true;
+        }
+        decide();
+    }
+
+    // Registration.
+
+    void handle(HeartbeatReceived message)
+    {
+        const BackendHeartbeat &heartbeat = message.heartbeat;
+        const RegistrationChange change = m_state.registration.heard(heartbeat, now());
+        if (change == RegistrationChange::Replaced) {
+            adopt(heartbeat);
+        } else if (change == RegistrationChange::Renewed && !m_state.registration.leavingSince()) {
+            m_slots.slotsChanged(heartbeat.slots);
+            if (heartbeat.cold.count() > 0) {
+                m_state.reportedCold(heartbeat.cold, now());
+            }
         }
+        logRegistration(change, heartbeat);
+        if (change == RegistrationChange::Leaving && !m_pool) {
+            adopt(heartbeat);
+        }
+        message.acknowledged(true);
+        report();
+        decide();
     }
 
-    bool outOfService() const
+    void handle(FarewellReceived message)
     {
-        return !m_configuration->inService(m_place.dataCentre)
-            || m_configuration->drained.contains(m_place.self.name);
+        const RegistrationChange change = m_state.registration.left(message.instance, now());
+        m_telemetry.send(LogEvent {"backend.left", "",
+                                   "instance=" + message.instance + " change="
+                                       + std::string(changeName(change))});
+        message.acknowledged(true);
+        report();
+        decide();
     }
 
-    const ServiceRules *rules() const
+    void adopt(const BackendHeartbeat &heartbeat)
     {
-        if (!m_configuration) {
-            return nullptr;
+        const auto endpoint = endpointFromText(heartbeat.address);
+        if (!endpoint) {
+            return;
         }
-        const auto it = m_configuration->services.find(m_service);
-        return it == m_configuration->services.end() ? nullptr : &it->second;
+        m_pool = std::make_shared<HttpPool>(m_context, *endpoint);
+        m_slots.slotsChanged(heartbeat.slots);
+        m_state.replaced(now());
+        m_probeSoon = true;
     }
 
-    void applyRules()
+    void logRegistration(RegistrationChange change, const BackendHeartbeat &heartbeat)
     {
-        if (const ServiceRules *found = rules()) {
-            m_admission.rulesChanged(*found);
-            m_monitor.limitsChanged(found->probesPerSecond, m_admission.slots());
+        if (change == RegistrationChange::Renewed) {
+            return;
         }
+        m_telemetry.send(LogEvent {
+            "backend.heartbeat", "",
+            "instance=" + heartbeat.instance + " service=" + heartbeat.service
+                + " sequence=" + std::to_string(heartbeat.sequence) + " state="
+                + (heartbeat.state == AnnouncedState::Ready ? "ready" : "draining")
+                + " slots=" + std::to_string(heartbeat.slots) + " coldMs="
+                + std::to_string(heartbeat.cold.count()) + " change="
+                + std::string(changeName(change))});
     }
 
-    void announced(ControlRequest request)
+    static std::string_view changeName(RegistrationChange change)
     {
-        JsonFault fault;
-        std::error_code ec;
-        const BackendAnnouncement announcement = decodeAnnouncement(request.body, fault, ec);
-        if (ec) {
-            request.reply(ControlAnswer {400, "application/json", faultText(fault)});
+        constexpr std::array<std::string_view, 4> Names {"renewed", "replaced", "leaving",
+                                                         "outdated"};
+        return Names[static_cast<std::size_t>(change)];
+    }
+
+    // Load.
+
+    LoadReport loadReport() const
+    {
+        const TimePoint at = now();
+        const bool open = !m_state.closed(at) && m_phase == StopPhase::Running
+            && !m_state.registration.leavingSince();
+        LoadReport load;
+        load.inUse = m_slots.inUse();
+        load.waiting = static_cast<std::uint32_t>(m_slots.waiting());
+        load.limit = open ? m_slots.slots() : 0;
+        load.state = m_state.state(at);
+        load.slowness = m_state.health.slowness(at);
+        load.failures = m_state.health.failurePercent(at);
+        load.answerMicros = static_cast<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::microseconds>(m_state.health.usualAnswer())
+                .count());
+        return load;
+    }
+
+    /// Tells others of changes that alter where calls are best placed.
+    void report()
+    {
+        const LoadReport load = loadReport();
+        const auto announced
+            = std::tuple(m_state.service(), publicState(load), m_slots.slots());
+        if (std::exchange(m_announced, announced) != announced) {
+            std::apply([this](auto... parts) { m_membership.send(BackendChanged {parts...}); },
+                       announced);
+        }
+        const bool crossedSlow = (load.slowness > SlowPercent) != (m_told.slowness > SlowPercent);
+        const bool crossedFull = isFull(load) != isFull(m_told);
+        if (load.state != m_told.state || load.limit != m_told.limit || crossedSlow
+            || crossedFull) {
+            if (load.state != m_told.state) {
+                m_telemetry.send(LogEvent {"backend.state", "",
+                                           "service=" + m_state.service() + " state="
+                                               + stateName(load.state) + " limit="
+                                               + std::to_string(load.limit)});
+            }
+            m_told = load;
+            m_links.send(LoadChanged {load});
+            m_calls.send(LoadLearned {m_settings.place.self, load});
+        }
+    }
+
+    static bool isFull(const LoadReport &load) { return load.inUse + load.waiting >= load.limit; }
+
+    BackendState publicState(const LoadReport &load) const
+    {
+        return m_phase == StopPhase::Running ? load.state : BackendState::Draining;
+    }
+
+    static std::string stateName(BackendState state)
+    {
+        constexpr std::array<std::string_view, 5> Names {"absent", "cold", "warm", "draining",
+                                                         "gone"};
+        return std::string(Names[static_cast<std::size_t>(state)]);
+    }
+
+    // Runs.
+
+    void handle(RunAttempt run)
+    {
+        const AttemptId id = run.attempt;
+        const RunVerdict verdict = m_ledger.run(id);
+        if (verdict != RunVerdict::Start) {
+            verdict == RunVerdict::AlreadyStarted
+                ? run.reply(AttemptLost {loadReport()})
+                : run.reply(AttemptRefused {Reason::Cancelled, loadReport()});
             return;
         }
-        if (announcement.state == AnnouncedState::Ready) {
-            takeIn(announcement, request.peerAddress);
+        auto reason = m_state.refusalOf(run, now());
+        if (!reason && m_phase == StopPhase::Finishing && !run.nested) {
+            reason = Reason::Stopping;
+        }
+        if (reason) {
+            refuse(run, *reason);
+            return;
+        }
+        const SlotVerdict slot
+            = m_slots.offer({id, run.startBy, run.priority, run.nested}, now());
+        if (slot == SlotVerdict::Refuse) {
+            refuse(run, Reason::Overloaded);
+            return;
+        }
+        Run &added = m_runs[id];
+        added.attempt = std::move(run);
+        if (slot == SlotVerdict::Start) {
+            added.hasSlot = true;
+            if (!m_state.pacer.mayStart(now())) {
+                m_slots.released();
+                added.hasSlot = false;
+                refuse(added.attempt, Reason::Cold);
+                m_runs.erase(id);
+                return;
+            }
+            startRun(added);
         } else {
-            perform(m_admission.drainAnnounced(now()));
+            armQueueTimer();
         }
-        request.reply(ControlAnswer {});
+        report();
     }
 
-    void takeIn(const BackendAnnouncement &announcement, std::string_view address)
+    void refuse(const RunAttempt &run, Reason reason)
     {
-        m_service = announcement.service;
-        m_pool = std::make_shared<HttpPool>(m_context,
-                                            Endpoint {std::string(address), announcement.port});
-        // Each call in progress has one connection, and one is kept for probes.
-        unsigned slots = announcement.slots;
-        if (announcement.connections > 0) {
-            slots = std::min(slots, std::max(1U, announcement.connections - 1));
-        }
-        m_monitor.watch(m_service, m_pool);
-        applyRules();
-        perform(m_admission.announced(slots, now()));
-        applyRules();
+        m_ledger.refused(run.attempt);
+        m_telemetry.send(CountEvent {"runs_refused_total", std::string(reasonName(reason))});
+        m_telemetry.send(LogEvent {"run.refused", run.call.requestId,
+                                   "reason=" + std::string(reasonName(reason)) + loadText()});
+        run.reply(AttemptRefused {reason, loadReport()});
     }
 
-    /// Follows an input to the admission: a changed state is told, queued calls are decided.
-    void perform(Admission::Outputs outputs)
+    std::string loadText() const
     {
-        // The next input to the admission ends the validity of its outputs.
-        const std::vector<QueuedCallDecided> decided(outputs.begin(), outputs.end());
-        m_monitor.report(m_admission.report(), m_admission.slots());
-        for (const QueuedCallDecided &output : decided) {
-            auto node = m_waiting.extract(output.call);
-            if (node.empty()) {
-                continue;
-            }
-            RunAttempt run = std::move(node.mapped());
-            if (output.refusal) {
-                m_ledger.refused(output.call);
-                refuse(run, *output.refusal);
-            } else if (const auto reason = refusalOf(run)) {
-                m_ledger.refused(output.call);
-                refuse(run, *reason);
-                perform(m_admission.finished(RunEnd::Unjudged, {}, now()));
-            } else {
-                begin(std::move(run));
-            }
+        const LoadReport load = loadReport();
+        return " inUse=" + std::to_string(load.inUse) + " waiting=" + std::to_string(load.waiting)
+            + " limit=" + std::to_string(load.limit) + " slowness=" + std::to_string(load.slowness)
+            + " failures=" + std::to_string(load.failures) + " state=" + stateName(load.state)
+            + " configuration="
+            + (m_state.configuration() ? std::to_string(m_state.configuration()->version) : "none");
+    }
+
+    /// The run holds a slot; its body may still be at the entry daemon.
+    void startRun(Run &run)
+    {
+        m_state.pacer.started(now());
+        if (run.attempt.laterBytes > 0) {
+            run.attempt.proceed();
+            return;
         }
-        armQueueTimer();
+        begin(run);
     }
 
-    void armQueueTimer()
+    void handle(BodyArrived message)
     {
-        const auto next = m_admission.nextTick();
-        if (next == m_queueTick) {
+        const auto it = m_runs.find(message.attempt);
+        if (it == m_runs.end() || it->second.exchange || !it->second.hasSlot) {
             return;
         }
-        m_kernel.executor().cancel(m_queueTimer);
-        m_queueTick = next;
-        if (next) {
-            m_queueTimer = m_kernel.executor().after(*next - now(), [this] {
-                m_queueTick.reset();
-                perform(m_admission.tick(now()));
+        it->second.attempt.body = std::move(message.body);
+        begin(it->second);
+    }
+
+    void begin(Run &run)
+    {
+        const RunAttempt &attempt = run.attempt;
+        run.began = now();
+        ExchangeRequest request;
+        request.method = attempt.head->method;
+        request.target = attempt.head->target;
+        request.headers = attempt.head->headers;
+        request.body = attempt.body;
+        request.requestId = attempt.call.requestId;
+        request.maxIdle = attempt.idempotent ? MaxIdleIdempotent : MaxIdleOther;
+        request.deadline = attempt.deadline;
+        launch(run, std::move(request));
+    }
+
+    void launch(Run &run, ExchangeRequest request)
+    {
+        const AttemptId id = run.attempt.attempt;
+        RunEnvelope envelope;
+        envelope.call = run.attempt.call;
+        envelope.left = std::chrono::duration_cast<milliseconds>(run.attempt.deadline - now());
+        envelope.instance = m_state.registration.current()->instance;
+        envelope.callerService = run.attempt.callerService;
+        m_settings.dialect->encodeRun(envelope, request.headers);
+        run.exchange = std::make_shared<HttpExchange>(
+            m_context, m_kernel.executor(), m_pool, *m_settings.dialect, std::move(request),
+            [this, id, pool = m_pool] { return mayBegin(id, pool); },
+            [this, id, pool = m_pool](ExchangeOutcome outcome) {
+                ended(id, std::move(outcome), pool);
             });
+        run.exchange->start();
+    }
+
+    bool mayBegin(const AttemptId &id, const std::shared_ptr<HttpPool> &pool)
+    {
+        const auto it = m_runs.find(id);
+        if (it == m_runs.end()) {
+            return false;
         }
+        Run &run = it->second;
+        run.stopped = pool == m_pool ? m_state.refusalOf(run.attempt, now())
+                                     : Reason::NoBackendServer;
+        if (!run.stopped) {
+            m_telemetry.send(CountEvent {"runs_started_total", run.attempt.service});
+        }
+        return !run.stopped;
     }
 
-    void probed(const ProbeResult &result)
+    void ended(const AttemptId &id, ExchangeOutcome outcome, const std::shared_ptr<HttpPool> &pool)
     {
-        if (!result.alive) {
-            perform(m_admission.probeLost(now()));
+        const auto it = m_runs.find(id);
+        if (it == m_runs.end()) {
+            return;
+        }
+        Run &run = it->second;
+        if (outcome.kind == ExchangeOutcome::Kind::StaleConnection && run.attempt.idempotent
+            && !run.cancelled && pool == m_pool && now() < run.attempt.deadline) {
+            ExchangeRequest request;
+            request.method = run.attempt.head->method;
+            request.target = run.attempt.head->target;
+            request.headers = run.attempt.head->headers;
+            request.body = run.attempt.body;
+            request.requestId = run.attempt.call.requestId;
+            request.deadline = run.attempt.deadline;
+            launch(run, std::move(request));
             return;
         }
-        // A server without a load endpoint reports nothing special.
-        const BackendState state = result.load ? result.load->state : BackendState::Warm;
-        perform(m_admission.serverReported(state, now()));
+        const Run finished = std::move(run);
+        m_runs.erase(it);
+        m_slots.released();
+        if (pool == m_pool) {
+            learn(finished, outcome);
+        }
+        answer(finished, std::move(outcome));
+        report();
+        decide();
     }
 
-    /// Everything that can refuse a run, but for the slots. Asked when the run arrives and again
-    /// right before its first byte, since a queue or a connection may have taken time.
-    std::optional<Reason> refusalOf(const RunAttempt &run) const
+    void learn(const Run &run, const ExchangeOutcome &outcome)
     {
-        if (const auto reason
-            = refusalByRules(run, m_place, m_configuration.get(), m_freshUntil, now())) {
-            return reason;
+        if (const auto &load = outcome.marks.load) {
+            m_state.health.reportedSlowness(load->slowness, now());
         }
-        if (run.envelope.attempt->service != m_service || !m_pool
-            || m_admission.state() == BackendState::Gone) {
-            return Reason::NoBackendServer;
+        m_state.health.ended(judge(run, outcome), now() - run.began, now());
+        if (outcome.marks.otherInstance) {
+            // Another process has the address; its own heartbeat will say what it is.
+            m_state.health.ended(RunEnd::Unreachable, {}, now());
         }
-        if (m_admission.state() == BackendState::Draining) {
-            return Reason::Draining;
+        m_slots.runTimeChanged(m_state.health.usualAnswer()
+                               * std::min(m_state.health.slowness(now()), MaxQueueSlowness) / 100);
+    }
+
+    static RunEnd judge(const Run &run, const ExchangeOutcome &outcome)
+    {
+        using Kind = ExchangeOutcome::Kind;
+        switch (outcome.kind) {
+        case Kind::Answered:
+            if (outcome.marks.notRun || outcome.marks.otherInstance) {
+                return RunEnd::Shed;
+            }
+            if (outcome.status == GatewayTimeout) {
+                return RunEnd::Unjudged;
+            }
+            return outcome.status >= FirstServerError || !outcome.marks.trusted ? RunEnd::Bad
+                                                                                : RunEnd::Good;
+        case Kind::Unreachable:
+            return RunEnd::Unreachable;
+        case Kind::Lost:
+            return run.cancelled ? RunEnd::Unjudged : RunEnd::Lost;
+        case Kind::Unsent:
+        case Kind::StaleConnection:
+            break;
         }
-        return std::nullopt;
+        return RunEnd::Unjudged;
     }
 
-    void handle(RunAttempt run)
+    void answer(const Run &run, ExchangeOutcome outcome)
     {
-        const AttemptId id = run.envelope.attempt->attempt;
-        const RunVerdict verdict = m_ledger.run(id, run.envelope.attempt->target);
-        if (verdict == RunVerdict::AlreadyStarted) {
-            run.reply(AttemptLost {true, true});
+        using Kind = ExchangeOutcome::Kind;
+        const RunAttempt &attempt = run.attempt;
+        switch (outcome.kind) {
+        case Kind::Unsent:
+            refuse(attempt, run.stopped.value_or(Reason::Cancelled));
+            return;
+        case Kind::Unreachable:
+            refuse(attempt, Reason::NoBackendServer);
             return;
+        case Kind::Lost:
+        case Kind::StaleConnection:
+            lose(run, "lost");
+            return;
+        case Kind::Answered:
+            break;
         }
-        if (verdict != RunVerdict::Start) {
-            refuse(run,
-                   verdict == RunVerdict::WrongIncarnation ? Reason::WrongIncarnation
-                                                           : Reason::Revoked);
+        if (outcome.marks.notRun || outcome.marks.otherInstance) {
+            refuse(attempt, outcome.marks.otherInstance ? Reason::WrongInstance
+                                                        : Reason::Overloaded);
             return;
         }
-        const auto reason = m_stopping ? std::optional(Reason::Stopping) : refusalOf(run);
-        if (reason) {
-            m_ledger.refused(id);
-            refuse(run, *reason);
+        if (!outcome.marks.trusted) {
+            lose(run, "unsigned");
             return;
         }
-        admit(std::move(run));
+        const bool failure = outcome.status >= FirstServerError;
+        m_telemetry.send(CountEvent {"runs_ended_total", failure ? "failed" : "answered"});
+        m_telemetry.send(LogEvent {"run.answered", attempt.call.requestId,
+                                   "status=" + std::to_string(outcome.status) + runText(run)});
+        attempt.reply(AttemptAnswered {outcome.status, std::move(outcome.headers),
+                                       std::make_shared<const std::string>(std::move(outcome.body)),
+                                       failure, loadReport()});
     }
 
-    void admit(RunAttempt run)
+    void lose(const Run &run, std::string_view how)
     {
-        const AttemptId id = run.envelope.attempt->attempt;
-        Reason reason = Reason::Overloaded;
-        switch (m_admission.admit(id, run.deadline, now(), reason)) {
-        case AdmissionVerdict::Admitted:
-            begin(std::move(run));
-            break;
-        case AdmissionVerdict::Queued:
-            m_waiting.emplace(id, std::move(run));
-            armQueueTimer();
-            break;
-        case AdmissionVerdict::Refused:
-            m_ledger.refused(id);
-            refuse(run, reason);
-            break;
-        }
+        m_telemetry.send(CountEvent {"runs_ended_total", std::string(how)});
+        m_telemetry.send(LogEvent {"run.lost", run.attempt.call.requestId,
+                                   "how=" + std::string(how) + " cancelled="
+                                       + (run.cancelled ? "yes" : "no") + runText(run)});
+        run.attempt.reply(AttemptLost {loadReport()});
     }
 
-    void refuse(const RunAttempt &run, Reason reason)
+    std::string runText(const Run &run) const
     {
-        m_telemetry.send(CountEvent {"runs_refused_total", std::string(reasonName(reason))});
-        run.reply(AttemptRefused {reason, m_admission.report(),
-                                  m_configuration ? m_configuration->version : 0});
-    }
-
-    void begin(RunAttempt run)
-    {
-        const AttemptId id = run.envelope.attempt->attempt;
-        auto record = std::make_shared<RunRecord>();
-        record->began = now();
-        record->deadline = run.deadline;
-        ExchangeRequest request
-            = backendRequest(run, isIdempotent(*run.head, *m_configuration), now());
-        auto held = std::make_shared<const RunAttempt>(std::move(run));
-        auto exchange = std::make_shared<HttpExchange>(
-            m_context, m_kernel.executor(), m_pool, std::move(request),
-            ExchangeHandlers {
-                [this, record, held, pool = m_pool] { return mayBegin(*record, *held, pool); },
-                [this, record, held](AnswerHead head, BodyPipePtr body) {
-                    answered(*record, *held, std::move(head), std::move(body));
-                },
-                [this, record, held](AttemptLost lost) { runLost(*record, *held, lost); },
-                [this, record, id, pool = m_pool](bool whole) {
-                    ended(*record, id, whole, pool);
-                }});
-        m_runs[id] = {exchange, record};
-        exchange->start();
-    }
-
-    bool mayBegin(RunRecord &record, const RunAttempt &run, const std::shared_ptr<HttpPool> &pool)
-    {
-        record.stopped = pool == m_pool ? refusalOf(run) : Reason::NoBackendServer;
-        if (!record.stopped) {
-            record.began = now();
-            m_telemetry.send(CountEvent {"runs_started_total", m_service});
-        }
-        return !record.stopped;
-    }
-
-    void answered(RunRecord &record, const RunAttempt &run, AnswerHead head, BodyPipePtr body)
-    {
-        record.answered = now();
-        record.status = head.status;
-        record.shed = takeShedMark(head);
-        record.body = body;
-        m_monitor.answered();
-        // A streamed body has been read and cannot be sent again, so its caller gets the answer.
-        if (record.shed && !run.body.stream) {
-            body->abandon();
-            m_ledger.refused(run.envelope.attempt->attempt);
-            m_telemetry.send(CountEvent {"runs_shed_total", m_service});
-            run.reply(AttemptRefused {Reason::Overloaded, m_admission.report()});
+        const auto micros
+            = std::chrono::duration_cast<std::chrono::microseconds>(now() - run.began).count();
+        return " service=" + run.attempt.service + " elapsedUs=" + std::to_string(micros)
+            + loadText();
+    }
+
+    void handle(CancelAttempt cancel)
+    {
+        const auto it = m_runs.find(cancel.attempt);
+        if (it == m_runs.end()) {
             return;
         }
-        run.reply(AttemptAnswered {std::move(head), std::move(body), m_admission.report()});
+        Run &run = it->second;
+        run.cancelled = true;
+        if (run.exchange) {
+            run.exchange->cancel();
+            return;
+        }
+        run.hasSlot ? m_slots.released() : static_cast<void>(m_slots.withdraw(cancel.attempt));
+        const Run finished = std::move(run);
+        m_runs.erase(it);
+        refuse(finished.attempt, Reason::Cancelled);
+        decide();
     }
 
-    void runLost(RunRecord &record, const RunAttempt &run, const AttemptLost &lost)
+    void handle(RevokeAttempt revoke)
     {
-        record.sent = lost.sent;
-        if (lost.sent) {
-            run.reply(lost);
+        revoke.reply(m_ledger.revoke(revoke.attempt) == RevokeVerdict::Started);
+    }
+
+    /// Starts and refuses what waits.
+    void decide()
+    {
+        bool again = true;
+        while (again) {
+            again = false;
+            const auto closed = m_state.closed(now());
+            const SlotQueue::Decisions decisions = closed
+                ? m_slots.refuseAll()
+                : m_slots.decide(now(), m_state.pacer.mayStart(now()));
+            for (const SlotDecision &decision :
+                 std::vector(decisions.begin(), decisions.end())) {
+                again = again || decision.start;
+                carryOut(decision, closed.value_or(Reason::Overloaded));
+            }
+        }
+        armQueueTimer();
+    }
+
+    void carryOut(const SlotDecision &decision, Reason reason)
+    {
+        const auto it = m_runs.find(decision.attempt);
+        if (it == m_runs.end()) {
             return;
         }
-        m_ledger.refused(run.envelope.attempt->attempt);
-        const Reason unsent = record.cancelled ? Reason::Cancelled : Reason::NoBackendServer;
-        refuse(run, record.stopped.value_or(unsent));
+        if (decision.start) {
+            it->second.hasSlot = true;
+            startRun(it->second);
+            return;
+        }
+        const Run refused = std::move(it->second);
+        m_runs.erase(it);
+        refuse(refused.attempt, reason);
     }
 
-    void ended(RunRecord &record, const AttemptId &id, bool whole,
-               const std::shared_ptr<HttpPool> &pool)
+    void armQueueTimer()
     {
-        m_runs.erase(id);
-        // A run on an earlier process of the server says nothing about the present one.
-        const RunEnd end = pool == m_pool
-            ? judgeRun(record, whole, m_admission.averageAnswer(), now())
-            : RunEnd::Unjudged;
-        perform(m_admission.finished(end, record.answered.value_or(now()) - record.began, now()));
+        auto next = m_slots.nextDeadline();
+        if (next) {
+            if (const auto cold = m_state.pacer.nextStart(now())) {
+                next = std::min(*next, *cold);
+            }
+        }
+        if (next == m_queueTick) {
+            return;
+        }
+        m_kernel.executor().cancel(m_queueTimer);
+        m_queueTick = next;
+        if (next) {
+            m_queueTimer = m_kernel.executor().after(*next - now(), [this] {
+                m_queueTick.reset();
+                decide();
+            });
+        }
     }
 
-    void handle(CancelAttempt cancel)
+    // Probes.
+
+    void checkProbe()
     {
-        if (const auto it = m_runs.find(cancel.attempt); it != m_runs.end()) {
-            it->second.record->cancelled = true;
-            it->second.exchange->cancel();
-        } else if (m_admission.withdraw(cancel.attempt)) {
-            m_ledger.refused(cancel.attempt);
-            refuse(m_waiting.extract(cancel.attempt).mapped(), Reason::Cancelled);
-            armQueueTimer();
+        const bool active = m_slots.inUse() > 0 || m_probeSoon || m_state.health.isDown()
+            || m_state.health.slowness(now()) > SlowPercent;
+        m_probeTimer = m_kernel.executor().after(active ? ProbeCheck : IdleProbeCheck,
+                                                 [this] { checkProbe(); });
+        report();
+        if (!m_pool || m_probing || !m_state.configuration()) {
+            return;
+        }
+        ProbeNeed need;
+        need.down = m_state.health.isDown();
+        need.busy = m_slots.inUse() > 0;
+        need.slow = m_state.health.slowness(now()) > SlowPercent;
+        need.cold = m_state.pacer.isCold(now());
+        need.speedKnownAt = m_state.health.speedKnownAt();
+        if (m_probeSoon || now() >= m_probePlan.next(need)) {
+            probe();
         }
     }
 
-    void handle(RevokeAttempt revoke)
+    void probe()
     {
-        revoke.reply(m_ledger.revoke(revoke.attempt, revoke.target.daemon));
+        m_probeSoon = false;
+        m_probing = true;
+        m_probePlan.sent(now());
+        m_telemetry.send(CountEvent {"probes_total", "sent"});
+        const ServiceRules *rules = m_state.rules();
+        ExchangeRequest request;
+        request.method = "GET";
+        request.target = rules ? rules->healthPath : ServiceRules().healthPath;
+        request.headers.push_back({"Host", endpointText(m_pool->endpoint())});
+        request.maxIdle = MaxIdleIdempotent;
+        request.deadline = now() + ProbeTimeout;
+        std::make_shared<HttpExchange>(
+            m_context, m_kernel.executor(), m_pool, *m_settings.dialect, std::move(request),
+            [] { return true; },
+            [this, pool = m_pool](const ExchangeOutcome &outcome) {
+                m_probing = false;
+                if (pool == m_pool) {
+                    probed(outcome);
+                }
+            })
+            ->start();
     }
 
-    void revoked(ControlRequest request)
+    void probed(const ExchangeOutcome &outcome)
     {
-        const auto revocation = decodeRevocation(request.body);
-        if (!revocation) {
-            request.reply(ControlAnswer {400, "application/json", "{}"});
-            return;
+        const bool wasDown = m_state.health.isDown();
+        if (outcome.kind == ExchangeOutcome::Kind::Answered) {
+            const ProbeReport probe = m_settings.dialect->decodeProbe(
+                outcome.status, outcome.headers, outcome.body);
+            if (probe.load) {
+                m_state.health.reportedSlowness(probe.load->slowness, now());
+            }
+            if (probe.cold) {
+                m_state.reportedCold(*probe.cold, now());
+            } else if (probe.healthy) {
+                m_state.reportedCold(milliseconds(0), now());
+            }
+            // A health check may fail falsely while calls are answered, so it only counts when
+            // nothing is known of calls.
+            probe.healthy || outcome.status < FirstFailure
+                ? m_state.health.probeAnswered(now())
+                : m_state.health.probeFailed(false, now());
+            m_telemetry.send(CountEvent {"probes_total", probe.healthy ? "healthy" : "unhealthy"});
+        } else {
+            const bool refused = outcome.kind == ExchangeOutcome::Kind::Unreachable;
+            m_state.health.probeFailed(refused, now());
+            m_telemetry.send(CountEvent {"probes_total", refused ? "refused" : "lost"});
         }
-        const RevokeVerdict verdict = m_ledger.revoke(revocation->attempt, revocation->target);
-        request.reply(ControlAnswer {200, "application/json", encodeVerdict(verdict)});
+        if (wasDown != m_state.health.isDown()) {
+            m_telemetry.send(LogEvent {
+                "backend.health", "",
+                "service=" + m_state.service() + (wasDown ? " down=no" : " down=yes")});
+        }
+        report();
+        decide();
     }
 
-    TimePoint now() const { return m_kernel.executor().now(); }
+    /// Queued runs of a server that is slower than this are refused early anyway.
+    static constexpr std::uint32_t MaxQueueSlowness = 1000;
 
     Kernel &m_kernel;
     boost::asio::io_context &m_context;
-    Place m_place;
+    BackendSettings m_settings;
+    BackendStateView m_state;
     RunLedger m_ledger;
-    Admission m_admission;
-    BackendMonitor m_monitor;
-    ConfigurationPtr m_configuration;
-    /// Compared with the time of each call; see ConfigurationChanged.
-    TimePoint m_freshUntil = TimePoint::min();
-    std::string m_service;
+    SlotQueue m_slots;
+    ProbePlan m_probePlan;
     std::shared_ptr<HttpPool> m_pool;
-    struct Run
-    {
-        std::shared_ptr<HttpExchange> exchange;
-        std::shared_ptr<RunRecord> record;
-    };
-
     std::unordered_map<AttemptId, Run> m_runs;
-    /// Runs in the queue of the admission.
-    std::unordered_map<AttemptId, RunAttempt> m_waiting;
+    /// Load as told last.
+    LoadReport m_told;
+    /// Service, state and slots as the other daemons know them.
+    std::tuple<std::string, BackendState, std::uint32_t> m_announced {};
     std::optional<TimePoint> m_queueTick;
-    TimerId m_timer = 0;
+    TimerId m_tickTimer = 0;
     TimerId m_queueTimer = 0;
+    TimerId m_probeTimer = 0;
+    bool m_probing = false;
+    bool m_probeSoon = false;
+    StopPhase m_phase = StopPhase::Running;
+    Address<MembershipMessage> m_membership;
     Address<TelemetryMessage> m_telemetry;
+    Address<LinksMessage> m_links;
+    Address<CallsMessage> m_calls;
     Mailbox<BackendMessage> m_mailbox;
-    Mailbox<ControlRequest> m_announceMailbox;
-    Mailbox<ControlRequest> m_revokeMailbox;
+    Mailbox<RegistrationMessage> m_registrationMailbox;
     Mailbox<ConfigurationChanged> m_configurationMailbox;
     Mailbox<StopPhaseChanged> m_stopMailbox;
-    /// True once a planned stop has begun: what runs ends, nothing new begins.
-    bool m_stopping = false;
 };
 
 } // namespace
 
-std::unique_ptr<Service> makeBackend(Kernel &kernel, boost::asio::io_context &context, Place place,
-                                     const Guards &guards)
+std::unique_ptr<Service> makeBackend(Kernel &kernel, boost::asio::io_context &context,
+                                     BackendSettings settings)
 {
-    return std::make_unique<Backend>(kernel, context, std::move(place), guards);
+    return std::make_unique<Backend>(kernel, context, std::move(settings));
 }
 
 } // namespace Coltsfootwell
--- a/src/services/Backend.h
+++ b/src/services/Backend.h
@@ -2,10 +2,12 @@
 #pragma once
 
 #include "decisions/Guards.h"
-#include "decisions/Routing.h"
+#include "decisions/Place.h"
 #include "kernel/Kernel.h"
+#include "wire/HttpDialect.h"
 
 #include <memory>
+#include <string>
 
 namespace boost::asio {
 class io_context;
@@ -13,12 +15,23 @@
 
 namespace Coltsfootwell {
 
+/// \brief Settings of the service.
+struct BackendSettings
+{
+    Place place;
+    /// Spelling of requests to the backend server; outlives the service.
+    const HttpDialect *dialect = nullptr;
+    /// Time for which a server that has announced its end still gets calls that have no other
+    /// place.
+    std::chrono::milliseconds drainTime {1500};
+    const Guards *guards = &FullGuards;
+};
+
 /// \param kernel gives the executor and the directory.
 /// \param context runs the connections.
-/// \param place this daemon.
-/// \param guards rules in force; outlives the service.
+/// \param settings see BackendSettings.
 /// \return the service, not started.
-std::unique_ptr<Service> makeBackend(Kernel &kernel, boost::asio::io_context &context, Place place,
-                                     const Guards &guards = FullGuards);
+std::unique_ptr<Service> makeBackend(Kernel &kernel, boost::asio::io_context &context,
+                                     BackendSettings settings);
 
 } // namespace Coltsfootwell
--- a/src/services/CallMessages.h
+++ b/src/services/CallMessages.h
@@ -3,13 +3,13 @@
 
 #include "decisions/Load.h"
 #include "decisions/Outcome.h"
-#include "decisions/RunLedger.h"
+#include "decisions/RetryBudget.h"
 #include "decisions/Target.h"
 #include "kernel/Mailbox.h"
-#include "services/BodyPipe.h"
-#include "services/ControlMessages.h"
-#include "wire/CallEnvelope.h"
+#include "wire/HttpDialect.h"
+#include "wire/LinkFrame.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -18,7 +18,7 @@
 
 namespace Coltsfootwell {
 
-/// \brief Request line and headers of a call; decoded headers are in the envelope.
+/// \brief Request line and headers of a call.
 struct CallHead
 {
     std::string method;
@@ -26,77 +26,116 @@
     std::vector<HeaderField> headers;
 };
 
-/// \brief Body of a call: either held in memory and replayable, or streamed once.
-struct CallBody
-{
-    std::shared_ptr<const std::string> bytes;
-    /// Set for bodies that are too large to hold.
-    BodyPipePtr stream;
-    /// Length of a streamed body, when the caller has declared one.
-    std::optional<std::uint64_t> streamLength;
-};
+using CallHeadPtr = std::shared_ptr<const CallHead>;
 
-/// \brief Status and headers of an answer.
-struct AnswerHead
-{
-    unsigned status = 0;
-    std::vector<HeaderField> headers;
-    /// Nothing for answers of unknown length.
-    std::optional<std::uint64_t> length;
-};
+/// \brief A whole body; null for none.
+using BodyPtr = std::shared_ptr<const std::string>;
 
 /// \brief The serving daemon refused; no byte went to the backend server.
 struct AttemptRefused
 {
     Reason reason = Reason::Overloaded;
     std::optional<LoadReport> load;
-    /// Configuration version of the serving daemon; 0 when it has none or did not say.
-    ConfigurationVersion version = 0;
 };
 
-/// \brief No answer came.
+/// \brief No answer came, and the call may have run.
 struct AttemptLost
 {
-    /// False when no byte left this daemon.
-    bool sent = true;
-    /// True when bytes of a streamed body were taken, so that it cannot be sent again.
-    bool bodyTaken = false;
+    std::optional<LoadReport> load;
 };
 
-/// \brief The backend server answers; the rest of the answer follows in the pipe.
+/// \brief The backend server's whole answer.
 struct AttemptAnswered
 {
-    AnswerHead head;
-    BodyPipePtr body;
+    unsigned status = 0;
+    std::vector<HeaderField> headers;
+    BodyPtr body;
+    /// True when the backend server has failed.
+    bool failure = false;
     std::optional<LoadReport> load;
 };
 
 using AttemptResult = std::variant<AttemptRefused, AttemptLost, AttemptAnswered>;
 
-/// \brief To "backend" and "peers": run an attempt.
+/// \brief To "backend" and "links": run an attempt.
 struct RunAttempt
 {
+    AttemptId attempt;
     Target target;
-    std::shared_ptr<const CallHead> head;
-    /// Has its attempt set.
-    CallEnvelope envelope;
-    CallBody body;
+    CallHeadPtr head;
+    CallEnvelope call;
+    std::string service;
+    /// Service beside the daemon that took the call from its caller.
+    std::string callerService;
+    BodyPtr body;
+    /// Length of a body that is still at the entry daemon; 0 when `body` is the whole body.
+    std::uint64_t laterBytes = 0;
     TimePoint deadline;
+    /// Latest useful start; later the call is better placed elsewhere.
+    TimePoint startBy;
+    unsigned priority = 0;
+    bool nested = false;
+    bool idempotent = false;
     Reply<AttemptResult> reply;
+    /// Called when the run has a slot and wants its body; BodyArrived must follow.
+    Task proceed;
 };
 
-/// \brief To "backend" and "peers": the answer of an attempt is no longer wanted.
+/// \brief To "backend": the body of a run that wanted it.
+struct BodyArrived
+{
+    AttemptId attempt;
+    BodyPtr body;
+};
+
+/// \brief To "backend" and "links": the answer of an attempt is no longer wanted.
 struct CancelAttempt
 {
     AttemptId attempt;
 };
 
-/// \brief To "backend" and "peers": never start an attempt.
+/// \brief To "backend": has this attempt started? When it has not, it never will.
 struct RevokeAttempt
 {
     AttemptId attempt;
-    Target target;
-    Reply<RevokeVerdict> reply;
+    /// True when it has started.
+    Reply<bool> reply;
+};
+
+/// \brief From "backend": the load of the backend server has changed by much.
+struct LoadChanged
+{
+    LoadReport load;
+};
+
+/// \brief To "calls": a daemon has reported the load of its backend server.
+struct LoadLearned
+{
+    DaemonId daemon;
+    LoadReport load;
+};
+
+/// \brief To "calls": a daemon cannot be reached.
+struct DaemonUnreachable
+{
+    DaemonId daemon;
+};
+
+/// \brief To "links": exchange bytes with the same service of another daemon.
+struct AskPeer
+{
+    Endpoint endpoint;
+    ExchangeSubject subject = ExchangeSubject::MemberSync;
+    std::string bytes;
+    /// Dropped unanswered when the daemon does not answer.
+    Reply<std::string> reply;
+};
+
+/// \brief To the service of an exchange's subject: another daemon asks.
+struct PeerAsks
+{
+    std::string bytes;
+    Reply<std::string> reply;
 };
 
 /// \brief The system answers in place of a backend server.
@@ -104,13 +143,16 @@
 {
     Outcome outcome = Outcome::NotRun;
     Reason reason = Reason::Overloaded;
+    /// Time after which the caller may come back.
+    std::optional<Duration> retryAfter;
 };
 
 /// \brief A backend server answers.
 struct CallAnswered
 {
-    AnswerHead head;
-    BodyPipePtr body;
+    unsigned status = 0;
+    std::vector<HeaderField> headers;
+    BodyPtr body;
     DaemonId servedBy;
 };
 
@@ -121,24 +163,10 @@
 {
     /// Number that is unique in this daemon.
     std::uint64_t number = 0;
-    std::shared_ptr<const CallHead> head;
-    CallEnvelope envelope;
-    CallBody body;
+    CallHeadPtr head;
+    CallEnvelope call;
+    BodyPtr body;
     TimePoint received;
-    /// Set when the session refuses a call with a key; "calls" decides on the outcome alone.
-    std::optional<Reason> refusal;
-    Reply<CallResult> reply;
-};
-
-/// \brief To "peers": let the owner of a key carry out a call as its own.
-struct ForwardCall
-{
-    Target owner;
-    std::shared_ptr<const CallHead> head;
-    /// Has its key owner set.
-    CallEnvelope envelope;
-    CallBody body;
-    TimePoint deadline;
     Reply<CallResult> reply;
 };
 
@@ -148,4 +176,16 @@
     std::uint64_t number = 0;
 };
 
+/// \brief To "calls": settings that can change while the daemon runs.
+struct CallSettingsChanged
+{
+    std::string ownService;
+    RetryLimits retries;
+};
+
+using CallsMessage
+    = std::variant<SubmitCall, CancelCall, LoadLearned, DaemonUnreachable, CallSettingsChanged>;
+using BackendMessage = std::variant<RunAttempt, BodyArrived, CancelAttempt, RevokeAttempt>;
+using LinksMessage = std::variant<RunAttempt, CancelAttempt, LoadChanged, AskPeer>;
+
 } // namespace Coltsfootwell
--- a/src/services/CallRules.cpp
+++ b/src/services/CallRules.cpp
@@ -6,7 +6,10 @@
 
 namespace {
 
-/// Regions in which all of route, tenant and caller allow a call; an empty list allows all.
+/// Objective of a route that has none, as a part of the deadline.
+constexpr int ObjectiveShare = 2;
+
+/// Regions in which all of route, customer and caller allow a call; an empty list allows all.
 class HomeRegions
 {
 public:
@@ -25,12 +28,7 @@
         m_impossible = m_impossible || m_regions.empty();
     }
 
-    bool allows(const std::string &region) const
-    {
-        return !m_impossible
-            && (m_regions.empty() || std::ranges::find(m_regions, region) != m_regions.end());
-    }
-
+    bool impossible() const { return m_impossible; }
     const std::vector<std::string> &list() const { return m_regions; }
 
 private:
@@ -43,55 +41,68 @@
 {
     HomeRegions homes;
     homes.restrictTo(route.homeRegions);
-    if (const auto it = configuration.tenantRegions.find(envelope.tenant);
-        it != configuration.tenantRegions.end()) {
+    if (const auto it = configuration.customerRegions.find(envelope.customer);
+        it != configuration.customerRegions.end()) {
         homes.restrictTo(it->second);
     }
     homes.restrictTo(envelope.homeRegions);
     return homes;
 }
 
-std::uint64_t bodyLength(const CallBody &body)
+/// \return the host without its port.
+std::string_view hostOf(const CallHead &head)
 {
-    return body.bytes ? body.bytes->size() : body.streamLength.value_or(0);
+    const std::string_view host = headerValue(head.headers, "Host").value_or("");
+    return host.substr(0, host.rfind(':'));
+}
+
+bool isIdempotent(const Route &route, const std::string &method)
+{
+    return route.idempotent
+        || std::ranges::find(route.idempotentMethods, method) != route.idempotentMethods.end();
 }
 
 } // namespace
 
 std::variant<CallFacts, CallRefused> factsOf(const SubmitCall &call,
                                              const Configuration &configuration,
-                                             TimePoint freshUntil, const Place &place,
-                                             TimePoint now)
+                                             WeightedSplit &split)
 {
-    const CallEnvelope &envelope = call.envelope;
+    const CallEnvelope &envelope = call.call;
     if (envelope.depth >= MaxCallDepth) {
-        return CallRefused {Outcome::NotRun, Reason::DepthExceeded};
+        return CallRefused {Outcome::NotRun, Reason::DepthExceeded, {}};
     }
-    const Route *route = configuration.routeFor(call.head->target);
-    const auto rules
-        = route ? configuration.services.find(route->service) : configuration.services.end();
-    if (rules == configuration.services.end()) {
-        return CallRefused {Outcome::NotRun, Reason::NoRoute};
+    const Route *route = configuration.routeFor(hostOf(*call.head), call.head->target);
+    if (!route) {
+        return CallRefused {Outcome::NotRun, Reason::NoRoute, {}};
     }
     const HomeRegions homes = homeRegionsOf(envelope, *route, configuration);
-    if (!homes.allows(place.region)) {
-        return CallRefused {Outcome::NotRun, Reason::OutsideHomeRegions};
-    }
-    if (now > freshUntil && rules->second.whenIsolated != IsolationPolicy::Serve) {
-        return CallRefused {Outcome::NotRun, Reason::StaleConfiguration};
-    }
-    if (bodyLength(call.body) > rules->second.maxBodyBytes) {
-        return CallRefused {Outcome::NotRun, Reason::BodyTooLarge};
+    if (homes.impossible()) {
+        return CallRefused {Outcome::NotRun, Reason::OutsideHomeRegions, {}};
     }
     CallFacts facts;
-    facts.service = route->service;
-    facts.tenant = envelope.tenant;
-    facts.idempotent = std::ranges::find(route->idempotentMethods, call.head->method)
-        != route->idempotentMethods.end();
-    facts.depth = envelope.depth;
-    facts.deadline = call.received + envelope.deadline.value_or(rules->second.defaultDeadline);
-    facts.bodyReplayable = !call.body.stream;
+    facts.service = split.next(*route);
+    const auto rules = configuration.services.find(facts.service);
+    if (rules == configuration.services.end()) {
+        return CallRefused {Outcome::NotRun, Reason::NoRoute, {}};
+    }
+    facts.customer = envelope.customer;
+    facts.idempotent = isIdempotent(*route, call.head->method);
     facts.homeRegions = homes.list();
+    facts.depth = envelope.depth;
+    facts.received = call.received;
+    Duration patience = envelope.deadline.value_or(rules->second.defaultDeadline);
+    if (route->timeout.count() > 0) {
+        patience = std::min<Duration>(patience, route->timeout);
+    }
+    facts.deadline = call.received + patience;
+    facts.objective = route->objective.count() > 0
+        ? std::min<TimePoint>(call.received + route->objective, facts.deadline)
+        : call.received + patience / ObjectiveShare;
+    facts.maxAttempts = std::max(1U, route->maxAttempts);
+    facts.priority = route->priority;
+    facts.nested = envelope.depth > 0;
+    facts.bodyBytes = call.body ? call.body->size() : 0;
     return facts;
 }
 
--- a/src/services/CallRules.h
+++ b/src/services/CallRules.h
@@ -1,23 +1,23 @@
-// Facts of a call and the refusals that need neither a target nor a key.
+// Facts of a call and the refusals that need no target.
 #pragma once
 
-#include "decisions/Routing.h"
+#include "decisions/CallFacts.h"
+#include "decisions/Configuration.h"
+#include "decisions/Place.h"
+#include "decisions/WeightedSplit.h"
 #include "services/CallMessages.h"
 
 #include <variant>
 
 namespace Coltsfootwell {
 
-/// \brief Finds the route of a call and checks depth, home regions, freshness and body length.
+/// \brief Finds the route of a call and checks depth and home regions.
 /// \param call received from a caller.
 /// \param configuration in force.
-/// \param freshUntil last instant at which the version is known to be the newest.
-/// \param place this daemon.
-/// \param now the present time.
+/// \param split divides calls among the services of a route.
 /// \return the facts, or why the call is refused.
 std::variant<CallFacts, CallRefused> factsOf(const SubmitCall &call,
                                              const Configuration &configuration,
-                                             TimePoint freshUntil, const Place &place,
-                                             TimePoint now);
+                                             WeightedSplit &split);
 
 } // namespace Coltsfootwell
--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -1,532 +1,419 @@
 #include "services/CallerSession.h"
 
-#include "services/HopSpan.h"
+#include "services/ControlMessages.h"
 #include "services/HttpIo.h"
 #include "services/ServiceNames.h"
-#include "wire/HeaderNames.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <array>
+#include <deque>
+
 namespace Coltsfootwell::Internal {
 
 namespace {
 
-using asio::ip::tcp;
-using RequestParser = http::request_parser<http::buffer_body>;
-
 constexpr std::string_view ControlPrefix = "/coltsfootwell/";
-constexpr std::uint64_t MaxHeldBodyBytes = 64 * 1024;
-constexpr std::uint64_t MaxControlBodyBytes = 8 * 1024 * 1024;
-constexpr std::chrono::seconds IdleTimeout {60};
-constexpr std::chrono::seconds ProgressTimeout {30};
-/// How long unread bytes of a refused request are read before the connection is closed. Closing at
-/// once would reset the connection and could destroy the refusal on its way.
+/// Requests of one connection that are worked on at the same time.
+constexpr std::size_t MaxPipelined = 64;
+/// How long unread bytes are read after the last answer. Closing at once would reset the connection
+/// and could destroy the answer on its way.
 constexpr std::chrono::seconds LingerTime {1};
+constexpr unsigned StatusNoContent = 204;
+constexpr unsigned StatusNotModified = 304;
+
+/// Why the connection waits for bytes.
+enum class ReadPhase {
+    Idle,
+    Request,
+};
+
+/// One request and its answer, which is written in the order of the requests.
+struct Exchange
+{
+    std::uint64_t number = 0;
+    std::string requestId;
+    bool headRequest = false;
+    bool keepAlive = true;
+    bool done = false;
+    /// Makes the bytes of the answer.
+    std::function<std::string(const Exchange &, bool keep)> answer;
+};
 
-/// One connection and its state.
 class Session final : public SessionHandle, public std::enable_shared_from_this<Session>
 {
 public:
     Session(tcp::socket socket, std::shared_ptr<SessionContext> context)
-        : m_stream(std::move(socket)), m_context(std::move(context))
+        : m_socket(std::move(socket)), m_context(std::move(context)),
+          m_room(m_socket.get_executor())
     {
         m_context->sessions.insert(this);
     }
 
-    ~Session() override { m_context->sessionEnded(this); }
+    ~Session() override
+    {
+        m_context->executor.cancel(m_timer);
+        m_context->sessionEnded(this);
+    }
 
     void start()
     {
         asio::co_spawn(
-            m_stream.get_executor(), [self = shared_from_this()] { return self->run(); },
+            m_socket.get_executor(), [self = shared_from_this()] { return self->run(); },
             asio::detached);
     }
 
-    /// Closes the connection when it is between two requests; a request in progress ends first.
     void close() override
     {
         m_closing = true;
-        if (!m_busy) {
+        if (m_exchanges.empty() && m_phase == ReadPhase::Idle && m_buffer.size() == 0) {
             boost::system::error_code ec;
-            m_stream.socket().shutdown(tcp::socket::shutdown_both, ec);
+            m_socket.shutdown(tcp::socket::shutdown_send, ec);
+            m_socket.cancel(ec);
         }
     }
 
 private:
-    /// A body that is read while the call is running.
-    struct BodyState
-    {
-        bool done = true;
-        bool whole = true;
-        std::function<void(bool)> onDone;
-
-        void end()
-        {
-            done = true;
-            if (onDone) {
-                onDone(whole);
-            }
-        }
-    };
+    using Parser = http::request_parser<http::string_body>;
 
     asio::awaitable<void> run()
     {
-        bool open = true;
-        while (open) {
-            open = co_await serveOne();
+        while (!m_readEnded) {
+            while (m_exchanges.size() >= MaxPipelined) {
+                boost::system::error_code ec;
+                m_room.expires_at(std::chrono::steady_clock::time_point::max());
+                co_await m_room.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+            }
+            co_await readRequest();
         }
-        boost::system::error_code ec;
-        m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
-        co_await drainInput();
-        m_stream.close();
+        m_context->executor.cancel(m_timer);
     }
 
-    asio::awaitable<void> drainInput()
+    asio::awaitable<void> readRequest()
     {
+        Parser parser;
+        parser.header_limit(static_cast<std::uint32_t>(m_context->limits.headerBytes));
+        parser.body_limit(m_context->limits.bodyBytes);
         boost::system::error_code ec;
-        std::array<char, 4096> buf {};
-        m_stream.expires_after(LingerTime);
-        while (!ec) {
-            co_await m_stream.async_read_some(asio::buffer(buf),
-                                              asio::redirect_error(asio::use_awaitable, ec));
+        if (m_buffer.size() == 0) {
+            m_phase = ReadPhase::Idle;
+            armTimer(m_context->limits.idleTimeout);
+            // Waits for the first byte apart, so that an idle connection and a slow request differ.
+            co_await m_socket.async_wait(tcp::socket::wait_read,
+                                         asio::redirect_error(asio::use_awaitable, ec));
         }
-    }
-
-    asio::awaitable<bool> serveOne()
-    {
-        boost::system::error_code ec;
-        RequestParser parser;
-        parser.body_limit(boost::none);
-        parser.header_limit(MaxHeaderBytes);
-        m_busy = false;
-        if (m_closing && m_buffer.size() == 0) {
-            co_return false;
+        if (!ec) {
+            m_phase = ReadPhase::Request;
+            armTimer(m_context->limits.headerTimeout);
+            co_await http::async_read_header(m_socket, m_buffer, parser,
+                                             asio::redirect_error(asio::use_awaitable, ec));
+        }
+        if (!ec && !parser.is_done()) {
+            armTimer(m_context->limits.idleTimeout);
+            if (beast::iequals(parser.get()[http::field::expect], "100-continue")
+                && m_exchanges.empty()) {
+                constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+                co_await asio::async_write(m_socket, asio::buffer(Continue),
+                                           asio::redirect_error(asio::use_awaitable, ec));
+            }
+            if (!ec) {
+                co_await http::async_read(m_socket, m_buffer, parser,
+                                          asio::redirect_error(asio::use_awaitable, ec));
+            }
         }
-        m_stream.expires_after(IdleTimeout);
-        co_await http::async_read_header(m_stream, m_buffer, parser,
-                                         asio::redirect_error(asio::use_awaitable, ec));
+        m_context->executor.cancel(m_timer);
         if (ec) {
-            co_return co_await answerUnreadable(ec);
-        }
-        m_busy = true;
-        const std::string_view target(parser.get().target().data(), parser.get().target().size());
-        if (target.starts_with(ControlPrefix)) {
-            co_return co_await serveControl(parser);
+            readFailed(ec);
+            co_return;
         }
-        co_return co_await serveCall(parser);
+        m_phase = ReadPhase::Idle;
+        accepted(parser.release());
     }
 
-    /// \return false: the connection is of no further use.
-    asio::awaitable<bool> answerUnreadable(boost::system::error_code ec)
+    void armTimer(Duration timeout)
     {
-        const bool malformed = ec.category() == make_error_code(http::error::bad_method).category()
-            && ec != http::error::end_of_stream && ec != http::error::partial_message;
-        if (malformed) {
-            m_keepAlive = false;
-            co_await writeRefusal({Outcome::NotRun, Reason::BadHeader}, "request: " + ec.message());
-        }
-        co_return false;
+        m_context->executor.cancel(m_timer);
+        m_timer = m_context->executor.after(timeout, [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->timedOut();
+            }
+        });
     }
 
-    asio::awaitable<bool> serveControl(RequestParser &parser)
+    void timedOut()
     {
-        std::string body;
-        if (!co_await readHeldBody(parser, MaxControlBodyBytes, body)) {
-            m_keepAlive = false;
-            co_await writeRefusal({Outcome::NotRun, Reason::BodyTooLarge},
-                                  "the body must have at most 8388608 bytes");
-            co_return false;
+        if (m_phase == ReadPhase::Idle && !m_exchanges.empty()) {
+            armTimer(m_context->limits.idleTimeout);
+            return;
         }
-        m_keepAlive = parser.get().keep_alive();
-        ControlRequest request;
-        request.method = std::string(parser.get().method_string());
-        const std::string_view target(parser.get().target().data(), parser.get().target().size());
-        const std::string_view path = target.substr(ControlPrefix.size());
-        const std::size_t question = std::min(path.find('?'), path.size());
-        request.path = path.substr(0, question);
-        request.query = path.substr(std::min(question + 1, path.size()));
-        request.body = std::move(body);
+        m_timedOut = true;
         boost::system::error_code ec;
-        request.peerAddress = m_stream.socket().remote_endpoint(ec).address().to_string();
-        std::error_code unknown;
-        const auto owner = m_context->directory.find<ControlRequest>(
-            ServiceName::control(request.path), unknown);
-        std::optional<ControlAnswer> answer
-            = ControlAnswer {404, "application/json", R"({"error":"unknown path"})"};
-        if (!unknown) {
-            // Coroutine lambdas may not outlive their captures, so the message is moved into a
-            // shared holder.
-            auto held = std::make_shared<ControlRequest>(std::move(request));
-            std::function<void(Reply<ControlAnswer>)> send
-                = [owner, held](Reply<ControlAnswer> reply) {
-                      held->reply = std::move(reply);
-                      owner.send(std::move(*held));
-                  };
-            answer = co_await ask<ControlAnswer>(m_context->executor, std::move(send));
-        }
-        if (!answer) {
-            answer
-                = ControlAnswer {503, "application/json", R"({"error":"the service has stopped"})"};
-        }
-        co_return co_await writeText(answer->status, answer->contentType, answer->body, {});
+        m_socket.cancel(ec);
     }
 
-    asio::awaitable<bool> readHeldBody(RequestParser &parser, std::uint64_t limit,
-                                       std::string &body)
+    void readFailed(boost::system::error_code ec)
     {
-        if (parser.content_length().value_or(0) > limit) {
-            co_return false;
-        }
-        boost::system::error_code ec;
-        if (!parser.is_done() && parser.get()[http::field::expect] == "100-continue"
-            && !co_await writeContinue()) {
-            co_return false;
-        }
-        std::array<char, 16 * 1024> buf {};
-        while (!parser.is_done()) {
-            parser.get().body().data = buf.data();
-            parser.get().body().size = buf.size();
-            m_stream.expires_after(ProgressTimeout);
-            co_await http::async_read_some(m_stream, m_buffer, parser,
-                                           asio::redirect_error(asio::use_awaitable, ec));
-            if (ec && ec != http::error::need_buffer) {
-                co_return false;
-            }
-            body.append(buf.data(), buf.size() - parser.get().body().size);
-            if (body.size() > limit) {
-                co_return false;
-            }
+        m_readEnded = true;
+        if (m_phase == ReadPhase::Idle && (m_timedOut || m_closing) && m_exchanges.empty()) {
+            endAfterAnswers();
+        } else if (m_timedOut) {
+            addRefusal(Reason::RequestTimeout);
+        } else if (ec == http::error::header_limit) {
+            addRefusal(Reason::HeaderTooLarge);
+        } else if (ec == http::error::body_limit) {
+            addRefusal(Reason::BodyTooLarge);
+        } else if (ec.category() == make_error_code(http::error::bad_method).category()
+                   && ec != http::error::end_of_stream && ec != http::error::partial_message) {
+            addRefusal(Reason::BadHeader);
+        } else {
+            callerGone();
         }
-        co_return true;
     }
 
-    asio::awaitable<bool> writeContinue()
+    /// The caller has closed the connection or it broke: nobody waits for the answers.
+    void callerGone()
     {
+        for (const auto &exchange : m_exchanges) {
+            if (!exchange->done && exchange->number != 0) {
+                m_context->calls.send(CancelCall {exchange->number});
+            }
+        }
+        m_exchanges.clear();
         boost::system::error_code ec;
-        http::response<http::empty_body> message(http::status::continue_, 11);
-        m_stream.expires_after(ProgressTimeout);
-        co_await http::async_write(m_stream, message,
-                                   asio::redirect_error(asio::use_awaitable, ec));
-        co_return !ec;
+        m_socket.close(ec);
     }
 
-    asio::awaitable<bool> serveCall(RequestParser &parser)
+    void addRefusal(Reason reason)
     {
-        const TimePoint received = m_context->executor.now();
-        auto head = std::make_shared<CallHead>();
-        head->method = std::string(parser.get().method_string());
-        head->target = std::string(parser.get().target());
-        head->headers = passedHeaders(parser.get());
-        m_keepAlive = parser.get().keep_alive();
-        m_headRequest = head->method == "HEAD";
-
-        HeaderFault fault;
-        std::error_code ec;
-        CallEnvelope envelope = decodeEnvelope(head->headers, fault, ec);
-        m_echo = envelope.attempt ? attemptText(envelope.attempt->attempt) : std::string();
-        m_span.begin(envelope, *head);
-        if (ec) {
-            m_keepAlive = false;
-            co_return co_await writeRefusal({Outcome::NotRun, Reason::BadHeader},
-                                            fault.header + ' ' + fault.rule);
-        }
-
-        if (m_context->finishing && !envelope.attempt && envelope.depth == 0) {
-            m_keepAlive = false;
-            if (!envelope.key.empty()) {
-                // An earlier call with the same key may have run.
-                co_return co_await submitCall(std::move(head), std::move(envelope), CallBody {},
-                                              received, Reason::Stopping);
-            }
-            co_return co_await writeRefusal({Outcome::NotRun, Reason::Stopping}, {});
-        }
-
-        CallBody body;
-        auto bodyState = std::make_shared<BodyState>();
-        const auto length = parser.content_length();
-        if (length ? *length <= MaxHeldBodyBytes : parser.is_done()) {
-            auto bytes = std::make_shared<std::string>();
-            if (!co_await readHeldBody(parser, MaxHeldBodyBytes, *bytes)) {
-                co_return false;
-            }
-            body.bytes = std::move(bytes);
-        } else {
-            body.stream = std::make_shared<BodyPipe>(m_context->executor);
-            body.streamLength = length ? std::optional<std::uint64_t>(*length) : std::nullopt;
-            bodyState->done = false;
-            asio::co_spawn(
-                m_stream.get_executor(),
-                [self = shared_from_this(), pipe = body.stream, bodyState, &parser] {
-                    return self->pumpRequest(parser, pipe, bodyState);
-                },
-                asio::detached);
-        }
-        const BodyPipePtr stream = body.stream;
-        const bool isAttempt = envelope.attempt.has_value();
-        const bool open = isAttempt
-            ? co_await runAttempt(std::move(head), std::move(envelope), std::move(body), received)
-            : co_await submitCall(std::move(head), std::move(envelope), std::move(body), received);
-        if (stream && !bodyState->done) {
-            // The parser lives in this frame, so the pump must have ended before it goes.
-            stream->abandon();
-            m_stream.cancel();
-            std::function<void(std::function<void(bool)>)> start
-                = [bodyState](std::function<void(bool)> done) {
-                      bodyState->onDone = std::move(done);
-                  };
-            co_await awaitCallback<bool>(std::move(start));
-            co_return false;
-        }
-        co_return open && bodyState->whole;
+        auto exchange = std::make_shared<Exchange>();
+        exchange->keepAlive = false;
+        m_exchanges.push_back(exchange);
+        finish(exchange, CallRefused {Outcome::NotRun, reason, {}});
     }
 
-    asio::awaitable<void> pumpRequest(RequestParser &parser, BodyPipePtr pipe,
-                                      std::shared_ptr<BodyState> state)
+    void accepted(http::request<http::string_body> message)
     {
-        boost::system::error_code ec;
-        state->whole = false;
-        if (co_await firstRead(*pipe)) {
-            const bool expects = parser.get()[http::field::expect] == "100-continue";
-            if (!expects || co_await writeContinue()) {
-                state->whole = co_await pumpBody<true>(m_stream, m_buffer, parser, *pipe,
-                                                       ProgressTimeout, ec);
-            }
-        }
-        if (state->whole) {
-            watchHangup();
+        if (m_closeAfter) {
+            // The caller learns from the closing answer that this request was not read.
+            return;
+        }
+        auto exchange = std::make_shared<Exchange>();
+        exchange->headRequest = message.method() == http::verb::head;
+        exchange->keepAlive = message.keep_alive();
+        m_exchanges.push_back(exchange);
+        if (m_context->servesControl && stdView(message.target()).starts_with(ControlPrefix)) {
+            askControl(exchange, std::move(message));
+        } else {
+            submit(exchange, std::move(message));
         }
-        state->end();
     }
 
-    asio::awaitable<bool> runAttempt(std::shared_ptr<CallHead> head, CallEnvelope envelope,
-                                     CallBody body, TimePoint received)
+    void submit(const std::shared_ptr<Exchange> &exchange, http::request<http::string_body> message)
     {
-        auto message = std::make_shared<RunAttempt>();
-        const AttemptId attempt = envelope.attempt->attempt;
-        message->target.daemon = envelope.attempt->target;
-        message->deadline = received + envelope.deadline.value_or(std::chrono::seconds(1));
-        message->head = std::move(head);
-        message->envelope = std::move(envelope);
-        const bool held = !body.stream;
-        message->body = std::move(body);
-        m_hangup
-            = [context = m_context, attempt] { context->backend.send(CancelAttempt {attempt}); };
-        if (held) {
-            watchHangup();
-        }
-        std::function<void(Reply<AttemptResult>)> send
-            = [context = m_context, message](Reply<AttemptResult> reply) {
-                  message->reply = std::move(reply);
-                  context->backend.send(std::move(*message));
-              };
-        std::optional<AttemptResult> result
-            = co_await ask<AttemptResult>(m_context->executor, std::move(send));
-        if (result) {
-            if (auto *answered = std::get_if<AttemptAnswered>(&*result)) {
-                if (answered->load) {
-                    answered->head.headers.push_back(
-                        {std::string(Header::Load), loadText(*answered->load)});
-                }
-                co_return co_await writeAnswer(std::move(answered->head), answered->body,
-                                               DaemonId());
-            }
-            if (const auto *refused = std::get_if<AttemptRefused>(&*result)) {
-                co_return co_await writeRefusal({Outcome::NotRun, refused->reason}, {},
-                                                refused->load, refused->version);
-            }
-        }
-        co_return co_await writeRefusal({Outcome::Unknown, Reason::AnswerLost}, {});
+        SubmitCall call;
+        call.received = m_context->executor.now();
+        auto head = std::make_shared<CallHead>();
+        head->method = std::string(message.method_string());
+        head->target = std::string(message.target());
+        head->headers = passedHeaders(message);
+        HeaderFault fault;
+        std::error_code ec;
+        call.call = m_context->dialect.decodeCall(head->headers, fault, ec);
+        exchange->requestId = call.call.requestId;
+        if (ec) {
+            m_context->telemetry.send(LogEvent {"call.malformed", call.call.requestId,
+                                                "header=" + fault.header + " rule=" + fault.rule});
+            finish(exchange, CallRefused {Outcome::NotRun, Reason::BadHeader, {}});
+            return;
+        }
+        exchange->number = ++m_context->lastCall;
+        call.number = exchange->number;
+        call.head = std::move(head);
+        call.body = std::make_shared<const std::string>(std::move(message.body()));
+        call.reply = Reply<CallResult>(
+            m_context->executor,
+            [self = shared_from_this(), exchange](std::optional<CallResult> result) {
+                self->finish(exchange,
+                             result ? std::move(*result)
+                                    : CallRefused {Outcome::Unknown, Reason::Stopping, {}});
+            });
+        m_context->calls.send(std::move(call));
     }
 
-    asio::awaitable<bool> submitCall(std::shared_ptr<CallHead> head, CallEnvelope envelope,
-                                     CallBody body, TimePoint received,
-                                     std::optional<Reason> refusal = std::nullopt)
+    void askControl(const std::shared_ptr<Exchange> &exchange,
+                    http::request<http::string_body> message)
     {
-        const std::uint64_t number = ++m_context->lastCall;
-        auto message = std::make_shared<SubmitCall>();
-        message->number = number;
-        message->head = std::move(head);
-        message->envelope = std::move(envelope);
-        const bool held = !body.stream;
-        message->body = std::move(body);
-        message->received = received;
-        message->refusal = refusal;
-        m_hangup = [context = m_context, number] { context->calls.send(CancelCall {number}); };
-        if (held) {
-            watchHangup();
-        }
-        std::function<void(Reply<CallResult>)> send
-            = [context = m_context, message](Reply<CallResult> reply) {
-                  message->reply = std::move(reply);
-                  context->calls.send(std::move(*message));
-              };
-        std::optional<CallResult> result
-            = co_await ask<CallResult>(m_context->executor, std::move(send));
-        if (!result) {
-            co_return co_await writeRefusal({Outcome::Unknown, Reason::Stopping}, {});
-        }
-        if (auto *answered = std::get_if<CallAnswered>(&*result)) {
-            co_return co_await writeAnswer(std::move(answered->head), answered->body,
-                                           answered->servedBy);
-        }
-        const auto &refused = std::get<CallRefused>(*result);
-        co_return co_await writeRefusal(refused, {});
+        const std::string_view path = stdView(message.target()).substr(ControlPrefix.size());
+        const std::size_t question = std::min(path.find('?'), path.size());
+        ControlRequest request;
+        request.method = std::string(message.method_string());
+        request.path = path.substr(0, question);
+        request.query = path.substr(std::min(question + 1, path.size()));
+        request.body = std::move(message.body());
+        request.reply = Reply<ControlAnswer>(
+            m_context->executor,
+            [self = shared_from_this(), exchange](std::optional<ControlAnswer> answer) {
+                self->finishControl(
+                    exchange,
+                    answer.value_or(ControlAnswer {404, "application/json",
+                                                   R"({"error":"unknown path"})"}));
+            });
+        std::error_code unknown;
+        m_context->directory
+            .find<ControlRequest>(ServiceName::control(request.path), unknown)
+            .send(std::move(request));
     }
 
-    void endSpan(Outcome outcome, std::optional<Reason> reason, unsigned status)
+    void finishControl(const std::shared_ptr<Exchange> &exchange, ControlAnswer answer)
     {
-        if (auto span = m_span.end(outcome, reason, status)) {
-            m_context->telemetry.send(std::move(*span));
-        }
+        exchange->answer = [answer = std::move(answer)](const Exchange &own, bool keep) {
+            const std::array headers {HeaderField {"Content-Type", answer.contentType}};
+            return bytesOf(answer.status, headers, answer.body, own.headRequest, keep);
+        };
+        exchange->done = true;
+        flush();
     }
 
-    /// Tells the owner of the call when the other side closes the connection before it has its
-    /// answer.
-    void watchHangup()
+    void finish(const std::shared_ptr<Exchange> &exchange, CallResult result)
     {
-        m_stream.socket().async_wait(
-            tcp::socket::wait_read, [self = shared_from_this()](boost::system::error_code ec) {
-                if (ec || !self->m_hangup) {
-                    return;
-                }
-                char byte = 0;
-                boost::system::error_code peek;
-                self->m_stream.socket().non_blocking(true, peek);
-                const std::size_t n = self->m_stream.socket().receive(
-                    asio::buffer(&byte, 1), asio::socket_base::message_peek, peek);
-                const bool gone = peek ? peek != asio::error::would_block : n == 0;
-                if (gone) {
-                    self->m_hangup();
-                    self->m_hangup = nullptr;
-                }
-            });
+        exchange->answer = [this, result = std::move(result)](const Exchange &own, bool keep) {
+            return std::holds_alternative<CallAnswered>(result)
+                ? answerBytes(own, std::get<CallAnswered>(result), keep)
+                : refusalBytes(own, std::get<CallRefused>(result), keep);
+        };
+        exchange->done = true;
+        flush();
     }
 
-    template <typename Message>
-    void setCommonHeaders(Message &message)
+    std::string answerBytes(const Exchange &exchange, const CallAnswered &answered, bool keep) const
     {
-        message.keep_alive(m_keepAlive && !m_closing && !m_context->leaving);
-        if (!m_echo.empty()) {
-            message.set(name(Header::Attempt), m_echo);
-        }
+        std::vector<HeaderField> headers = answered.headers;
+        m_context->dialect.encodeAnswer(answered.servedBy.name, headers);
+        return bytesOf(answered.status, headers,
+                       answered.body ? std::string_view(*answered.body) : std::string_view(),
+                       exchange.headRequest, keep);
     }
 
-    static beast::string_view name(std::string_view text) { return {text.data(), text.size()}; }
-
-    asio::awaitable<bool> writeRefusal(CallRefused refused, std::string detail,
-                                       std::optional<LoadReport> load = std::nullopt,
-                                       ConfigurationVersion version = 0)
+    std::string refusalBytes(const Exchange &exchange, const CallRefused &refused, bool keep) const
     {
-        std::vector<HeaderField> headers;
-        if (version != 0) {
-            headers.push_back({std::string(Header::Version), std::to_string(version)});
-        }
-        headers.push_back(
-            {std::string(Header::Outcome), std::string(outcomeName(refused.outcome))});
-        headers.push_back({std::string(Header::Reason), std::string(reasonName(refused.reason))});
-        if (load) {
-            headers.push_back({std::string(Header::Load), loadText(*load)});
-        }
-        endSpan(refused.outcome, refused.reason, reasonStatus(refused.reason));
-        std::string text = std::string(reasonName(refused.reason)) + " ("
-            + std::string(outcomeName(refused.outcome)) + ")"
-            + (detail.empty() ? "" : ": " + detail) + "\n";
-        m_hangup = nullptr;
-        co_return co_await writeText(reasonStatus(refused.reason), "text/plain", text, headers);
+        RefusalHead head = m_context->dialect.encodeRefusal(
+            refused.outcome, refused.reason, exchange.requestId, refused.retryAfter);
+        head.headers.push_back({"Content-Type", "text/plain"});
+        const std::string text = std::string(reasonName(refused.reason)) + " ("
+            + std::string(outcomeName(refused.outcome)) + ")\n";
+        return bytesOf(head.status, head.headers, text, exchange.headRequest, keep);
     }
 
-    asio::awaitable<bool> writeText(unsigned status, std::string_view type, std::string_view text,
-                                    std::span<const HeaderField> headers)
+    static std::string bytesOf(unsigned status, std::span<const HeaderField> headers,
+                               std::string_view body, bool headRequest, bool keep)
     {
-        boost::system::error_code ec;
         http::response<http::span_body<const char>> message;
         message.version(11);
         message.result(status);
-        message.set(http::field::content_type, name(type));
         for (const HeaderField &field : headers) {
             message.insert(field.name, field.value);
         }
-        setCommonHeaders(message);
-        message.content_length(text.size());
-        if (!m_headRequest) {
-            message.body() = beast::span<const char>(text.data(), text.size());
+        message.keep_alive(keep);
+        if (status != StatusNoContent && status != StatusNotModified) {
+            message.content_length(body.size());
+        }
+        if (!headRequest) {
+            message.body() = beast::span<const char>(body.data(), body.size());
         }
-        m_stream.expires_after(ProgressTimeout);
-        co_await writeHeld<false>(m_stream, message, ec);
-        co_return !ec && message.keep_alive();
+        return messageBytes(message);
     }
 
-    template <typename Body>
-    http::response<Body> answerMessage(const AnswerHead &head, const DaemonId &servedBy)
+    /// Writes the answers that are next in order.
+    void flush()
     {
-        http::response<Body> message;
-        message.version(11);
-        message.result(head.status);
-        for (const HeaderField &field : head.headers) {
-            message.insert(field.name, field.value);
+        if (m_writing || !m_socket.is_open()) {
+            return;
+        }
+        bool close = false;
+        while (!m_exchanges.empty() && m_exchanges.front()->done && !close) {
+            const std::shared_ptr<Exchange> exchange = m_exchanges.front();
+            m_exchanges.pop_front();
+            // Requests behind a closing answer count as unread, so only the last answer closes.
+            const bool last = m_exchanges.empty() && m_buffer.size() == 0;
+            close = !exchange->keepAlive || (last && (m_closing || m_context->leaving));
+            m_out += exchange->answer(*exchange, !close);
+        }
+        m_room.cancel();
+        m_closeAfter = m_closeAfter || close;
+        m_readEnded = m_readEnded || close;
+        if (!m_out.empty()) {
+            write();
         }
-        if (!servedBy.name.empty()) {
-            message.set(name(Header::Outcome), name(outcomeName(Outcome::Run)));
-            message.set(name(Header::ServedBy), servedBy.name);
-        }
-        setCommonHeaders(message);
-        if (head.length) {
-            message.content_length(*head.length);
-        } else {
-            message.chunked(true);
-        }
-        return message;
     }
 
-    /// Writes an answer; a cut answer closes the connection, so that it never looks whole.
-    asio::awaitable<bool> writeAnswer(AnswerHead head, BodyPipePtr pipe, DaemonId servedBy)
+    void write()
     {
+        m_writing = true;
+        auto bytes = std::make_shared<std::string>(std::exchange(m_out, {}));
+        asio::async_write(m_socket, asio::buffer(*bytes),
+                          [self = shared_from_this(), bytes](boost::system::error_code ec,
+                                                             std::size_t) {
+                              self->m_writing = false;
+                              if (ec) {
+                                  self->callerGone();
+                              } else if (self->m_closeAfter) {
+                                  self->endAfterAnswers();
+                              } else {
+                                  self->flush();
+                              }
+                          });
+    }
+
+    /// Closes the connection gracefully: what the caller still sends is read for a while.
+    void endAfterAnswers()
+    {
+        m_readEnded = true;
         boost::system::error_code ec;
-        BodyChunk first = co_await readChunk(*pipe);
-        const bool bodiless = m_headRequest || head.status == 204 || head.status == 304;
-        const bool single = first.kind == BodyChunk::Kind::End
-            || (head.length && first.kind == BodyChunk::Kind::Bytes
-                && first.bytes.size() == *head.length);
-        bool keep = false;
-        if (first.kind == BodyChunk::Kind::Cut) {
-            co_return co_await writeRefusal({Outcome::Unknown, Reason::AnswerLost}, {});
-        }
-        if (single || bodiless) {
-            auto message = answerMessage<http::span_body<const char>>(head, servedBy);
-            if (!bodiless) {
-                message.content_length(first.bytes.size());
-                message.body() = beast::span<const char>(first.bytes.data(), first.bytes.size());
-            }
-            keep = message.keep_alive();
-            m_stream.expires_after(ProgressTimeout);
-            co_await writeHeld<false>(m_stream, message, ec);
-        } else {
-            auto message = answerMessage<http::buffer_body>(head, servedBy);
-            keep = message.keep_alive();
-            co_await writeFromPipe<false>(m_stream, message, std::move(first), *pipe,
-                                          ProgressTimeout, ec);
+        m_socket.shutdown(tcp::socket::shutdown_send, ec);
+        m_socket.cancel(ec);
+        if (std::exchange(m_lingering, true)) {
+            return;
         }
-        m_hangup = nullptr;
-        pipe->abandon();
-        endSpan(ec ? Outcome::Unknown : Outcome::Run,
-                ec ? std::optional(Reason::AnswerLost) : std::nullopt, head.status);
-        if (ec) {
-            resetStream(m_stream);
+        asio::co_spawn(
+            m_socket.get_executor(), [self = shared_from_this()] { return self->linger(); },
+            asio::detached);
+    }
+
+    asio::awaitable<void> linger()
+    {
+        const TimerId timer
+            = m_context->executor.after(LingerTime, [weak = weak_from_this()] {
+                  if (const auto self = weak.lock()) {
+                      boost::system::error_code ec;
+                      self->m_socket.close(ec);
+                  }
+              });
+        boost::system::error_code ec;
+        std::array<char, 4096> buf {};
+        while (!ec && m_socket.is_open()) {
+            co_await m_socket.async_read_some(asio::buffer(buf),
+                                              asio::redirect_error(asio::use_awaitable, ec));
         }
-        co_return !ec && keep;
+        m_context->executor.cancel(timer);
+        m_socket.close(ec);
     }
 
-    beast::tcp_stream m_stream;
+    tcp::socket m_socket;
     beast::flat_buffer m_buffer;
     std::shared_ptr<SessionContext> m_context;
-    std::function<void()> m_hangup;
-    std::string m_echo;
-    HopSpan m_span {m_context->executor, m_context->random};
-    bool m_keepAlive = true;
-    bool m_headRequest = false;
-    bool m_busy = false;
+    /// Wakes the reader when an exchange has ended.
+    asio::steady_timer m_room;
+    std::deque<std::shared_ptr<Exchange>> m_exchanges;
+    std::string m_out;
+    TimerId m_timer = 0;
+    ReadPhase m_phase = ReadPhase::Idle;
+    bool m_writing = false;
     bool m_closing = false;
+    bool m_closeAfter = false;
+    bool m_readEnded = false;
+    bool m_timedOut = false;
+    bool m_lingering = false;
 };
 
 } // namespace
--- a/src/services/CallerSession.h
+++ b/src/services/CallerSession.h
@@ -1,10 +1,11 @@
-// One HTTP connection from a caller, a backend server or another daemon.
+// One HTTP connection from a caller.
 // Only for .cpp files: it includes Asio.
 #pragma once
 
+#include "decisions/Configuration.h"
 #include "kernel/Directory.h"
 #include "kernel/Random.h"
-#include "services/CallsMessage.h"
+#include "services/CallMessages.h"
 #include "services/TelemetryMessages.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -20,31 +21,31 @@
 public:
     virtual ~SessionHandle() = default;
 
-    /// \brief Closes the connection between two requests; a request in progress ends first.
+    /// \brief Closes the connection once it is between two requests.
     virtual void close() = 0;
 };
 
 /// \brief What all sessions of the service share.
 struct SessionContext
 {
-    SessionContext(Executor &runsOn, Random &source, Directory &names, DaemonId daemon)
-        : executor(runsOn), random(source), directory(names), self(std::move(daemon))
+    SessionContext(Executor &runsOn, Directory &names, const HttpDialect &spelling, DaemonId daemon)
+        : executor(runsOn), directory(names), dialect(spelling), self(std::move(daemon))
     {
     }
 
     Executor &executor;
-    Random &random;
     Directory &directory;
+    const HttpDialect &dialect;
     DaemonId self;
+    /// True when paths below "/coltsfootwell/" are answered by the daemon itself.
+    bool servesControl = true;
+    RequestLimits limits;
     Address<CallsMessage> calls;
-    Address<BackendMessage> backend;
     Address<TelemetryMessage> telemetry;
     std::set<SessionHandle *> sessions;
     std::uint64_t lastCall = 0;
     /// True once answers ask callers to close their connections.
     bool leaving = false;
-    /// True once callers' new calls are refused; nested calls of running calls still pass.
-    bool finishing = false;
     /// Called when the last session has ended, once it is set.
     Task stopped;
 
--- a/src/services/Callers.cpp
+++ b/src/services/Callers.cpp
@@ -1,12 +1,13 @@
 #include "services/Callers.h"
 
 #include "services/CallerSession.h"
+#include "services/ConfigurationMessages.h"
+#include "services/Listen.h"
 #include "services/ServiceError.h"
 #include "services/ServiceNames.h"
 #include "services/StopMessages.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 
 namespace Coltsfootwell {
 
@@ -21,11 +22,18 @@
 public:
     Callers(Kernel &kernel, asio::io_context &context, CallersSettings settings)
         : m_kernel(kernel), m_settings(std::move(settings)), m_acceptor(context),
-          m_context(std::make_shared<SessionContext>(kernel.executor(), kernel.random(),
-                                                     kernel.directory(), m_settings.self)),
+          m_context(std::make_shared<SessionContext>(kernel.executor(), kernel.directory(),
+                                                     *m_settings.dialect, m_settings.self)),
+          m_configurationMailbox(kernel.executor(),
+                                 [this](const ConfigurationChanged &news) {
+                                     if (news.configuration) {
+                                         m_context->limits = news.configuration->requests;
+                                     }
+                                 }),
           m_stopMailbox(kernel.executor(),
                         [this](StopPhaseChanged news) { phaseChanged(news.phase); })
     {
+        m_context->servesControl = m_settings.servesControl;
         kernel.directory().publish(ServiceName::stopping(name()), m_stopMailbox.address());
     }
 
@@ -34,32 +42,20 @@
     std::error_code start() override
     {
         std::error_code ec;
-        m_context->calls = m_kernel.directory().find<CallsMessage>(ServiceName::Calls, ec);
+        const Directory &directory = m_kernel.directory();
+        m_context->calls = directory.find<CallsMessage>(ServiceName::Calls, ec);
         if (!ec) {
-            m_context->backend
-                = m_kernel.directory().find<BackendMessage>(ServiceName::Backend, ec);
+            m_context->telemetry = directory.find<TelemetryMessage>(ServiceName::Telemetry, ec);
         }
         if (!ec) {
-            m_context->telemetry
-                = m_kernel.directory().find<TelemetryMessage>(ServiceName::Telemetry, ec);
+            directory.find<ConfigurationMessage>(ServiceName::Configuration, ec)
+                .send(SubscribeConfiguration {m_configurationMailbox.address()});
         }
         if (ec) {
             return ServiceError::MissingService;
         }
-        boost::system::error_code be;
-        const auto address = asio::ip::make_address(m_settings.listen.address, be);
-        if (be) {
-            return ServiceError::BadAddress;
-        }
-        const tcp::endpoint endpoint(address, m_settings.listen.port);
-        m_acceptor.open(endpoint.protocol(), be);
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), be);
-        m_acceptor.bind(endpoint, be);
-        if (!be) {
-            m_acceptor.listen(asio::socket_base::max_listen_connections, be);
-        }
-        if (be) {
-            return ServiceError::AddressInUse;
+        if (const std::error_code failed = listenOn(m_acceptor, m_settings.listen)) {
+            return failed;
         }
         accept();
         return {};
@@ -67,7 +63,7 @@
 
     void stop(Task done) override
     {
-        phaseChanged(StopPhase::Finishing);
+        m_context->leaving = true;
         m_done = std::move(done);
         for (SessionHandle *session : std::set(m_context->sessions)) {
             session->close();
@@ -79,7 +75,6 @@
     void phaseChanged(StopPhase phase)
     {
         m_context->leaving = phase != StopPhase::Running;
-        m_context->finishing = phase == StopPhase::Finishing;
     }
 
     /// Connections that wait in the accept queue are served too: closing the listening socket would
@@ -134,6 +129,7 @@
     tcp::acceptor m_acceptor;
     std::shared_ptr<SessionContext> m_context;
     Task m_done;
+    Mailbox<ConfigurationChanged> m_configurationMailbox;
     Mailbox<StopPhaseChanged> m_stopMailbox;
 };
 
--- a/src/services/Callers.h
+++ b/src/services/Callers.h
@@ -1,9 +1,11 @@
-// The service "callers": takes HTTP connections from callers, backend servers and other daemons,
-// and passes each request on to the service that answers it.
+// The service "callers": takes HTTP connections from callers and passes each request on to the
+// service that answers it.
 #pragma once
 
+#include "decisions/Ids.h"
 #include "decisions/Member.h"
 #include "kernel/Kernel.h"
+#include "wire/HttpDialect.h"
 
 #include <memory>
 
@@ -18,6 +20,10 @@
 {
     Endpoint listen;
     DaemonId self;
+    /// Spelling of calls; outlives the service.
+    const HttpDialect *dialect = nullptr;
+    /// True when paths below "/coltsfootwell/" are answered by the daemon itself.
+    bool servesControl = true;
 };
 
 /// \param kernel gives the executor and the directory.
