--- a/src/services/Calls.cpp
+++ b/src/services/Calls.cpp
@@ -1,16 +1,18 @@
 #include "services/Calls.h"
 
-#include "decisions/AnswerTimes.h"
 #include "decisions/CallFlow.h"
-#include "decisions/RetryBudget.h"
+#include "decisions/Placement.h"
+#include "decisions/RetryAfter.h"
+#include "decisions/WeightedSplit.h"
+#include "services/CallMessages.h"
 #include "services/CallRules.h"
-#include "services/CallsMessage.h"
-#include "services/KeyedCalls.h"
-#include "services/RegionLink.h"
+#include "services/CallTrail.h"
+#include "services/ConfigurationMessages.h"
+#include "services/MembershipMessages.h"
 #include "services/ServiceError.h"
 #include "services/ServiceNames.h"
+#include "services/StopMessages.h"
 #include "services/TelemetryMessages.h"
-#include "wire/MintedKey.h"
 
 #include <algorithm>
 #include <unordered_map>
@@ -19,19 +21,10 @@
 
 namespace {
 
-constexpr std::chrono::seconds KeyExpiryPeriod {10};
-
-/// Kept beside the call, which may have ended before an attempt does.
-struct SentAttempt
-{
-    Target target;
-    TimePoint began;
-    std::string service;
-};
-
 struct AttemptState
 {
     Target target;
+    TimePoint began;
     std::optional<AttemptAnswered> answer;
 };
 
@@ -42,19 +35,16 @@
     CallFacts facts;
     std::unique_ptr<CallFlow> flow;
     std::unordered_map<AttemptId, AttemptState> attempts;
+    CallTrail trail;
     TimerId timer = 0;
 };
 
 class Calls final : public Service
 {
 public:
-    Calls(Kernel &kernel, Place place, const Guards &guards)
-        : m_kernel(kernel), m_place(std::move(place)), m_guards(guards),
-          m_routing(m_place, kernel.random()),
-          m_regionLink(std::make_shared<RegionLink>(kernel.executor(), m_place)),
-          m_keyed(
-              kernel, m_place, guards,
-              [this](SubmitCall call, CallFacts facts) { run(std::move(call), std::move(facts)); }),
+    Calls(Kernel &kernel, CallsSettings settings)
+        : m_kernel(kernel), m_settings(std::move(settings)),
+          m_placement(m_settings.place, kernel.random()), m_budget(m_settings.retries),
           m_mailbox(kernel.executor(),
                     [this](CallsMessage message) {
                         std::visit([this](auto &&body) { handle(std::move(body)); },
@@ -63,22 +53,12 @@
           m_configurationMailbox(kernel.executor(),
                                  [this](ConfigurationChanged news) { changed(std::move(news)); }),
           m_membersMailbox(kernel.executor(),
-                           [this](MembersChanged news) {
-                               m_routing.membersChanged(*news.members);
-                               m_keyed.membersChanged(*news.members);
-                               m_regionLink->membersChanged(*news.members);
-                           }),
-          m_keysMailbox(kernel.executor(), [this](ControlRequest request) {
-              request.reply(request.method == "POST"
-                                ? ControlAnswer {200, "application/json",
-                                                 mintedKeyJson(m_keyed.mint(), MintedKeyLifetime)}
-                                : ControlAnswer {405, "application/json",
-                                                 R"({"error":"keys are minted by POST"})"});
-          })
+                           [this](const MembersChanged &news) { membersChanged(*news.members); }),
+          m_stopMailbox(kernel.executor(),
+                        [this](StopPhaseChanged news) { m_phase = news.phase; })
     {
-        m_routing.limitRegionsBy(*m_regionLink);
-        kernel.directory().publish(ServiceName::control("keys"), m_keysMailbox.address());
         kernel.directory().publish(name(), m_mailbox.address());
+        kernel.directory().publish(ServiceName::stopping(name()), m_stopMailbox.address());
     }
 
     std::string_view name() const override { return ServiceName::Calls; }
@@ -87,7 +67,7 @@
     {
         std::error_code ec;
         const Directory &directory = m_kernel.directory();
-        m_peers = directory.find<PeersMessage>(ServiceName::Peers, ec);
+        m_links = directory.find<LinksMessage>(ServiceName::Links, ec);
         if (!ec) {
             m_backend = directory.find<BackendMessage>(ServiceName::Backend, ec);
         }
@@ -95,111 +75,101 @@
             m_telemetry = directory.find<TelemetryMessage>(ServiceName::Telemetry, ec);
         }
         if (!ec) {
-            m_configurationService
-                = directory.find<ConfigurationMessage>(ServiceName::Configuration, ec);
-            m_configurationService.send(SubscribeConfiguration {m_configurationMailbox.address()});
-        }
-        if (!ec) {
-            const auto membership = directory.find<MembershipMessage>(ServiceName::Membership, ec);
-            membership.send(SubscribeMembers {m_membersMailbox.address()});
-            m_regionLink->tell(membership);
+            directory.find<ConfigurationMessage>(ServiceName::Configuration, ec)
+                .send(SubscribeConfiguration {m_configurationMailbox.address()});
         }
         if (!ec) {
-            ec = m_keyed.start();
+            directory.find<MembershipMessage>(ServiceName::Membership, ec)
+                .send(SubscribeMembers {m_membersMailbox.address()});
         }
-        expireKeys();
         return ec ? make_error_code(ServiceError::MissingService) : std::error_code();
     }
 
-    void stop(Task done) override
-    {
-        m_regionLink->stop();
-        m_kernel.executor().cancel(m_expiry);
-        done();
-    }
+    void stop(Task done) override { done(); }
 
 private:
+    TimePoint now() const { return m_kernel.executor().now(); }
+
     void changed(ConfigurationChanged news)
     {
         m_configuration = news.configuration;
-        m_freshUntil = news.fresh ? news.freshUntil : TimePoint::min();
-        if (!m_configuration) {
-            return;
+        if (m_configuration) {
+            m_split.clear();
+            m_placement.configurationChanged(std::move(news.configuration));
         }
-        m_regionLink->configurationChanged(*m_configuration);
-        m_budget.shareChanged(m_configuration->limits.retryShare);
-        m_routing.configurationChanged(std::move(news.configuration));
+    }
+
+    void membersChanged(std::span<const Member> members)
+    {
+        m_placement.membersChanged(members);
+        m_budget.daemonsChanged(
+            static_cast<std::size_t>(std::ranges::count_if(members, [](const Member &member) {
+                return member.state == MemberState::Alive || member.state == MemberState::Suspect;
+            })));
     }
 
     void handle(SubmitCall call)
     {
         if (!m_configuration) {
-            refuse(call, {Outcome::NotRun, Reason::StaleConfiguration});
+            refuseAtOnce(call, {Outcome::NotRun, Reason::StaleConfiguration, {}});
             return;
         }
-        auto facts = call.refusal
-            ? std::variant<CallFacts, CallRefused>(CallRefused {Outcome::NotRun, *call.refusal})
-            : factsOf(call, *m_configuration, m_freshUntil, m_place, now());
+        auto facts = factsOf(call, *m_configuration, m_split);
         if (const auto *refused = std::get_if<CallRefused>(&facts)) {
-            refuse(call, *refused);
+            refuseAtOnce(call, *refused);
             return;
         }
-        if (const BodyPipePtr &stream = call.body.stream) {
-            const std::string &service = std::get<CallFacts>(facts).service;
-            stream->limitTo(m_configuration->services.find(service)->second.maxBodyBytes);
-        }
-        if (call.envelope.key.empty()) {
-            run(std::move(call), std::get<CallFacts>(std::move(facts)));
-        } else {
-            m_keyed.submit(std::move(call), std::get<CallFacts>(std::move(facts)),
-                           *m_configuration);
-        }
+        const std::uint64_t number = call.number;
+        CallState &state = m_calls[number];
+        state.submitted = std::move(call);
+        state.facts = std::get<CallFacts>(std::move(facts));
+        state.submitted.call.homeRegions = state.facts.homeRegions;
+        state.trail.begin(state.facts, m_configuration->version, now());
+        state.flow = std::make_unique<CallFlow>(
+            state.facts,
+            CallFlowParts {m_placement, m_kernel.random(), m_budget, *m_settings.guards});
+        perform(number, state.flow->begin(now()));
     }
 
-    /// A repeat is not told "not run" while an earlier call with its key may have run.
-    void refuse(const SubmitCall &call, CallRefused refused)
+    void refuseAtOnce(const SubmitCall &call, CallRefused refused)
     {
-        if (!call.envelope.key.empty() && !m_keyed.provesNotRun(call.envelope)) {
-            refused.outcome = Outcome::Unknown;
+        count(refused);
+        m_telemetry.send(LogEvent {
+            "call.refused", call.call.requestId,
+            "reason=" + std::string(reasonName(refused.reason)) + " target=" + call.head->target
+                + " configuration="
+                + (m_configuration ? std::to_string(m_configuration->version) : "none")});
+        if (refused.reason == Reason::StaleConfiguration && call.call.deadline) {
+            refused.retryAfter = retryAfter(*call.call.deadline, m_kernel.random());
         }
-        countRefusal(refused);
         call.reply(refused);
     }
 
-    /// Outside the home regions of a call even a counter would tell of it.
-    void countRefusal(const CallRefused &refused)
+    void count(const CallRefused &refused)
     {
-        if (refused.reason != Reason::OutsideHomeRegions) {
-            m_telemetry.send(CountEvent {"calls_total", std::string(outcomeName(refused.outcome))});
-            m_telemetry.send(
-                CountEvent {"refusals_total", std::string(reasonName(refused.reason))});
-        }
+        m_telemetry.send(CountEvent {"calls_total", std::string(outcomeName(refused.outcome))});
+        m_telemetry.send(CountEvent {"refusals_total", std::string(reasonName(refused.reason))});
     }
 
-    void run(SubmitCall call, CallFacts facts)
+    void handle(CancelCall cancel)
     {
-        const std::uint64_t number = call.number;
-        CallState &state = m_calls[number];
-        state.submitted = std::move(call);
-        state.facts = std::move(facts);
-        state.flow = std::make_unique<CallFlow>(
-            state.facts,
-            CallFlowParts {m_routing, m_kernel.random(), m_budget,
-                           m_answerTimes[state.facts.service].p95(), m_guards});
-        perform(number, state.flow->begin(now()));
+        if (const auto it = m_calls.find(cancel.number); it != m_calls.end()) {
+            perform(cancel.number, it->second.flow->cancelled(now()));
+        }
     }
 
-    void expireKeys()
+    void handle(const LoadLearned &news) { m_placement.reported(news.daemon, news.load, now()); }
+
+    void handle(const DaemonUnreachable &news)
     {
-        m_keyed.expire();
-        m_expiry = m_kernel.executor().after(KeyExpiryPeriod, [this] { expireKeys(); });
+        m_placement.unreachable(news.daemon, now());
+        m_telemetry.send(LogEvent {"daemon.unreachable", "", "daemon=" + news.daemon.name});
     }
 
-    void handle(CancelCall cancel)
+    void handle(CallSettingsChanged changed)
     {
-        if (const auto it = m_calls.find(cancel.number); it != m_calls.end()) {
-            perform(cancel.number, it->second.flow->cancelled(now()));
-        }
+        m_settings.ownService = std::move(changed.ownService);
+        m_budget.limitsChanged(changed.retries);
     }
 
     void perform(std::uint64_t number, std::span<const CallAction> actions)
@@ -215,86 +185,92 @@
 
     void act(std::uint64_t number, CallState &state, const SendAttempt &action)
     {
-        state.attempts[action.attempt] = {action.target, std::nullopt};
-        m_routing.sent(action.target.daemon, now());
-        const bool again = state.attempts.size() > 1;
+        const Target &target = action.placed.target;
+        state.attempts[action.attempt] = {target, now(), std::nullopt};
+        state.trail.sent(action, now());
+        m_placement.sent(target.daemon);
         m_telemetry.send(CountEvent {"attempts_total", state.facts.service});
-        if (again) {
-            m_telemetry.send(CountEvent {"attempts_again_total", state.facts.service});
+        if (action.cause != AttemptCause::First) {
+            m_telemetry.send(
+                CountEvent {"attempts_again_total", std::string(causeName(action.cause))});
         }
         RunAttempt run;
-        run.target = action.target;
+        run.attempt = action.attempt;
+        run.target = target;
         run.head = state.submitted.head;
-        run.envelope = state.submitted.envelope;
-        run.envelope.homeRegions = state.facts.homeRegions;
-        run.envelope.attempt = AttemptEnvelope {action.attempt, action.target.daemon,
-                                                m_configuration->version, state.facts.service};
+        run.call = state.submitted.call;
+        run.service = state.facts.service;
+        run.callerService = m_settings.ownService;
         run.body = state.submitted.body;
         run.deadline = state.facts.deadline;
+        run.startBy = action.placed.startBy;
+        run.priority = state.facts.priority;
+        run.nested = state.facts.nested;
+        run.idempotent = state.facts.idempotent;
         run.reply = Reply<AttemptResult>(
-            m_kernel.executor(),
-            [this, number, attempt = action.attempt,
-             sent = SentAttempt {action.target, now(), state.facts.service}](
-                std::optional<AttemptResult> result) {
+            m_kernel.executor(), [this, number, attempt = action.attempt, daemon = target.daemon](
+                                     std::optional<AttemptResult> result) {
                 AttemptResult ended = result ? std::move(*result) : AttemptResult(AttemptLost {});
-                learn(sent, ended);
+                learn(daemon, ended);
                 attemptEnded(number, attempt, std::move(ended));
             });
-        m_regionLink->sending(run);
-        const bool local = action.target.daemon == m_place.self;
-        local ? m_backend.send(std::move(run)) : m_peers.send(std::move(run));
-    }
-
-    void act(std::uint64_t number, CallState &, const SendRevocation &action)
-    {
-        RevokeAttempt revoke {action.attempt, action.target, {}};
-        revoke.reply = Reply<RevokeVerdict>(
-            m_kernel.executor(),
-            [this, number, attempt = action.attempt](std::optional<RevokeVerdict> verdict) {
-                countVerdict(verdict);
-                if (const auto it = m_calls.find(number); it != m_calls.end()) {
-                    perform(number, it->second.flow->revocationEnded(attempt, verdict, now()));
-                }
-            });
-        const bool local = action.target.daemon == m_place.self;
-        local ? m_backend.send(std::move(revoke)) : m_peers.send(std::move(revoke));
-    }
-
-    void countVerdict(std::optional<RevokeVerdict> verdict)
-    {
-        const bool confirmed = verdict == RevokeVerdict::NeverStarts;
-        m_telemetry.send(CountEvent {"revocations_total",
-                                     confirmed     ? "confirmed"
-                                         : verdict ? "denied"
-                                                   : "unanswered"});
+        const bool local = target.daemon == m_settings.place.self;
+        local ? m_backend.send(std::move(run)) : m_links.send(std::move(run));
     }
 
     void act(std::uint64_t, CallState &state, const StopAttempt &action)
     {
         if (const auto it = state.attempts.find(action.attempt); it != state.attempts.end()) {
-            const bool local = it->second.target.daemon == m_place.self;
+            const bool local = it->second.target.daemon == m_settings.place.self;
             local ? m_backend.send(CancelAttempt {action.attempt})
-                  : m_peers.send(CancelAttempt {action.attempt});
+                  : m_links.send(CancelAttempt {action.attempt});
         }
     }
 
     void act(std::uint64_t, CallState &state, const DeliverAnswer &action)
     {
         AttemptState &attempt = state.attempts[action.attempt];
-        m_telemetry.send(CountEvent {"calls_total", "run"});
-        state.submitted.reply(CallAnswered {std::move(attempt.answer->head), attempt.answer->body,
-                                            attempt.target.daemon});
+        const bool late = now() > state.facts.objective;
+        const bool failed = attempt.answer->failure;
+        m_telemetry.send(CountEvent {"calls_total", failed ? "failed" : late ? "late" : "run"});
+        m_telemetry.send(ObserveTime {"call_seconds", state.facts.service,
+                                      now() - state.submitted.received});
+        tell(state, failed     ? "answer-failed"
+                        : late ? "answer-late"
+                               : "answer",
+             failed || late);
+        state.submitted.reply(CallAnswered {attempt.answer->status,
+                                            std::move(attempt.answer->headers),
+                                            attempt.answer->body, attempt.target.daemon});
     }
 
     void act(std::uint64_t, CallState &state, const RefuseCall &action)
     {
-        const BodyPipePtr &stream = state.submitted.body.stream;
-        const bool tooLarge = stream && stream->overLimit();
-        const CallRefused refused {action.outcome, tooLarge ? Reason::BodyTooLarge : action.reason};
-        countRefusal(refused);
+        CallRefused refused {action.outcome, action.reason, {}};
+        if (action.outcome == Outcome::NotRun) {
+            refused.retryAfter = retryAfter(callerLeft(state), m_kernel.random());
+        }
+        count(refused);
+        tell(state,
+             std::string(outcomeName(action.outcome)) + "-" + std::string(reasonName(action.reason)),
+             action.reason != Reason::Cancelled);
         state.submitted.reply(refused);
     }
 
+    /// \return time until the caller gives up, which may be after the route's timeout.
+    Duration callerLeft(const CallState &state) const
+    {
+        const auto &deadline = state.submitted.call.deadline;
+        return deadline ? state.submitted.received + *deadline - now() : Duration();
+    }
+
+    void tell(CallState &state, std::string_view outcome, bool important)
+    {
+        m_telemetry.send(LogEvent {"call.ended", state.submitted.call.requestId,
+                                   state.trail.text(outcome, now()),
+                                   important ? LogWeight::Important : LogWeight::Routine});
+    }
+
     void act(std::uint64_t number, CallState &state, const SetTimer &action)
     {
         m_kernel.executor().cancel(state.timer);
@@ -305,77 +281,38 @@
         });
     }
 
+    void learn(const DaemonId &daemon, const AttemptResult &result)
+    {
+        m_placement.finished(daemon, std::holds_alternative<AttemptAnswered>(result), now());
+        std::visit(
+            [&](const auto &ended) {
+                if (ended.load) {
+                    m_placement.reported(daemon, *ended.load, now());
+                }
+            },
+            result);
+    }
+
     void attemptEnded(std::uint64_t number, const AttemptId &id, AttemptResult ended)
     {
         const auto it = m_calls.find(number);
-        auto *answered = std::get_if<AttemptAnswered>(&ended);
         if (it == m_calls.end()) {
-            if (answered) {
-                answered->body->abandon();
-            }
             return;
         }
         CallState &state = it->second;
-        if (const BodyPipePtr &stream = state.submitted.body.stream; stream && stream->wasRead()) {
-            state.flow->bodyTaken();
-        }
-        if (answered) {
-            m_regionLink->receiving(state.attempts.at(id).target, *answered);
-            awaitFirstChunk(number, id, std::move(*answered));
+        state.trail.ended(id, ended, now());
+        if (auto *answered = std::get_if<AttemptAnswered>(&ended)) {
+            const bool good = !answered->failure;
+            state.attempts[id].answer = std::move(*answered);
+            perform(number, state.flow->answered(id, good, now()));
         } else if (const auto *refused = std::get_if<AttemptRefused>(&ended)) {
+            if (refused->reason == Reason::Unreachable) {
+                m_placement.unreachable(state.attempts[id].target.daemon, now());
+            }
             perform(number, state.flow->refused(id, refused->reason, now()));
         } else {
-            const auto &lost = std::get<AttemptLost>(ended);
-            perform(number,
-                    state.flow->lost(id, lost.sent ? AttemptLoss::Sent : AttemptLoss::Unsent,
-                                     lost.bodyTaken, now()));
-        }
-    }
-
-    /// An answer that is cut short before its first byte reached the caller is not an answer.
-    void awaitFirstChunk(std::uint64_t number, const AttemptId &id, AttemptAnswered answered)
-    {
-        BodyPipe &pipe = *answered.body;
-        auto held = std::make_shared<AttemptAnswered>(std::move(answered));
-        pipe.read([this, number, id, held](BodyChunk chunk) {
-            const auto it = m_calls.find(number);
-            if (it == m_calls.end()) {
-                held->body->abandon();
-                return;
-            }
-            CallFlow &flow = *it->second.flow;
-            if (chunk.kind == BodyChunk::Kind::Cut) {
-                perform(number, flow.lost(id, AttemptLoss::Sent, true, now()));
-                return;
-            }
-            held->body->putBack(std::move(chunk));
-            it->second.attempts[id].answer = std::move(*held);
-            perform(number, flow.answered(id, now()));
-        });
-    }
-
-    void learn(const SentAttempt &attempt, const AttemptResult &result)
-    {
-        constexpr unsigned FirstServerError = 500;
-        std::optional<LoadReport> load;
-        AttemptFeedback feedback {false, now() - attempt.began};
-        if (const auto *answered = std::get_if<AttemptAnswered>(&result)) {
-            feedback.good = answered->head.status < FirstServerError;
-            load = answered->load;
-            m_answerTimes[attempt.service].add(feedback.elapsed);
-        } else if (const auto *refused = std::get_if<AttemptRefused>(&result)) {
-            load = refused->load;
-            feedback.refused = true;
-            if (refused->version > m_configuration->version) {
-                m_configurationService.send(VersionSeen {refused->version,
-                                                         attempt.target.endpoint.address,
-                                                         attempt.target.endpoint.port});
-            }
-        }
-        if (load) {
-            m_routing.reported(attempt.target.daemon, *load, now());
+            perform(number, state.flow->lost(id, now()));
         }
-        m_routing.finished(attempt.target.daemon, feedback, now());
     }
 
     void endIfFinished(std::uint64_t number)
@@ -387,36 +324,28 @@
         }
     }
 
-    TimePoint now() const { return m_kernel.executor().now(); }
-
     Kernel &m_kernel;
-    Place m_place;
-    const Guards &m_guards;
-    Routing m_routing;
-    std::shared_ptr<RegionLink> m_regionLink;
+    CallsSettings m_settings;
+    Placement m_placement;
     RetryBudget m_budget;
-    std::unordered_map<std::string, AnswerTimes> m_answerTimes;
-    KeyedCalls m_keyed;
-    TimerId m_expiry = 0;
+    WeightedSplit m_split;
     ConfigurationPtr m_configuration;
-    /// Compared with the time of each call; see ConfigurationChanged.
-    TimePoint m_freshUntil = TimePoint::min();
+    StopPhase m_phase = StopPhase::Running;
     std::unordered_map<std::uint64_t, CallState> m_calls;
-    Address<PeersMessage> m_peers;
+    Address<LinksMessage> m_links;
     Address<BackendMessage> m_backend;
     Address<TelemetryMessage> m_telemetry;
-    Address<ConfigurationMessage> m_configurationService;
     Mailbox<CallsMessage> m_mailbox;
     Mailbox<ConfigurationChanged> m_configurationMailbox;
     Mailbox<MembersChanged> m_membersMailbox;
-    Mailbox<ControlRequest> m_keysMailbox;
+    Mailbox<StopPhaseChanged> m_stopMailbox;
 };
 
 } // namespace
 
-std::unique_ptr<Service> makeCalls(Kernel &kernel, Place place, const Guards &guards)
+std::unique_ptr<Service> makeCalls(Kernel &kernel, CallsSettings settings)
 {
-    return std::make_unique<Calls>(kernel, std::move(place), guards);
+    return std::make_unique<Calls>(kernel, std::move(settings));
 }
 
 } // namespace Coltsfootwell
--- a/src/services/Calls.h
+++ b/src/services/Calls.h
@@ -1,18 +1,29 @@
-// The service "calls": carries out callers' calls with routing, attempts, retries and revocations.
+// The service "calls": carries out callers' calls with placement, attempts, retries and hedges.
 #pragma once
 
 #include "decisions/Guards.h"
-#include "decisions/Routing.h"
+#include "decisions/Place.h"
+#include "decisions/RetryBudget.h"
 #include "kernel/Kernel.h"
 
 #include <memory>
+#include <string>
 
 namespace Coltsfootwell {
 
+/// \brief Settings of the service.
+struct CallsSettings
+{
+    Place place;
+    /// Service of the backend server beside this daemon, told to the servers that it calls.
+    std::string ownService;
+    RetryLimits retries;
+    const Guards *guards = &FullGuards;
+};
+
 /// \param kernel gives the executor, randomness and the directory.
-/// \param place this daemon.
-/// \param guards rules in force; outlives the service.
+/// \param settings see CallsSettings.
 /// \return the service, not started.
-std::unique_ptr<Service> makeCalls(Kernel &kernel, Place place, const Guards &guards = FullGuards);
+std::unique_ptr<Service> makeCalls(Kernel &kernel, CallsSettings settings);
 
 } // namespace Coltsfootwell
--- a/src/services/ConfigurationMessages.h
+++ b/src/services/ConfigurationMessages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "decisions/Configuration.h"
+#include "decisions/Ids.h"
 #include "decisions/Member.h"
 #include "kernel/Mailbox.h"
 
@@ -11,19 +12,11 @@
 
 namespace Coltsfootwell {
 
-/// \brief To subscribers: a version came into force, its freshness changed, or its evidence was
-/// renewed.
+/// \brief To subscribers: a version came into force, or a data centre left or returned.
 struct ConfigurationChanged
 {
+    /// Null before the first version.
     ConfigurationPtr configuration;
-    /// False when a newer version may exist that this daemon cannot learn of.
-    bool fresh = true;
-    /// Last instant at which the present evidence counts; a paused process may get the message that
-    /// ends it too late. TimePoint::max() while the evidence cannot end.
-    TimePoint freshUntil = TimePoint::max();
-
-    /// \return true while no newer version can have been in force for longer than allowed.
-    bool isFreshAt(TimePoint now) const { return fresh && now <= freshUntil; }
 };
 
 /// \brief Tells the address of all later changes, and of the version in force at once.
@@ -32,38 +25,21 @@
     Address<ConfigurationChanged> subscriber;
 };
 
-/// \brief A peer has named a version; a newer one is fetched from it.
-struct VersionSeen
-{
-    ConfigurationVersion version = 0;
-    std::string address;
-    std::uint16_t port = 0;
-};
-
 /// \brief From "membership": a peer has answered a ping.
 struct PeerEvidence
 {
     DaemonId peer;
     Endpoint endpoint;
-    std::string region;
-    ConfigurationVersion version = 0;
-    /// Time of sending the ping less the age that the peer has reported; nothing when the peer has
-    /// none.
-    std::optional<TimePoint> fresh;
-    bool logReachable = false;
-    /// Time of sending the ping; the contact does not count as recent without it.
-    TimePoint asked {};
+    /// Position of the state that the peer knows; see ControlState.
+    std::uint64_t position = 0;
 };
 
-/// \brief From "membership": a periodic ping to a random member has ended.
-struct PingEvidence
+/// \brief From the program: read the configuration file again.
+struct ReloadConfiguration
 {
-    /// Time of sending the ping.
-    TimePoint asked {};
-    bool answered = false;
 };
 
 using ConfigurationMessage
-    = std::variant<SubscribeConfiguration, VersionSeen, PeerEvidence, PingEvidence>;
+    = std::variant<SubscribeConfiguration, PeerEvidence, ReloadConfiguration>;
 
 } // namespace Coltsfootwell
--- /dev/null
+++ b/src/services/ControlListener.cpp
@@ -0,0 +1,139 @@
+#include "services/ControlListener.h"
+
+#include "services/ControlMessages.h"
+#include "services/HttpIo.h"
+#include "services/Listen.h"
+#include "services/ServiceNames.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+namespace Coltsfootwell {
+
+namespace {
+
+using namespace Internal;
+
+constexpr std::uint64_t MaxBodyBytes = 1 << 20;
+constexpr std::uint32_t MaxHeaderBytes = 16 * 1024;
+constexpr std::chrono::seconds IdleTimeout {60};
+
+class ControlListener final : public Service
+{
+public:
+    ControlListener(Kernel &kernel, asio::io_context &context, ControlListenerSettings settings)
+        : m_kernel(kernel), m_settings(std::move(settings)), m_acceptor(context)
+    {
+    }
+
+    std::string_view name() const override { return m_settings.name; }
+
+    std::error_code start() override
+    {
+        if (const std::error_code ec = listenOn(m_acceptor, m_settings.listen)) {
+            return ec;
+        }
+        accept();
+        return {};
+    }
+
+    void stop(Task done) override
+    {
+        boost::system::error_code ec;
+        m_acceptor.close(ec);
+        done();
+    }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([this](boost::system::error_code ec, tcp::socket socket) {
+            if (ec == asio::error::operation_aborted) {
+                return;
+            }
+            if (!ec) {
+                asio::co_spawn(
+                    m_acceptor.get_executor(), serve(m_kernel, std::move(socket)), asio::detached);
+            }
+            accept();
+        });
+    }
+
+    static asio::awaitable<void> serve(Kernel &kernel, tcp::socket accepted)
+    {
+        beast::tcp_stream stream(std::move(accepted));
+        beast::flat_buffer buffer;
+        boost::system::error_code ec;
+        bool open = true;
+        while (open && !ec) {
+            http::request_parser<http::string_body> parser;
+            parser.body_limit(MaxBodyBytes);
+            parser.header_limit(MaxHeaderBytes);
+            stream.expires_after(IdleTimeout);
+            co_await http::async_read(stream, buffer, parser,
+                                      asio::redirect_error(asio::use_awaitable, ec));
+            if (ec) {
+                break;
+            }
+            const bool keep = parser.get().keep_alive();
+            const ControlAnswer answer = co_await ask(kernel, parser.release());
+            open = keep;
+            http::response<http::span_body<const char>> message;
+            message.version(11);
+            message.result(answer.status);
+            message.set(http::field::content_type, answer.contentType);
+            message.keep_alive(keep);
+            message.content_length(answer.body.size());
+            message.body() = beast::span<const char>(answer.body.data(), answer.body.size());
+            const std::string bytes = messageBytes(message);
+            co_await asio::async_write(stream, asio::buffer(bytes),
+                                       asio::redirect_error(asio::use_awaitable, ec));
+        }
+        stream.close();
+    }
+
+    static asio::awaitable<ControlAnswer> ask(Kernel &kernel,
+                                              http::request<http::string_body> message)
+    {
+        const std::string_view target = stdView(message.target());
+        const std::size_t question = std::min(target.find('?'), target.size());
+        std::string_view path = target.substr(0, question);
+        path.remove_prefix(path.starts_with('/') ? 1 : 0);
+        ControlRequest request;
+        request.method = std::string(message.method_string());
+        request.path = path;
+        request.query = target.substr(std::min(question + 1, target.size()));
+        const std::string first(path.substr(0, path.find('/')));
+        request.body = std::move(message.body());
+        std::error_code unknown;
+        const auto owner
+            = kernel.directory().find<ControlRequest>(ServiceName::control(first), unknown);
+        if (unknown) {
+            co_return ControlAnswer {404, "application/json", R"({"error":"unknown path"})"};
+        }
+        auto held = std::make_shared<ControlRequest>(std::move(request));
+        std::function<void(Reply<ControlAnswer>)> send = [owner, held](Reply<ControlAnswer> reply) {
+            held->reply = std::move(reply);
+            owner.send(std::move(*held));
+        };
+        const auto answer
+            = co_await Coltsfootwell::ask<ControlAnswer>(kernel.executor(), std::move(send));
+        co_return answer.value_or(
+            ControlAnswer {503, "application/json", R"({"error":"the service has stopped"})"});
+    }
+
+    Kernel &m_kernel;
+    ControlListenerSettings m_settings;
+    tcp::acceptor m_acceptor;
+};
+
+} // namespace
+
+std::unique_ptr<Service> makeControlListener(Kernel &kernel, asio::io_context &context,
+                                             ControlListenerSettings settings)
+{
+    return std::make_unique<ControlListener>(kernel, context, std::move(settings));
+}
+
+} // namespace Coltsfootwell
--- a/src/services/DaemonList.cpp
+++ b/src/services/DaemonList.cpp
@@ -5,6 +5,7 @@
 #include "services/MembershipMessages.h"
 #include "services/ServiceError.h"
 #include "services/ServiceNames.h"
+#include "services/StopMessages.h"
 #include "wire/DaemonListJson.h"
 
 namespace Coltsfootwell {
@@ -23,8 +24,12 @@
           m_daemonsMailbox(kernel.executor(),
                            [this](ControlRequest request) { answerDaemons(request); }),
           m_healthMailbox(kernel.executor(),
-                          [this](ControlRequest request) { answerHealth(request); })
+                          [this](ControlRequest request) { answerHealth(request); }),
+          m_stopMailbox(kernel.executor(),
+                        [this](StopPhaseChanged news) { m_phase = news.phase; })
     {
+        kernel.directory().publish(ServiceName::stopping(name()), m_stopMailbox.address());
+        kernel.directory().publish(ServiceName::control("ready"), m_healthMailbox.address());
         kernel.directory().publish(ServiceName::control("daemons"), m_daemonsMailbox.address());
         kernel.directory().publish(ServiceName::control("health"), m_healthMailbox.address());
     }
@@ -57,7 +62,7 @@
 
     void answerHealth(const ControlRequest &request)
     {
-        const bool ready = m_news.configuration && m_news.fresh;
+        const bool ready = m_news.configuration && m_phase == StopPhase::Running;
         request.reply(ControlAnswer {ready ? 200U : 503U, "application/json",
                                      ready ? R"({"ready":true})" : R"({"ready":false})"});
     }
@@ -69,6 +74,8 @@
     Mailbox<ConfigurationChanged> m_configurationMailbox;
     Mailbox<ControlRequest> m_daemonsMailbox;
     Mailbox<ControlRequest> m_healthMailbox;
+    Mailbox<StopPhaseChanged> m_stopMailbox;
+    StopPhase m_phase = StopPhase::Running;
 };
 
 } // namespace
--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -1,51 +1,59 @@
 #include "services/HttpExchange.h"
 
 #include "services/HttpIo.h"
-#include "wire/HeaderNames.h"
+#include "wire/TextNumber.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 
 namespace Coltsfootwell {
 
+namespace {
+
+using std::chrono::seconds;
+
+/// Idle time after which a server that does not say otherwise may have closed a connection.
+constexpr Duration AssumedIdleLimit = seconds(8);
+/// A connection is not used in the last part of its idle time.
+constexpr Duration IdleMargin = seconds(1);
+constexpr std::uint64_t MaxAnswerBytes = 64ULL << 20;
+constexpr std::uint32_t MaxAnswerHeaderBytes = 64 * 1024;
+/// Answers to other requests that are passed over on one connection.
+constexpr unsigned MaxForeignAnswers = 4;
+constexpr unsigned FirstSuccess = 200;
+
+} // namespace
+
 namespace Internal {
 
 struct HttpConnection
 {
-    explicit HttpConnection(asio::io_context &context) : stream(context) { }
+    explicit HttpConnection(asio::io_context &context) : socket(context) { }
 
-    beast::tcp_stream stream;
+    tcp::socket socket;
     beast::flat_buffer buffer;
     TimePoint lastUsed {};
+    Duration idleLimit = AssumedIdleLimit;
     bool connected = false;
+    /// True while a request is being written; the connection must not be used again before.
+    bool writing = false;
 };
 
 namespace {
 
-/// An idle connection with anything to read was closed by the other side or is out of step.
-bool isQuiet(HttpConnection &connection)
-{
-    boost::system::error_code ec;
-    asio::ip::tcp::socket &socket = connection.stream.socket();
-    socket.non_blocking(true, ec);
-    char byte = 0;
-    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
-    return ec == asio::error::would_block && connection.buffer.size() == 0;
-}
-
-template <typename Body>
-http::request<Body> makeRequest(const ExchangeRequest &request)
+/// \return the time that the server keeps an idle connection, as its answer says.
+Duration idleLimitOf(const http::fields &fields)
 {
-    http::request<Body> message;
-    message.version(11);
-    message.method_string(request.head->method);
-    message.target(request.head->target);
-    for (const HeaderField &field : request.headers) {
-        message.insert(field.name, field.value);
+    const std::string_view text = stdView(fields[http::field::keep_alive]);
+    constexpr std::string_view Key = "timeout=";
+    const std::size_t begin = text.find(Key);
+    if (begin == std::string_view::npos) {
+        return AssumedIdleLimit;
     }
-    return message;
+    const std::string_view digits = text.substr(begin + Key.size());
+    const auto n = numberFromText<unsigned>(digits.substr(0, digits.find_first_not_of("0123456789")));
+    return n ? Duration(seconds(*n)) : AssumedIdleLimit;
 }
 
 } // namespace
@@ -63,10 +71,11 @@
 
 std::unique_ptr<HttpConnection> HttpPool::take(Duration maxIdle, TimePoint now)
 {
-    while (!m_idle.empty()) {
+    while (!m_idle.empty() && now - m_idle.back()->lastUsed <= maxIdle) {
         std::unique_ptr<HttpConnection> connection = std::move(m_idle.back());
         m_idle.pop_back();
-        if (now - connection->lastUsed <= maxIdle && isQuiet(*connection)) {
+        if (now - connection->lastUsed < connection->idleLimit - IdleMargin
+            && connection->buffer.size() == 0 && isQuiet(connection->socket)) {
             return connection;
         }
     }
@@ -77,11 +86,15 @@
 {
     connection->lastUsed = now;
     m_idle.push_back(std::move(connection));
+    if (m_idle.size() > MaxIdle) {
+        m_idle.pop_front();
+    }
 }
 
-void HttpPool::expire(Duration maxIdle, TimePoint now)
+void HttpPool::expire(TimePoint now)
 {
-    while (!m_idle.empty() && now - m_idle.front()->lastUsed > maxIdle) {
+    while (!m_idle.empty()
+           && now - m_idle.front()->lastUsed >= m_idle.front()->idleLimit - IdleMargin) {
         m_idle.pop_front();
     }
 }
@@ -89,246 +102,175 @@
 struct HttpExchange::Task
 {
     HttpExchange &self;
-    bool sent = false;
-    bool bodyTaken = false;
+    bool reused = false;
+    bool heard = false;
 
-    asio::awaitable<boost::system::error_code> connect()
+    asio::awaitable<bool> connect()
     {
         boost::system::error_code ec;
         HttpConnection &connection = *self.m_connection;
-        if (connection.connected) {
-            co_return ec;
+        reused = connection.connected;
+        if (reused) {
+            co_return true;
         }
-        const auto address = asio::ip::make_address(self.m_pool->endpoint().address, ec);
-        if (ec) {
-            co_return ec;
-        }
-        connection.stream.expires_after(self.m_request.connectTimeout);
-        co_await connection.stream.async_connect(
-            asio::ip::tcp::endpoint(address, self.m_pool->endpoint().port),
-            asio::redirect_error(asio::use_awaitable, ec));
+        const Endpoint &endpoint = self.m_pool->endpoint();
+        const auto address = asio::ip::make_address(endpoint.address, ec);
         if (!ec) {
-            connection.connected = true;
-            connection.stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+            const TimePoint last
+                = std::min(self.m_executor.now() + self.m_request.connectTimeout,
+                           self.m_request.deadline);
+            const TimerId timer = closeAt(last);
+            co_await connection.socket.async_connect(
+                tcp::endpoint(address, endpoint.port),
+                asio::redirect_error(asio::use_awaitable, ec));
+            self.m_executor.cancel(timer);
+        }
+        if (ec) {
+            co_return false;
         }
-        co_return ec;
+        connection.connected = true;
+        tuneSocket(connection.socket);
+        co_return true;
     }
 
-    asio::awaitable<boost::system::error_code> writeHeldBody()
+    TimerId closeAt(TimePoint at)
     {
-        boost::system::error_code ec;
-        auto message = makeRequest<http::span_body<const char>>(self.m_request);
-        static const std::string empty;
-        const std::string &bytes = self.m_request.body.bytes ? *self.m_request.body.bytes : empty;
-        message.body() = beast::span<const char>(bytes.data(), bytes.size());
-        if (!bytes.empty()
-            || (message.method() != http::verb::get && message.method() != http::verb::head)) {
-            message.content_length(bytes.size());
-        }
-        self.m_connection->stream.expires_after(self.m_request.progressTimeout);
-        sent = true;
-        co_await writeHeld<true>(self.m_connection->stream, message, ec);
-        co_return ec;
+        return self.m_executor.after(at - self.m_executor.now(), [weak = self.weak_from_this()] {
+            if (const auto exchange = weak.lock(); exchange && exchange->m_connection) {
+                resetSocket(exchange->m_connection->socket);
+            }
+        });
     }
 
-    http::request<http::buffer_body> streamedRequest() const
+    std::string requestBytes() const
     {
-        auto message = makeRequest<http::buffer_body>(self.m_request);
-        if (const auto &length = self.m_request.body.streamLength) {
-            message.content_length(*length);
-        } else {
-            message.chunked(true);
+        http::request<http::span_body<const char>> message;
+        message.version(11);
+        message.method_string(beastView(self.m_request.method));
+        message.target(beastView(self.m_request.target));
+        for (const HeaderField &field : self.m_request.headers) {
+            message.insert(field.name, field.value);
+        }
+        const BodyPtr &body = self.m_request.body;
+        if (body && !body->empty()) {
+            message.body() = beast::span<const char>(body->data(), body->size());
+            message.content_length(body->size());
+        } else if (message.method() != http::verb::get && message.method() != http::verb::head) {
+            message.content_length(0);
         }
-        return message;
+        return messageBytes(message);
     }
 
-    /// Sends the header and waits for the receiver's agreement or its refusal.
-    asio::awaitable<boost::system::error_code> askBeforeBody(
-        http::request<http::buffer_body> &message, http::response_parser<http::buffer_body> &parser,
-        bool &agreed)
+    /// Writes on its own, since the server may answer before it has read a long body.
+    void startWriting()
     {
-        boost::system::error_code ec;
-        HttpConnection &connection = *self.m_connection;
-        message.set(http::field::expect, "100-continue");
-        http::request_serializer<http::buffer_body> serializer(message);
-        connection.stream.expires_after(self.m_request.progressTimeout);
-        sent = true;
-        co_await http::async_write_header(connection.stream, serializer,
-                                          asio::redirect_error(asio::use_awaitable, ec));
-        if (!ec) {
-            co_await http::async_read_header(connection.stream, connection.buffer, parser,
-                                             asio::redirect_error(asio::use_awaitable, ec));
-        }
-        agreed = !ec && parser.get().result() == http::status::continue_;
-        co_return ec;
+        self.m_connection->writing = true;
+        auto bytes = std::make_shared<std::string>(requestBytes());
+        asio::async_write(self.m_connection->socket, asio::buffer(*bytes),
+                          [exchange = self.shared_from_this(),
+                           bytes](boost::system::error_code, std::size_t) {
+                              if (exchange->m_connection) {
+                                  exchange->m_connection->writing = false;
+                              }
+                          });
     }
 
-    /// Sends the chunks of a body whose header has been written.
-    asio::awaitable<boost::system::error_code> writeBodyOnly(
-        http::request<http::buffer_body> &message)
+    /// Reads answers until one belongs to this request.
+    asio::awaitable<bool> readOwn(http::response<http::string_body> &message, bool &keep)
     {
-        boost::system::error_code ec;
-        BodyPipe &pipe = *self.m_request.body.stream;
-        // The serializer starts at the header, which is on the wire already, so the header goes to
-        // a sink and only the body to the socket.
-        http::request_serializer<http::buffer_body> serializer(message);
-        message.body().data = nullptr;
-        message.body().size = 0;
-        message.body().more = true;
-        serializer.split(true);
-        while (!serializer.is_header_done()) {
-            boost::system::error_code skip;
-            serializer.next(skip, [&serializer](boost::system::error_code &, const auto &buffers) {
-                serializer.consume(beast::buffer_bytes(buffers));
-            });
-            if (skip) {
-                co_return skip;
+        HttpConnection &connection = *self.m_connection;
+        for (unsigned n = 0; n < MaxForeignAnswers; ++n) {
+            http::response_parser<http::string_body> parser;
+            parser.body_limit(MaxAnswerBytes);
+            parser.header_limit(MaxAnswerHeaderBytes);
+            parser.skip(self.m_request.method == "HEAD");
+            boost::system::error_code ec;
+            co_await http::async_read_header(connection.socket, connection.buffer, parser,
+                                             asio::redirect_error(asio::use_awaitable, ec));
+            heard = heard || connection.buffer.size() > 0 || !ec;
+            if (!ec && !parser.is_done()) {
+                co_await http::async_read(connection.socket, connection.buffer, parser,
+                                          asio::redirect_error(asio::use_awaitable, ec));
             }
-        }
-        while (true) {
-            BodyChunk chunk = co_await readChunk(pipe);
-            bodyTaken = true;
-            if (chunk.kind == BodyChunk::Kind::Cut) {
-                co_return asio::error::operation_aborted;
+            if (ec) {
+                co_return false;
             }
-            const bool more = chunk.kind == BodyChunk::Kind::Bytes;
-            message.body().data = more ? chunk.bytes.data() : nullptr;
-            message.body().size = chunk.bytes.size();
-            message.body().more = more;
-            self.m_connection->stream.expires_after(self.m_request.progressTimeout);
-            co_await http::async_write(self.m_connection->stream, serializer,
-                                       asio::redirect_error(asio::use_awaitable, ec));
-            if (ec == http::error::need_buffer) {
-                ec = {};
+            keep = parser.get().keep_alive() && !parser.need_eof();
+            message = parser.release();
+            if (message.result_int() < FirstSuccess) {
+                continue;
             }
-            if (ec || !more) {
-                co_return ec;
+            const std::vector<HeaderField> fields = passedHeaders(message);
+            const AnswerMarks marks = self.m_dialect.decodeAnswer(message.result_int(), fields);
+            if (self.m_request.requestId.empty() || marks.requestId.empty()
+                || marks.requestId == self.m_request.requestId) {
+                co_return true;
             }
         }
+        co_return false;
     }
 
-    asio::awaitable<boost::system::error_code> writeStreamedBody()
-    {
-        boost::system::error_code ec;
-        auto message = streamedRequest();
-        BodyPipe &pipe = *self.m_request.body.stream;
-        BodyChunk first = co_await readChunk(pipe);
-        bodyTaken = true;
-        sent = true;
-        co_await writeFromPipe(self.m_connection->stream, message, std::move(first), pipe,
-                               self.m_request.progressTimeout, ec);
-        co_return ec;
-    }
-
-    static AnswerHead headOf(const http::response<http::buffer_body> &message)
+    ExchangeOutcome answered(http::response<http::string_body> &message) const
     {
-        AnswerHead head;
-        head.status = message.result_int();
-        head.headers = passedHeaders(message);
-        return head;
+        ExchangeOutcome outcome;
+        outcome.kind = ExchangeOutcome::Kind::Answered;
+        outcome.status = message.result_int();
+        outcome.headers = passedHeaders(message);
+        outcome.marks = self.m_dialect.decodeAnswer(outcome.status, outcome.headers);
+        outcome.body = std::move(message.body());
+        return outcome;
     }
 
-    bool echoMatches(const http::response<http::buffer_body> &message) const
+    ExchangeOutcome ended(ExchangeOutcome::Kind kind)
     {
-        if (self.m_request.echo.empty()) {
-            return true;
+        if (self.m_connection) {
+            resetSocket(self.m_connection->socket);
         }
-        const auto it
-            = message.find(beast::string_view(Header::Attempt.data(), Header::Attempt.size()));
-        return it != message.end() && it->value() == self.m_request.echo;
+        ExchangeOutcome outcome;
+        outcome.kind = kind;
+        return outcome;
     }
 
-    /// Passes the answer on. The connection is kept only after a whole answer.
-    asio::awaitable<void> deliver(http::response_parser<http::buffer_body> &parser)
-    {
-        HttpConnection &connection = *self.m_connection;
-        if (!echoMatches(parser.get())) {
-            fail();
-            co_return;
-        }
-        AnswerHead head = headOf(parser.get());
-        if (const auto length = parser.content_length()) {
-            head.length = *length;
-        } else if (!parser.chunked() && !parser.need_eof()) {
-            head.length = 0;
-        }
-        const bool keep = parser.get().keep_alive() && !parser.need_eof();
-        auto pipe = std::make_shared<BodyPipe>(self.m_executor);
-        self.m_handlers.answered(std::move(head), pipe);
-        boost::system::error_code ec;
-        const bool whole = co_await pumpBody<false>(connection.stream, connection.buffer, parser,
-                                                    *pipe, self.m_request.progressTimeout, ec);
-        if (whole && keep && !self.m_cancelled) {
-            connection.stream.expires_never();
-            self.m_pool->give(std::move(self.m_connection), self.m_executor.now());
-        } else if (!whole) {
-            resetStream(connection.stream);
-        }
-        self.m_handlers.ended(whole);
-    }
-
-    void fail()
-    {
-        resetStream(self.m_connection->stream);
-        self.m_handlers.lost({sent, bodyTaken});
-        self.m_handlers.ended(false);
-    }
-
-    asio::awaitable<void> run()
+    asio::awaitable<ExchangeOutcome> run()
     {
+        using Kind = ExchangeOutcome::Kind;
         self.m_connection = self.m_pool->take(self.m_request.maxIdle, self.m_executor.now());
-        if (co_await connect() || self.m_cancelled || !self.m_handlers.mayBegin()) {
-            fail();
-            co_return;
+        if (!co_await connect()) {
+            co_return ended(self.m_cancelled ? Kind::Unsent : Kind::Unreachable);
         }
-        http::response_parser<http::buffer_body> parser;
-        parser.body_limit(boost::none);
-        parser.header_limit(MaxHeaderBytes);
-        parser.skip(self.m_request.head->method == "HEAD");
-        boost::system::error_code ec;
-        const bool streamed = self.m_request.body.stream != nullptr;
-        bool agreed = true;
-        std::optional<http::response_parser<http::buffer_body>> interim;
-        if (streamed && self.m_request.askBeforeBody) {
-            auto message = streamedRequest();
-            interim.emplace();
-            interim->body_limit(boost::none);
-            interim->header_limit(MaxHeaderBytes);
-            ec = co_await askBeforeBody(message, *interim, agreed);
-            if (!ec && agreed) {
-                message.erase(http::field::expect);
-                ec = co_await writeBodyOnly(message);
-            }
-        } else if (streamed) {
-            ec = co_await writeStreamedBody();
-        } else {
-            ec = co_await writeHeldBody();
-        }
-        if (ec) {
-            fail();
-            co_return;
+        if (self.m_cancelled || !self.m_mayBegin()) {
+            co_return ended(Kind::Unsent);
         }
-        if (!agreed) {
-            co_await deliver(*interim);
-            co_return;
+        const TimerId timer = closeAt(self.m_request.deadline);
+        startWriting();
+        http::response<http::string_body> message;
+        bool keep = false;
+        const bool whole = co_await readOwn(message, keep);
+        self.m_executor.cancel(timer);
+        if (!whole) {
+            co_return ended(reused && !heard && !self.m_cancelled ? Kind::StaleConnection
+                                                                  : Kind::Lost);
         }
         HttpConnection &connection = *self.m_connection;
-        connection.stream.expires_after(self.m_request.progressTimeout);
-        co_await http::async_read_header(connection.stream, connection.buffer, parser,
-                                         asio::redirect_error(asio::use_awaitable, ec));
-        if (ec) {
-            fail();
-            co_return;
+        // Bytes behind the answer belong to no request, and a server that answered early still
+        // reads this request's body.
+        if (keep && !self.m_cancelled && !connection.writing && connection.buffer.size() == 0) {
+            connection.idleLimit = idleLimitOf(message);
+            self.m_pool->give(std::move(self.m_connection), self.m_executor.now());
+        } else {
+            boost::system::error_code ec;
+            connection.socket.close(ec);
         }
-        co_await deliver(parser);
+        co_return answered(message);
     }
 };
 
 HttpExchange::HttpExchange(asio::io_context &context, Executor &executor,
-                           std::shared_ptr<HttpPool> pool, ExchangeRequest request,
-                           ExchangeHandlers handlers)
-    : m_context(context), m_executor(executor), m_pool(std::move(pool)),
-      m_request(std::move(request)), m_handlers(std::move(handlers))
+                                 std::shared_ptr<HttpPool> pool, const HttpDialect &dialect,
+                                 ExchangeRequest request, std::function<bool()> mayBegin,
+                                 std::function<void(ExchangeOutcome)> ended)
+    : m_context(context), m_executor(executor), m_pool(std::move(pool)), m_dialect(dialect),
+      m_request(std::move(request)), m_mayBegin(std::move(mayBegin)), m_ended(std::move(ended))
 {
 }
 
@@ -340,7 +282,10 @@
         m_context,
         [self = shared_from_this()]() -> asio::awaitable<void> {
             Task task {*self};
-            co_await task.run();
+            ExchangeOutcome outcome = co_await task.run();
+            const auto ended = std::exchange(self->m_ended, nullptr);
+            self->m_mayBegin = nullptr;
+            ended(std::move(outcome));
         },
         asio::detached);
 }
@@ -349,7 +294,7 @@
 {
     m_cancelled = true;
     if (m_connection) {
-        resetStream(m_connection->stream);
+        resetSocket(m_connection->socket);
     }
 }
 
--- a/src/services/HttpExchange.h
+++ b/src/services/HttpExchange.h
@@ -1,11 +1,14 @@
-// One outgoing HTTP call: a task that owns its connection and reports through handlers.
+// One request to a backend server or to the store over a pooled connection.
 #pragma once
 
+#include "decisions/Member.h"
+#include "kernel/Executor.h"
 #include "services/CallMessages.h"
 
 #include <deque>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace boost::asio {
 class io_context;
@@ -17,29 +20,27 @@
 struct HttpConnection;
 }
 
-/// \brief Idle connections to one endpoint.
+/// \brief Idle connections to one HTTP server.
 class HttpPool
 {
 public:
-    /// \param context runs the connections.
-    /// \param endpoint where they go.
+    /// Connections that are kept while idle.
+    static constexpr std::size_t MaxIdle = 32;
+
     HttpPool(boost::asio::io_context &context, Endpoint endpoint);
     ~HttpPool();
 
     const Endpoint &endpoint() const { return m_endpoint; }
 
-    /// \brief Takes the connection used last, or makes an unconnected one.
-    /// \param maxIdle connections idle for longer are closed and not used.
+    /// \param maxIdle longest time that the connection may have been idle.
+    /// \return the connection that was idle for the shortest time, or a new one that is not open.
     std::unique_ptr<Internal::HttpConnection> take(Duration maxIdle, TimePoint now);
 
-    /// \brief Keeps a connection whose last answer was whole.
+    /// \brief Takes a connection back after a whole answer.
     void give(std::unique_ptr<Internal::HttpConnection> connection, TimePoint now);
 
-    /// \brief Closes connections that were idle for too long.
-    void expire(Duration maxIdle, TimePoint now);
-
-    /// \return number of idle connections.
-    std::size_t idle() const { return m_idle.size(); }
+    /// \brief Closes connections that the server is about to close.
+    void expire(TimePoint now);
 
 private:
     boost::asio::io_context &m_context;
@@ -47,48 +48,59 @@
     std::deque<std::unique_ptr<Internal::HttpConnection>> m_idle;
 };
 
-/// \brief What an exchange sends and how long it waits.
+/// \brief What is sent, and how long the exchange may last.
 struct ExchangeRequest
 {
-    std::shared_ptr<const CallHead> head;
-    /// Replace the headers of the head.
+    std::string method;
+    std::string target;
     std::vector<HeaderField> headers;
-    CallBody body;
-    /// When set, the answer must repeat this value in the header Coltsfootwell-Request.
-    std::string echo;
-    /// True to send a streamed body only after the receiver has agreed to take the call.
-    bool askBeforeBody = false;
-    Duration connectTimeout {};
-    /// Longest wait for the next byte.
-    Duration progressTimeout {};
-    /// Longest time that a pooled connection may have been idle.
+    BodyPtr body;
+    /// Request id that the answer must name; empty when any answer will do.
+    std::string requestId;
     Duration maxIdle {};
+    TimePoint deadline;
+    Duration connectTimeout = std::chrono::milliseconds(250);
 };
 
-/// \brief Events of an exchange, each called at most once, in this order.
-struct ExchangeHandlers
+/// \brief How an exchange has ended.
+struct ExchangeOutcome
 {
-    /// Asked right before the first byte is sent; false stops the exchange unsent.
-    std::function<bool()> mayBegin;
-    std::function<void(AnswerHead, BodyPipePtr)> answered;
-    std::function<void(AttemptLost)> lost;
-    /// Called last, after answered or lost; true when the whole answer was passed on.
-    std::function<void(bool whole)> ended;
+    enum class Kind {
+        Answered,
+        /// No byte was sent.
+        Unsent,
+        /// No connection could be made; no byte was sent.
+        Unreachable,
+        /// Bytes were sent and no whole answer came.
+        Lost,
+        /// As Lost, and the server closed a connection that had been idle before its first byte.
+        StaleConnection,
+    };
+
+    Kind kind = Kind::Lost;
+    unsigned status = 0;
+    std::vector<HeaderField> headers;
+    std::string body;
+    AnswerMarks marks;
 };
 
-/// \brief Runs one call over a pooled connection.
+/// \brief Runs one request. Every handler runs on the executor's thread.
 class HttpExchange : public std::enable_shared_from_this<HttpExchange>
 {
 public:
+    /// \param dialect decodes the marks of answers; outlives the exchange.
+    /// \param mayBegin asked right before the first byte is sent; false ends the exchange unsent.
+    /// \param ended called once.
     HttpExchange(boost::asio::io_context &context, Executor &executor,
-                 std::shared_ptr<HttpPool> pool, ExchangeRequest request,
-                 ExchangeHandlers handlers);
+                    std::shared_ptr<HttpPool> pool, const HttpDialect &dialect,
+                    ExchangeRequest request, std::function<bool()> mayBegin,
+                    std::function<void(ExchangeOutcome)> ended);
     ~HttpExchange();
 
     /// \brief Begins; the task keeps the object alive.
     void start();
 
-    /// \brief Resets the connection; lost or ended is called as for a broken connection.
+    /// \brief Closes the connection; the exchange ends as unsent or lost.
     void cancel();
 
 private:
@@ -97,8 +109,10 @@
     boost::asio::io_context &m_context;
     Executor &m_executor;
     std::shared_ptr<HttpPool> m_pool;
+    const HttpDialect &m_dialect;
     ExchangeRequest m_request;
-    ExchangeHandlers m_handlers;
+    std::function<bool()> m_mayBegin;
+    std::function<void(ExchangeOutcome)> m_ended;
     std::unique_ptr<Internal::HttpConnection> m_connection;
     bool m_cancelled = false;
 };
--- a/src/services/HttpIo.cpp
+++ b/src/services/HttpIo.cpp
@@ -1,11 +1,28 @@
 #include "services/HttpIo.h"
 
-#include <boost/asio/ip/tcp.hpp>
+#include <netinet/tcp.h>
 
 #include <algorithm>
+#include <array>
 
 namespace Coltsfootwell::Internal {
 
+namespace {
+
+/// A peer that has not acknowledged bytes for this long has gone.
+constexpr int UserTimeoutMs = 3000;
+/// Keep-alive probes: first after this many seconds of silence, then one each second.
+constexpr int KeepAliveIdleS = 3;
+constexpr int KeepAliveIntervalS = 1;
+constexpr int KeepAliveProbes = 3;
+
+void setTcpOption(tcp::socket &socket, int option, int value)
+{
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, option, &value, sizeof value);
+}
+
+} // namespace
+
 bool isHopHeader(std::string_view name)
 {
     static constexpr std::array<std::string_view, 11> Names {"connection",
@@ -19,23 +36,15 @@
                                                              "content-length",
                                                              "proxy-authenticate",
                                                              "proxy-authorization"};
-    return std::ranges::any_of(Names, [name](std::string_view hop) {
-        return beast::iequals(beast::string_view(hop.data(), hop.size()),
-                              beast::string_view(name.data(), name.size()));
-    });
-}
-
-std::size_t bodyBytesWanted(boost::optional<std::uint64_t> left)
-{
-    const std::uint64_t bytes = left ? *left : BodyBufferBytes;
-    return static_cast<std::size_t>(std::clamp<std::uint64_t>(bytes, 1, BodyBufferBytes));
+    return std::ranges::any_of(Names,
+                               [name](std::string_view hop) { return equalNames(hop, name); });
 }
 
 std::vector<HeaderField> passedHeaders(const http::fields &fields)
 {
     std::vector<HeaderField> headers;
     for (const auto &field : fields) {
-        const std::string_view name(field.name_string().data(), field.name_string().size());
+        const std::string_view name = stdView(field.name_string());
         if (!isHopHeader(name)) {
             headers.push_back({std::string(name), std::string(field.value())});
         }
@@ -43,11 +52,31 @@
     return headers;
 }
 
-void resetStream(beast::tcp_stream &stream)
+void tuneSocket(tcp::socket &socket)
+{
+    boost::system::error_code ec;
+    socket.set_option(tcp::no_delay(true), ec);
+    socket.set_option(asio::socket_base::keep_alive(true), ec);
+    setTcpOption(socket, TCP_USER_TIMEOUT, UserTimeoutMs);
+    setTcpOption(socket, TCP_KEEPIDLE, KeepAliveIdleS);
+    setTcpOption(socket, TCP_KEEPINTVL, KeepAliveIntervalS);
+    setTcpOption(socket, TCP_KEEPCNT, KeepAliveProbes);
+}
+
+void resetSocket(tcp::socket &socket)
+{
+    boost::system::error_code ec;
+    socket.set_option(asio::socket_base::linger(true, 0), ec);
+    socket.close(ec);
+}
+
+bool isQuiet(tcp::socket &socket)
 {
     boost::system::error_code ec;
-    stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
-    stream.socket().close(ec);
+    socket.non_blocking(true, ec);
+    char byte = 0;
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+    return ec == asio::error::would_block;
 }
 
 } // namespace Coltsfootwell::Internal
--- /dev/null
+++ b/src/services/LinkServer.cpp
@@ -0,0 +1,254 @@
+#include "services/LinkServer.h"
+
+#include "services/HttpIo.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Coltsfootwell::Internal {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// How long a finished answer can be asked for again.
+constexpr Duration KeepFinished = seconds(2);
+/// A run whose entry daemon has not come back after this time is stopped.
+constexpr Duration OrphanTime = milliseconds(400);
+/// Daemons that have sent a call in this time hear of changes of the load.
+constexpr Duration ActiveTime = seconds(2);
+
+} // namespace
+
+LinkServer::LinkServer(LinkServerParts parts) : m_parts(std::move(parts))
+{
+}
+
+void LinkServer::accepted(tcp::socket socket)
+{
+    const auto client = std::make_shared<Client>();
+    client->connection
+        = std::make_shared<LinkConnection>(std::move(socket), m_parts.executor);
+    m_clients.push_back(client);
+    const std::weak_ptr<LinkServer> weakSelf = weak_from_this();
+    const std::weak_ptr<Client> weak = client;
+    client->connection->start({[weakSelf, weak](LinkFrame frame) {
+                                   const auto self = weakSelf.lock();
+                                   const auto client = weak.lock();
+                                   if (self && client) {
+                                       self->received(client, std::move(frame));
+                                   }
+                               },
+                               [weakSelf, weak] {
+                                   const auto self = weakSelf.lock();
+                                   const auto client = weak.lock();
+                                   if (self && client) {
+                                       self->closed(client);
+                                   }
+                               }});
+    client->connection->send({{}, {}, HelloFrame {m_parts.self}});
+}
+
+void LinkServer::loadChanged(const LoadReport &load)
+{
+    const TimePoint now = m_parts.executor.now();
+    for (const ClientPtr &client : m_clients) {
+        if (client->lastRun != TimePoint() && now - client->lastRun < ActiveTime) {
+            client->connection->send({{}, load, LoadFrame {}});
+        }
+    }
+}
+
+void LinkServer::tick()
+{
+    const TimePoint now = m_parts.executor.now();
+    while (!m_expiries.empty() && now >= m_expiries.front().at) {
+        m_served.erase(m_expiries.front().attempt);
+        m_expiries.pop_front();
+    }
+    std::vector<AttemptId> orphans;
+    for (const auto &[id, served] : m_served) {
+        if (!served.finished && served.orphanSince && now - *served.orphanSince >= OrphanTime) {
+            orphans.push_back(id);
+        }
+    }
+    for (const AttemptId &id : orphans) {
+        cancel(id);
+    }
+}
+
+void LinkServer::stop()
+{
+    for (const ClientPtr &client : std::exchange(m_clients, {})) {
+        client->connection->close();
+    }
+}
+
+void LinkServer::received(const ClientPtr &client, LinkFrame frame)
+{
+    if (auto *run = std::get_if<RunFrame>(&frame.body)) {
+        this->run(client, frame.attempt, std::move(*run));
+    } else if (auto *part = std::get_if<BodyPartFrame>(&frame.body)) {
+        takeBody(frame.attempt, std::move(*part));
+    } else if (std::holds_alternative<CancelFrame>(frame.body)) {
+        cancel(frame.attempt);
+    } else if (std::holds_alternative<ResumeFrame>(frame.body)) {
+        resume(client, frame.attempt);
+    } else if (const auto *ping = std::get_if<PingFrame>(&frame.body)) {
+        client->connection->send({{}, {}, PongFrame {ping->nonce}});
+    } else if (const auto *hello = std::get_if<HelloFrame>(&frame.body)) {
+        client->daemon = hello->daemon;
+    } else if (auto *exchange = std::get_if<ExchangeFrame>(&frame.body)) {
+        answer(client, std::move(*exchange));
+    }
+}
+
+void LinkServer::run(const ClientPtr &client, const AttemptId &attempt, RunFrame frame)
+{
+    const TimePoint now = m_parts.executor.now();
+    client->lastRun = now;
+    const auto [it, added] = m_served.try_emplace(attempt);
+    if (!added) {
+        return;
+    }
+    it->second.client = client;
+    RunAttempt run;
+    run.attempt = attempt;
+    run.head = std::make_shared<const CallHead>(
+        CallHead {std::move(frame.method), std::move(frame.target), std::move(frame.fields)});
+    run.call = std::move(frame.call);
+    run.service = std::move(frame.service);
+    run.callerService = std::move(frame.callerService);
+    run.body = std::make_shared<const std::string>(std::move(frame.body));
+    run.laterBytes = frame.laterBytes;
+    run.deadline = now + frame.deadlineIn;
+    run.startBy = now + frame.startWithin;
+    run.priority = frame.priority;
+    run.nested = frame.nested;
+    run.idempotent = frame.idempotent;
+    const std::weak_ptr<LinkServer> weak = weak_from_this();
+    run.reply = Reply<AttemptResult>(
+        m_parts.executor, [weak, attempt](std::optional<AttemptResult> result) {
+            if (const auto self = weak.lock()) {
+                self->finished(attempt, result ? std::move(*result) : AttemptLost {});
+            }
+        });
+    run.proceed = [weak, attempt] {
+        if (const auto self = weak.lock()) {
+            const auto it = self->m_served.find(attempt);
+            const auto client
+                = it == self->m_served.end() ? ClientPtr() : it->second.client.lock();
+            if (client) {
+                client->connection->send({attempt, {}, ProceedFrame {}});
+            }
+        }
+    };
+    m_parts.toBackend(std::move(run));
+}
+
+void LinkServer::takeBody(const AttemptId &attempt, BodyPartFrame part)
+{
+    const auto it = m_served.find(attempt);
+    if (it == m_served.end()) {
+        return;
+    }
+    it->second.body += part.bytes;
+    if (part.last) {
+        m_parts.toBackend(BodyArrived {
+            attempt,
+            std::make_shared<const std::string>(std::exchange(it->second.body, std::string()))});
+    }
+}
+
+void LinkServer::cancel(const AttemptId &attempt)
+{
+    const auto it = m_served.find(attempt);
+    if (it == m_served.end() || it->second.finished) {
+        return;
+    }
+    it->second.orphanSince.reset();
+    m_parts.toBackend(CancelAttempt {attempt});
+}
+
+void LinkServer::resume(const ClientPtr &client, const AttemptId &attempt)
+{
+    if (const auto it = m_served.find(attempt); it != m_served.end()) {
+        it->second.client = client;
+        it->second.orphanSince.reset();
+        if (it->second.finished) {
+            client->connection->send(*it->second.finished);
+        }
+        return;
+    }
+    RevokeAttempt revoke {attempt, {}};
+    revoke.reply = Reply<bool>(m_parts.executor, [weak = std::weak_ptr(client), attempt](
+                                                     std::optional<bool> started) {
+        const ClientPtr client = weak.lock();
+        if (!client) {
+            return;
+        }
+        if (started.value_or(true)) {
+            client->connection->send({attempt, {}, LostFrame {}});
+        } else {
+            client->connection->send({attempt, {}, RefusalFrame {Reason::Unreachable}});
+        }
+    });
+    m_parts.toBackend(std::move(revoke));
+}
+
+void LinkServer::answer(const ClientPtr &client, ExchangeFrame question)
+{
+    PeerAsks ask;
+    ask.bytes = std::move(question.bytes);
+    ask.reply = Reply<std::string>(
+        m_parts.executor, [weak = std::weak_ptr(client), subject = question.subject,
+                           nonce = question.nonce](std::optional<std::string> bytes) {
+            if (const ClientPtr client = weak.lock(); client && bytes) {
+                client->connection->send(
+                    {{}, {}, ExchangeFrame {subject, true, nonce, std::move(*bytes)}});
+            }
+        });
+    m_parts.ask(question.subject, std::move(ask));
+}
+
+void LinkServer::finished(const AttemptId &attempt, AttemptResult result)
+{
+    const auto it = m_served.find(attempt);
+    if (it == m_served.end()) {
+        return;
+    }
+    LinkFrame frame;
+    frame.attempt = attempt;
+    if (auto *answered = std::get_if<AttemptAnswered>(&result)) {
+        frame.load = answered->load;
+        frame.body = AnswerFrame {answered->status, std::move(answered->headers),
+                                  answered->body ? *answered->body : std::string(),
+                                  answered->failure};
+    } else if (const auto *refused = std::get_if<AttemptRefused>(&result)) {
+        frame.load = refused->load;
+        frame.body = RefusalFrame {refused->reason};
+    } else {
+        frame.load = std::get<AttemptLost>(result).load;
+        frame.body = LostFrame {};
+    }
+    if (const ClientPtr client = it->second.client.lock()) {
+        client->connection->send(frame);
+    }
+    it->second.finished = std::move(frame);
+    m_expiries.push_back({m_parts.executor.now() + KeepFinished, attempt});
+}
+
+void LinkServer::closed(const ClientPtr &client)
+{
+    std::erase(m_clients, client);
+    const TimePoint now = m_parts.executor.now();
+    for (auto &[id, served] : m_served) {
+        if (served.client.lock() == client) {
+            served.client.reset();
+            served.orphanSince = now;
+        }
+    }
+}
+
+} // namespace Coltsfootwell::Internal
--- /dev/null
+++ b/src/services/Links.cpp
@@ -0,0 +1,126 @@
+#include "services/Links.h"
+
+#include "services/HttpIo.h"
+#include "services/LinkClient.h"
+#include "services/LinkServer.h"
+#include "services/Listen.h"
+#include "services/ServiceError.h"
+#include "services/ServiceNames.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace Coltsfootwell {
+
+namespace {
+
+using namespace Internal;
+
+class Links final : public Service
+{
+public:
+    Links(Kernel &kernel, asio::io_context &context, LinksSettings settings)
+        : m_kernel(kernel), m_settings(std::move(settings)), m_acceptor(context),
+          m_client({context, kernel.executor(), m_settings.self,
+                    [this](LoadLearned news) { m_calls.send(std::move(news)); },
+                    [this](DaemonUnreachable news) { m_calls.send(std::move(news)); },
+                    [this](TelemetryMessage message) { m_telemetry.send(std::move(message)); }}),
+          m_server(std::make_shared<LinkServer>(LinkServerParts {
+              kernel.executor(), m_settings.self,
+              [this](BackendMessage message) { m_backend.send(std::move(message)); },
+              [this](ExchangeSubject subject, PeerAsks ask) { pass(subject, std::move(ask)); }})),
+          m_mailbox(kernel.executor(), [this](LinksMessage message) {
+              std::visit([this](auto &&body) { handle(std::move(body)); }, std::move(message));
+          })
+    {
+        kernel.directory().publish(name(), m_mailbox.address());
+    }
+
+    std::string_view name() const override { return ServiceName::Links; }
+
+    std::error_code start() override
+    {
+        std::error_code ec;
+        const Directory &directory = m_kernel.directory();
+        m_backend = directory.find<BackendMessage>(ServiceName::Backend, ec);
+        if (!ec) {
+            m_calls = directory.find<CallsMessage>(ServiceName::Calls, ec);
+        }
+        if (!ec) {
+            m_telemetry = directory.find<TelemetryMessage>(ServiceName::Telemetry, ec);
+        }
+        if (ec) {
+            return ServiceError::MissingService;
+        }
+        if (const std::error_code failed = listenOn(m_acceptor, m_settings.listen)) {
+            return failed;
+        }
+        accept();
+        tick();
+        return {};
+    }
+
+    void stop(Task done) override
+    {
+        m_kernel.executor().cancel(m_timer);
+        boost::system::error_code ec;
+        m_acceptor.close(ec);
+        m_client.stop();
+        m_server->stop();
+        done();
+    }
+
+private:
+    void handle(RunAttempt run) { m_client.run(std::move(run)); }
+    void handle(const CancelAttempt &cancel) { m_client.cancel(cancel.attempt); }
+    void handle(const LoadChanged &news) { m_server->loadChanged(news.load); }
+    void handle(AskPeer ask) { m_client.ask(std::move(ask)); }
+
+    void pass(ExchangeSubject subject, PeerAsks ask)
+    {
+        std::error_code unknown;
+        m_kernel.directory()
+            .find<PeerAsks>(ServiceName::exchange(subject), unknown)
+            .send(std::move(ask));
+    }
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](boost::system::error_code ec, tcp::socket socket) {
+            if (ec == asio::error::operation_aborted) {
+                return;
+            }
+            if (!ec) {
+                m_server->accepted(std::move(socket));
+            }
+            accept();
+        });
+    }
+
+    void tick()
+    {
+        m_client.tick();
+        m_server->tick();
+        m_timer = m_kernel.executor().after(LinkClient::TickPeriod, [this] { tick(); });
+    }
+
+    Kernel &m_kernel;
+    LinksSettings m_settings;
+    tcp::acceptor m_acceptor;
+    LinkClient m_client;
+    std::shared_ptr<LinkServer> m_server;
+    TimerId m_timer = 0;
+    Address<BackendMessage> m_backend;
+    Address<CallsMessage> m_calls;
+    Address<TelemetryMessage> m_telemetry;
+    Mailbox<LinksMessage> m_mailbox;
+};
+
+} // namespace
+
+std::unique_ptr<Service> makeLinks(Kernel &kernel, asio::io_context &context,
+                                   LinksSettings settings)
+{
+    return std::make_unique<Links>(kernel, context, std::move(settings));
+}
+
+} // namespace Coltsfootwell
--- a/src/services/Membership.cpp
+++ b/src/services/Membership.cpp
@@ -1,11 +1,10 @@
 #include "services/Membership.h"
 
+#include "services/CallMessages.h"
 #include "services/ConfigurationMessages.h"
-#include "services/ControlMessages.h"
 #include "services/MembershipMessages.h"
 #include "services/ServiceError.h"
 #include "services/ServiceNames.h"
-#include "services/SyncExchange.h"
 #include "services/TelemetryMessages.h"
 #include "wire/MembershipCodec.h"
 
@@ -49,18 +48,17 @@
     MembershipService(Kernel &kernel, asio::io_context &context, MembershipSettings settings)
         : m_kernel(kernel), m_settings(std::move(settings)),
           m_membership(m_settings.self, m_settings.seeds, kernel.random()), m_socket(context),
-          m_sync(context, kernel.executor()),
           m_mailbox(kernel.executor(),
                     [this](MembershipMessage message) {
                         std::visit([this](auto &&body) { handle(std::move(body)); },
                                    std::move(message));
                         listMayHaveChanged();
                     }),
-          m_syncMailbox(kernel.executor(),
-                        [this](const ControlRequest &request) { answerSync(request); })
+          m_syncMailbox(kernel.executor(), [this](const PeerAsks &ask) { answerSync(ask); })
     {
         kernel.directory().publish(name(), m_mailbox.address());
-        kernel.directory().publish(ServiceName::control("sync"), m_syncMailbox.address());
+        kernel.directory().publish(ServiceName::exchange(ExchangeSubject::MemberSync),
+                                   m_syncMailbox.address());
     }
 
     std::string_view name() const override { return ServiceName::Membership; }
@@ -74,6 +72,9 @@
             m_configuration
                 = directory.find<ConfigurationMessage>(ServiceName::Configuration, missing);
         }
+        if (!missing) {
+            m_links = directory.find<LinksMessage>(ServiceName::Links, missing);
+        }
         if (missing) {
             return ServiceError::MissingService;
         }
@@ -95,7 +96,6 @@
             m_kernel.executor().cancel(timer);
         }
         perform(m_membership.farewell(now()));
-        m_sync.cancel();
         boost::system::error_code ec;
         m_socket.close(ec);
         done();
@@ -144,8 +144,8 @@
         if (canBeAnnounced(self)) {
             m_membership.changeBackend(changed.service, changed.state, changed.slots);
         } else {
-            m_telemetry.send(
-                StateChanged {name(), "the backend server's service has no name of 1 to 64 bytes"});
+            m_telemetry.send(LogEvent {"membership.badService", "",
+                                       "rule=the service must have a name of 1 to 64 bytes"});
         }
     }
 
@@ -214,36 +214,36 @@
 
     void carryOut(const PeerAnswered &answer)
     {
-        m_configuration.send(PeerEvidence {answer.peer, answer.endpoint, answer.region,
-                                           answer.version, answer.fresh, answer.logReachable,
-                                           answer.asked});
+        m_configuration.send(PeerEvidence {answer.peer, answer.endpoint, answer.version});
     }
 
-    void carryOut(const PingEnded &ended)
-    {
-        m_configuration.send(PingEvidence {ended.asked, ended.answered});
-    }
+    void carryOut(const PingEnded &) { }
 
     void carryOut(const SyncWanted &wanted)
     {
-        if (m_sync.isRunning()) {
+        if (m_syncing) {
             return;
         }
-        std::string body = encodeSyncRequest(m_membership.askSync(now()));
-        m_bytesSent += body.size();
-        m_sync.start(wanted.with, std::move(body),
-                     [this](const std::optional<std::string> &answer) {
-                         if (answer) {
-                             takeSync(*answer);
-                         }
-                     });
+        m_syncing = true;
+        AskPeer ask;
+        ask.endpoint = wanted.with;
+        ask.bytes = encodeSyncRequest(m_membership.askSync(now()));
+        m_bytesSent += ask.bytes.size();
+        ask.reply = Reply<std::string>(m_kernel.executor(),
+                                       [this](const std::optional<std::string> &answer) {
+                                           m_syncing = false;
+                                           if (answer) {
+                                               takeSync(*answer);
+                                           }
+                                       });
+        m_links.send(std::move(ask));
     }
 
     void carryOut(const IncarnationConflict &conflict)
     {
         const std::string text = "incarnation " + std::to_string(conflict.heard)
             + (conflict.replaced ? " has replaced this daemon" : " is in use, taking a higher one");
-        m_telemetry.send(StateChanged {name(), text});
+        m_telemetry.send(LogEvent {"membership.conflict", "", text});
         if (m_settings.conflict) {
             m_settings.conflict(conflict);
         }
@@ -261,22 +261,20 @@
         perform(m_membership.finishSync(answer.records, now(), answer.partial));
     }
 
-    void answerSync(const ControlRequest &request)
+    void answerSync(const PeerAsks &ask)
     {
-        m_bytesReceived += request.body.size();
+        m_bytesReceived += ask.bytes.size();
         std::error_code ec;
-        const SyncRequest asked = decodeSyncRequest(request.body, ec);
-        if (ec || request.method != "POST") {
+        const SyncRequest asked = decodeSyncRequest(ask.bytes, ec);
+        if (ec) {
             ++m_malformed;
-            request.reply(ControlAnswer {400, "application/json",
-                                         R"({"error":"not a POST of a summary of members"})"});
             return;
         }
         SyncAnswer differing;
         perform(m_membership.answerSync(asked, differing, now()));
         std::string answer = encodeSyncAnswer(differing);
         m_bytesSent += answer.size();
-        request.reply(ControlAnswer {200, "application/x-protobuf", std::move(answer)});
+        ask.reply(std::move(answer));
     }
 
     std::shared_ptr<const std::vector<Member>> copyOfMembers() const
@@ -331,7 +329,8 @@
     udp::endpoint m_sender;
     /// One byte more than allowed, so that longer datagrams are noticed.
     std::array<char, Datagram::MaxBytes + 1> m_buffer {};
-    SyncExchange m_sync;
+    bool m_syncing = false;
+    Address<LinksMessage> m_links;
     std::vector<Address<MembersChanged>> m_subscribers;
     Address<TelemetryMessage> m_telemetry;
     Address<ConfigurationMessage> m_configuration;
@@ -345,7 +344,7 @@
     TimerId m_publishTimer = 0;
     TimerId m_countTimer = 0;
     Mailbox<MembershipMessage> m_mailbox;
-    Mailbox<ControlRequest> m_syncMailbox;
+    Mailbox<PeerAsks> m_syncMailbox;
 };
 
 } // namespace
--- a/src/services/ServiceError.cpp
+++ b/src/services/ServiceError.cpp
@@ -18,10 +18,14 @@
             return "the address is not an IP number";
         case ServiceError::MissingService:
             return "a service that this one needs is not registered";
-        case ServiceError::LogUnavailable:
-            return "the log service cannot be reached";
         case ServiceError::BadIdentity:
             return "the daemon's id, region or data centre is not a name of 1 to 64 bytes";
+        case ServiceError::StoreUnavailable:
+            return "the store cannot be reached or does not answer";
+        case ServiceError::HistoryLost:
+            return "the store has dropped the records that were asked for";
+        case ServiceError::Conflict:
+            return "the topic has changed since it was read";
         }
         return "unknown service error";
     }
--- a/src/services/ServiceError.h
+++ b/src/services/ServiceError.h
@@ -9,8 +9,10 @@
     AddressInUse = 1,
     BadAddress,
     MissingService,
-    LogUnavailable,
     BadIdentity,
+    StoreUnavailable,
+    HistoryLost,
+    Conflict,
 };
 
 /// \return the category of ServiceError.
--- a/src/services/ServiceNames.h
+++ b/src/services/ServiceNames.h
@@ -1,6 +1,8 @@
 // Names under which the services of a daemon publish their mailboxes.
 #pragma once
 
+#include "wire/LinkFrame.h"
+
 #include <string>
 #include <string_view>
 
@@ -10,14 +12,14 @@
 constexpr std::string_view Configuration = "configuration";
 constexpr std::string_view Callers = "callers";
 constexpr std::string_view Calls = "calls";
-constexpr std::string_view Peers = "peers";
+constexpr std::string_view Links = "links";
 constexpr std::string_view Backend = "backend";
-constexpr std::string_view Claims = "claims";
-constexpr std::string_view Log = "log";
+constexpr std::string_view Registration = "registration";
+constexpr std::string_view Store = "store";
 constexpr std::string_view DaemonList = "daemon-list";
+constexpr std::string_view DaemonRecords = "daemon-records";
 constexpr std::string_view Telemetry = "telemetry";
 constexpr std::string_view Stop = "stop";
-constexpr std::string_view LogServer = "log-server";
 
 /// \param path name of a path below "/coltsfootwell/".
 /// \return the name under which the owner of the path publishes a mailbox of ControlRequest.
@@ -33,4 +35,12 @@
     return "stopping/" + std::string(service);
 }
 
+/// \param subject of an exchange between daemons.
+/// \return the name under which the service of the subject publishes a mailbox of PeerAsks.
+inline std::string exchange(ExchangeSubject subject)
+{
+    return subject == ExchangeSubject::MemberSync ? "exchange/member-sync"
+                                                  : "exchange/control-state";
+}
+
 } // namespace Coltsfootwell::ServiceName
--- a/src/services/Stop.cpp
+++ b/src/services/Stop.cpp
@@ -6,21 +6,20 @@
 #include "services/TelemetryMessages.h"
 
 #include <array>
+#include <utility>
 
 namespace Coltsfootwell {
 
 namespace {
 
-/// Time for callers and peers to learn of the stop while calls are still taken.
-constexpr std::chrono::seconds GraceTime {3};
-
-constexpr std::array ListeningServices {ServiceName::Callers, ServiceName::Backend};
+constexpr std::array ListeningServices {ServiceName::Callers, ServiceName::Backend,
+                                        ServiceName::Calls, ServiceName::DaemonList};
 
 class Stop final : public Service
 {
 public:
-    Stop(Kernel &kernel, Task left)
-        : m_kernel(kernel), m_left(std::move(left)),
+    Stop(Kernel &kernel, StopSettings settings)
+        : m_kernel(kernel), m_settings(std::move(settings)),
           m_mailbox(kernel.executor(), [this](StopMessage message) {
               std::visit([this](auto &&body) { handle(body); }, std::move(message));
           })
@@ -42,12 +41,13 @@
         std::error_code ec;
         m_kernel.directory()
             .find<TelemetryMessage>(ServiceName::Telemetry, ec)
-            .send(StateChanged {name(), "planned stop: " + ask.reason});
+            .send(LogEvent {"daemon.stopping", "", "reason=" + ask.reason});
         m_kernel.directory()
             .find<MembershipMessage>(ServiceName::Membership, ec)
             .send(AnnounceLeaving {});
         tellPhase();
-        m_kernel.executor().after(GraceTime, [this] { finish(); });
+        m_kernel.executor().after(m_settings.leaveTime, [this] { finish(); });
+        m_kernel.executor().after(m_settings.longest, [this] { end(); });
     }
 
     void finish()
@@ -58,10 +58,17 @@
         // calls in progress.
         m_kernel.stop([this] {
             m_decision.callsLeft();
-            m_left();
+            end();
         });
     }
 
+    void end()
+    {
+        if (const Task left = std::exchange(m_settings.left, nullptr)) {
+            left();
+        }
+    }
+
     void tellPhase()
     {
         for (const std::string_view service : ListeningServices) {
@@ -73,16 +80,16 @@
     }
 
     Kernel &m_kernel;
-    Task m_left;
+    StopSettings m_settings;
     PlannedStop m_decision;
     Mailbox<StopMessage> m_mailbox;
 };
 
 } // namespace
 
-std::unique_ptr<Service> makeStop(Kernel &kernel, Task left)
+std::unique_ptr<Service> makeStop(Kernel &kernel, StopSettings settings)
 {
-    return std::make_unique<Stop>(kernel, std::move(left));
+    return std::make_unique<Stop>(kernel, std::move(settings));
 }
 
 } // namespace Coltsfootwell
--- a/src/services/Stop.h
+++ b/src/services/Stop.h
@@ -7,9 +7,20 @@
 
 namespace Coltsfootwell {
 
-/// \param kernel stopped at the end of the grace time.
-/// \param left called when everything has stopped.
+/// \brief Settings of the service.
+struct StopSettings
+{
+    /// Time for callers and peers to learn of the stop while calls are still taken.
+    std::chrono::milliseconds leaveTime {3000};
+    /// Longest duration of the whole stop.
+    std::chrono::milliseconds longest {30'000};
+    /// Called once at the end.
+    Task left;
+};
+
+/// \param kernel stopped at the end of the leave time.
+/// \param settings see StopSettings.
 /// \return the service, not started. Register it first, so that it stops last.
-std::unique_ptr<Service> makeStop(Kernel &kernel, Task left);
+std::unique_ptr<Service> makeStop(Kernel &kernel, StopSettings settings);
 
 } // namespace Coltsfootwell
--- /dev/null
+++ b/src/services/StoreClient.h
@@ -0,0 +1,86 @@
+// How services and tools reach the platform's store: topics that keep the newest record of each
+// key, and their history.
+#pragma once
+
+#include "kernel/Time.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <vector>
+
+namespace Coltsfootwell {
+
+/// \brief One record of a topic.
+struct StoreRecord
+{
+    std::string key;
+    /// Nothing when the key was removed.
+    std::optional<std::string> value;
+    std::uint64_t offset = 0;
+};
+
+/// \brief Newest record of each key.
+struct NewestRecords
+{
+    /// ServiceError::StoreUnavailable or cleared.
+    std::error_code ec;
+    std::vector<StoreRecord> records;
+    /// True when there are more keys after the last one.
+    bool hasMore = false;
+    /// Offset of the next record of the topic.
+    std::uint64_t end = 0;
+};
+
+/// \brief Records from an offset on.
+struct RecordsRead
+{
+    /// ServiceError::StoreUnavailable, ServiceError::HistoryLost or cleared.
+    std::error_code ec;
+    std::vector<StoreRecord> records;
+    /// Offset of the next record to read.
+    std::uint64_t next = 0;
+};
+
+/// \brief Outcome of an append.
+struct RecordAppended
+{
+    /// ServiceError::StoreUnavailable, ServiceError::Conflict or cleared.
+    std::error_code ec;
+    std::uint64_t end = 0;
+};
+
+/// \brief Asynchronous access to the store. Handlers are called once, on the caller's executor.
+class StoreClient
+{
+public:
+    virtual ~StoreClient() = default;
+
+    /// \param topic name of the topic.
+    /// \param after key after which the page begins; empty for the first page.
+    virtual void newest(std::string_view topic, std::string_view after,
+                        std::function<void(NewestRecords)> done)
+        = 0;
+
+    /// \param topic name of the topic.
+    /// \param from offset of the first record wanted.
+    /// \param wait time that the store waits for a record when there is none yet.
+    virtual void read(std::string_view topic, std::uint64_t from, std::chrono::milliseconds wait,
+                      std::function<void(RecordsRead)> done)
+        = 0;
+
+    /// \param topic name of the topic.
+    /// \param record without its offset.
+    /// \param at offset at which the topic must end; nothing for any.
+    virtual void append(std::string_view topic, const StoreRecord &record,
+                        std::optional<std::uint64_t> at, std::function<void(RecordAppended)> done)
+        = 0;
+
+    /// \brief Drops all calls in progress; their handlers are not called.
+    virtual void stop() = 0;
+};
+
+} // namespace Coltsfootwell
--- a/src/services/Telemetry.cpp
+++ b/src/services/Telemetry.cpp
@@ -1,6 +1,8 @@
 #include "services/Telemetry.h"
 
+#include "decisions/LogBudget.h"
 #include "services/ControlMessages.h"
+#include "services/LogOutput.h"
 #include "services/ServiceNames.h"
 #include "services/SpanJson.h"
 #include "services/TelemetryMessages.h"
@@ -8,11 +10,10 @@
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
-#include <boost/log/trivial.hpp>
-
 #include <deque>
 #include <map>
 #include <vector>
@@ -22,8 +23,8 @@
 namespace {
 
 constexpr std::string_view MetricPrefix = "coltsfootwell_";
-
-constexpr std::size_t MaxSpans = 2000;
+constexpr std::size_t MaxSpans = 500;
+constexpr std::chrono::seconds OmittedPeriod {1};
 
 /// One time series; the metric is a string literal, so its address stays valid.
 using SeriesKey = std::pair<std::string_view, std::string>;
@@ -32,7 +33,7 @@
 {
 public:
     Telemetry(Kernel &kernel, DaemonId self)
-        : m_self(std::move(self)),
+        : m_kernel(kernel), m_self(std::move(self)),
           m_mailbox(kernel.executor(),
                     [this](TelemetryMessage message) {
                         std::visit([this](auto &&body) { handle(std::move(body)); },
@@ -49,8 +50,18 @@
     }
 
     std::string_view name() const override { return ServiceName::Telemetry; }
-    std::error_code start() override { return {}; }
-    void stop(Task done) override { done(); }
+
+    std::error_code start() override
+    {
+        tellOmitted();
+        return {};
+    }
+
+    void stop(Task done) override
+    {
+        m_kernel.executor().cancel(m_timer);
+        done();
+    }
 
 private:
     static std::string fullName(std::string_view metric)
@@ -58,7 +69,7 @@
         return std::string(MetricPrefix) + std::string(metric);
     }
 
-    void handle(CountEvent event)
+    void handle(const CountEvent &event)
     {
         prometheus::Counter *&counter = m_counters[{event.metric, event.kind}];
         if (!counter) {
@@ -70,7 +81,7 @@
         counter->Increment(event.amount);
     }
 
-    void handle(SetGauge gauge)
+    void handle(const SetGauge &gauge)
     {
         prometheus::Gauge *&series = m_gauges[{gauge.metric, gauge.kind}];
         if (!series) {
@@ -82,6 +93,20 @@
         series->Set(gauge.value);
     }
 
+    void handle(const ObserveTime &observed)
+    {
+        prometheus::Histogram *&series = m_histograms[{observed.metric, observed.kind}];
+        if (!series) {
+            const prometheus::Histogram::BucketBoundaries bounds {
+                0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.5, 5};
+            series = &prometheus::BuildHistogram()
+                          .Name(fullName(observed.metric))
+                          .Register(m_registry)
+                          .Add({{"kind", observed.kind}}, bounds);
+        }
+        series->Observe(std::chrono::duration<double>(observed.time).count());
+    }
+
     void handle(SpanEnded span)
     {
         if (m_spans.size() == MaxSpans) {
@@ -90,15 +115,46 @@
         m_spans.push_back(std::move(span));
     }
 
-    void handle(StateChanged change)
+    void handle(const LogEvent &event)
+    {
+        if (m_budget.allows(event.event, event.weight == LogWeight::Important,
+                            m_kernel.executor().now())) {
+            write(event.event, event.request, event.text);
+        }
+    }
+
+    void write(std::string_view event, std::string_view request, std::string_view text) const
     {
-        BOOST_LOG_TRIVIAL(info) << m_self.name << ' ' << change.service << ": " << change.text;
+        const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+        std::string line = "timeMs=" + std::to_string(ms) + " daemon=" + m_self.name + " event=";
+        line += event;
+        if (!request.empty()) {
+            line += " request=";
+            line += request;
+        }
+        if (!text.empty()) {
+            line += ' ';
+            line += text;
+        }
+        writeLog(line);
+    }
+
+    void tellOmitted()
+    {
+        for (const OmittedLines &omitted : m_budget.takeOmitted()) {
+            write("log.omitted", "",
+                  "of=" + omitted.event + " lines=" + std::to_string(omitted.lines));
+            handle(CountEvent {"log_lines_omitted_total", omitted.event, double(omitted.lines)});
+        }
+        m_timer = m_kernel.executor().after(OmittedPeriod, [this] { tellOmitted(); });
     }
 
     void answerMetrics(const ControlRequest &request)
     {
         handle(SetGauge {"dropped_messages", "",
                          static_cast<double>(Internal::droppedMessages.load())});
+        handle(SetGauge {"log_lines_dropped", "", static_cast<double>(droppedLogLines())});
         request.reply(ControlAnswer {200, "text/plain; version=0.0.4",
                                      prometheus::TextSerializer().Serialize(m_registry.Collect())});
     }
@@ -109,11 +165,15 @@
         request.reply(ControlAnswer {200, "application/json", encodeSpans(spans, m_self.name)});
     }
 
+    Kernel &m_kernel;
     DaemonId m_self;
+    LogBudget m_budget;
     prometheus::Registry m_registry;
     std::map<SeriesKey, prometheus::Counter *> m_counters;
     std::map<SeriesKey, prometheus::Gauge *> m_gauges;
+    std::map<SeriesKey, prometheus::Histogram *> m_histograms;
     std::deque<SpanEnded> m_spans;
+    TimerId m_timer = 0;
     Mailbox<TelemetryMessage> m_mailbox;
     Mailbox<ControlRequest> m_metricsMailbox;
     Mailbox<ControlRequest> m_spansMailbox;
--- a/src/services/Telemetry.h
+++ b/src/services/Telemetry.h
@@ -1,4 +1,4 @@
-// The service "telemetry": metrics, spans and log lines about changes of state.
+// The service "telemetry": metrics, spans and log lines.
 #pragma once
 
 #include "decisions/Ids.h"
--- a/src/services/TelemetryMessages.h
+++ b/src/services/TelemetryMessages.h
@@ -29,6 +29,35 @@
     double value = 0;
 };
 
+/// \brief Adds a time to a histogram.
+struct ObserveTime
+{
+    /// Name without the prefix "coltsfootwell_"; a string literal.
+    std::string_view metric;
+    std::string kind;
+    Duration time {};
+};
+
+/// \brief How much a log line is missed when lines have to be left out.
+enum class LogWeight {
+    /// One of many of its kind.
+    Routine,
+    /// Needed to explain a failure.
+    Important,
+};
+
+/// \brief Writes one log line.
+struct LogEvent
+{
+    /// Name of the event; a string literal.
+    std::string_view event;
+    /// Id of the request that it is about; empty for none.
+    std::string request;
+    /// Further fields as "key=value key=value".
+    std::string text;
+    LogWeight weight = LogWeight::Important;
+};
+
 /// \brief A hop of a call has ended. Never sent for calls that must leave no trace here.
 struct SpanEnded
 {
@@ -47,14 +76,6 @@
     Duration elapsed {};
 };
 
-/// \brief Writes one log line about a change of state.
-struct StateChanged
-{
-    /// Name of the service whose state has changed.
-    std::string_view service;
-    std::string text;
-};
-
-using TelemetryMessage = std::variant<CountEvent, SetGauge, SpanEnded, StateChanged>;
+using TelemetryMessage = std::variant<CountEvent, SetGauge, ObserveTime, LogEvent, SpanEnded>;
 
 } // namespace Coltsfootwell
--- a/src/wire/AnnouncementJson.h
+++ b/src/wire/AnnouncementJson.h
@@ -1,6 +1,7 @@
 // What a backend server tells the daemon beside it, as JSON.
 #pragma once
 
+#include "decisions/BackendRegistration.h"
 #include "wire/JsonFault.h"
 
 #include <cstdint>
@@ -10,13 +11,6 @@
 
 namespace Coltsfootwell {
 
-enum class AnnouncedState {
-    /// Takes calls; treated as cold at first.
-    Ready,
-    /// Finishes what it has and leaves.
-    Draining,
-};
-
 /// \brief One announcement of a backend server.
 struct BackendAnnouncement
 {
--- a/src/wire/ConfigurationJson.cpp
+++ b/src/wire/ConfigurationJson.cpp
@@ -151,7 +151,10 @@
     reader.object("coldStart", [&](ObjectReader inner) {
         inner.number("initialSlots", rules.coldStart.initialSlots);
         inner.number("growAfterAnswers", rules.coldStart.growAfterAnswers);
+        inner.number("callsPerSecond", rules.coldStart.callsPerSecond);
+        inner.milliseconds("lastsMs", rules.coldStart.lasts);
     });
+    reader.text("healthPath", rules.healthPath);
     std::string isolation = "refuse";
     reader.text("whenIsolated", isolation);
     rules.whenIsolated = isolation == "serve" ? IsolationPolicy::Serve : IsolationPolicy::Refuse;
@@ -160,10 +163,23 @@
 Route readRoute(ObjectReader reader)
 {
     Route route;
+    reader.text("name", route.name);
+    reader.text("host", route.host);
     reader.text("prefix", route.prefix);
     reader.text("service", route.service);
+    reader.objectArray("split", [&](ObjectReader inner) {
+        WeightedService part;
+        inner.text("service", part.service);
+        inner.number("weight", part.weight);
+        route.split.push_back(std::move(part));
+    });
     reader.texts("idempotentMethods", route.idempotentMethods);
+    reader.boolean("idempotent", route.idempotent);
     reader.texts("homeRegions", route.homeRegions);
+    reader.milliseconds("timeoutMs", route.timeout);
+    reader.milliseconds("objectiveMs", route.objective);
+    reader.number("maxAttempts", route.maxAttempts);
+    reader.number("priority", route.priority);
     return route;
 }
 
@@ -186,10 +202,58 @@
             {"probesPerSecond", rules.probesPerSecond},
             {"coldStart",
              json::object {{"initialSlots", rules.coldStart.initialSlots},
-                           {"growAfterAnswers", rules.coldStart.growAfterAnswers}}},
+                           {"growAfterAnswers", rules.coldStart.growAfterAnswers},
+                           {"callsPerSecond", rules.coldStart.callsPerSecond},
+                           {"lastsMs", rules.coldStart.lasts.count()}}},
+            {"healthPath", rules.healthPath},
             {"whenIsolated", rules.whenIsolated == IsolationPolicy::Serve ? "serve" : "refuse"}};
 }
 
+json::object objectOf(const Route &route)
+{
+    json::object object {{"prefix", route.prefix},
+                         {"service", route.service},
+                         {"idempotentMethods", arrayOf(route.idempotentMethods)},
+                         {"homeRegions", arrayOf(route.homeRegions)}};
+    const Route usual;
+    if (!route.name.empty()) {
+        object["name"] = route.name;
+    }
+    if (!route.host.empty()) {
+        object["host"] = route.host;
+    }
+    if (!route.split.empty()) {
+        json::array &split = object["split"].emplace_array();
+        for (const WeightedService &part : route.split) {
+            split.emplace_back(json::object {{"service", part.service}, {"weight", part.weight}});
+        }
+    }
+    if (route.idempotent) {
+        object["idempotent"] = true;
+    }
+    if (route.timeout != usual.timeout) {
+        object["timeoutMs"] = route.timeout.count();
+    }
+    if (route.objective != usual.objective) {
+        object["objectiveMs"] = route.objective.count();
+    }
+    if (route.maxAttempts != usual.maxAttempts) {
+        object["maxAttempts"] = route.maxAttempts;
+    }
+    if (route.priority != usual.priority) {
+        object["priority"] = route.priority;
+    }
+    return object;
+}
+
+json::object objectOf(const RequestLimits &limits)
+{
+    return {{"headerBytes", limits.headerBytes},
+            {"bodyBytes", limits.bodyBytes},
+            {"headerTimeoutMs", limits.headerTimeout.count()},
+            {"idleTimeoutMs", limits.idleTimeout.count()}};
+}
+
 } // namespace
 
 Configuration decodeConfiguration(std::string_view text, JsonFault &fault, std::error_code &ec)
@@ -218,8 +282,8 @@
     });
     reader.objectArray(
         "routes", [&](ObjectReader inner) { configuration.routes.push_back(readRoute(inner)); });
-    reader.objects("tenants", [&](const std::string &name, ObjectReader inner) {
-        inner.texts("homeRegions", configuration.tenantRegions[name]);
+    reader.objects("customers", [&](const std::string &name, ObjectReader inner) {
+        inner.texts("homeRegions", configuration.customerRegions[name]);
     });
     reader.texts("drained", configuration.drained);
     reader.object("limits", [&](ObjectReader inner) {
@@ -227,6 +291,12 @@
         inner.number("regionLinkBytesPerSecond", configuration.limits.regionLinkBytesPerSecond);
         inner.milliseconds("freshnessMs", configuration.limits.freshness);
     });
+    reader.object("requests", [&](ObjectReader inner) {
+        inner.number("headerBytes", configuration.requests.headerBytes);
+        inner.number("bodyBytes", configuration.requests.bodyBytes);
+        inner.milliseconds("headerTimeoutMs", configuration.requests.headerTimeout);
+        inner.milliseconds("idleTimeoutMs", configuration.requests.idleTimeout);
+    });
     if (!fault.rule.empty()) {
         ec = WireError::BadField;
     }
@@ -248,20 +318,18 @@
     }
     json::array &routes = document["routes"].emplace_array();
     for (const Route &route : configuration.routes) {
-        routes.emplace_back(json::object {{"prefix", route.prefix},
-                                          {"service", route.service},
-                                          {"idempotentMethods", arrayOf(route.idempotentMethods)},
-                                          {"homeRegions", arrayOf(route.homeRegions)}});
+        routes.emplace_back(objectOf(route));
     }
-    json::object &tenants = document["tenants"].emplace_object();
-    for (const auto &[name, regions] : configuration.tenantRegions) {
-        tenants[name] = json::object {{"homeRegions", arrayOf(regions)}};
+    json::object &customers = document["customers"].emplace_object();
+    for (const auto &[name, regions] : configuration.customerRegions) {
+        customers[name] = json::object {{"homeRegions", arrayOf(regions)}};
     }
     document["drained"] = arrayOf(configuration.drained);
     document["limits"]
         = json::object {{"retryShare", configuration.limits.retryShare},
                         {"regionLinkBytesPerSecond", configuration.limits.regionLinkBytesPerSecond},
                         {"freshnessMs", configuration.limits.freshness.count()}};
+    document["requests"] = objectOf(configuration.requests);
     return json::serialize(document);
 }
 
--- a/src/wire/ConfigurationSchema.cpp
+++ b/src/wire/ConfigurationSchema.cpp
@@ -76,14 +76,33 @@
         "required": ["prefix", "service"],
         "additionalProperties": false,
         "properties": {
+          "name": {"type": "string"},
+          "host": {"type": "string"},
           "prefix": {"type": "string", "minLength": 1},
           "service": {"type": "string", "minLength": 1},
+          "split": {
+            "type": "array",
+            "items": {
+              "type": "object",
+              "required": ["service", "weight"],
+              "additionalProperties": false,
+              "properties": {
+                "service": {"type": "string", "minLength": 1},
+                "weight": {"type": "number", "exclusiveMinimum": 0}
+              }
+            }
+          },
+          "idempotent": {"type": "boolean"},
+          "timeoutMs": {"type": "integer", "minimum": 0, "maximum": 600000},
+          "objectiveMs": {"type": "integer", "minimum": 0, "maximum": 600000},
+          "maxAttempts": {"type": "integer", "minimum": 1, "maximum": 10},
+          "priority": {"type": "integer", "minimum": 0, "maximum": 100},
           "idempotentMethods": {"$ref": "#/definitions/names"},
           "homeRegions": {"$ref": "#/definitions/names"}
         }
       }
     },
-    "tenants": {
+    "customers": {
       "type": "object",
       "additionalProperties": {
         "type": "object",
@@ -92,6 +111,16 @@
       }
     },
     "drained": {"$ref": "#/definitions/names"},
+    "requests": {
+      "type": "object",
+      "additionalProperties": false,
+      "properties": {
+        "headerBytes": {"type": "integer", "minimum": 1024, "maximum": 1048576},
+        "bodyBytes": {"type": "integer", "minimum": 0, "maximum": 67108864},
+        "headerTimeoutMs": {"type": "integer", "minimum": 1, "maximum": 600000},
+        "idleTimeoutMs": {"type": "integer", "minimum": 1, "maximum": 3600000}
+      }
+    },
     "limits": {
       "type": "object",
       "additionalProperties": false,
@@ -116,19 +145,26 @@
     "id": {"type": "string", "minLength": 1},
     "region": {"type": "string", "minLength": 1},
     "dataCentre": {"type": "string", "minLength": 1},
+    "dataCentres": {"type": "object", "additionalProperties": {"type": "string"}},
+    "interface": {"type": "string", "enum": ["own", "platform"]},
+    "service": {"type": "string"},
     "listen": {"$ref": "#/definitions/endpoint"},
-    "advertise": {"$ref": "#/definitions/endpoint"},
+    "peers": {"$ref": "#/definitions/endpoint"},
+    "ready": {"$ref": "#/definitions/endpoint"},
+    "registration": {"$ref": "#/definitions/endpoint"},
+    "admin": {"$ref": "#/definitions/endpoint"},
     "seeds": {"type": "array", "items": {"$ref": "#/definitions/endpoint"}},
     "configurationFile": {"type": "string"},
-    "log": {
+    "store": {"$ref": "#/definitions/endpoint"},
+    "drainSeconds": {"type": "number", "minimum": 0},
+    "graceSeconds": {"type": "number", "exclusiveMinimum": 0},
+    "retries": {
       "type": "object",
       "additionalProperties": false,
       "properties": {
-        "address": {"$ref": "#/definitions/endpoint"},
-        "embedded": {"type": "boolean"},
-        "listen": {"$ref": "#/definitions/endpoint"},
-        "retentionSeconds": {"type": "integer", "minimum": 1},
-        "retentionRecords": {"type": "integer", "minimum": 0}
+        "ratio": {"type": "number", "minimum": 0, "maximum": 1},
+        "slack": {"type": "number", "minimum": 0},
+        "windowSeconds": {"type": "number", "exclusiveMinimum": 0}
       }
     }
   }
--- a/src/wire/ServerLoadJson.cpp
+++ b/src/wire/ServerLoadJson.cpp
@@ -27,9 +27,9 @@
 
 } // namespace
 
-ServerLoad decodeServerLoad(std::string_view text, std::error_code &ec)
+ServerReport decodeServerReport(std::string_view text, std::error_code &ec)
 {
-    ServerLoad load;
+    ServerReport load;
     ec.clear();
     boost::system::error_code parseError;
     const json::value document
--- a/src/wire/ServerLoadJson.h
+++ b/src/wire/ServerLoadJson.h
@@ -14,7 +14,7 @@
 constexpr std::string_view LoadEndpointPath = "/load";
 
 /// \brief What a backend server says of itself. It may lag or mislead.
-struct ServerLoad
+struct ServerReport
 {
     /// Warm for a server that is ready.
     BackendState state = BackendState::Warm;
@@ -24,6 +24,6 @@
 /// \brief Decodes {"state": "ready|cold|draining", "inUse": n}.
 /// \param text JSON text.
 /// \param ec WireError::BadJson or WireError::BadField, or cleared.
-ServerLoad decodeServerLoad(std::string_view text, std::error_code &ec);
+ServerReport decodeServerReport(std::string_view text, std::error_code &ec);
 
 } // namespace Coltsfootwell
--- a/standin/BackendWorker.cpp
+++ b/standin/BackendWorker.cpp
@@ -35,7 +35,7 @@
 constexpr std::size_t ReadBufferBytes = 64 * 1024;
 
 /// Headers that a nested call passes on; the key belongs to the outer call alone.
-constexpr std::array PassedHeaders {Header::HomeRegions, Header::Tenant, Header::Depth,
+constexpr std::array PassedHeaders {Header::HomeRegions, Header::Customer, Header::Depth,
                                     Header::TraceParent};
 
 TimePoint now()
--- a/test/correctness/RetriesMultiplyLoad.cpp
+++ b/test/correctness/RetriesMultiplyLoad.cpp
@@ -38,7 +38,7 @@
     CHECK(taken == 10);
 }
 
-TEST_CASE("a spent bucket is not forgotten for a new tenant")
+TEST_CASE("a spent bucket is not forgotten for a new customer")
 {
     RetryBudget budget;
     for (std::size_t i = 0; i < RetryBudget::MaxBuckets + 10; ++i) {
@@ -46,5 +46,5 @@
     }
     CHECK(budget.size() <= RetryBudget::MaxBuckets + 1);
     CHECK_FALSE(budget.take("s", "0"));
-    CHECK_FALSE(budget.take("s", "another new tenant"));
+    CHECK_FALSE(budget.take("s", "another new customer"));
 }
--- a/test/error/CallLeavesHome.cpp
+++ b/test/error/CallLeavesHome.cpp
@@ -1,4 +1,4 @@
-// Guards against a call that is served outside the home regions of its route, its tenant or its
+// Guards against a call that is served outside the home regions of its route, its customer or its
 // caller, and against work that a daemon must refuse before it looks for a target.
 #include "services/CallRules.h"
 
@@ -15,7 +15,7 @@
     Configuration result;
     result.services["s"].maxBodyBytes = 10;
     result.routes.push_back({"/s", "s", {"GET"}, {"klang", "penang"}});
-    result.tenantRegions["north"] = {"penang"};
+    result.customerRegions["north"] = {"penang"};
     return result;
 }
 
@@ -40,11 +40,11 @@
 
 } // namespace
 
-TEST_CASE("the home regions of route, tenant and caller all count")
+TEST_CASE("the home regions of route, customer and caller all count")
 {
     SubmitCall plain = call();
     CHECK_FALSE(refusalOf(plain, configuration()));
-    plain.envelope.tenant = "north";
+    plain.envelope.customer = "north";
     CHECK(refusalOf(plain, configuration()) == Reason::OutsideHomeRegions);
 
     SubmitCall labelled = call();
@@ -60,7 +60,7 @@
 TEST_CASE("regions that have nothing in common allow none, also with a third list")
 {
     SubmitCall none = call();
-    none.envelope.tenant = "north";
+    none.envelope.customer = "north";
     none.envelope.homeRegions = {"klang"};
     CHECK(refusalOf(none, configuration()) == Reason::OutsideHomeRegions);
 }
