Refusals of a backend server draw on the retry budget; a stopping daemon closes its listener first

Change: a refusal that comes from the server itself takes a token before the call is placed again; callers' listener closes after the leave time, and daemon services stop only when runs and answers have ended. Ruled out: fewer hedges (the arrivals were answers 503 of the servers, not second runs).

--- a/src/decisions/BackendHealth.cpp
+++ b/src/decisions/BackendHealth.cpp
@@ -42,6 +42,7 @@
         break;
     case RunEnd::Shed:
         m_unreachable = 0;
+        learnFailure(1, now);
         break;
     case RunEnd::Unjudged:
         break;
--- a/src/decisions/CallFlow.cpp
+++ b/src/decisions/CallFlow.cpp
@@ -1,6 +1,7 @@
 #include "decisions/CallFlow.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Coltsfootwell {
 
@@ -37,7 +38,7 @@
 }
 
 std::span<const CallAction> CallFlow::refused(const AttemptId &attempt, Reason reason,
-                                              TimePoint now)
+                                              bool byServer, TimePoint now)
 {
     m_actions.clear();
     Attempt *it = find(attempt);
@@ -46,6 +47,7 @@
     }
     it->lifecycle.process(AttemptEvent::Refused);
     m_lastReason = reason;
+    m_repeats = m_repeats || byServer;
     m_excluded.push_back(it->target.daemon);
     if (anyOpen()) {
         return finish();
@@ -142,6 +144,10 @@
 {
     const Placement::Choice choice = m_parts.placement.pick(m_facts, m_excluded, now);
     if (const auto *placed = std::get_if<PlacedAttempt>(&choice)) {
+        if (std::exchange(m_repeats, false) && !m_parts.budget.take(m_facts.service, now)) {
+            refuse(Reason::RetryBudget);
+            return;
+        }
         send(*placed, cause, now);
     } else {
         pause(std::get<Reason>(choice), now);
--- a/src/decisions/CallFlow.h
+++ b/src/decisions/CallFlow.h
@@ -92,7 +92,10 @@
     CallFlow(CallFacts facts, const CallFlowParts &parts);
 
     std::span<const CallAction> begin(TimePoint now);
-    std::span<const CallAction> refused(const AttemptId &attempt, Reason reason, TimePoint now);
+    /// \param byServer true when the backend server itself has refused; another attempt then draws
+    /// on the retry budget.
+    std::span<const CallAction> refused(const AttemptId &attempt, Reason reason, bool byServer,
+                                        TimePoint now);
     std::span<const CallAction> lost(const AttemptId &attempt, TimePoint now);
     /// \param good false for a failure of the backend server.
     std::span<const CallAction> answered(const AttemptId &attempt, bool good, TimePoint now);
@@ -139,6 +142,8 @@
     std::optional<TimePoint> m_placeAt;
     /// A failure of a backend server, delivered when nothing better comes.
     std::optional<AttemptId> m_failedAnswer;
+    /// The next attempt is a repeat for the service, although the last one has not run.
+    bool m_repeats = false;
     Reason m_lastReason = Reason::Overloaded;
     bool m_finished = false;
 };
--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -31,6 +31,7 @@
 /// How often the need for a probe is looked at.
 constexpr milliseconds ProbeCheck {20};
 constexpr milliseconds IdleProbeCheck {100};
+constexpr milliseconds StopCheck {20};
 /// Longest idle time of a connection for calls that may be sent again.
 constexpr Duration MaxIdleIdempotent = seconds(10);
 /// A server may forget an idle connection without notice, and what is sent then is lost.
@@ -107,6 +108,12 @@
 
     void stop(Task done) override
     {
+        if (!m_runs.empty()) {
+            // Runs of other daemons' callers end first.
+            m_kernel.executor().after(StopCheck,
+                                      [this, done = std::move(done)] { stop(done); });
+            return;
+        }
         for (const TimerId timer : {m_tickTimer, m_queueTimer, m_probeTimer}) {
             m_kernel.executor().cancel(timer);
         }
@@ -286,7 +293,7 @@
         if (verdict != RunVerdict::Start) {
             verdict == RunVerdict::AlreadyStarted
                 ? run.reply(AttemptLost {loadReport()})
-                : run.reply(AttemptRefused {Reason::Cancelled, loadReport()});
+                : run.reply(AttemptRefused {Reason::Cancelled, loadReport(), false});
             return;
         }
         auto reason = m_state.refusalOf(run, now());
@@ -321,13 +328,14 @@
         report();
     }
 
-    void refuse(const RunAttempt &run, Reason reason)
+    void refuse(const RunAttempt &run, Reason reason, bool byServer = false)
     {
         m_ledger.refused(run.attempt);
         m_telemetry.send(CountEvent {"runs_refused_total", std::string(reasonName(reason))});
         m_telemetry.send(LogEvent {"run.refused", run.call.requestId,
-                                   "reason=" + std::string(reasonName(reason)) + loadText()});
-        run.reply(AttemptRefused {reason, loadReport()});
+                                   "reason=" + std::string(reasonName(reason)) + " byServer="
+                                       + (byServer ? "yes" : "no") + loadText()});
+        run.reply(AttemptRefused {reason, loadReport(), byServer});
     }
 
     std::string loadText() const
@@ -496,8 +504,8 @@
             break;
         }
         if (outcome.marks.notRun || outcome.marks.otherInstance) {
-            refuse(attempt, outcome.marks.otherInstance ? Reason::WrongInstance
-                                                        : Reason::Overloaded);
+            refuse(attempt,
+                   outcome.marks.otherInstance ? Reason::WrongInstance : Reason::Overloaded, true);
             return;
         }
         if (!outcome.marks.trusted) {
--- a/src/services/CallMessages.h
+++ b/src/services/CallMessages.h
@@ -31,11 +31,13 @@
 /// \brief A whole body; null for none.
 using BodyPtr = std::shared_ptr<const std::string>;
 
-/// \brief The serving daemon refused; no byte went to the backend server.
+/// \brief The call has not run and never will at this serving daemon.
 struct AttemptRefused
 {
     Reason reason = Reason::Overloaded;
     std::optional<LoadReport> load;
+    /// True when the backend server itself has refused, which is load for it.
+    bool byServer = false;
 };
 
 /// \brief No answer came, and the call may have run.
--- a/src/services/Callers.cpp
+++ b/src/services/Callers.cpp
@@ -64,11 +64,19 @@
     void stop(Task done) override
     {
         m_context->leaving = true;
-        m_done = std::move(done);
         for (SessionHandle *session : std::set(m_context->sessions)) {
             session->close();
         }
-        closeWhenIdle();
+        // Connections that wait in the accept queue are served too: closing the listening socket
+        // would reset them.
+        acceptWaiting();
+        boost::system::error_code ec;
+        m_acceptor.close(ec);
+        if (m_context->sessions.empty()) {
+            done();
+        } else {
+            m_context->stopped = std::move(done);
+        }
     }
 
 private:
@@ -77,20 +85,6 @@
         m_context->leaving = phase != StopPhase::Running;
     }
 
-    /// Connections that wait in the accept queue are served too: closing the listening socket would
-    /// reset them.
-    void closeWhenIdle()
-    {
-        acceptWaiting();
-        if (!m_context->sessions.empty()) {
-            m_context->stopped = [this] { closeWhenIdle(); };
-            return;
-        }
-        boost::system::error_code ec;
-        m_acceptor.close(ec);
-        std::exchange(m_done, nullptr)();
-    }
-
     void acceptWaiting()
     {
         boost::system::error_code ec;
@@ -128,7 +122,6 @@
     CallersSettings m_settings;
     tcp::acceptor m_acceptor;
     std::shared_ptr<SessionContext> m_context;
-    Task m_done;
     Mailbox<ConfigurationChanged> m_configurationMailbox;
     Mailbox<StopPhaseChanged> m_stopMailbox;
 };
--- a/src/services/Calls.cpp
+++ b/src/services/Calls.cpp
@@ -309,7 +309,8 @@
             if (refused->reason == Reason::Unreachable) {
                 m_placement.unreachable(state.attempts[id].target.daemon, now());
             }
-            perform(number, state.flow->refused(id, refused->reason, now()));
+            perform(number,
+                    state.flow->refused(id, refused->reason, refused->byServer, now()));
         } else {
             perform(number, state.flow->lost(id, now()));
         }
--- a/src/services/LinkClient.cpp
+++ b/src/services/LinkClient.cpp
@@ -240,7 +240,7 @@
     for (const auto &[id, onWire] : ended) {
         finish(*peer, id,
                onWire ? AttemptResult(AttemptLost {})
-                      : AttemptResult(AttemptRefused {Reason::Unreachable, {}}));
+                      : AttemptResult(AttemptRefused {Reason::Unreachable, {}, false}));
     }
     if (peer->sent.empty()) {
         peer->brokenSince.reset();
@@ -279,7 +279,7 @@
                                 std::make_shared<const std::string>(std::move(answer->body)),
                                 answer->failure, frame.load});
     } else if (const auto *refusal = std::get_if<RefusalFrame>(&frame.body)) {
-        finish(*peer, frame.attempt, AttemptRefused {refusal->reason, frame.load});
+        finish(*peer, frame.attempt, AttemptRefused {refusal->reason, frame.load, refusal->byServer});
     } else if (std::holds_alternative<LostFrame>(frame.body)) {
         finish(*peer, frame.attempt, AttemptLost {frame.load});
     }
--- a/src/services/LinkServer.cpp
+++ b/src/services/LinkServer.cpp
@@ -191,7 +191,7 @@
         if (started.value_or(true)) {
             client->connection->send({attempt, {}, LostFrame {}});
         } else {
-            client->connection->send({attempt, {}, RefusalFrame {Reason::Unreachable}});
+            client->connection->send({attempt, {}, RefusalFrame {Reason::Unreachable, false}});
         }
     });
     m_parts.toBackend(std::move(revoke));
@@ -227,7 +227,7 @@
                                   answered->failure};
     } else if (const auto *refused = std::get_if<AttemptRefused>(&result)) {
         frame.load = refused->load;
-        frame.body = RefusalFrame {refused->reason};
+        frame.body = RefusalFrame {refused->reason, refused->byServer};
     } else {
         frame.load = std::get<AttemptLost>(result).load;
         frame.body = LostFrame {};
--- a/src/services/Links.cpp
+++ b/src/services/Links.cpp
@@ -15,6 +15,8 @@
 
 using namespace Internal;
 
+constexpr std::chrono::milliseconds FlushTime {100};
+
 class Links final : public Service
 {
 public:
@@ -64,9 +66,12 @@
         m_kernel.executor().cancel(m_timer);
         boost::system::error_code ec;
         m_acceptor.close(ec);
-        m_client.stop();
-        m_server->stop();
-        done();
+        // The last answers are still being written.
+        m_kernel.executor().after(FlushTime, [this, done = std::move(done)] {
+            m_client.stop();
+            m_server->stop();
+            done();
+        });
     }
 
 private:
--- a/src/wire/LinkCodec.cpp
+++ b/src/wire/LinkCodec.cpp
@@ -109,6 +109,7 @@
     void operator()(const RefusalFrame &frame) const
     {
         wire.mutable_refusal()->set_reason(static_cast<std::uint32_t>(frame.reason));
+        wire.mutable_refusal()->set_by_server(frame.byServer);
     }
 
     void operator()(const LostFrame &) const { wire.set_lost(true); }
@@ -189,7 +190,8 @@
             ec = WireError::BadFrame;
             break;
         }
-        frame.body = RefusalFrame {static_cast<Reason>(wire.refusal().reason())};
+        frame.body = RefusalFrame {static_cast<Reason>(wire.refusal().reason()),
+                                   wire.refusal().by_server()};
         break;
     case Wire::Frame::kLost:
         frame.body = LostFrame {};
--- a/src/wire/LinkFrame.h
+++ b/src/wire/LinkFrame.h
@@ -71,6 +71,8 @@
 struct RefusalFrame
 {
     Reason reason = Reason::Overloaded;
+    /// True when the backend server itself has refused.
+    bool byServer = false;
 };
 
 /// \brief The call may have run, and there is no answer.
