Smaller part of the retry ratio; a leaving daemon reads no further pipelined request

Change: 0.4 of the allowed ratio is spent instead of 0.6. While the daemon leaves, a request that arrives behind others on its connection is not read, and the last answer closes the connection. Ruled out: cancelling the pending read (it would cancel a write of the same socket too).

--- a/src/decisions/RetryBudget.h
+++ b/src/decisions/RetryBudget.h
@@ -28,7 +28,7 @@
 {
 public:
     /// Part of the allowed ratio that is spent; the rest covers calls that repeated runs make.
-    static constexpr double RatioUsed = 0.6;
+    static constexpr double RatioUsed = 0.4;
     /// Part of the allowed slack that is spent.
     static constexpr double SlackUsed = 0.6;
 
--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -194,8 +194,11 @@
 
     void accepted(http::request<http::string_body> message)
     {
-        if (m_closeAfter) {
-            // The caller learns from the closing answer that this request was not read.
+        const bool leaving = m_closing || m_context->leaving;
+        if (m_closeAfter || (leaving && !m_exchanges.empty())) {
+            // The caller learns from the closing answer that this request was not read. A caller
+            // that always has a further request under way would otherwise never be let go.
+            m_readEnded = true;
             return;
         }
         auto exchange = std::make_shared<Exchange>();
@@ -335,7 +338,7 @@
             const std::shared_ptr<Exchange> exchange = m_exchanges.front();
             m_exchanges.pop_front();
             // Requests behind a closing answer count as unread, so only the last answer closes.
-            const bool last = m_exchanges.empty() && m_buffer.size() == 0;
+            const bool last = m_exchanges.empty() && (m_readEnded || m_buffer.size() == 0);
             close = !exchange->keepAlive || (last && (m_closing || m_context->leaving));
             m_out += exchange->answer(*exchange, !close);
         }
