--- a/src/decisions/Guards.h
+++ b/src/decisions/Guards.h
@@ -16,6 +16,8 @@
     bool (*provesNotRun)(AttemptState state);
     /// Does a serving daemon refuse a run that it has promised never to start?
     bool (*honoursTombstones)();
+    /// May a process tell of an attempt that was sent to the named process?
+    bool (*isForThisProcess)(Incarnation named, Incarnation self);
 };
 
 /// \brief All rules in force; the only table that the daemon uses.
@@ -25,6 +27,7 @@
         return state == AttemptState::Unsent || state == AttemptState::NotRun;
     },
     [] { return true; },
+    [](Incarnation named, Incarnation self) { return named == self; },
 };
 
 } // namespace Coltsfootwell
--- a/src/decisions/Member.h
+++ b/src/decisions/Member.h
@@ -26,7 +26,7 @@
     Gone,
 };
 
-/// \brief IPv4 or IPv6 address with the port that a daemon uses for TCP and UDP.
+/// \brief IPv4 or IPv6 address with a port.
 struct Endpoint
 {
     std::string address;
@@ -43,6 +43,8 @@
     std::uint64_t sequence = 0;
     MemberState state = MemberState::Alive;
     Endpoint endpoint;
+    /// Port at which callers reach the daemon at the same address.
+    std::uint16_t callerPort = 0;
     std::string region;
     std::string dataCentre;
     /// Empty when no backend server has announced itself.
--- a/src/decisions/ProbePlan.cpp
+++ b/src/decisions/ProbePlan.cpp
@@ -6,7 +6,11 @@
 
 TimePoint ProbePlan::next(const ProbeNeed &need) const
 {
-    constexpr Duration LeastGap = std::chrono::milliseconds(1000) / MaxPerSecond;
+    if (m_perSecond <= 0) {
+        return TimePoint::max();
+    }
+    const auto leastGap = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(1 / m_perSecond));
     Duration age = IdleAge;
     if (need.cold) {
         age = ColdAge;
@@ -18,9 +22,9 @@
         age = std::min<Duration>(age, SlowAge);
     }
     if (need.down) {
-        return m_lastSent + DownAge;
+        return m_lastSent + std::max<Duration>(leastGap, DownAge);
     }
-    return std::max(m_lastSent + LeastGap, need.speedKnownAt + age);
+    return std::max(m_lastSent + leastGap, need.speedKnownAt + age);
 }
 
 void ProbePlan::sent(TimePoint now)
--- a/src/decisions/ProbePlan.h
+++ b/src/decisions/ProbePlan.h
@@ -34,8 +34,9 @@
     static constexpr std::chrono::milliseconds ColdAge {400};
     /// Age after which an idle server is asked whether it is well.
     static constexpr std::chrono::milliseconds IdleAge {1500};
-    /// Most probes in one second.
-    static constexpr unsigned MaxPerSecond = 12;
+
+    /// \param perSecond most probes in one second; 0 for none.
+    void limitChanged(double perSecond) { m_perSecond = perSecond; }
 
     /// \return time of the next probe.
     TimePoint next(const ProbeNeed &need) const;
@@ -44,6 +45,7 @@
     void sent(TimePoint now);
 
 private:
+    double m_perSecond = 2;
     TimePoint m_lastSent {};
 };
 
--- a/src/decisions/RetryBudget.h
+++ b/src/decisions/RetryBudget.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "decisions/RetryStrategy.h"
+#include "kernel/Random.h"
 #include "kernel/Time.h"
 
 #include <string>
@@ -20,7 +21,7 @@
     std::chrono::milliseconds window {10'000};
 };
 
-/// \brief One daemon's part of the budget: a token bucket for each service.
+/// \brief One daemon's part of the budget: tokens for each service, which expire with the window.
 ///
 /// Load pattern: a service whose servers all fail; every daemon retries at the same moment, and the
 /// calls that a repeated run makes count as repeats again.
@@ -29,11 +30,17 @@
 public:
     /// Part of the allowed ratio that is spent; the rest covers calls that repeated runs make.
     static constexpr double RatioUsed = 0.4;
-    /// Part of the allowed slack that is spent.
-    static constexpr double SlackUsed = 0.6;
+    /// Part of the allowed slack that is spent. What was saved up in one window may be spent in the
+    /// next, so that twice this part can come together.
+    static constexpr double SlackUsed = 0.4;
 
+    /// \param random decides on parts of a repeat: the share of one of many daemons may be less
+    /// than one repeat in a window. Outlives the object.
     /// \param limits bounds of all daemons together.
-    explicit RetryBudget(RetryLimits limits = {}) : m_limits(limits) { }
+    explicit RetryBudget(Random &random, RetryLimits limits = {})
+        : m_random(random), m_limits(limits)
+    {
+    }
 
     /// \param limits replace the earlier ones.
     void limitsChanged(RetryLimits limits) { m_limits = limits; }
@@ -56,8 +63,7 @@
     };
 
     Bucket &bucket(std::string_view service, TimePoint now);
-    double capacity() const;
-
+    Random &m_random;
     RetryLimits m_limits;
     std::size_t m_daemons = 1;
     std::unordered_map<std::string, Bucket> m_buckets;
--- a/src/decisions/RunLedger.cpp
+++ b/src/decisions/RunLedger.cpp
@@ -2,7 +2,7 @@
 
 namespace Coltsfootwell {
 
-RunLedger::RunLedger(const Guards &guards) : m_guards(guards)
+RunLedger::RunLedger(Incarnation self, const Guards &guards) : m_self(self), m_guards(guards)
 {
 }
 
@@ -17,8 +17,11 @@
     return RunVerdict::Start;
 }
 
-RevokeVerdict RunLedger::revoke(const AttemptId &attempt)
+RevokeVerdict RunLedger::revoke(const AttemptId &attempt, Incarnation sentTo)
 {
+    if (!m_guards.isForThisProcess(sentTo, m_self)) {
+        return RevokeVerdict::CannotRevoke;
+    }
     if (const auto it = m_entries.find(attempt); it != m_entries.end()) {
         return it->second == Entry::Started ? RevokeVerdict::Started : RevokeVerdict::NeverStarts;
     }
--- a/src/decisions/RunLedger.h
+++ b/src/decisions/RunLedger.h
@@ -26,7 +26,8 @@
     /// The attempt will never start in this incarnation.
     NeverStarts,
     Started,
-    /// The table of tombstones is full, so nothing can be promised.
+    /// The attempt was sent to another process, or the table of tombstones is full, so that nothing
+    /// can be promised.
     CannotRevoke,
 };
 
@@ -39,14 +40,16 @@
     static constexpr unsigned RetentionTicks = 120;
     static constexpr std::size_t MaxTombstones = 100'000;
 
+    /// \param self this process.
     /// \param guards rules in force; outlives the object.
-    explicit RunLedger(const Guards &guards = FullGuards);
+    explicit RunLedger(Incarnation self, const Guards &guards = FullGuards);
 
     /// \brief Decides on a run message and records the start.
     RunVerdict run(const AttemptId &attempt);
 
     /// \brief Tells whether an attempt has started; one that has not never will.
-    RevokeVerdict revoke(const AttemptId &attempt);
+    /// \param sentTo process that the attempt was sent to; 0 when the sender does not know.
+    RevokeVerdict revoke(const AttemptId &attempt, Incarnation sentTo);
 
     /// \brief Withdraws a start that was refused before a byte went to the backend server.
     /// \param attempt the attempt; it stays refused for good.
@@ -72,6 +75,7 @@
 
     void remember(const AttemptId &attempt, Entry entry);
 
+    Incarnation m_self;
     const Guards &m_guards;
     std::unordered_map<AttemptId, Entry> m_entries;
     std::deque<Expiry> m_expiries;
--- a/src/programs/Daemon.cpp
+++ b/src/programs/Daemon.cpp
@@ -26,7 +26,8 @@
 constexpr std::uint64_t IncarnationsPerMillisecond = 65'536;
 /// A leaving backend server gets calls for this part of the time that it allows.
 constexpr double DrainShare = 0.6;
-/// Part of the time of a planned stop in which callers and peers learn of it.
+/// Time in which callers and peers learn of a planned stop, and its largest part of the whole stop.
+constexpr milliseconds LeaveTime {3000};
 constexpr double LeaveShare = 0.45;
 /// The stop ends this long before the daemon would be killed.
 constexpr milliseconds GraceMargin {400};
@@ -80,15 +81,16 @@
     MembershipSettings membership;
     membership.self.id = id;
     membership.listen = settings.peers;
-    membership.self.endpoint = settings.peers;
+    membership.self.endpoint = settings.advertise;
+    membership.self.callerPort = settings.listen.port;
     membership.self.region = settings.region;
     membership.self.dataCentre = settings.dataCentre;
     membership.seeds = settings.seeds;
     membership.conflict = std::move(events.conflict);
 
     // Services stop in reverse order: callers first, what carries their answers last.
-    kernel.add(makeStop(kernel, {part(settings.grace, LeaveShare), settings.grace - GraceMargin,
-                                 std::move(events.left)}));
+    kernel.add(makeStop(kernel, {std::min(LeaveTime, part(settings.grace, LeaveShare)),
+                                 settings.grace - GraceMargin, std::move(events.left)}));
     kernel.add(makeTelemetry(kernel, id));
     if (settings.admin) {
         kernel.add(makeControlListener(kernel, context, {"admin", *settings.admin}));
@@ -100,9 +102,11 @@
     kernel.add(makeLinks(kernel, context, {settings.peers, id}));
     kernel.add(makeConfiguration(
         kernel, store(),
-        {interface.format, settings.dataCentres, settings.configurationFile}));
+        {interface.format, settings.dataCentres, settings.configurationFile,
+         strategies.configurationFilter}));
     if (settings.store) {
-        kernel.add(makeDaemonRecords(kernel, store(), id, settings.peers));
+        kernel.add(makeDaemonRecords(kernel, store(), id,
+                                     {settings.advertise, settings.listen}));
     }
     kernel.add(makeBackend(
         kernel, context,
@@ -112,7 +116,7 @@
         kernel.add(makeControlListener(kernel, context, {"registration", *settings.registration}));
     }
     kernel.add(makeCalls(kernel, {place, settings.service, settings.retries, strategies.guards}));
-    kernel.add(makeDaemonList(kernel));
+    kernel.add(makeDaemonList(kernel, place));
     kernel.add(makeCallers(kernel, context,
                            {settings.listen, id, interface.dialect, interface.servesControl}));
 }
--- a/src/programs/Daemon.h
+++ b/src/programs/Daemon.h
@@ -48,6 +48,8 @@
 struct DaemonStrategies
 {
     const Guards *guards = &FullGuards;
+    /// Changes the configuration before it comes into force; null for no change.
+    void (*configurationFilter)(Configuration &) = nullptr;
     /// False ends the process at a signal without a planned stop.
     bool plannedStop = true;
 };
--- a/src/programs/DaemonSettings.cpp
+++ b/src/programs/DaemonSettings.cpp
@@ -118,6 +118,7 @@
     const auto nextPort = static_cast<std::uint16_t>(settings.listen.port + 1);
     settings.peers
         = reader.endpoint("peers").value_or(Endpoint {settings.listen.address, nextPort});
+    settings.advertise = reader.endpoint("advertise").value_or(settings.peers);
     settings.ready = reader.endpoint("ready");
     settings.registration = reader.endpoint("registration");
     settings.admin = reader.endpoint("admin");
--- a/src/programs/DaemonSettings.h
+++ b/src/programs/DaemonSettings.h
@@ -31,6 +31,8 @@
     Endpoint listen;
     /// TCP and UDP address for other daemons; the port after `listen` unless settings say otherwise.
     Endpoint peers;
+    /// Where other daemons reach this one; the same as `peers` unless settings say otherwise.
+    Endpoint advertise;
     /// HTTP addresses for health checks, heartbeats, and metrics; none when empty.
     std::optional<Endpoint> ready;
     std::optional<Endpoint> registration;
--- a/src/programs/LoadMix.cpp
+++ b/src/programs/LoadMix.cpp
@@ -60,20 +60,6 @@
     return ec || n == 0 ? "must be a number of ms from 1" : "";
 }
 
-std::string_view readKey(const json::value &value, LoadCall &call)
-{
-    static constexpr std::array<std::pair<std::string_view, KeySource>, 3> Names {
-        {{"none", KeySource::None}, {"daemon", KeySource::Daemon}, {"caller", KeySource::Caller}}};
-    const std::string_view text
-        = value.is_string() ? std::string_view(value.get_string()) : std::string_view();
-    const auto *it = std::ranges::find(Names, text, &std::pair<std::string_view, KeySource>::first);
-    if (it == Names.end()) {
-        return "must be \"none\", \"daemon\" or \"caller\"";
-    }
-    call.key = it->second;
-    return {};
-}
-
 std::string_view readRepeats(const json::value &value, LoadCall &call)
 {
     boost::system::error_code ec;
@@ -88,7 +74,6 @@
     FieldRow {"path", readPath},
     FieldRow {"bodyBytes", readBody},
     FieldRow {"deadlineMs", readDeadline},
-    FieldRow {"key", readKey},
     FieldRow {"repeats", readRepeats},
     FieldRow {"homeRegions", readText<&LoadCall::homeRegions>},
     FieldRow {"customer", readText<&LoadCall::customer>},
--- a/src/programs/LoadMix.h
+++ b/src/programs/LoadMix.h
@@ -12,14 +12,6 @@
 
 namespace Coltsfootwell {
 
-/// \brief Who makes the idempotency key of a call.
-enum class KeySource {
-    None,
-    /// POST /coltsfootwell/keys at the daemon, right before the call.
-    Daemon,
-    Caller,
-};
-
 /// \brief One kind of call.
 struct LoadCall
 {
@@ -30,15 +22,14 @@
     std::string path;
     std::uint64_t bodyBytes = 0;
     std::chrono::milliseconds deadline {1000};
-    KeySource key = KeySource::None;
-    /// Repeats through another daemon, with the same key, after "unknown" or a broken connection.
+    /// Repeats through another daemon after "unknown" or a broken connection, of calls that may run
+    /// more than once.
     unsigned repeats = 0;
     std::string homeRegions;
     std::string customer;
 };
 
-/// \brief Decodes an array of objects with the members of LoadCall ("deadlineMs" for the deadline;
-/// "key" is "none", "daemon" or "caller").
+/// \brief Decodes an array of objects with the members of LoadCall ("deadlineMs" for the deadline).
 /// \param text JSON text.
 /// \param fault first violation when ec is set.
 /// \param ec WireError::BadJson or WireError::BadField, or cleared.
--- a/src/programs/LoadRun.cpp
+++ b/src/programs/LoadRun.cpp
@@ -13,7 +13,6 @@
 
 #include <array>
 #include <cmath>
-#include <ctime>
 #include <map>
 #include <random>
 
@@ -168,22 +167,10 @@
     asio::awaitable<void> perform(const LoadCall &call, std::shared_ptr<LoadResult> result,
                                   TimePoint intended)
     {
-        std::string key;
-        const std::string created = std::to_string(std::time(nullptr));
         Endpoint target;
         for (unsigned i = 0; i <= call.repeats; ++i) {
             target = m_targets.choose(m_targetRandom, now(), i == 0 ? nullptr : &target);
-            if (call.key == KeySource::Caller) {
-                key = result->order;
-            } else if (call.key == KeySource::Daemon && key.empty()) {
-                key = co_await mintKey(target);
-            }
-            if (call.key == KeySource::Daemon && key.empty()) {
-                result->outcome = "not-sent";
-                result->reason = "no-key";
-                continue;
-            }
-            Request request = requestFor(call, *result, key, created);
+            Request request = requestFor(call, *result);
             const TimePoint limit = std::max(intended, now()) + call.deadline + AnswerMargin;
             Exchange exchange;
             co_await send(target, request, limit, exchange);
@@ -193,15 +180,14 @@
             if (!broken && result->outcome != "unknown") {
                 break;
             }
-            // Without a key a repeat might run the call twice, unless nothing was sent.
-            if (key.empty() && exchange.sent && call.method != "GET") {
+            // A repeat might run the call twice, unless nothing was sent.
+            if (exchange.sent && call.method != "GET") {
                 break;
             }
         }
     }
 
-    Request requestFor(const LoadCall &call, const LoadResult &result, const std::string &key,
-                       const std::string &created) const
+    static Request requestFor(const LoadCall &call, const LoadResult &result)
     {
         Request request;
         request.version(11);
@@ -215,12 +201,7 @@
         if (!call.customer.empty()) {
             request.set(name(Header::Customer), call.customer);
         }
-        if (!key.empty()) {
-            request.set(name(Header::Key), key);
-        }
-        if (call.key == KeySource::Caller) {
-            request.set(name(Header::KeyCreated), created);
-        }
+        request.set(name(Header::Request), result.order);
         request.body() = std::string(call.bodyBytes, 'b');
         request.prepare_payload();
         return request;
@@ -270,22 +251,6 @@
         return found && found->is_string() && found->get_string() != order;
     }
 
-    asio::awaitable<std::string> mintKey(const Endpoint &target)
-    {
-        Request request(http::verb::post, "/coltsfootwell/keys", 11);
-        request.prepare_payload();
-        Exchange exchange;
-        co_await send(target, request, now() + std::chrono::seconds(1), exchange);
-        if (!exchange.whole || exchange.parser.get().result_int() / 100 != 2) {
-            co_return std::string();
-        }
-        boost::system::error_code ec;
-        const boost::json::value body = boost::json::parse(exchange.parser.get().body(), ec);
-        const boost::json::value *key
-            = !ec && body.is_object() ? body.get_object().if_contains("key") : nullptr;
-        co_return key && key->is_string() ? std::string(key->get_string()) : std::string();
-    }
-
     asio::awaitable<void> send(const Endpoint &target, const Request &request, TimePoint limit,
                                Exchange &exchange)
     {
--- /dev/null
+++ b/src/programs/LogExplain.cpp
@@ -0,0 +1,177 @@
+#include "programs/LogExplain.h"
+
+#include "wire/TextNumber.h"
+
+#include <algorithm>
+#include <istream>
+#include <ostream>
+
+namespace Coltsfootwell {
+
+namespace {
+
+constexpr std::string_view FirstField = "timeMs=";
+
+std::string fieldOf(const LogLine &line, std::string_view key)
+{
+    const auto it = line.fields.find(key);
+    return it == line.fields.end() ? std::string() : it->second;
+}
+
+/// \return the last line of an event; null when there is none.
+const LogLine *lastOf(const std::vector<LogLine> &lines, std::string_view event)
+{
+    const auto it = std::find_if(lines.rbegin(), lines.rend(),
+                                 [event](const LogLine &line) { return line.event == event; });
+    return it == lines.rend() ? nullptr : &*it;
+}
+
+/// \return why the last attempt in the steps of a call ended, such as "refused-cold" or "lost".
+std::string lastStepOf(const std::string &steps)
+{
+    const std::size_t end = steps.rfind("end");
+    if (end == std::string::npos) {
+        return steps.find("send") == std::string::npos ? "no-attempt" : "no-answer";
+    }
+    const std::size_t begin = std::min(steps.find(':', end) + 1, steps.size());
+    return steps.substr(begin, steps.find_first_of("(;", begin) - begin);
+}
+
+Verdict verdictOfCall(const LogLine &call)
+{
+    const std::string outcome = fieldOf(call, "outcome");
+    const std::string last = lastStepOf(fieldOf(call, "steps"));
+    if (outcome == "answer") {
+        return {"", "It was answered in time."};
+    }
+    if (outcome == "answer-late") {
+        const bool slow = fieldOf(call, "steps").find("slow=100") == std::string::npos;
+        return {slow ? "late-slow-server" : "late",
+                "It was answered after its objective, " + fieldOf(call, "elapsedUs")
+                    + " us after it was received"
+                    + (slow ? "; the server reported slow work." : ".")};
+    }
+    if (outcome == "answer-failed") {
+        return {"server-failed-" + last, "The backend server answered with status " + last + "."};
+    }
+    if (outcome.starts_with("not-run")) {
+        return {outcome + "/" + last, "It was refused as not run (" + outcome.substr(8)
+                    + "); the last attempt ended with " + last + "."};
+    }
+    return {outcome + "/" + last,
+            "Whether it ran is unknown (" + outcome + "); the last attempt ended with " + last
+                + "."};
+}
+
+} // namespace
+
+bool parseLogLine(std::string_view text, LogLine &line)
+{
+    const std::size_t begin = text.find(FirstField);
+    if (begin == std::string_view::npos) {
+        return false;
+    }
+    text.remove_prefix(begin);
+    line = {};
+    while (!text.empty()) {
+        const std::size_t end = std::min(text.find(' '), text.size());
+        const std::string_view field = text.substr(0, end);
+        text.remove_prefix(std::min(end + 1, text.size()));
+        const std::size_t equals = field.find('=');
+        if (equals == std::string_view::npos) {
+            continue;
+        }
+        const std::string key(field.substr(0, equals));
+        const std::string value(field.substr(equals + 1));
+        if (key == "timeMs") {
+            const auto time = numberFromText<std::int64_t>(value);
+            if (!time) {
+                return false;
+            }
+            line.timeMs = *time;
+        } else if (key == "daemon" && line.daemon.empty()) {
+            line.daemon = value;
+        } else if (key == "event") {
+            line.event = value;
+        } else if (key == "request") {
+            line.request = value;
+        } else {
+            line.fields.emplace(key, value);
+        }
+    }
+    return !line.event.empty();
+}
+
+Verdict verdictOf(const std::vector<LogLine> &lines)
+{
+    if (const LogLine *call = lastOf(lines, "call.ended")) {
+        return verdictOfCall(*call);
+    }
+    if (const LogLine *refused = lastOf(lines, "call.refused")) {
+        const std::string reason = fieldOf(*refused, "reason");
+        return {"not-run-" + reason + "/no-attempt",
+                "It was refused at once as not run (" + reason + ")."};
+    }
+    if (const LogLine *malformed = lastOf(lines, "call.malformed")) {
+        return {"malformed", "Its header " + fieldOf(*malformed, "header") + " was malformed."};
+    }
+    return {"no-entry-line", "No line of its entry daemon was found; the lines of other daemons "
+                             "do not tell what the caller was told."};
+}
+
+void LogExplain::read(std::istream &in, const std::string &name)
+{
+    std::string text;
+    for (std::size_t number = 1; std::getline(in, text); ++number) {
+        LogLine line;
+        if (!parseLogLine(text, line)) {
+            if (!text.empty()) {
+                m_badLines.push_back(name + ':' + std::to_string(number));
+            }
+            continue;
+        }
+        if (!line.request.empty()) {
+            m_requests[line.request].push_back(std::move(line));
+        }
+    }
+    for (auto &[request, lines] : m_requests) {
+        std::ranges::stable_sort(lines, {}, &LogLine::timeMs);
+    }
+}
+
+bool LogExplain::explain(std::string_view request, std::ostream &out) const
+{
+    const auto it = m_requests.find(request);
+    if (it == m_requests.end()) {
+        return false;
+    }
+    for (const LogLine &line : it->second) {
+        out << line.timeMs << ' ' << line.daemon << ' ' << line.event;
+        for (const auto &[key, value] : line.fields) {
+            out << ' ' << key << '=' << value;
+        }
+        out << '\n';
+    }
+    out << verdictOf(it->second).sentence << '\n';
+    return true;
+}
+
+void LogExplain::summary(std::ostream &out) const
+{
+    std::map<std::string, std::size_t> causes;
+    std::size_t good = 0;
+    for (const auto &[request, lines] : m_requests) {
+        const std::string cause = verdictOf(lines).cause;
+        if (cause.empty()) {
+            ++good;
+        } else {
+            ++causes[cause];
+        }
+    }
+    out << good << " answered in time\n";
+    for (const auto &[cause, count] : causes) {
+        out << count << ' ' << cause << '\n';
+    }
+}
+
+} // namespace Coltsfootwell
--- /dev/null
+++ b/src/programs/LogExplain.h
@@ -0,0 +1,65 @@
+// Explains requests from the log lines of several daemons.
+#pragma once
+
+#include <cstdint>
+#include <iosfwd>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Coltsfootwell {
+
+/// \brief One log line.
+struct LogLine
+{
+    std::int64_t timeMs = 0;
+    std::string daemon;
+    std::string event;
+    std::string request;
+    /// Further fields.
+    std::map<std::string, std::string, std::less<>> fields;
+};
+
+/// \param text one line; anything before "timeMs=" is passed over.
+/// \param line set on success.
+/// \return false for a line that is none of a daemon's.
+bool parseLogLine(std::string_view text, LogLine &line);
+
+/// \brief What the lines of one request say.
+struct Verdict
+{
+    /// Short name of the cause, for counting; empty for a call that was answered in time.
+    std::string cause;
+    /// One sentence.
+    std::string sentence;
+};
+
+/// \param lines of one request, in time order.
+Verdict verdictOf(const std::vector<LogLine> &lines);
+
+/// \brief Lines of log files, by request.
+class LogExplain
+{
+public:
+    /// \brief Reads lines until the end.
+    /// \param in lines of one or several daemons.
+    /// \param name of the file, for messages.
+    void read(std::istream &in, const std::string &name);
+
+    /// \brief Prints the history of a request and its verdict.
+    /// \return false when no line names the request.
+    bool explain(std::string_view request, std::ostream &out) const;
+
+    /// \brief Prints the causes of all failed requests by count.
+    void summary(std::ostream &out) const;
+
+    /// \return lines that could not be read, as "file:line".
+    const std::vector<std::string> &badLines() const { return m_badLines; }
+
+private:
+    std::map<std::string, std::vector<LogLine>, std::less<>> m_requests;
+    std::vector<std::string> m_badLines;
+};
+
+} // namespace Coltsfootwell
--- /dev/null
+++ b/src/programs/OperatorCommands.cpp
@@ -0,0 +1,245 @@
+#include "programs/OperatorCommands.h"
+
+#include "programs/ConfigurationFile.h"
+#include "services/ServiceError.h"
+#include "wire/ConfigurationJson.h"
+#include "wire/EndpointText.h"
+#include "wire/JsonDiff.h"
+
+#include <algorithm>
+#include <ostream>
+
+namespace Coltsfootwell {
+
+namespace {
+
+constexpr std::chrono::milliseconds StatusPeriod {100};
+
+bool hasInForce(const DaemonAnswer &answer, ConfigurationVersion version)
+{
+    return answer.status && answer.status->version >= version;
+}
+
+} // namespace
+
+OperatorCommands::OperatorCommands(OperatorOptions options, std::ostream &out, std::ostream &error)
+    : m_options(std::move(options)), m_out(out), m_error(error), m_session(m_options.store)
+{
+}
+
+OperatorExit OperatorCommands::publish(const std::string &file)
+{
+    Configuration next;
+    if (!load(file, next)) {
+        return OperatorExit::BadInput;
+    }
+    if (!readStore()) {
+        return storeFailed();
+    }
+    const ConfigurationVersion newest = m_state.configuration ? m_state.configuration->version : 0;
+    if (next.version != newest && next.version != newest + 1) {
+        m_error << "conflict: " << file << " has version " << next.version << ", but version "
+                << newest << " is the newest\n";
+        return OperatorExit::Conflict;
+    }
+    return publishNext(std::move(next));
+}
+
+OperatorExit OperatorCommands::diff(const std::string &file)
+{
+    Configuration next;
+    if (!load(file, next)) {
+        return OperatorExit::BadInput;
+    }
+    if (!readStore()) {
+        return storeFailed();
+    }
+    const std::string before
+        = m_state.configuration ? encodeConfiguration(*m_state.configuration) : "{}";
+    for (const JsonDifference &difference : diffJson(before, encodeConfiguration(next))) {
+        m_out << difference.path << ": "
+              << (difference.before.empty() ? "(absent)" : difference.before) << " -> "
+              << (difference.after.empty() ? "(absent)" : difference.after) << '\n';
+    }
+    return OperatorExit::Done;
+}
+
+OperatorExit OperatorCommands::show()
+{
+    if (!readStore()) {
+        return storeFailed();
+    }
+    if (!m_state.configuration) {
+        return nothingPublished();
+    }
+    m_out << encodeConfiguration(*m_state.configuration) << '\n';
+    return OperatorExit::Done;
+}
+
+OperatorExit OperatorCommands::setInService(const std::string &dataCentre, bool inService)
+{
+    if (!readStore()) {
+        return storeFailed();
+    }
+    if (!m_state.configuration) {
+        return nothingPublished();
+    }
+    if (!m_state.configuration->dataCentres.contains(dataCentre)) {
+        m_error << "/dataCentres: \"" << dataCentre
+                << "\" must name a data centre of the newest version\n";
+        return OperatorExit::BadInput;
+    }
+    Configuration next = *m_state.configuration;
+    next.dataCentres[dataCentre].inService = inService;
+    return change(std::move(next));
+}
+
+OperatorExit OperatorCommands::setDrained(const std::string &daemon, bool drained)
+{
+    if (!readStore()) {
+        return storeFailed();
+    }
+    if (!m_state.configuration) {
+        return nothingPublished();
+    }
+    if (daemon.empty()) {
+        m_error << "/drained: \"\" must be the name of a daemon\n";
+        return OperatorExit::BadInput;
+    }
+    Configuration next = *m_state.configuration;
+    if (drained) {
+        next.drained.insert(daemon);
+    } else {
+        next.drained.erase(daemon);
+    }
+    return change(std::move(next));
+}
+
+OperatorExit OperatorCommands::status()
+{
+    std::error_code ec;
+    const std::vector<Endpoint> endpoints = knownDaemons(ec);
+    if (ec) {
+        return storeFailed();
+    }
+    if (endpoints.empty()) {
+        return noDaemons(OperatorExit::StoreUnavailable);
+    }
+    for (const DaemonAnswer &answer : m_session.ask(endpoints)) {
+        m_out << endpointText(answer.endpoint);
+        if (const auto &status = answer.status) {
+            m_out << ' ' << status->id.name << ' ' << status->dataCentre << " version "
+                  << status->version << (status->ready ? " ready" : " not ready") << '\n';
+        } else {
+            m_out << " does not answer\n";
+        }
+    }
+    return OperatorExit::Done;
+}
+
+bool OperatorCommands::load(const std::string &file, Configuration &configuration)
+{
+    std::vector<std::string> messages;
+    configuration = readConfiguration(file, messages);
+    for (const std::string &message : messages) {
+        m_error << message << '\n';
+    }
+    return messages.empty();
+}
+
+bool OperatorCommands::readStore()
+{
+    std::error_code ec;
+    m_state = m_session.read(ec);
+    return !ec;
+}
+
+OperatorExit OperatorCommands::change(Configuration next)
+{
+    if (encodeConfiguration(next) == encodeConfiguration(*m_state.configuration)) {
+        m_out << "nothing to change in version " << next.version << '\n';
+        return waitInForce(next.version);
+    }
+    return publishNext(std::move(next));
+}
+
+OperatorExit OperatorCommands::publishNext(Configuration next)
+{
+    next.version = (m_state.configuration ? m_state.configuration->version : 0) + 1;
+    std::error_code ec;
+    m_session.publish(next, m_state.end, ec);
+    if (ec == ServiceError::Conflict) {
+        m_error << "conflict: another operator has published since version "
+                << next.version - 1 << " was read\n";
+        return OperatorExit::Conflict;
+    }
+    if (ec) {
+        m_error << "whether version " << next.version << " was published is unknown\n";
+        return storeFailed();
+    }
+    m_out << "accepted version " << next.version << '\n';
+    return waitInForce(next.version);
+}
+
+OperatorExit OperatorCommands::waitInForce(ConfigurationVersion version)
+{
+    if (m_options.wait.count() == 0) {
+        return OperatorExit::Done;
+    }
+    std::error_code ec;
+    const std::vector<Endpoint> endpoints = knownDaemons(ec);
+    if (endpoints.empty()) {
+        return noDaemons(OperatorExit::NotInForce);
+    }
+    const auto start = std::chrono::steady_clock::now();
+    while (true) {
+        const std::vector<DaemonAnswer> answers = m_session.ask(endpoints);
+        const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::steady_clock::now() - start);
+        if (std::ranges::all_of(
+                answers, [&](const DaemonAnswer &answer) { return hasInForce(answer, version); })) {
+            m_out << "version " << version << " in force on " << answers.size() << " daemons after "
+                  << waited.count() << " ms\n";
+            return OperatorExit::Done;
+        }
+        if (waited >= m_options.wait) {
+            for (const DaemonAnswer &answer : answers) {
+                if (!hasInForce(answer, version)) {
+                    m_error << endpointText(answer.endpoint)
+                            << (answer.status ? ": an older version\n" : ": does not answer\n");
+                }
+            }
+            return OperatorExit::NotInForce;
+        }
+        m_session.pause(StatusPeriod);
+    }
+}
+
+std::vector<Endpoint> OperatorCommands::knownDaemons(std::error_code &ec)
+{
+    ec.clear();
+    return m_options.daemons.empty() ? m_session.daemons(ec) : m_options.daemons;
+}
+
+OperatorExit OperatorCommands::noDaemons(OperatorExit exit)
+{
+    m_error << "the store at " << endpointText(m_options.store)
+            << " names no daemon; name daemons with --daemon\n";
+    return exit;
+}
+
+OperatorExit OperatorCommands::storeFailed()
+{
+    m_error << "the store at " << endpointText(m_options.store)
+            << " cannot be reached; --store must be its IP number:port\n";
+    return OperatorExit::StoreUnavailable;
+}
+
+OperatorExit OperatorCommands::nothingPublished()
+{
+    m_error << "the store at " << endpointText(m_options.store)
+            << " holds no configuration: publish one\n";
+    return OperatorExit::BadInput;
+}
+
+} // namespace Coltsfootwell
--- a/src/programs/SetupAnswers.cpp
+++ b/src/programs/SetupAnswers.cpp
@@ -1,6 +1,6 @@
 #include "programs/SetupAnswers.h"
 
-#include "wire/CallEnvelope.h"
+#include "wire/HttpDialect.h"
 #include <algorithm>
 #include <cctype>
 #include <cmath>
--- a/src/programs/SetupPlan.cpp
+++ b/src/programs/SetupPlan.cpp
@@ -94,8 +94,11 @@
     }
     for (const ServiceAnswers &service : answers.services) {
         configuration.services[service.name] = rulesFor(service);
-        configuration.routes.push_back(
-            {service.prefix, service.name, service.idempotentMethods, service.homeRegions});
+        Route &route = configuration.routes.emplace_back();
+        route.prefix = service.prefix;
+        route.service = service.name;
+        route.idempotentMethods = service.idempotentMethods;
+        route.homeRegions = service.homeRegions;
     }
     configuration.customerRegions.insert(answers.customers.begin(), answers.customers.end());
     configuration.limits.regionLinkBytesPerSecond = static_cast<std::uint64_t>(
--- a/src/programs/SetupQuestions.cpp
+++ b/src/programs/SetupQuestions.cpp
@@ -1,6 +1,6 @@
 #include "programs/SetupQuestions.h"
 
-#include "wire/CallEnvelope.h"
+#include "wire/HttpDialect.h"
 
 #include <boost/json.hpp>
 
--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -58,7 +58,7 @@
 public:
     Backend(Kernel &kernel, boost::asio::io_context &context, BackendSettings settings)
         : m_kernel(kernel), m_context(context), m_settings(std::move(settings)),
-          m_state(m_settings.place, m_settings.drainTime), m_ledger(*m_settings.guards),
+          m_state(m_settings.place, m_settings.drainTime), m_ledger(m_settings.place.self.incarnation, *m_settings.guards),
           m_mailbox(kernel.executor(),
                     [this](BackendMessage message) {
                         std::visit([this](auto &&body) { handle(std::move(body)); },
@@ -153,9 +153,33 @@
             m_state.reportedCold(rules ? rules->coldStart.lasts : milliseconds(0), now());
             m_probeSoon = true;
         }
+        applyRules();
         decide();
     }
 
+    /// Takes over what the configuration says of the server's service.
+    void applyRules()
+    {
+        if (const ServiceRules *rules = m_state.rules()) {
+            m_probePlan.limitChanged(rules->probesPerSecond);
+        }
+        limitSlots();
+    }
+
+    /// A cold server of a service that names no rate gets few calls at a time.
+    void limitSlots()
+    {
+        const auto &heartbeat = m_state.registration.current();
+        if (!heartbeat) {
+            return;
+        }
+        const ServiceRules *rules = m_state.rules();
+        const bool few = rules && rules->coldStart.callsPerSecond <= 0
+            && m_state.pacer.isCold(now());
+        m_slots.slotsChanged(few ? std::min(heartbeat->slots, rules->coldStart.initialSlots)
+                                 : heartbeat->slots);
+    }
+
     // Registration.
 
     void handle(HeartbeatReceived message)
@@ -165,10 +189,10 @@
         if (change == RegistrationChange::Replaced) {
             adopt(heartbeat);
         } else if (change == RegistrationChange::Renewed && !m_state.registration.leavingSince()) {
-            m_slots.slotsChanged(heartbeat.slots);
             if (heartbeat.cold.count() > 0) {
                 m_state.reportedCold(heartbeat.cold, now());
             }
+            applyRules();
         }
         logRegistration(change, heartbeat);
         if (change == RegistrationChange::Leaving && !m_pool) {
@@ -197,8 +221,8 @@
             return;
         }
         m_pool = std::make_shared<HttpPool>(m_context, *endpoint);
-        m_slots.slotsChanged(heartbeat.slots);
         m_state.replaced(now());
+        applyRules();
         m_probeSoon = true;
     }
 
@@ -559,7 +583,8 @@
 
     void handle(RevokeAttempt revoke)
     {
-        revoke.reply(m_ledger.revoke(revoke.attempt) == RevokeVerdict::Started);
+        const RevokeVerdict verdict = m_ledger.revoke(revoke.attempt, revoke.sentTo);
+        revoke.reply(verdict == RevokeVerdict::NeverStarts);
     }
 
     /// Starts and refuses what waits.
@@ -626,6 +651,7 @@
             || m_state.health.slowness(now()) > SlowPercent;
         m_probeTimer = m_kernel.executor().after(active ? ProbeCheck : IdleProbeCheck,
                                                  [this] { checkProbe(); });
+        limitSlots();
         report();
         if (!m_pool || m_probing || !m_state.configuration()) {
             return;
--- a/src/services/CallMessages.h
+++ b/src/services/CallMessages.h
@@ -100,7 +100,9 @@
 struct RevokeAttempt
 {
     AttemptId attempt;
-    /// True when it has started.
+    /// Process that it was sent to; 0 when the sender does not know.
+    Incarnation sentTo = 0;
+    /// True when it has not started and never will.
     Reply<bool> reply;
 };
 
--- a/src/services/Calls.cpp
+++ b/src/services/Calls.cpp
@@ -44,7 +44,7 @@
 public:
     Calls(Kernel &kernel, CallsSettings settings)
         : m_kernel(kernel), m_settings(std::move(settings)),
-          m_placement(m_settings.place, kernel.random()), m_budget(m_settings.retries),
+          m_placement(m_settings.place, kernel.random()), m_budget(kernel.random(), m_settings.retries),
           m_mailbox(kernel.executor(),
                     [this](CallsMessage message) {
                         std::visit([this](auto &&body) { handle(std::move(body)); },
--- a/src/services/ConfigurationFollower.cpp
+++ b/src/services/ConfigurationFollower.cpp
@@ -104,7 +104,7 @@
     /// Puts the present state in force.
     void publish(std::string_view source)
     {
-        m_inForce = m_state.inForce();
+        m_inForce = filtered(m_state.inForce());
         tellPosition();
         if (!m_inForce) {
             return;
@@ -125,6 +125,16 @@
         }
     }
 
+    ConfigurationPtr filtered(ConfigurationPtr configuration) const
+    {
+        if (!m_settings.filter || !configuration) {
+            return configuration;
+        }
+        auto changed = std::make_shared<Configuration>(*configuration);
+        m_settings.filter(*changed);
+        return changed;
+    }
+
     void tellPosition()
     {
         m_membership.send(
--- a/src/services/ConfigurationFollower.h
+++ b/src/services/ConfigurationFollower.h
@@ -22,6 +22,8 @@
     std::map<std::string, std::string, std::less<>> dataCentres;
     /// File with a configuration to start from and to read again when asked; empty for none.
     std::string file;
+    /// Changes what is put in force; null for no change. Tests switch rules off with it.
+    void (*filter)(Configuration &) = nullptr;
 };
 
 /// \param kernel gives the executor and the directory.
--- a/src/services/DaemonList.cpp
+++ b/src/services/DaemonList.cpp
@@ -7,6 +7,7 @@
 #include "services/ServiceNames.h"
 #include "services/StopMessages.h"
 #include "wire/DaemonListJson.h"
+#include "wire/StatusJson.h"
 
 namespace Coltsfootwell {
 
@@ -15,8 +16,8 @@
 class DaemonList final : public Service
 {
 public:
-    explicit DaemonList(Kernel &kernel)
-        : m_kernel(kernel),
+    DaemonList(Kernel &kernel, Place place)
+        : m_kernel(kernel), m_place(std::move(place)),
           m_membersMailbox(kernel.executor(),
                            [this](MembersChanged news) { m_members = std::move(news.members); }),
           m_configurationMailbox(kernel.executor(),
@@ -25,9 +26,12 @@
                            [this](ControlRequest request) { answerDaemons(request); }),
           m_healthMailbox(kernel.executor(),
                           [this](ControlRequest request) { answerHealth(request); }),
+          m_statusMailbox(kernel.executor(),
+                          [this](ControlRequest request) { answerStatus(request); }),
           m_stopMailbox(kernel.executor(),
                         [this](StopPhaseChanged news) { m_phase = news.phase; })
     {
+        kernel.directory().publish(ServiceName::control("status"), m_statusMailbox.address());
         kernel.directory().publish(ServiceName::stopping(name()), m_stopMailbox.address());
         kernel.directory().publish(ServiceName::control("ready"), m_healthMailbox.address());
         kernel.directory().publish(ServiceName::control("daemons"), m_daemonsMailbox.address());
@@ -62,27 +66,37 @@
 
     void answerHealth(const ControlRequest &request)
     {
-        const bool ready = m_news.configuration && m_phase == StopPhase::Running;
-        request.reply(ControlAnswer {ready ? 200U : 503U, "application/json",
-                                     ready ? R"({"ready":true})" : R"({"ready":false})"});
+        request.reply(ControlAnswer {isReady() ? 200U : 503U, "application/json",
+                                     isReady() ? R"({"ready":true})" : R"({"ready":false})"});
     }
 
+    void answerStatus(const ControlRequest &request)
+    {
+        DaemonStatus status {m_place.self, m_place.region, m_place.dataCentre, 0, isReady()};
+        status.version = m_news.configuration ? m_news.configuration->version : 0;
+        request.reply(ControlAnswer {200, "application/json", encodeStatus(status)});
+    }
+
+    bool isReady() const { return m_news.configuration && m_phase == StopPhase::Running; }
+
     Kernel &m_kernel;
+    Place m_place;
     std::shared_ptr<const std::vector<Member>> m_members;
     ConfigurationChanged m_news;
     Mailbox<MembersChanged> m_membersMailbox;
     Mailbox<ConfigurationChanged> m_configurationMailbox;
     Mailbox<ControlRequest> m_daemonsMailbox;
     Mailbox<ControlRequest> m_healthMailbox;
+    Mailbox<ControlRequest> m_statusMailbox;
     Mailbox<StopPhaseChanged> m_stopMailbox;
     StopPhase m_phase = StopPhase::Running;
 };
 
 } // namespace
 
-std::unique_ptr<Service> makeDaemonList(Kernel &kernel)
+std::unique_ptr<Service> makeDaemonList(Kernel &kernel, Place place)
 {
-    return std::make_unique<DaemonList>(kernel);
+    return std::make_unique<DaemonList>(kernel, std::move(place));
 }
 
 } // namespace Coltsfootwell
--- a/src/services/DaemonList.h
+++ b/src/services/DaemonList.h
@@ -1,7 +1,7 @@
-// The service "daemon-list": tells callers which daemons they can use, and whether this one is
-// ready.
+// The service "daemon-list": tells callers which daemons take calls, and whether this one does.
 #pragma once
 
+#include "decisions/Place.h"
 #include "kernel/Kernel.h"
 
 #include <memory>
@@ -9,7 +9,8 @@
 namespace Coltsfootwell {
 
 /// \param kernel gives the executor and the directory.
-/// \return the service, not started; it answers the paths "daemons" and "health".
-std::unique_ptr<Service> makeDaemonList(Kernel &kernel);
+/// \param place this daemon.
+/// \return the service, not started.
+std::unique_ptr<Service> makeDaemonList(Kernel &kernel, Place place);
 
 } // namespace Coltsfootwell
--- a/src/services/DaemonRecords.cpp
+++ b/src/services/DaemonRecords.cpp
@@ -15,7 +15,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::string_view Topic = "keyed.daemons";
 /// All daemons may start at the same moment; the store takes a bounded number of calls a second.
 constexpr milliseconds StartSpread {300};
 constexpr milliseconds RetryDelay {500};
@@ -27,9 +26,9 @@
 {
 public:
     DaemonRecords(Kernel &kernel, std::shared_ptr<StoreClient> store, DaemonId self,
-                  Endpoint endpoint)
+                  DaemonAddresses addresses)
         : m_kernel(kernel), m_store(std::move(store)), m_self(std::move(self)),
-          m_endpoint(std::move(endpoint))
+          m_addresses(std::move(addresses))
     {
     }
 
@@ -64,8 +63,8 @@
 
     void append()
     {
-        const StoreRecord record {m_self.name, endpointText(m_endpoint), 0};
-        m_store->append(Topic, record, std::nullopt, [this](const RecordAppended &appended) {
+        const StoreRecord record {m_self.name, encodeAddresses(m_addresses), 0};
+        m_store->append(DaemonRecordsTopic, record, std::nullopt, [this](const RecordAppended &appended) {
             if (m_stopped) {
                 return;
             }
@@ -79,7 +78,7 @@
 
     void read(const std::string &after)
     {
-        m_store->newest(Topic, after, [this](const NewestRecords &newest) {
+        m_store->newest(DaemonRecordsTopic, after, [this](const NewestRecords &newest) {
             if (m_stopped) {
                 return;
             }
@@ -101,9 +100,9 @@
     {
         SeedsLearned seeds;
         for (const StoreRecord &record : records) {
-            const auto endpoint = record.value ? endpointFromText(*record.value) : std::nullopt;
-            if (endpoint && record.key != m_self.name) {
-                seeds.endpoints.push_back(*endpoint);
+            const auto addresses = decodeAddresses(record.value.value_or(""));
+            if (addresses && record.key != m_self.name) {
+                seeds.endpoints.push_back(addresses->peers);
             }
         }
         m_telemetry.send(LogEvent {"daemons.read", "",
@@ -115,7 +114,7 @@
     Kernel &m_kernel;
     std::shared_ptr<StoreClient> m_store;
     DaemonId m_self;
-    Endpoint m_endpoint;
+    DaemonAddresses m_addresses;
     std::size_t m_reads = 0;
     bool m_stopped = false;
     TimerId m_timer = 0;
@@ -125,11 +124,27 @@
 
 } // namespace
 
+std::string encodeAddresses(const DaemonAddresses &addresses)
+{
+    return endpointText(addresses.peers) + ' ' + endpointText(addresses.callers);
+}
+
+std::optional<DaemonAddresses> decodeAddresses(std::string_view text)
+{
+    const std::size_t blank = text.find(' ');
+    if (blank == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto peers = endpointFromText(text.substr(0, blank));
+    const auto callers = endpointFromText(text.substr(blank + 1));
+    return peers && callers ? std::optional(DaemonAddresses {*peers, *callers}) : std::nullopt;
+}
+
 std::unique_ptr<Service> makeDaemonRecords(Kernel &kernel, std::shared_ptr<StoreClient> store,
-                                           DaemonId self, Endpoint endpoint)
+                                           DaemonId self, DaemonAddresses addresses)
 {
     return std::make_unique<DaemonRecords>(kernel, std::move(store), std::move(self),
-                                           std::move(endpoint));
+                                           std::move(addresses));
 }
 
 } // namespace Coltsfootwell
--- a/src/services/LinkClient.cpp
+++ b/src/services/LinkClient.cpp
@@ -171,6 +171,7 @@
     peer->connection = std::make_shared<LinkConnection>(std::move(*socket), m_parts.executor);
     peer->brokenSince.reset();
     peer->pingedAt.reset();
+    peer->daemon = {};
     const std::weak_ptr<Peer> weak = peer;
     peer->connection->start({[this, weak](LinkFrame frame) {
                                  if (const PeerPtr peer = weak.lock()) {
@@ -188,7 +189,7 @@
         if (sent.onWire) {
             m_parts.tell(LogEvent {"attempt.resumed", sent.attempt.call.requestId,
                                    "daemon=" + peer->daemon.name});
-            peer->connection->send({id, {}, ResumeFrame {}});
+            peer->connection->send({id, {}, ResumeFrame {sent.sentTo}});
         } else {
             sendRun(*peer, sent);
         }
@@ -253,6 +254,10 @@
 {
     if (const auto *hello = std::get_if<HelloFrame>(&frame.body)) {
         peer->daemon = hello->daemon;
+        for (auto &[id, sent] : peer->sent) {
+            // Asked for or not, an attempt that is still open belongs to the process it was sent to.
+            sent.sentTo = sent.sentTo == 0 ? hello->daemon.incarnation : sent.sentTo;
+        }
     } else if (std::holds_alternative<PongFrame>(frame.body)) {
         peer->pingedAt.reset();
     } else if (std::holds_alternative<ProceedFrame>(frame.body)) {
@@ -306,6 +311,7 @@
     run.idempotent = attempt.idempotent;
     run.call = attempt.call;
     sent.onWire = true;
+    sent.sentTo = peer.daemon.incarnation;
     peer.connection->send({attempt.attempt, {}, std::move(run)});
 }
 
--- a/src/services/LinkClient.h
+++ b/src/services/LinkClient.h
@@ -58,6 +58,8 @@
     {
         RunAttempt attempt;
         bool onWire = false;
+        /// Process that it was sent to; 0 when its connection broke before that was known.
+        Incarnation sentTo = 0;
     };
 
     struct Question
--- a/src/services/LinkServer.cpp
+++ b/src/services/LinkServer.cpp
@@ -93,8 +93,8 @@
         takeBody(frame.attempt, std::move(*part));
     } else if (std::holds_alternative<CancelFrame>(frame.body)) {
         cancel(frame.attempt);
-    } else if (std::holds_alternative<ResumeFrame>(frame.body)) {
-        resume(client, frame.attempt);
+    } else if (const auto *asked = std::get_if<ResumeFrame>(&frame.body)) {
+        resume(client, frame.attempt, asked->sentTo);
     } else if (const auto *ping = std::get_if<PingFrame>(&frame.body)) {
         client->connection->send({{}, {}, PongFrame {ping->nonce}});
     } else if (const auto *hello = std::get_if<HelloFrame>(&frame.body)) {
@@ -171,7 +171,7 @@
     m_parts.toBackend(CancelAttempt {attempt});
 }
 
-void LinkServer::resume(const ClientPtr &client, const AttemptId &attempt)
+void LinkServer::resume(const ClientPtr &client, const AttemptId &attempt, Incarnation sentTo)
 {
     if (const auto it = m_served.find(attempt); it != m_served.end()) {
         it->second.client = client;
@@ -181,17 +181,17 @@
         }
         return;
     }
-    RevokeAttempt revoke {attempt, {}};
+    RevokeAttempt revoke {attempt, sentTo, {}};
     revoke.reply = Reply<bool>(m_parts.executor, [weak = std::weak_ptr(client), attempt](
-                                                     std::optional<bool> started) {
+                                                     std::optional<bool> neverStarts) {
         const ClientPtr client = weak.lock();
         if (!client) {
             return;
         }
-        if (started.value_or(true)) {
-            client->connection->send({attempt, {}, LostFrame {}});
-        } else {
+        if (neverStarts.value_or(false)) {
             client->connection->send({attempt, {}, RefusalFrame {Reason::Unreachable, false}});
+        } else {
+            client->connection->send({attempt, {}, LostFrame {}});
         }
     });
     m_parts.toBackend(std::move(revoke));
--- a/src/services/LinkServer.h
+++ b/src/services/LinkServer.h
@@ -73,7 +73,7 @@
     void run(const ClientPtr &client, const AttemptId &attempt, RunFrame frame);
     void takeBody(const AttemptId &attempt, BodyPartFrame part);
     void cancel(const AttemptId &attempt);
-    void resume(const ClientPtr &client, const AttemptId &attempt);
+    void resume(const ClientPtr &client, const AttemptId &attempt, Incarnation sentTo);
     void answer(const ClientPtr &client, ExchangeFrame question);
     void finished(const AttemptId &attempt, AttemptResult result);
     void closed(const ClientPtr &client);
--- a/src/wire/ConfigurationSchema.cpp
+++ b/src/wire/ConfigurationSchema.cpp
@@ -62,9 +62,12 @@
             "additionalProperties": false,
             "properties": {
               "initialSlots": {"type": "integer", "minimum": 1, "maximum": 10000},
-              "growAfterAnswers": {"type": "integer", "minimum": 1, "maximum": 10000}
+              "growAfterAnswers": {"type": "integer", "minimum": 1, "maximum": 10000},
+              "callsPerSecond": {"type": "number", "minimum": 0},
+              "lastsMs": {"type": "integer", "minimum": 0, "maximum": 600000}
             }
           },
+          "healthPath": {"type": "string", "minLength": 1},
           "whenIsolated": {"enum": ["refuse", "serve"]}
         }
       }
@@ -150,6 +153,7 @@
     "service": {"type": "string"},
     "listen": {"$ref": "#/definitions/endpoint"},
     "peers": {"$ref": "#/definitions/endpoint"},
+    "advertise": {"$ref": "#/definitions/endpoint"},
     "ready": {"$ref": "#/definitions/endpoint"},
     "registration": {"$ref": "#/definitions/endpoint"},
     "admin": {"$ref": "#/definitions/endpoint"},
--- a/src/wire/LinkCodec.cpp
+++ b/src/wire/LinkCodec.cpp
@@ -113,7 +113,7 @@
     }
 
     void operator()(const LostFrame &) const { wire.set_lost(true); }
-    void operator()(const ResumeFrame &) const { wire.set_resume(true); }
+    void operator()(const ResumeFrame &frame) const { wire.set_resume(frame.sentTo); }
     void operator()(const PingFrame &frame) const { wire.set_ping(frame.nonce); }
     void operator()(const PongFrame &frame) const { wire.set_pong(frame.nonce); }
     void operator()(const LoadFrame &) const { wire.set_load_news(true); }
@@ -197,7 +197,7 @@
         frame.body = LostFrame {};
         break;
     case Wire::Frame::kResume:
-        frame.body = ResumeFrame {};
+        frame.body = ResumeFrame {wire.resume()};
         break;
     case Wire::Frame::kPing:
         frame.body = PingFrame {wire.ping()};
--- a/src/wire/LinkFrame.h
+++ b/src/wire/LinkFrame.h
@@ -83,6 +83,8 @@
 /// \brief Asks for an attempt that was sent over a connection that has broken.
 struct ResumeFrame
 {
+    /// Process that the attempt was sent to; 0 when the sender does not know.
+    Incarnation sentTo = 0;
 };
 
 struct PingFrame
--- a/src/wire/MembershipCodec.cpp
+++ b/src/wire/MembershipCodec.cpp
@@ -71,6 +71,7 @@
     }
     wire.set_address(member.endpoint.address);
     wire.set_port(member.endpoint.port);
+    wire.set_caller_port(member.callerPort);
     wire.set_region(member.region);
     wire.set_data_centre(member.dataCentre);
     wire.set_service(member.service);
@@ -92,6 +93,7 @@
     member.sequence = wire.sequence();
     member.state = static_cast<MemberState>(wire.state());
     member.endpoint = {wire.address(), static_cast<std::uint16_t>(wire.port())};
+    member.callerPort = static_cast<std::uint16_t>(wire.caller_port());
     member.region = wire.region();
     member.dataCentre = wire.data_centre();
     member.service = wire.service();
--- a/src/wire/StatusJson.cpp
+++ b/src/wire/StatusJson.cpp
@@ -8,15 +8,12 @@
 
 std::string encodeStatus(const DaemonStatus &status)
 {
-    json::object object {{"daemon", status.id.name},     {"incarnation", status.id.incarnation},
-                         {"region", status.region},      {"dataCentre", status.dataCentre},
-                         {"version", status.version},    {"fresh", status.fresh},
-                         {"freshnessAgeMs", nullptr},    {"logReachable", status.logReachable},
-                         {"logReader", status.logReader}};
-    if (status.age) {
-        object["freshnessAgeMs"] = status.age->count();
-    }
-    return json::serialize(object);
+    return json::serialize(json::object {{"daemon", status.id.name},
+                                         {"incarnation", status.id.incarnation},
+                                         {"region", status.region},
+                                         {"dataCentre", status.dataCentre},
+                                         {"version", status.version},
+                                         {"ready", status.ready}});
 }
 
 std::optional<DaemonStatus> decodeStatus(std::string_view text)
@@ -29,12 +26,7 @@
         status.region = json::value_to<std::string>(value.at("region"));
         status.dataCentre = json::value_to<std::string>(value.at("dataCentre"));
         status.version = value.at("version").to_number<ConfigurationVersion>();
-        status.fresh = value.at("fresh").as_bool();
-        if (const json::value &age = value.at("freshnessAgeMs"); !age.is_null()) {
-            status.age = std::chrono::milliseconds(age.to_number<std::int64_t>());
-        }
-        status.logReachable = value.at("logReachable").as_bool();
-        status.logReader = value.at("logReader").as_bool();
+        status.ready = value.at("ready").as_bool();
         return status;
     } catch (const std::exception &) {
         return std::nullopt;
--- a/src/wire/StatusJson.h
+++ b/src/wire/StatusJson.h
@@ -4,7 +4,6 @@
 #include "decisions/Configuration.h"
 #include "decisions/Ids.h"
 
-#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -19,12 +18,8 @@
     std::string dataCentre;
     /// Version in force; 0 for none.
     ConfigurationVersion version = 0;
-    /// True while it takes new work with this version.
-    bool fresh = false;
-    /// Age of the last evidence that the version is the newest.
-    std::optional<std::chrono::milliseconds> age;
-    bool logReachable = false;
-    bool logReader = false;
+    /// True while it takes new calls.
+    bool ready = false;
 };
 
 /// \param status any status.
--- a/standin/BackendWorker.cpp
+++ b/standin/BackendWorker.cpp
@@ -289,7 +289,7 @@
         return {++m_shared->lastRun,
                 std::string(target),
                 std::string(viewOf(request.method_string())),
-                textOf(request, Header::Key),
+                textOf(request, Header::Request),
                 queryValue(target, "order"),
                 textOf(request, Header::Depth),
                 textOf(request, Header::HomeRegions)};
--- /dev/null
+++ b/standin/StoreModel.cpp
@@ -0,0 +1,60 @@
+#include "standin/StoreModel.h"
+
+#include <boost/endian/conversion.hpp>
+
+namespace Coltsfootwell::Standin {
+
+namespace {
+
+constexpr std::size_t LengthBytes = 4;
+
+} // namespace
+
+bool StoreModel::append(const std::string &topicName, std::string_view body)
+{
+    std::vector<std::string> contents;
+    while (!body.empty()) {
+        if (body.size() < LengthBytes) {
+            return false;
+        }
+        const std::size_t size = boost::endian::load_big_u32(
+            reinterpret_cast<const unsigned char *>(body.data()));
+        if (body.size() - LengthBytes < size || size == 0) {
+            return false;
+        }
+        contents.emplace_back(body.substr(LengthBytes, size));
+        body.remove_prefix(LengthBytes + size);
+    }
+    Topic &own = topic(topicName);
+    for (std::string &content : contents) {
+        const std::string key = keyOf(content);
+        if (valueOf(content).empty()) {
+            own.newest.erase(key);
+        } else {
+            own.newest[key] = own.end();
+        }
+        own.records.push_back(std::move(content));
+    }
+    return true;
+}
+
+void StoreModel::forgetHistory()
+{
+    for (auto &[name, topic] : m_topics) {
+        topic.first = topic.end();
+    }
+}
+
+std::string StoreModel::keyOf(std::string_view content)
+{
+    const std::size_t bytes = static_cast<unsigned char>(content.front());
+    return std::string(content.substr(1, bytes));
+}
+
+std::string_view StoreModel::valueOf(std::string_view content)
+{
+    const std::size_t bytes = static_cast<unsigned char>(content.front());
+    return content.substr(std::min(1 + bytes, content.size()));
+}
+
+} // namespace Coltsfootwell::Standin
--- a/test/RoutingWorld.h
+++ b/test/PlacementWorld.h
@@ -1,7 +1,7 @@
-// Members and a configuration for tests and measurements of routing.
+// Members and a configuration for tests and measurements of placement.
 #pragma once
 
-#include "decisions/Routing.h"
+#include "decisions/Placement.h"
 
 #include <algorithm>
 #include <string>
@@ -41,6 +41,8 @@
 {
     CallFacts facts;
     facts.service = service;
+    facts.objective = TimePoint() + std::chrono::hours(1);
+    facts.deadline = TimePoint() + std::chrono::hours(2);
     return facts;
 }
 
--- /dev/null
+++ b/test/correctness/LogFloods.cpp
@@ -0,0 +1,36 @@
+// Guards against log lines that grow with the load, and against a budget that hides the first line
+// of an event or does not tell what it has left out.
+#include "decisions/LogBudget.h"
+
+#include <doctest/doctest.h>
+
+using namespace Coltsfootwell;
+using std::chrono::milliseconds;
+
+TEST_CASE("lines of one event stay within their rate, and the rest is counted")
+{
+    LogBudget budget;
+    TimePoint now {};
+    std::uint64_t written = 0;
+    constexpr std::uint64_t Lines = 10'000;
+    for (std::uint64_t i = 0; i < Lines; ++i) {
+        now += milliseconds(1);
+        written += budget.allows("call.ended", false, now) ? 1 : 0;
+    }
+    CHECK(written <= LogBudget::RoutinePerSecond * (10 + LogBudget::BurstSeconds) + 1);
+    std::uint64_t omitted = 0;
+    for (const OmittedLines &lines : budget.takeOmitted()) {
+        omitted += lines.lines;
+    }
+    CHECK(written + omitted == Lines);
+    CHECK(budget.takeOmitted().empty());
+}
+
+TEST_CASE("the first line of an event is written whatever came before")
+{
+    LogBudget budget;
+    const TimePoint now {};
+    while (budget.allows("a", true, now)) { }
+    CHECK(budget.allows("b", true, now));
+    CHECK(budget.allows("a", false, now));
+}
--- /dev/null
+++ b/test/correctness/SlowSpellAttractsWork.cpp
@@ -0,0 +1,96 @@
+// Guards against calls that follow yesterday's averages to a server that is slow at this moment:
+// a quarter of the servers works seven times slower for half a second, other ones each time.
+#include "PlacementWorld.h"
+
+#include <doctest/doctest.h>
+
+using namespace Coltsfootwell;
+using namespace Coltsfootwell::Testing;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::uint32_t SlowPercent = 700;
+
+LoadReport reportOf(std::uint32_t slowness, std::uint32_t inUse = 2)
+{
+    LoadReport report;
+    report.inUse = inUse;
+    report.limit = 9;
+    report.state = BackendState::Warm;
+    report.slowness = slowness;
+    report.answerMicros = 60'000;
+    return report;
+}
+
+struct World
+{
+    World()
+    {
+        addMembers(members, "a", "a1", "s", 2);
+        addMembers(members, "a", "a2", "s", 2);
+        addMembers(members, "b", "b1", "s", 2);
+        placement.membersChanged(members);
+        placement.configurationChanged(configurationFor(members));
+        for (const Member &member : members) {
+            placement.reported(member.id, reportOf(100), now);
+        }
+    }
+
+    std::string dataCentreOfChoice()
+    {
+        const auto choice = placement.pick(factsFor("s"), {}, now);
+        const DaemonId daemon = std::get<PlacedAttempt>(choice).target.daemon;
+        return daemon.name.substr(0, 2);
+    }
+
+    std::vector<Member> members;
+    SeededRandom random {1};
+    Placement placement {{{"a1-x", 1}, "a", "a1"}, random};
+    TimePoint now = TimePoint() + milliseconds(1000);
+};
+
+} // namespace
+
+TEST_CASE("calls stay in the data centre while its servers are fast")
+{
+    World world;
+    for (int i = 0; i < 50; ++i) {
+        CHECK(world.dataCentreOfChoice() == "a1");
+    }
+}
+
+TEST_CASE("calls leave slow servers for the next data centre, and slow regions for another one")
+{
+    World world;
+    for (int i = 0; i < 2; ++i) {
+        world.placement.reported(world.members[i].id, reportOf(SlowPercent), world.now);
+    }
+    CHECK(world.dataCentreOfChoice() == "a2");
+    for (int i = 2; i < 4; ++i) {
+        world.placement.reported(world.members[i].id, reportOf(SlowPercent), world.now);
+    }
+    CHECK(world.dataCentreOfChoice() == "b1");
+}
+
+TEST_CASE("an old report of slowness is no longer believed")
+{
+    World world;
+    for (int i = 0; i < 2; ++i) {
+        world.placement.reported(world.members[i].id, reportOf(SlowPercent), world.now);
+    }
+    world.now += std::chrono::seconds(5);
+    CHECK(world.dataCentreOfChoice() == "a1");
+}
+
+TEST_CASE("a large body stays where a small one would move")
+{
+    World world;
+    world.placement.reported(world.members[0].id, reportOf(200), world.now);
+    world.placement.reported(world.members[1].id, reportOf(200), world.now);
+    CHECK(world.dataCentreOfChoice() == "a2");
+    CallFacts upload = factsFor("s");
+    upload.bodyBytes = 60'000;
+    const auto choice = world.placement.pick(upload, {}, world.now);
+    CHECK(std::get<PlacedAttempt>(choice).target.daemon.name.substr(0, 2) == "a1");
+}
--- a/test/correctness/SubsetUnbalanced.cpp
+++ b/test/correctness/SubsetUnbalanced.cpp
@@ -1,5 +1,5 @@
 // Guards against subsets that leave some servers without senders, or that ignore distance.
-#include "RoutingWorld.h"
+#include "PlacementWorld.h"
 #include "decisions/RoutingSubset.h"
 
 #include <doctest/doctest.h>
--- /dev/null
+++ b/test/error/PlatformConfigurationFaults.cpp
@@ -0,0 +1,80 @@
+// Guards against a malformed record of the operators that is taken for a configuration, and against
+// fields whose names mislead.
+#include "platform/PlatformConfiguration.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace Coltsfootwell;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string Good = R"({"version":"0000000c","routes":[
+    {"name":"r","host":"a.example","pathPrefix":"/x/","kind":"idempotent","timeoutS":1,
+     "targetLatencyS":0.3,"priority":2,"weightedServices":[{"service":"s","weight":90},
+     {"service":"t","weight":10}],"maxAttempts":2,"allowedRegions":["north"]},
+    {"name":"q","host":"a.example","pathPrefix":"/y/","kind":"upload","timeoutS":1.2,"service":"t"}],
+    "services":[{"name":"s","healthPath":"/health","maxConnections":260,"coldStartS":3.0,
+    "coldPerS":29.0},{"name":"t"}],"limits":{"maxBodyBytes":1000,"idleTimeoutS":15}})";
+
+ControlRecord decode(std::string_view key, std::optional<std::string> value)
+{
+    return platformControlFormat().decode(key, value);
+}
+
+} // namespace
+
+TEST_CASE("a configuration is decoded into the daemon's own types")
+{
+    const ControlRecord record = decode("config", Good);
+    REQUIRE(std::holds_alternative<ConfigurationPublished>(record));
+    const Configuration &configuration = *std::get<ConfigurationPublished>(record).configuration;
+    CHECK(configuration.version == 12);
+    const Route *route = configuration.routeFor("a.example", "/x/1?q");
+    REQUIRE(route);
+    CHECK(route->idempotent);
+    CHECK(route->timeout == milliseconds(1000));
+    CHECK(route->objective == milliseconds(300));
+    CHECK(route->maxAttempts == 2);
+    CHECK(route->split.size() == 2);
+    CHECK(route->homeRegions == std::vector<std::string> {"north"});
+    CHECK_FALSE(configuration.routeFor("b.example", "/x/1"));
+    CHECK_FALSE(configuration.routeFor("a.example", "/y/1")->idempotent);
+    CHECK(configuration.services.at("s").coldStart.callsPerSecond == 29);
+    CHECK(configuration.requests.bodyBytes == 1000);
+    CHECK(configuration.requests.idleTimeout == milliseconds(15'000));
+}
+
+TEST_CASE("a malformed configuration is refused with path, value and rule")
+{
+    std::string text = Good;
+    text.replace(text.find("\"timeoutS\":1,"), 13, "\"timeoutS\":-1,");
+    const ControlRecord record = decode("config", text);
+    REQUIRE(std::holds_alternative<MalformedRecord>(record));
+    const JsonFault &fault = std::get<MalformedRecord>(record).fault;
+    CHECK(fault.path == "/routes/0/timeoutS");
+    CHECK(fault.value == "-1");
+    CHECK(std::holds_alternative<MalformedRecord>(decode("config", "{")));
+    CHECK(std::holds_alternative<MalformedRecord>(decode("config", R"({"version":"xyz"})")));
+}
+
+TEST_CASE("a data centre is out while its key has a record")
+{
+    const ControlRecord out = decode("evacuate/recife-a", "{}");
+    REQUIRE(std::holds_alternative<DataCentreTakenOut>(out));
+    CHECK(std::get<DataCentreTakenOut>(out).out);
+    CHECK(std::get<DataCentreTakenOut>(out).dataCentre == "recife-a");
+    CHECK_FALSE(
+        std::get<DataCentreTakenOut>(decode("evacuate/recife-a", std::nullopt)).out);
+    CHECK(std::holds_alternative<UnrelatedRecord>(decode("other", "x")));
+}
+
+TEST_CASE("a configuration with any byte changed is decoded or refused")
+{
+    CHECK(rc::check([](std::uint16_t position, char byte) {
+        std::string text = Good;
+        text[position % text.size()] = byte;
+        decode("config", text);
+    }));
+}
--- /dev/null
+++ b/test/error/RefusalPromisesTooMuch.cpp
@@ -0,0 +1,90 @@
+// Guards against answers that tell a platform client "not run" when the request may have run, and
+// against unsigned successes that pass for a backend server's.
+#include "platform/PlatformDialect.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+
+using namespace Coltsfootwell;
+using std::chrono::milliseconds;
+
+namespace {
+
+bool promisesNotRun(unsigned status)
+{
+    constexpr std::array Promises {408U, 421U, 429U, 503U};
+    return std::ranges::find(Promises, status) != Promises.end();
+}
+
+} // namespace
+
+TEST_CASE("no refusal of a request that may have run promises that it has not")
+{
+    const HttpDialect &dialect = platformDialect();
+    for (unsigned n = 0; n <= static_cast<unsigned>(LastReason); ++n) {
+        const auto reason = static_cast<Reason>(n);
+        const unsigned unknown
+            = dialect.encodeRefusal(Outcome::Unknown, reason, "id", milliseconds(100)).status;
+        CHECK_MESSAGE(!promisesNotRun(unknown), reasonName(reason));
+        CHECK(unknown >= 502);
+        const RefusalHead notRun
+            = dialect.encodeRefusal(Outcome::NotRun, reason, "id", milliseconds(120));
+        if (notRun.status == 503) {
+            CHECK(headerValue(notRun.headers, "Retry-After") == "0.120");
+        } else {
+            CHECK_MESSAGE((notRun.status >= 400 && notRun.status < 500), reasonName(reason));
+        }
+    }
+}
+
+TEST_CASE("a success without the server's signature is not trusted")
+{
+    const HttpDialect &dialect = platformDialect();
+    const std::vector<HeaderField> plain {{"X-Attempt-Id", "a"}};
+    CHECK_FALSE(dialect.decodeAnswer(200, plain).trusted);
+    const std::vector<HeaderField> sealed {{"x-server-seal", "1"}, {"X-Attempt-Id", "a"}};
+    CHECK(dialect.decodeAnswer(200, sealed).trusted);
+    CHECK(dialect.decodeAnswer(200, sealed).requestId == "a");
+}
+
+TEST_CASE("a server's refusal counts as not run only when it says so")
+{
+    const HttpDialect &dialect = platformDialect();
+    const std::vector<HeaderField> silent {{"X-Attempt-Id", "a"}};
+    CHECK_FALSE(dialect.decodeAnswer(503, silent).notRun);
+    CHECK_FALSE(dialect.decodeAnswer(503, silent).trusted);
+    const std::vector<HeaderField> said {{"X-Not-Executed", "1"}};
+    CHECK(dialect.decodeAnswer(503, said).notRun);
+    CHECK(dialect.decodeAnswer(421, silent).otherInstance);
+    CHECK(dialect.decodeAnswer(500, silent).trusted);
+}
+
+TEST_CASE("the daemon sets its own headers whatever the client has sent")
+{
+    std::vector<HeaderField> fields {
+        {"X-Caller-Service", "forged"}, {"x-expected-instance", "old"}, {"X-Other", "1"}};
+    RunEnvelope run;
+    run.left = milliseconds(150);
+    run.instance = "i-1";
+    run.callerService = "s";
+    platformDialect().encodeRun(run, fields);
+    CHECK(headerValue(fields, "X-Caller-Service") == "s");
+    CHECK(headerValue(fields, "X-Expected-Instance") == "i-1");
+    CHECK(headerValue(fields, "X-Deadline-Ms") == "150");
+    CHECK(headerValue(fields, "X-Other") == "1");
+}
+
+TEST_CASE("the load report has three figures or four")
+{
+    const std::vector<HeaderField> four {{"X-Server-Load", "3, 1,9,700"}};
+    const auto load = platformDialect().decodeAnswer(200, four).load;
+    REQUIRE(load);
+    CHECK(load->running == 3);
+    CHECK(load->slowness == 700);
+    const std::vector<HeaderField> three {{"X-Server-Load", "3,1,9"}};
+    CHECK(platformDialect().decodeAnswer(200, three).load->slowness == 0);
+    const std::vector<HeaderField> bad {{"X-Server-Load", "3,x"}};
+    CHECK_FALSE(platformDialect().decodeAnswer(200, bad).load);
+}
--- /dev/null
+++ b/test/error/StoreStopsAnswering.cpp
@@ -0,0 +1,249 @@
+// Guards against a daemon that loses the configuration when the store goes away, goes back when it
+// returns, or misses what was published while it had forgotten its history.
+#include "kernel/Kernel.h"
+#include "kernel/ManualExecutor.h"
+#include "services/CallMessages.h"
+#include "services/ConfigurationFollower.h"
+#include "services/ConfigurationMessages.h"
+#include "services/MembershipMessages.h"
+#include "services/ServiceError.h"
+#include "services/ServiceNames.h"
+#include "services/TelemetryMessages.h"
+#include "support/ConfigurationSamples.h"
+#include "wire/ConfigurationJson.h"
+#include "wire/ControlSnapshot.h"
+
+#include <doctest/doctest.h>
+
+using namespace Coltsfootwell;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A store in memory that answers at once, or not at all.
+class FakeStore final : public StoreClient
+{
+public:
+    explicit FakeStore(Executor &executor) : m_executor(executor) { }
+
+    void publish(ConfigurationVersion version)
+    {
+        records.push_back({std::string(OwnConfigurationKey),
+                           encodeConfiguration(*sampleConfiguration(version)), end()});
+        serveReader();
+    }
+
+    void forgetHistory()
+    {
+        first = end();
+        serveReader();
+    }
+
+    void newest(std::string_view, std::string_view, std::function<void(NewestRecords)> done) override
+    {
+        ++newestCalls;
+        NewestRecords newest;
+        newest.end = end();
+        if (!available) {
+            newest.ec = ServiceError::StoreUnavailable;
+        } else if (!records.empty()) {
+            newest.records.push_back(records.back());
+        }
+        m_executor.post([done, newest] { done(newest); });
+    }
+
+    void read(std::string_view, std::uint64_t from, std::chrono::milliseconds,
+              std::function<void(RecordsRead)> done) override
+    {
+        m_from = from;
+        m_reader = std::move(done);
+        serveReader();
+    }
+
+    void append(std::string_view, const StoreRecord &, std::optional<std::uint64_t>,
+                std::function<void(RecordAppended)>) override
+    {
+    }
+
+    void stop() override { m_reader = nullptr; }
+
+    void fail()
+    {
+        available = false;
+        if (auto reader = std::exchange(m_reader, nullptr)) {
+            RecordsRead read;
+            read.ec = ServiceError::StoreUnavailable;
+            reader(read);
+        }
+    }
+
+    std::uint64_t end() const { return records.size(); }
+
+    std::vector<StoreRecord> records;
+    std::uint64_t first = 0;
+    unsigned newestCalls = 0;
+    bool available = true;
+    /// True for a connection that has gone silent: reads are never answered.
+    bool silent = false;
+
+private:
+    void serveReader()
+    {
+        if (!m_reader || silent || !available) {
+            return;
+        }
+        RecordsRead read;
+        read.next = m_from;
+        if (m_from < first) {
+            read.ec = ServiceError::HistoryLost;
+        } else if (m_from < end()) {
+            read.records.assign(records.begin() + static_cast<std::ptrdiff_t>(m_from),
+                                records.end());
+            read.next = end();
+        } else {
+            return;
+        }
+        m_executor.post([reader = std::exchange(m_reader, nullptr), read] { reader(read); });
+    }
+
+    Executor &m_executor;
+    std::uint64_t m_from = 0;
+    std::function<void(RecordsRead)> m_reader;
+};
+
+struct Bench
+{
+    Bench()
+    {
+        Directory &directory = kernel.directory();
+        directory.publish(ServiceName::Telemetry, telemetry.address());
+        directory.publish(ServiceName::Membership, membership.address());
+        directory.publish(ServiceName::Links, links.address());
+        kernel.add(makeConfiguration(kernel, store, {&ownControlFormat(), {}, ""}));
+    }
+
+    void start()
+    {
+        REQUIRE_FALSE(kernel.start());
+        std::error_code ec;
+        configuration
+            = kernel.directory().find<ConfigurationMessage>(ServiceName::Configuration, ec);
+        configuration.send(SubscribeConfiguration {subscriber.address()});
+        executor.advance(100ms);
+    }
+
+    ConfigurationVersion version() const { return inForce ? inForce->version : 0; }
+
+    ManualExecutor executor;
+    SeededRandom random {1};
+    Kernel kernel {executor, random};
+    std::shared_ptr<FakeStore> store = std::make_shared<FakeStore>(executor);
+    ConfigurationPtr inForce;
+    std::vector<AskPeer> asked;
+    Address<ConfigurationMessage> configuration;
+    Mailbox<ConfigurationChanged> subscriber {
+        executor, [this](ConfigurationChanged news) { inForce = news.configuration; }};
+    Mailbox<TelemetryMessage> telemetry {executor, [](const TelemetryMessage &) {}};
+    Mailbox<MembershipMessage> membership {executor, [](const MembershipMessage &) {}};
+    Mailbox<LinksMessage> links {executor, [this](LinksMessage message) {
+                                     if (auto *ask = std::get_if<AskPeer>(&message)) {
+                                         asked.push_back(std::move(*ask));
+                                     }
+                                 }};
+};
+
+} // namespace
+
+TEST_CASE("versions are followed as they are published")
+{
+    Bench bench;
+    bench.store->publish(3);
+    bench.start();
+    CHECK(bench.version() == 3);
+    bench.store->publish(5);
+    bench.executor.advance(1ms);
+    CHECK(bench.version() == 5);
+    bench.store->publish(4);
+    bench.executor.advance(1ms);
+    CHECK(bench.version() == 5);
+}
+
+TEST_CASE("the last version holds while the store is away, and a later one follows its return")
+{
+    Bench bench;
+    bench.store->publish(3);
+    bench.start();
+    bench.store->fail();
+    bench.executor.advance(30s);
+    CHECK(bench.version() == 3);
+    bench.store->records.push_back({std::string(OwnConfigurationKey),
+                                    encodeConfiguration(*sampleConfiguration(7)), 1});
+    bench.store->available = true;
+    bench.executor.advance(1500ms);
+    CHECK(bench.version() == 7);
+}
+
+TEST_CASE("a store that is away is not asked more than a few times a second")
+{
+    Bench bench;
+    bench.start();
+    bench.store->fail();
+    const unsigned before = bench.store->newestCalls;
+    bench.executor.advance(20s);
+    CHECK(bench.store->newestCalls - before <= 40);
+    CHECK(bench.store->newestCalls - before >= 10);
+}
+
+TEST_CASE("after forgotten history the newest records are read again")
+{
+    Bench bench;
+    bench.store->publish(3);
+    bench.start();
+    bench.store->silent = true;
+    bench.store->publish(9);
+    bench.store->silent = false;
+    bench.store->forgetHistory();
+    bench.executor.advance(10ms);
+    CHECK(bench.version() == 9);
+}
+
+TEST_CASE("a read that has gone silent is noticed by what another daemon knows")
+{
+    Bench bench;
+    bench.store->publish(3);
+    bench.start();
+    bench.store->silent = true;
+    bench.store->publish(9);
+    bench.executor.advance(1s);
+    CHECK(bench.version() == 3);
+    bench.configuration.send(PeerEvidence {{"other", 1}, {"127.0.0.1", 1}, 2});
+    bench.executor.advance(300ms);
+    CHECK(bench.version() == 9);
+}
+
+TEST_CASE("another daemon tells the configuration while the store is away")
+{
+    Bench bench;
+    bench.store->available = false;
+    bench.start();
+    CHECK(bench.version() == 0);
+    bench.configuration.send(PeerEvidence {{"other", 1}, {"127.0.0.1", 1}, 4});
+    bench.executor.advance(300ms);
+    REQUIRE(bench.asked.size() == 1);
+    bench.asked[0].reply(encodeSnapshot({4, {"klang-a"}, sampleConfiguration(6)}));
+    bench.executor.advance(1ms);
+    CHECK(bench.version() == 6);
+    CHECK_FALSE(bench.inForce->inService("klang-a"));
+    CHECK(bench.inForce->inService("penang-a"));
+}
+
+TEST_CASE("a malformed record is passed over and the last good version holds")
+{
+    Bench bench;
+    bench.store->publish(3);
+    bench.start();
+    bench.store->records.push_back({std::string(OwnConfigurationKey), "{", 1});
+    bench.store->publish(8);
+    bench.executor.advance(1ms);
+    CHECK(bench.version() == 8);
+}
