--- a/tutorial/lesson1_first_call.cpp
+++ b/tutorial/lesson1_first_call.cpp
@@ -2,8 +2,9 @@
 //
 // Two daemons run beside one backend server each. A caller asks the first daemon, which chooses a
 // target; the chosen daemon then decides whether its backend server may take the call.
-#include "decisions/Admission.h"
-#include "decisions/Routing.h"
+#include "decisions/ColdPacer.h"
+#include "decisions/Placement.h"
+#include "decisions/SlotQueue.h"
 #include "kernel/ManualExecutor.h"
 
 #include <cstdlib>
@@ -40,20 +41,14 @@
     result->dataCentres["recife-a"] = {"nordeste-litoral", true};
     result->dataCentres["salvador-b"] = {"nordeste-litoral", true};
     result->services["estoque-consulta"].slots = 9;
-    result->services["estoque-consulta"].coldStart.initialSlots = 1;
-    result->routes.push_back({"/estoque", "estoque-consulta", {"GET"}, {}});
+    Route route;
+    route.prefix = "/estoque";
+    route.service = "estoque-consulta";
+    route.idempotentMethods = {"GET"};
+    result->routes.push_back(route);
     return result;
 }
 
-/// The one place of this lesson that depends on how a slot is asked for.
-bool admitted(Admission &admission, TimePoint now)
-{
-    static std::uint64_t lastCall = 0;
-    Reason reason {};
-    return admission.admit({1, ++lastCall}, now + std::chrono::milliseconds(500), now, reason)
-        == AdmissionVerdict::Admitted;
-}
-
 } // namespace
 
 int main()
@@ -67,45 +62,63 @@
     expect(route && route->service == "estoque-consulta", "the path leads to a service");
 
     // 2. It chooses a target among the daemons whose backend server offers that service.
-    Routing routing({{"recife-a-1", 1}, "nordeste-litoral", "recife-a"}, random);
+    Placement placement({{"recife-a-1", 1}, "nordeste-litoral", "recife-a"}, random);
     const std::vector<Member> members {daemonIn("recife-a"), daemonIn("salvador-b")};
-    routing.membersChanged(members);
-    routing.configurationChanged(rules);
+    placement.membersChanged(members);
+    placement.configurationChanged(rules);
     CallFacts facts;
     facts.service = route->service;
     facts.idempotent = true;
+    facts.objective = clock.now() + std::chrono::milliseconds(300);
     facts.deadline = clock.now() + std::chrono::milliseconds(500);
-    const Routing::Choice choice = routing.pick(facts, {}, clock.now());
-    expect(std::holds_alternative<Target>(choice), "a target was chosen");
-    const DaemonId target = std::get<Target>(choice).daemon;
-    routing.sent(target, clock.now());
+    Placement::Choice choice = placement.pick(facts, {}, clock.now());
+    expect(std::holds_alternative<PlacedAttempt>(choice), "a target was chosen");
+    const PlacedAttempt placed = std::get<PlacedAttempt>(choice);
+    expect(placed.target.daemon.name == "recife-a-1", "the nearest one, as long as it is as good");
+
+    // 3. The serving daemon gives the call a slot of its backend server. A call beyond the slots
+    //    waits, but not longer than its entry daemon allows.
+    SlotQueue slots;
+    slots.slotsChanged(1);
+    expect(slots.offer({{1, 1}, placed.startBy, 0, false}, clock.now()) == SlotVerdict::Start,
+           "the first call gets the slot");
+    expect(slots.offer({{1, 2}, placed.startBy, 0, false}, clock.now()) == SlotVerdict::Wait,
+           "the second one waits");
+    slots.released();
+    const auto decisions = slots.decide(clock.now(), true);
+    expect(decisions.size() == 1 && decisions[0].start, "it starts when the first has ended");
 
-    // 3. The serving daemon admits the call. Its backend server has just announced itself, so it is
-    //    cold and gets one call at a time.
-    Admission admission;
-    admission.rulesChanged(rules->services.at("estoque-consulta"));
-    admission.announced(9, clock.now());
-    expect(admission.report().state == BackendState::Cold, "a new backend server counts as cold");
-    expect(admission.report().limit == 1, "a cold backend server starts with one slot");
-    expect(admitted(admission, clock.now()), "the first call gets the slot");
-    expect(!admitted(admission, clock.now()), "a second call at once does not");
+    // 4. A cold server bears a few calls per second, whatever its slots.
+    ColdPacer pacer;
+    pacer.limitChanged(2);
+    pacer.coldUntil(clock.now() + std::chrono::seconds(3));
+    pacer.started(clock.now());
+    pacer.started(clock.now());
+    expect(!pacer.mayStart(clock.now()), "the third call of a second waits for a cold server");
 
-    // 4. The answer comes 3 ms later. The entry daemon learns from it for its next choice.
-    clock.advance(std::chrono::milliseconds(3));
-    routing.finished(target, {true, std::chrono::milliseconds(3)}, clock.now());
+    // 5. The server reports that its work takes seven times as long now. The next calls go to the
+    //    other data centre, which costs them 3 ms.
+    LoadReport slow;
+    slow.limit = 9;
+    slow.state = BackendState::Warm;
+    slow.slowness = 700;
+    clock.advance(std::chrono::milliseconds(1));
+    placement.reported(placed.target.daemon, slow, clock.now());
+    choice = placement.pick(facts, {}, clock.now());
+    expect(std::get<PlacedAttempt>(choice).target.daemon.name == "salvador-b-1",
+           "a slow spell moves calls away within one report");
 
-    // 5. A data centre out of service gets no further work.
+    // 6. A data centre out of service gets no further work.
     const auto without = configuration();
     without->version = 2;
-    without->dataCentres["recife-a"].inService = false;
-    routing.configurationChanged(without);
+    without->dataCentres["salvador-b"].inService = false;
+    placement.configurationChanged(without);
     for (int i = 0; i < 100; ++i) {
-        const Routing::Choice next = routing.pick(facts, {}, clock.now());
-        if (!std::holds_alternative<Target>(next)
-            || std::get<Target>(next).daemon.name != "salvador-b-1") {
-            expect(false, "all calls go to the other data centre");
+        choice = placement.pick(facts, {}, clock.now());
+        if (std::get<PlacedAttempt>(choice).target.daemon.name != "recife-a-1") {
+            expect(false, "all calls go to the data centre that is in service");
         }
     }
-    expect(true, "all calls go to the other data centre");
+    expect(true, "all calls go to the data centre that is in service");
     return 0;
 }
