--- a/tools/demo_site.py
+++ b/tools/demo_site.py
@@ -13,7 +13,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BUILD = ROOT / os.environ.get("BUILD_DIR", "build")
-LOG_ADDRESS = "127.0.0.1:7000"
+STORE_ADDRESS = "127.0.0.1:7000"
 FIRST_DAEMON_PORT = 7101
 FIRST_BACKEND_PORT = 7111
 REGION = "nordeste-litoral"
@@ -48,7 +48,6 @@
         self.directory = directory
         self.processes = []
         self.histories = []
-        self.has_log = (BUILD / "coltsfootctl").exists()
         self.configuration = ROOT / "examples/mandacaru/configuration.json"
         self.ports = []
 
@@ -60,19 +59,16 @@
 
     def start(self):
         places = [(centre, service) for centre in DATA_CENTRES for service in SERVICES]
+        self.start_process("store", BUILD / "coltsfoot-store", "--listen", STORE_ADDRESS)
         self.ports = [FIRST_DAEMON_PORT + i for i in range(len(places))]
         for i, (centre, service) in enumerate(places):
             name = f"{centre}-{service}"
             settings = {"id": name, "region": REGION, "dataCentre": centre, "listen": f"127.0.0.1:{self.ports[i]}",
-                        "seeds": [f"127.0.0.1:{port}" for port in self.ports]}
-            if self.has_log:
-                settings["log"] = {"embedded": True, "listen": LOG_ADDRESS} if i == 0 else {"address": LOG_ADDRESS}
-            else:
-                settings["configurationFile"] = str(self.configuration)
+                        "peers": f"127.0.0.1:{self.ports[i] + 100}", "store": STORE_ADDRESS}
             path = self.directory / f"{name}.json"
             path.write_text(json.dumps(settings))
             self.start_process(name, BUILD / "coltsfootd", "--settings", path)
-        if self.has_log and not self.publish():
+        if not self.publish():
             return False
         for i, (centre, service) in enumerate(places):
             slots, service_ms = SERVICES[service]
@@ -99,7 +95,7 @@
         return self.wait_until(lambda: self.control("publish", self.configuration)[0] == 0)
 
     def control(self, *arguments):
-        command = [str(BUILD / "coltsfootctl"), "--log", LOG_ADDRESS, *map(str, arguments)]
+        command = [str(BUILD / "coltsfootctl"), "--store", STORE_ADDRESS, *map(str, arguments)]
         try:
             done = subprocess.run(command, capture_output=True, text=True, timeout=10, stdin=subprocess.DEVNULL)
         except subprocess.TimeoutExpired:
@@ -135,42 +131,35 @@
                     process.wait()
 
 
-def mix(minted_keys):
-    key = "daemon" if minted_keys else "none"
-    repeats = 2 if minted_keys else 0
+def mix():
     return [
         {"name": "stock check", "share": 60, "path": "/estoque/loja-7", "deadlineMs": 500},
         {"name": "order", "share": 30, "method": "POST", "path": "/pedidos/novo", "bodyBytes": 600,
-         "deadlineMs": 2000, "key": key, "repeats": repeats},
+         "deadlineMs": 2000},
         {"name": "order with nested stock check", "share": 9, "method": "POST",
-         "path": "/pedidos/conferido?nested=/estoque/loja-7", "bodyBytes": 600, "deadlineMs": 2000, "key": key,
-         "repeats": repeats},
+         "path": "/pedidos/conferido?nested=/estoque/loja-7", "bodyBytes": 600, "deadlineMs": 2000},
         {"name": "count sheet with photograph", "share": 1, "method": "POST", "path": "/contagens/folha",
-         "bodyBytes": PHOTOGRAPH_BYTES, "deadlineMs": 10000, "key": key, "repeats": repeats}]
+         "bodyBytes": PHOTOGRAPH_BYTES, "deadlineMs": 10000}]
 
 
 def run_load(site):
     """Returns the exit code of the load tool and the events that happened meanwhile."""
     path = site.directory / "mix.json"
-    minted = request(site.ports[0], "POST", "/coltsfootwell/keys")[0] // 100 == 2
-    path.write_text(json.dumps(mix(minted)))
-    gaps = [] if minted else ["keys are not minted yet (POST /coltsfootwell/keys): orders were sent without keys"]
+    path.write_text(json.dumps(mix()))
+    gaps = []
     targets = [argument for port in site.ports for argument in ("--target", f"127.0.0.1:{port}")]
     load = site.start_process("load", BUILD / "coltsfoot-load", *targets, "--mix", path, "--rate", CALLS_PER_SECOND,
                               "--seconds", LOAD_S, "--seed", 1, "--history", site.directory / "calls.history",
                               "--report", site.directory / "report.json", "--plot", site.directory / "plot.svg")
     began = time.monotonic()
     events = []
-    if site.has_log:
-        for at, word in ((OUT_AT_S, "out"), (BACK_AT_S, "back")):
-            time.sleep(max(0, began + at - time.monotonic()))
-            code, text = site.control(word, OUT_DATA_CENTRE)
-            events.append((time.monotonic_ns(), word))
-            print(f"coltsfootctl {word} {OUT_DATA_CENTRE}: exit code {code}")
-            if code != 0:
-                gaps.append(f"coltsfootctl {word} {OUT_DATA_CENTRE} ended with {code}: {text}")
-    else:
-        gaps.append("coltsfootctl does not exist yet: no data centre was taken out and brought back")
+    for at, word in ((OUT_AT_S, "out"), (BACK_AT_S, "back")):
+        time.sleep(max(0, began + at - time.monotonic()))
+        code, text = site.control(word, OUT_DATA_CENTRE)
+        events.append((time.monotonic_ns(), word))
+        print(f"coltsfootctl {word} {OUT_DATA_CENTRE}: exit code {code}")
+        if code != 0:
+            gaps.append(f"coltsfootctl {word} {OUT_DATA_CENTRE} ended with {code}: {text}")
     return load.wait(LOAD_S + 30), events, gaps
 
 
