--- a/src/decisions/ColdPacer.cpp
+++ b/src/decisions/ColdPacer.cpp
@@ -34,8 +34,9 @@
 
 std::size_t ColdPacer::limit() const
 {
-    return m_callsPerSecond <= 0 ? 0
-                                 : std::max<std::size_t>(1, static_cast<std::size_t>(m_callsPerSecond));
+    return m_callsPerSecond <= 0
+        ? 0
+        : std::max<std::size_t>(1, static_cast<std::size_t>(m_callsPerSecond));
 }
 
 } // namespace Coltsfootwell
--- a/src/decisions/ColdPacer.h
+++ b/src/decisions/ColdPacer.h
@@ -27,7 +27,8 @@
     /// \return true while the server counts as cold.
     bool isCold(TimePoint now) const { return now < m_until; }
 
-    /// \brief Counts a start. Starts of a warm server count too, since it may turn cold at any time.
+    /// \brief Counts a start. Starts of a warm server count too, since it may turn cold at any
+    /// time.
     void started(TimePoint now);
 
     /// \return true when another call may start now.
--- a/src/decisions/Placement.cpp
+++ b/src/decisions/Placement.cpp
@@ -190,8 +190,9 @@
     const Duration usual = report.answerMicros > 0 ? Duration(microseconds(report.answerMicros))
                                                    : Duration(AssumedAnswer);
     const unsigned slots = reported && report.limit > 0 ? report.limit : candidate.slots;
-    const double load = std::max(
-        0.0, static_cast<double>(report.inUse) + report.waiting + static_cast<double>(seen.sentSince));
+    const double load = std::max(0.0,
+                                 static_cast<double>(report.inUse) + report.waiting
+                                     + static_cast<double>(seen.sentSince));
     const double share = (load + 1) / slots;
     const double crowding
         = 1 + CrowdedSlowdown * std::clamp((share - CrowdedShare) / (1 - CrowdedShare), 0.0, 1.0);
--- a/src/decisions/ProbePlan.cpp
+++ b/src/decisions/ProbePlan.cpp
@@ -9,8 +9,8 @@
     if (m_perSecond <= 0) {
         return TimePoint::max();
     }
-    const auto leastGap = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(1 / m_perSecond));
+    const auto leastGap
+        = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / m_perSecond));
     Duration age = IdleAge;
     if (need.cold) {
         age = ColdAge;
--- a/src/decisions/SlotQueue.h
+++ b/src/decisions/SlotQueue.h
@@ -68,7 +68,8 @@
     void released();
 
     /// \brief Starts waiting runs as far as slots allow and refuses those that waited too long.
-    /// \param mayStart false while the server takes no further call, such as a cold one at its rate.
+    /// \param mayStart false while the server takes no further call, such as a cold one at its
+    /// rate.
     Decisions decide(TimePoint now, bool mayStart);
 
     /// \brief Refuses all that waits.
--- a/src/programs/Daemon.cpp
+++ b/src/programs/Daemon.cpp
@@ -52,8 +52,9 @@
 
 const DaemonInterface &ownInterface()
 {
-    static const DaemonInterface interface {&ownDialect(), &ownControlFormat(), &makePlatformStore,
-                                            &addOwnRegistration, true};
+    static const DaemonInterface interface {
+        &ownDialect(), &ownControlFormat(), &makePlatformStore, &addOwnRegistration, true
+    };
     return interface;
 }
 
@@ -89,8 +90,9 @@
     membership.conflict = std::move(events.conflict);
 
     // Services stop in reverse order: callers first, what carries their answers last.
-    kernel.add(makeStop(kernel, {std::min(LeaveTime, part(settings.grace, LeaveShare)),
-                                 settings.grace - GraceMargin, std::move(events.left)}));
+    kernel.add(makeStop(kernel,
+                        {std::min(LeaveTime, part(settings.grace, LeaveShare)),
+                         settings.grace - GraceMargin, std::move(events.left)}));
     kernel.add(makeTelemetry(kernel, id));
     if (settings.admin) {
         kernel.add(makeControlListener(kernel, context, {"admin", *settings.admin}));
@@ -100,13 +102,11 @@
     }
     kernel.add(makeMembership(kernel, context, membership));
     kernel.add(makeLinks(kernel, context, {settings.peers, id}));
-    kernel.add(makeConfiguration(
-        kernel, store(),
-        {interface.format, settings.dataCentres, settings.configurationFile,
-         strategies.configurationFilter}));
+    kernel.add(makeConfiguration(kernel, store(),
+                                 {interface.format, settings.dataCentres,
+                                  settings.configurationFile, strategies.configurationFilter}));
     if (settings.store) {
-        kernel.add(makeDaemonRecords(kernel, store(), id,
-                                     {settings.advertise, settings.listen}));
+        kernel.add(makeDaemonRecords(kernel, store(), id, {settings.advertise, settings.listen}));
     }
     kernel.add(makeBackend(
         kernel, context,
--- a/src/programs/DaemonMain.cpp
+++ b/src/programs/DaemonMain.cpp
@@ -76,8 +76,8 @@
         }
         tell(LogEvent {"daemon.started", "",
                        "region=" + m_settings.region + " dataCentre=" + m_settings.dataCentre
-                           + " interface=" + m_settings.interface
-                           + " version=" + COLTSFOOTWELL_VERSION});
+                           + " interface=" + m_settings.interface + " version="
+                           + COLTSFOOTWELL_VERSION});
         waitForSignal();
         m_watch.start();
         m_context.run();
--- a/src/programs/DaemonSettings.cpp
+++ b/src/programs/DaemonSettings.cpp
@@ -54,8 +54,8 @@
         std::vector<Endpoint> list;
         if (const json::value *value = m_object.if_contains(key)) {
             for (const json::value &item : value->get_array()) {
-                if (const auto endpoint = endpointOf(std::string_view(item.get_string()),
-                                                     '/' + std::string(key))) {
+                if (const auto endpoint
+                    = endpointOf(std::string_view(item.get_string()), '/' + std::string(key))) {
                     list.push_back(*endpoint);
                 }
             }
--- a/src/programs/DaemonSettings.h
+++ b/src/programs/DaemonSettings.h
@@ -29,7 +29,8 @@
     std::string service;
     /// HTTP address for callers.
     Endpoint listen;
-    /// TCP and UDP address for other daemons; the port after `listen` unless settings say otherwise.
+    /// TCP and UDP address for other daemons; the port after `listen` unless settings say
+    /// otherwise.
     Endpoint peers;
     /// Where other daemons reach this one; the same as `peers` unless settings say otherwise.
     Endpoint advertise;
--- a/src/programs/LogExplain.cpp
+++ b/src/programs/LogExplain.cpp
@@ -55,7 +55,8 @@
         return {"server-failed-" + last, "The backend server answered with status " + last + "."};
     }
     if (outcome.starts_with("not-run")) {
-        return {outcome + "/" + last, "It was refused as not run (" + outcome.substr(8)
+        return {outcome + "/" + last,
+                "It was refused as not run (" + outcome.substr(8)
                     + "); the last attempt ended with " + last + "."};
     }
     return {outcome + "/" + last,
@@ -115,8 +116,9 @@
     if (const LogLine *malformed = lastOf(lines, "call.malformed")) {
         return {"malformed", "Its header " + fieldOf(*malformed, "header") + " was malformed."};
     }
-    return {"no-entry-line", "No line of its entry daemon was found; the lines of other daemons "
-                             "do not tell what the caller was told."};
+    return {"no-entry-line",
+            "No line of its entry daemon was found; the lines of other daemons "
+            "do not tell what the caller was told."};
 }
 
 void LogExplain::read(std::istream &in, const std::string &name)
--- a/src/programs/OperatorCommands.cpp
+++ b/src/programs/OperatorCommands.cpp
@@ -169,8 +169,8 @@
     std::error_code ec;
     m_session.publish(next, m_state.end, ec);
     if (ec == ServiceError::Conflict) {
-        m_error << "conflict: another operator has published since version "
-                << next.version - 1 << " was read\n";
+        m_error << "conflict: another operator has published since version " << next.version - 1
+                << " was read\n";
         return OperatorExit::Conflict;
     }
     if (ec) {
--- a/src/programs/OperatorSession.cpp
+++ b/src/programs/OperatorSession.cpp
@@ -25,8 +25,7 @@
 
 struct OperatorSession::Runtime
 {
-    explicit Runtime(const Endpoint &endpoint)
-        : store(makePlatformStore(kernel, context, endpoint))
+    explicit Runtime(const Endpoint &endpoint) : store(makePlatformStore(kernel, context, endpoint))
     {
     }
 
@@ -128,8 +127,9 @@
         request.headers = {{"Host", endpointText(endpoint)}};
         request.deadline = runtime.executor.now() + StatusTimeout;
         std::make_shared<HttpExchange>(
-            runtime.context, runtime.executor, std::make_shared<HttpPool>(runtime.context, endpoint),
-            ownDialect(), std::move(request), [] { return true; },
+            runtime.context, runtime.executor,
+            std::make_shared<HttpPool>(runtime.context, endpoint), ownDialect(), std::move(request),
+            [] { return true; },
             [answers, open, index](const ExchangeOutcome &outcome) {
                 if (outcome.status == StatusOk) {
                     (*answers)[index].status = decodeStatus(outcome.body);
--- a/src/programs/SetupAnswers.cpp
+++ b/src/programs/SetupAnswers.cpp
@@ -157,7 +157,8 @@
         answers.services.push_back(askService(ask, answers, name, prefixes));
     }
     const std::vector<std::string> customerNames = ask.list(
-        {"/customers", "Customers with home regions (comma-separated, may be empty)", ""}, nameRule);
+        {"/customers", "Customers with home regions (comma-separated, may be empty)", ""},
+        nameRule);
     for (const std::string &name : customerNames) {
         answers.customers[name]
             = ask.list({"/customer/" + name + "/homeRegions", "Home regions of " + name, {}},
--- a/src/programs/coltsfootctl.cpp
+++ b/src/programs/coltsfootctl.cpp
@@ -112,8 +112,7 @@
     app.require_subcommand(1);
     app.footer(ExitCodes);
     app.set_version_flag("--version", COLTSFOOTWELL_VERSION);
-    app.add_option("--store", line.store, "IP number and port of the store")
-        ->capture_default_str();
+    app.add_option("--store", line.store, "IP number and port of the store")->capture_default_str();
     app.add_option("--daemon", line.daemons,
                    "IP number and port of a daemon to ask; may be repeated; without it the "
                    "daemons that the store names are asked");
--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -3,10 +3,10 @@
 #include "decisions/ProbePlan.h"
 #include "decisions/RunLedger.h"
 #include "decisions/SlotQueue.h"
-#include "services/HttpExchange.h"
 #include "services/BackendMessages.h"
 #include "services/BackendState.h"
 #include "services/ConfigurationMessages.h"
+#include "services/HttpExchange.h"
 #include "services/MembershipMessages.h"
 #include "services/ServiceError.h"
 #include "services/ServiceNames.h"
@@ -58,7 +58,8 @@
 public:
     Backend(Kernel &kernel, boost::asio::io_context &context, BackendSettings settings)
         : m_kernel(kernel), m_context(context), m_settings(std::move(settings)),
-          m_state(m_settings.place, m_settings.drainTime), m_ledger(m_settings.place.self.incarnation, *m_settings.guards),
+          m_state(m_settings.place, m_settings.drainTime),
+          m_ledger(m_settings.place.self.incarnation, *m_settings.guards),
           m_mailbox(kernel.executor(),
                     [this](BackendMessage message) {
                         std::visit([this](auto &&body) { handle(std::move(body)); },
@@ -110,8 +111,7 @@
     {
         if (!m_runs.empty()) {
             // Runs of other daemons' callers end first.
-            m_kernel.executor().after(StopCheck,
-                                      [this, done = std::move(done)] { stop(done); });
+            m_kernel.executor().after(StopCheck, [this, done = std::move(done)] { stop(done); });
             return;
         }
         for (const TimerId timer : {m_tickTimer, m_queueTimer, m_probeTimer}) {
@@ -174,8 +174,8 @@
             return;
         }
         const ServiceRules *rules = m_state.rules();
-        const bool few = rules && rules->coldStart.callsPerSecond <= 0
-            && m_state.pacer.isCold(now());
+        const bool few
+            = rules && rules->coldStart.callsPerSecond <= 0 && m_state.pacer.isCold(now());
         m_slots.slotsChanged(few ? std::min(heartbeat->slots, rules->coldStart.initialSlots)
                                  : heartbeat->slots);
     }
@@ -207,8 +207,8 @@
     {
         const RegistrationChange change = m_state.registration.left(message.instance, now());
         m_telemetry.send(LogEvent {"backend.left", "",
-                                   "instance=" + message.instance + " change="
-                                       + std::string(changeName(change))});
+                                   "instance=" + message.instance
+                                       + " change=" + std::string(changeName(change))});
         message.acknowledged(true);
         report();
         decide();
@@ -231,14 +231,14 @@
         if (change == RegistrationChange::Renewed) {
             return;
         }
-        m_telemetry.send(LogEvent {
-            "backend.heartbeat", "",
-            "instance=" + heartbeat.instance + " service=" + heartbeat.service
-                + " sequence=" + std::to_string(heartbeat.sequence) + " state="
-                + (heartbeat.state == AnnouncedState::Ready ? "ready" : "draining")
-                + " slots=" + std::to_string(heartbeat.slots) + " coldMs="
-                + std::to_string(heartbeat.cold.count()) + " change="
-                + std::string(changeName(change))});
+        m_telemetry.send(
+            LogEvent {"backend.heartbeat", "",
+                      "instance=" + heartbeat.instance + " service=" + heartbeat.service
+                          + " sequence=" + std::to_string(heartbeat.sequence) + " state="
+                          + (heartbeat.state == AnnouncedState::Ready ? "ready" : "draining")
+                          + " slots=" + std::to_string(heartbeat.slots)
+                          + " coldMs=" + std::to_string(heartbeat.cold.count())
+                          + " change=" + std::string(changeName(change))});
     }
 
     static std::string_view changeName(RegistrationChange change)
@@ -272,8 +272,7 @@
     void report()
     {
         const LoadReport load = loadReport();
-        const auto announced
-            = std::tuple(m_state.service(), publicState(load), m_slots.slots());
+        const auto announced = std::tuple(m_state.service(), publicState(load), m_slots.slots());
         if (std::exchange(m_announced, announced) != announced) {
             std::apply([this](auto... parts) { m_membership.send(BackendChanged {parts...}); },
                        announced);
@@ -284,9 +283,9 @@
             || crossedFull) {
             if (load.state != m_told.state) {
                 m_telemetry.send(LogEvent {"backend.state", "",
-                                           "service=" + m_state.service() + " state="
-                                               + stateName(load.state) + " limit="
-                                               + std::to_string(load.limit)});
+                                           "service=" + m_state.service()
+                                               + " state=" + stateName(load.state)
+                                               + " limit=" + std::to_string(load.limit)});
             }
             m_told = load;
             m_links.send(LoadChanged {load});
@@ -328,8 +327,7 @@
             refuse(run, *reason);
             return;
         }
-        const SlotVerdict slot
-            = m_slots.offer({id, run.startBy, run.priority, run.nested}, now());
+        const SlotVerdict slot = m_slots.offer({id, run.startBy, run.priority, run.nested}, now());
         if (slot == SlotVerdict::Refuse) {
             refuse(run, Reason::Overloaded);
             return;
@@ -357,8 +355,8 @@
         m_ledger.refused(run.attempt);
         m_telemetry.send(CountEvent {"runs_refused_total", std::string(reasonName(reason))});
         m_telemetry.send(LogEvent {"run.refused", run.call.requestId,
-                                   "reason=" + std::string(reasonName(reason)) + " byServer="
-                                       + (byServer ? "yes" : "no") + loadText()});
+                                   "reason=" + std::string(reasonName(reason))
+                                       + " byServer=" + (byServer ? "yes" : "no") + loadText()});
         run.reply(AttemptRefused {reason, loadReport(), byServer});
     }
 
@@ -433,8 +431,8 @@
             return false;
         }
         Run &run = it->second;
-        run.stopped = pool == m_pool ? m_state.refusalOf(run.attempt, now())
-                                     : Reason::NoBackendServer;
+        run.stopped
+            = pool == m_pool ? m_state.refusalOf(run.attempt, now()) : Reason::NoBackendServer;
         if (!run.stopped) {
             m_telemetry.send(CountEvent {"runs_started_total", run.attempt.service});
         }
@@ -597,8 +595,7 @@
             const SlotQueue::Decisions decisions = closed
                 ? m_slots.refuseAll()
                 : m_slots.decide(now(), m_state.pacer.mayStart(now()));
-            for (const SlotDecision &decision :
-                 std::vector(decisions.begin(), decisions.end())) {
+            for (const SlotDecision &decision : std::vector(decisions.begin(), decisions.end())) {
                 again = again || decision.start;
                 carryOut(decision, closed.value_or(Reason::Overloaded));
             }
@@ -696,8 +693,8 @@
     {
         const bool wasDown = m_state.health.isDown();
         if (outcome.kind == ExchangeOutcome::Kind::Answered) {
-            const ProbeReport probe = m_settings.dialect->decodeProbe(
-                outcome.status, outcome.headers, outcome.body);
+            const ProbeReport probe
+                = m_settings.dialect->decodeProbe(outcome.status, outcome.headers, outcome.body);
             if (probe.load) {
                 m_state.health.reportedSlowness(probe.load->slowness, now());
             }
@@ -718,9 +715,9 @@
             m_telemetry.send(CountEvent {"probes_total", refused ? "refused" : "lost"});
         }
         if (wasDown != m_state.health.isDown()) {
-            m_telemetry.send(LogEvent {
-                "backend.health", "",
-                "service=" + m_state.service() + (wasDown ? " down=no" : " down=yes")});
+            m_telemetry.send(
+                LogEvent {"backend.health", "",
+                          "service=" + m_state.service() + (wasDown ? " down=no" : " down=yes")});
         }
         report();
         decide();
--- a/src/services/CallTrail.cpp
+++ b/src/services/CallTrail.cpp
@@ -9,8 +9,7 @@
 
 std::string microsText(Duration duration)
 {
-    return std::to_string(
-        std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
+    return std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
 }
 
 std::string loadText(const std::optional<LoadReport> &load)
@@ -34,10 +33,9 @@
 {
     m_received = facts.received;
     m_facts = "service=" + facts.service + " idempotent=" + (facts.idempotent ? "yes" : "no")
-        + " nested=" + (facts.nested ? "yes" : "no") + " priority="
-        + std::to_string(facts.priority) + " objectiveUs=" + microsText(facts.objective - now)
-        + " deadlineUs=" + microsText(facts.deadline - now)
-        + " configuration=" + std::to_string(version);
+        + " nested=" + (facts.nested ? "yes" : "no") + " priority=" + std::to_string(facts.priority)
+        + " objectiveUs=" + microsText(facts.objective - now) + " deadlineUs="
+        + microsText(facts.deadline - now) + " configuration=" + std::to_string(version);
 }
 
 void CallTrail::sent(const SendAttempt &action, TimePoint now)
--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -257,15 +257,14 @@
         request.reply = Reply<ControlAnswer>(
             m_context->executor,
             [self = shared_from_this(), exchange](std::optional<ControlAnswer> answer) {
-                self->finishControl(
-                    exchange,
-                    answer.value_or(ControlAnswer {404, "application/json",
-                                                   R"({"error":"unknown path"})"}));
+                self->finishControl(exchange,
+                                    answer.value_or(ControlAnswer {404, "application/json",
+                                                                   R"({"error":"unknown path"})"}));
             });
         std::error_code unknown;
-        m_context->directory
-            .find<ControlRequest>(ServiceName::control(request.path), unknown)
-            .send(std::move(request));
+        const auto control = m_context->directory.find<ControlRequest>(
+            ServiceName::control(request.path), unknown);
+        control.send(std::move(request));
     }
 
     void finishControl(const std::shared_ptr<Exchange> &exchange, ControlAnswer answer)
@@ -300,8 +299,8 @@
 
     std::string refusalBytes(const Exchange &exchange, const CallRefused &refused, bool keep) const
     {
-        RefusalHead head = m_context->dialect.encodeRefusal(
-            refused.outcome, refused.reason, exchange.requestId, refused.retryAfter);
+        RefusalHead head = m_context->dialect.encodeRefusal(refused.outcome, refused.reason,
+                                                            exchange.requestId, refused.retryAfter);
         head.headers.push_back({"Content-Type", "text/plain"});
         const std::string text = std::string(reasonName(refused.reason)) + " ("
             + std::string(outcomeName(refused.outcome)) + ")\n";
@@ -354,18 +353,18 @@
     {
         m_writing = true;
         auto bytes = std::make_shared<std::string>(std::exchange(m_out, {}));
-        asio::async_write(m_socket, asio::buffer(*bytes),
-                          [self = shared_from_this(), bytes](boost::system::error_code ec,
-                                                             std::size_t) {
-                              self->m_writing = false;
-                              if (ec) {
-                                  self->callerGone();
-                              } else if (self->m_closeAfter) {
-                                  self->endAfterAnswers();
-                              } else {
-                                  self->flush();
-                              }
-                          });
+        asio::async_write(
+            m_socket, asio::buffer(*bytes),
+            [self = shared_from_this(), bytes](boost::system::error_code ec, std::size_t) {
+                self->m_writing = false;
+                if (ec) {
+                    self->callerGone();
+                } else if (self->m_closeAfter) {
+                    self->endAfterAnswers();
+                } else {
+                    self->flush();
+                }
+            });
     }
 
     /// Closes the connection gracefully: what the caller still sends is read for a while.
@@ -385,13 +384,12 @@
 
     asio::awaitable<void> linger()
     {
-        const TimerId timer
-            = m_context->executor.after(LingerTime, [weak = weak_from_this()] {
-                  if (const auto self = weak.lock()) {
-                      boost::system::error_code ec;
-                      self->m_socket.close(ec);
-                  }
-              });
+        const TimerId timer = m_context->executor.after(LingerTime, [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                boost::system::error_code ec;
+                self->m_socket.close(ec);
+            }
+        });
         boost::system::error_code ec;
         std::array<char, 4096> buf {};
         while (!ec && m_socket.is_open()) {
--- a/src/services/Callers.cpp
+++ b/src/services/Callers.cpp
@@ -80,10 +80,7 @@
     }
 
 private:
-    void phaseChanged(StopPhase phase)
-    {
-        m_context->leaving = phase != StopPhase::Running;
-    }
+    void phaseChanged(StopPhase phase) { m_context->leaving = phase != StopPhase::Running; }
 
     void acceptWaiting()
     {
--- a/src/services/Calls.cpp
+++ b/src/services/Calls.cpp
@@ -44,7 +44,8 @@
 public:
     Calls(Kernel &kernel, CallsSettings settings)
         : m_kernel(kernel), m_settings(std::move(settings)),
-          m_placement(m_settings.place, kernel.random()), m_budget(kernel.random(), m_settings.retries),
+          m_placement(m_settings.place, kernel.random()),
+          m_budget(kernel.random(), m_settings.retries),
           m_mailbox(kernel.executor(),
                     [this](CallsMessage message) {
                         std::visit([this](auto &&body) { handle(std::move(body)); },
@@ -54,8 +55,7 @@
                                  [this](ConfigurationChanged news) { changed(std::move(news)); }),
           m_membersMailbox(kernel.executor(),
                            [this](const MembersChanged &news) { membersChanged(*news.members); }),
-          m_stopMailbox(kernel.executor(),
-                        [this](StopPhaseChanged news) { m_phase = news.phase; })
+          m_stopMailbox(kernel.executor(), [this](StopPhaseChanged news) { m_phase = news.phase; })
     {
         kernel.directory().publish(name(), m_mailbox.address());
         kernel.directory().publish(ServiceName::stopping(name()), m_stopMailbox.address());
@@ -134,11 +134,11 @@
     void refuseAtOnce(const SubmitCall &call, CallRefused refused)
     {
         count(refused);
-        m_telemetry.send(LogEvent {
-            "call.refused", call.call.requestId,
-            "reason=" + std::string(reasonName(refused.reason)) + " target=" + call.head->target
-                + " configuration="
-                + (m_configuration ? std::to_string(m_configuration->version) : "none")});
+        m_telemetry.send(
+            LogEvent {"call.refused", call.call.requestId,
+                      "reason=" + std::string(reasonName(refused.reason))
+                          + " target=" + call.head->target + " configuration="
+                          + (m_configuration ? std::to_string(m_configuration->version) : "none")});
         if (refused.reason == Reason::StaleConfiguration && call.call.deadline) {
             refused.retryAfter = retryAfter(*call.call.deadline, m_kernel.random());
         }
@@ -208,8 +208,9 @@
         run.nested = state.facts.nested;
         run.idempotent = state.facts.idempotent;
         run.reply = Reply<AttemptResult>(
-            m_kernel.executor(), [this, number, attempt = action.attempt, daemon = target.daemon](
-                                     std::optional<AttemptResult> result) {
+            m_kernel.executor(),
+            [this, number, attempt = action.attempt,
+             daemon = target.daemon](std::optional<AttemptResult> result) {
                 AttemptResult ended = result ? std::move(*result) : AttemptResult(AttemptLost {});
                 learn(daemon, ended);
                 attemptEnded(number, attempt, std::move(ended));
@@ -233,12 +234,9 @@
         const bool late = now() > state.facts.objective;
         const bool failed = attempt.answer->failure;
         m_telemetry.send(CountEvent {"calls_total", failed ? "failed" : late ? "late" : "run"});
-        m_telemetry.send(ObserveTime {"call_seconds", state.facts.service,
-                                      now() - state.submitted.received});
-        tell(state, failed     ? "answer-failed"
-                        : late ? "answer-late"
-                               : "answer",
-             failed || late);
+        m_telemetry.send(
+            ObserveTime {"call_seconds", state.facts.service, now() - state.submitted.received});
+        tell(state, failed ? "answer-failed" : late ? "answer-late" : "answer", failed || late);
         state.submitted.reply(CallAnswered {attempt.answer->status,
                                             std::move(attempt.answer->headers),
                                             attempt.answer->body, attempt.target.daemon});
@@ -252,7 +250,8 @@
         }
         count(refused);
         tell(state,
-             std::string(outcomeName(action.outcome)) + "-" + std::string(reasonName(action.reason)),
+             std::string(outcomeName(action.outcome)) + "-"
+                 + std::string(reasonName(action.reason)),
              action.reason != Reason::Cancelled);
         state.submitted.reply(refused);
     }
@@ -309,8 +308,7 @@
             if (refused->reason == Reason::Unreachable) {
                 m_placement.unreachable(state.attempts[id].target.daemon, now());
             }
-            perform(number,
-                    state.flow->refused(id, refused->reason, refused->byServer, now()));
+            perform(number, state.flow->refused(id, refused->reason, refused->byServer, now()));
         } else {
             perform(number, state.flow->lost(id, now()));
         }
--- a/src/services/ConfigurationFollower.cpp
+++ b/src/services/ConfigurationFollower.cpp
@@ -45,8 +45,7 @@
           m_askMailbox(kernel.executor(), [this](const PeerAsks &ask) { answerPeer(ask); }),
           m_membersMailbox(kernel.executor(),
                            [this](MembersChanged news) { m_members = std::move(news.members); }),
-          m_showMailbox(kernel.executor(),
-                        [this](const ControlRequest &request) { show(request); })
+          m_showMailbox(kernel.executor(), [this](const ControlRequest &request) { show(request); })
     {
         kernel.directory().publish(name(), m_mailbox.address());
         kernel.directory().publish(ServiceName::exchange(ExchangeSubject::ControlState),
@@ -114,10 +113,10 @@
             out += (out.empty() ? "" : ",") + dataCentre;
         }
         m_telemetry.send(LogEvent {"configuration.inForce", "",
-                                   "version=" + std::to_string(m_inForce->version) + " position="
-                                       + std::to_string(m_state.position()) + " out="
-                                       + (out.empty() ? "none" : out) + " source="
-                                       + std::string(source)});
+                                   "version=" + std::to_string(m_inForce->version)
+                                       + " position=" + std::to_string(m_state.position())
+                                       + " out=" + (out.empty() ? "none" : out)
+                                       + " source=" + std::string(source)});
         m_telemetry.send(
             SetGauge {"configuration_version", "", static_cast<double>(m_inForce->version)});
         for (const auto &subscriber : m_subscribers) {
@@ -152,8 +151,7 @@
         std::ostringstream text;
         text << in.rdbuf();
         if (!in) {
-            m_telemetry.send(
-                LogEvent {"configuration.unreadable", "", "file=" + m_settings.file});
+            m_telemetry.send(LogEvent {"configuration.unreadable", "", "file=" + m_settings.file});
             return;
         }
         if (apply(ownControlFormat().decode(OwnConfigurationKey, text.str()), "file")) {
@@ -223,8 +221,8 @@
             return;
         }
         if (read.ec == ServiceError::HistoryLost) {
-            m_telemetry.send(LogEvent {"store.historyLost", "",
-                                       "position=" + std::to_string(m_readFrom)});
+            m_telemetry.send(
+                LogEvent {"store.historyLost", "", "position=" + std::to_string(m_readFrom)});
             readNewest("");
             return;
         }
@@ -258,8 +256,8 @@
             const bool newer = m_state.published(std::move(published->configuration));
             if (!newer) {
                 m_telemetry.send(LogEvent {"configuration.outdated", "",
-                                           "version=" + std::to_string(version) + " inForce="
-                                               + std::to_string(m_state.version())});
+                                           "version=" + std::to_string(version)
+                                               + " inForce=" + std::to_string(m_state.version())});
             }
             return newer;
         }
@@ -267,9 +265,9 @@
             return m_state.tookOut(out->dataCentre, out->out);
         }
         if (const auto *malformed = std::get_if<MalformedRecord>(&record)) {
-            m_telemetry.send(LogEvent {"configuration.malformed", "",
-                                       "record=" + std::string(source) + " "
-                                           + faultLine(malformed->fault)});
+            m_telemetry.send(
+                LogEvent {"configuration.malformed", "",
+                          "record=" + std::string(source) + " " + faultLine(malformed->fault)});
         }
         return false;
     }
@@ -313,10 +311,10 @@
             askPeer(evidence.endpoint);
             if (m_store && m_storeAnswers) {
                 // The read that should have told has gone silent.
-                m_telemetry.send(LogEvent {"store.silent", "",
-                                           "position=" + std::to_string(m_state.position())
-                                               + " peerPosition="
-                                               + std::to_string(evidence.position)});
+                m_telemetry.send(
+                    LogEvent {"store.silent", "",
+                              "position=" + std::to_string(m_state.position())
+                                  + " peerPosition=" + std::to_string(evidence.position)});
                 m_store->stop();
                 readNewest("");
             }
@@ -382,8 +380,8 @@
     void show(const ControlRequest &request)
     {
         ControlSnapshot snapshot {m_state.position(), m_state.out(), m_state.inForce()};
-        request.reply(ControlAnswer {m_inForce ? 200U : 404U, "application/json",
-                                     encodeSnapshot(snapshot)});
+        request.reply(
+            ControlAnswer {m_inForce ? 200U : 404U, "application/json", encodeSnapshot(snapshot)});
     }
 
     Kernel &m_kernel;
--- a/src/services/ControlListener.cpp
+++ b/src/services/ControlListener.cpp
@@ -53,8 +53,8 @@
                 return;
             }
             if (!ec) {
-                asio::co_spawn(
-                    m_acceptor.get_executor(), serve(m_kernel, std::move(socket)), asio::detached);
+                asio::co_spawn(m_acceptor.get_executor(), serve(m_kernel, std::move(socket)),
+                               asio::detached);
             }
             accept();
         });
--- a/src/services/DaemonList.cpp
+++ b/src/services/DaemonList.cpp
@@ -28,8 +28,7 @@
                           [this](ControlRequest request) { answerHealth(request); }),
           m_statusMailbox(kernel.executor(),
                           [this](ControlRequest request) { answerStatus(request); }),
-          m_stopMailbox(kernel.executor(),
-                        [this](StopPhaseChanged news) { m_phase = news.phase; })
+          m_stopMailbox(kernel.executor(), [this](StopPhaseChanged news) { m_phase = news.phase; })
     {
         kernel.directory().publish(ServiceName::control("status"), m_statusMailbox.address());
         kernel.directory().publish(ServiceName::stopping(name()), m_stopMailbox.address());
--- a/src/services/DaemonRecords.cpp
+++ b/src/services/DaemonRecords.cpp
@@ -37,8 +37,7 @@
     std::error_code start() override
     {
         std::error_code ec;
-        m_membership
-            = m_kernel.directory().find<MembershipMessage>(ServiceName::Membership, ec);
+        m_membership = m_kernel.directory().find<MembershipMessage>(ServiceName::Membership, ec);
         if (!ec) {
             m_telemetry = m_kernel.directory().find<TelemetryMessage>(ServiceName::Telemetry, ec);
         }
@@ -64,16 +63,17 @@
     void append()
     {
         const StoreRecord record {m_self.name, encodeAddresses(m_addresses), 0};
-        m_store->append(DaemonRecordsTopic, record, std::nullopt, [this](const RecordAppended &appended) {
-            if (m_stopped) {
-                return;
-            }
-            if (appended.ec) {
-                later(RetryDelay, [this] { append(); });
-                return;
-            }
-            later(ReadDelays[0], [this] { read(""); });
-        });
+        m_store->append(DaemonRecordsTopic, record, std::nullopt,
+                        [this](const RecordAppended &appended) {
+                            if (m_stopped) {
+                                return;
+                            }
+                            if (appended.ec) {
+                                later(RetryDelay, [this] { append(); });
+                                return;
+                            }
+                            later(ReadDelays[0], [this] { read(""); });
+                        });
     }
 
     void read(const std::string &after)
--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -52,7 +52,8 @@
         return AssumedIdleLimit;
     }
     const std::string_view digits = text.substr(begin + Key.size());
-    const auto n = numberFromText<unsigned>(digits.substr(0, digits.find_first_not_of("0123456789")));
+    const auto n
+        = numberFromText<unsigned>(digits.substr(0, digits.find_first_not_of("0123456789")));
     return n ? Duration(seconds(*n)) : AssumedIdleLimit;
 }
 
@@ -116,13 +117,11 @@
         const Endpoint &endpoint = self.m_pool->endpoint();
         const auto address = asio::ip::make_address(endpoint.address, ec);
         if (!ec) {
-            const TimePoint last
-                = std::min(self.m_executor.now() + self.m_request.connectTimeout,
-                           self.m_request.deadline);
+            const TimePoint last = std::min(self.m_executor.now() + self.m_request.connectTimeout,
+                                            self.m_request.deadline);
             const TimerId timer = closeAt(last);
-            co_await connection.socket.async_connect(
-                tcp::endpoint(address, endpoint.port),
-                asio::redirect_error(asio::use_awaitable, ec));
+            co_await connection.socket.async_connect(tcp::endpoint(address, endpoint.port),
+                                                     asio::redirect_error(asio::use_awaitable, ec));
             self.m_executor.cancel(timer);
         }
         if (ec) {
@@ -166,13 +165,13 @@
     {
         self.m_connection->writing = true;
         auto bytes = std::make_shared<std::string>(requestBytes());
-        asio::async_write(self.m_connection->socket, asio::buffer(*bytes),
-                          [exchange = self.shared_from_this(),
-                           bytes](boost::system::error_code, std::size_t) {
-                              if (exchange->m_connection) {
-                                  exchange->m_connection->writing = false;
-                              }
-                          });
+        asio::async_write(
+            self.m_connection->socket, asio::buffer(*bytes),
+            [exchange = self.shared_from_this(), bytes](boost::system::error_code, std::size_t) {
+                if (exchange->m_connection) {
+                    exchange->m_connection->writing = false;
+                }
+            });
     }
 
     /// Reads answers until one belongs to this request.
@@ -266,9 +265,9 @@
 };
 
 HttpExchange::HttpExchange(asio::io_context &context, Executor &executor,
-                                 std::shared_ptr<HttpPool> pool, const HttpDialect &dialect,
-                                 ExchangeRequest request, std::function<bool()> mayBegin,
-                                 std::function<void(ExchangeOutcome)> ended)
+                           std::shared_ptr<HttpPool> pool, const HttpDialect &dialect,
+                           ExchangeRequest request, std::function<bool()> mayBegin,
+                           std::function<void(ExchangeOutcome)> ended)
     : m_context(context), m_executor(executor), m_pool(std::move(pool)), m_dialect(dialect),
       m_request(std::move(request)), m_mayBegin(std::move(mayBegin)), m_ended(std::move(ended))
 {
--- a/src/services/HttpExchange.h
+++ b/src/services/HttpExchange.h
@@ -92,9 +92,9 @@
     /// \param mayBegin asked right before the first byte is sent; false ends the exchange unsent.
     /// \param ended called once.
     HttpExchange(boost::asio::io_context &context, Executor &executor,
-                    std::shared_ptr<HttpPool> pool, const HttpDialect &dialect,
-                    ExchangeRequest request, std::function<bool()> mayBegin,
-                    std::function<void(ExchangeOutcome)> ended);
+                 std::shared_ptr<HttpPool> pool, const HttpDialect &dialect,
+                 ExchangeRequest request, std::function<bool()> mayBegin,
+                 std::function<void(ExchangeOutcome)> ended);
     ~HttpExchange();
 
     /// \brief Begins; the task keeps the object alive.
--- a/src/services/LinkClient.cpp
+++ b/src/services/LinkClient.cpp
@@ -152,8 +152,7 @@
     }
     const auto socket = std::make_shared<tcp::socket>(m_parts.context);
     peer->connecting = socket;
-    peer->connectTimer
-        = m_parts.executor.after(ConnectTimeout, [socket] { resetSocket(*socket); });
+    peer->connectTimer = m_parts.executor.after(ConnectTimeout, [socket] { resetSocket(*socket); });
     socket->async_connect(tcp::endpoint(address, peer->endpoint.port),
                           [this, weak = std::weak_ptr(peer), socket](boost::system::error_code ec) {
                               const PeerPtr peer = weak.lock();
@@ -216,8 +215,8 @@
     peer->pingedAt.reset();
     m_parts.tell(CountEvent {"link_connections_total", "broken"});
     m_parts.tell(LogEvent {"link.broken", "",
-                           "daemon=" + peer->daemon.name + " openAttempts="
-                               + std::to_string(peer->sent.size())});
+                           "daemon=" + peer->daemon.name
+                               + " openAttempts=" + std::to_string(peer->sent.size())});
     if (!peer->sent.empty() || !peer->questions.empty()) {
         peer->brokenSince = now();
         connect(peer);
@@ -255,7 +254,8 @@
     if (const auto *hello = std::get_if<HelloFrame>(&frame.body)) {
         peer->daemon = hello->daemon;
         for (auto &[id, sent] : peer->sent) {
-            // Asked for or not, an attempt that is still open belongs to the process it was sent to.
+            // Asked for or not, an attempt that is still open belongs to the process it was sent
+            // to.
             sent.sentTo = sent.sentTo == 0 ? hello->daemon.incarnation : sent.sentTo;
         }
     } else if (std::holds_alternative<PongFrame>(frame.body)) {
@@ -284,7 +284,8 @@
                                 std::make_shared<const std::string>(std::move(answer->body)),
                                 answer->failure, frame.load});
     } else if (const auto *refusal = std::get_if<RefusalFrame>(&frame.body)) {
-        finish(*peer, frame.attempt, AttemptRefused {refusal->reason, frame.load, refusal->byServer});
+        finish(*peer, frame.attempt,
+               AttemptRefused {refusal->reason, frame.load, refusal->byServer});
     } else if (std::holds_alternative<LostFrame>(frame.body)) {
         finish(*peer, frame.attempt, AttemptLost {frame.load});
     }
--- a/src/services/LinkConnection.cpp
+++ b/src/services/LinkConnection.cpp
@@ -96,19 +96,18 @@
 void LinkConnection::write()
 {
     m_writing = std::exchange(m_queued, {});
-    asio::async_write(
-        m_socket, asio::buffer(m_writing),
-        [self = shared_from_this()](boost::system::error_code ec, std::size_t n) {
-            self->m_writing.clear();
-            if (ec) {
-                self->fail();
-                return;
-            }
-            self->m_bytes += n;
-            if (self->m_open && !self->m_queued.empty()) {
-                self->write();
-            }
-        });
+    asio::async_write(m_socket, asio::buffer(m_writing),
+                      [self = shared_from_this()](boost::system::error_code ec, std::size_t n) {
+                          self->m_writing.clear();
+                          if (ec) {
+                              self->fail();
+                              return;
+                          }
+                          self->m_bytes += n;
+                          if (self->m_open && !self->m_queued.empty()) {
+                              self->write();
+                          }
+                      });
 }
 
 void LinkConnection::fail()
--- a/src/services/LinkServer.cpp
+++ b/src/services/LinkServer.cpp
@@ -28,8 +28,7 @@
 void LinkServer::accepted(tcp::socket socket)
 {
     const auto client = std::make_shared<Client>();
-    client->connection
-        = std::make_shared<LinkConnection>(std::move(socket), m_parts.executor);
+    client->connection = std::make_shared<LinkConnection>(std::move(socket), m_parts.executor);
     m_clients.push_back(client);
     const std::weak_ptr<LinkServer> weakSelf = weak_from_this();
     const std::weak_ptr<Client> weak = client;
@@ -137,8 +136,7 @@
     run.proceed = [weak, attempt] {
         if (const auto self = weak.lock()) {
             const auto it = self->m_served.find(attempt);
-            const auto client
-                = it == self->m_served.end() ? ClientPtr() : it->second.client.lock();
+            const auto client = it == self->m_served.end() ? ClientPtr() : it->second.client.lock();
             if (client) {
                 client->connection->send({attempt, {}, ProceedFrame {}});
             }
@@ -182,18 +180,18 @@
         return;
     }
     RevokeAttempt revoke {attempt, sentTo, {}};
-    revoke.reply = Reply<bool>(m_parts.executor, [weak = std::weak_ptr(client), attempt](
-                                                     std::optional<bool> neverStarts) {
-        const ClientPtr client = weak.lock();
-        if (!client) {
-            return;
-        }
-        if (neverStarts.value_or(false)) {
-            client->connection->send({attempt, {}, RefusalFrame {Reason::Unreachable, false}});
-        } else {
-            client->connection->send({attempt, {}, LostFrame {}});
-        }
-    });
+    revoke.reply = Reply<bool>(
+        m_parts.executor, [weak = std::weak_ptr(client), attempt](std::optional<bool> neverStarts) {
+            const ClientPtr client = weak.lock();
+            if (!client) {
+                return;
+            }
+            if (neverStarts.value_or(false)) {
+                client->connection->send({attempt, {}, RefusalFrame {Reason::Unreachable, false}});
+            } else {
+                client->connection->send({attempt, {}, LostFrame {}});
+            }
+        });
     m_parts.toBackend(std::move(revoke));
 }
 
@@ -202,8 +200,9 @@
     PeerAsks ask;
     ask.bytes = std::move(question.bytes);
     ask.reply = Reply<std::string>(
-        m_parts.executor, [weak = std::weak_ptr(client), subject = question.subject,
-                           nonce = question.nonce](std::optional<std::string> bytes) {
+        m_parts.executor,
+        [weak = std::weak_ptr(client), subject = question.subject,
+         nonce = question.nonce](std::optional<std::string> bytes) {
             if (const ClientPtr client = weak.lock(); client && bytes) {
                 client->connection->send(
                     {{}, {}, ExchangeFrame {subject, true, nonce, std::move(*bytes)}});
@@ -222,9 +221,9 @@
     frame.attempt = attempt;
     if (auto *answered = std::get_if<AttemptAnswered>(&result)) {
         frame.load = answered->load;
-        frame.body = AnswerFrame {answered->status, std::move(answered->headers),
-                                  answered->body ? *answered->body : std::string(),
-                                  answered->failure};
+        frame.body
+            = AnswerFrame {answered->status, std::move(answered->headers),
+                           answered->body ? *answered->body : std::string(), answered->failure};
     } else if (const auto *refused = std::get_if<AttemptRefused>(&result)) {
         frame.load = refused->load;
         frame.body = RefusalFrame {refused->reason, refused->byServer};
--- a/src/wire/ControlFormat.h
+++ b/src/wire/ControlFormat.h
@@ -35,8 +35,8 @@
     JsonFault fault;
 };
 
-using ControlRecord = std::variant<ConfigurationPublished, DataCentreTakenOut, UnrelatedRecord,
-                                   MalformedRecord>;
+using ControlRecord
+    = std::variant<ConfigurationPublished, DataCentreTakenOut, UnrelatedRecord, MalformedRecord>;
 
 /// \brief Decodes the records of operators.
 class ControlFormat
@@ -50,8 +50,7 @@
     /// \param key of the record.
     /// \param value of the record; nothing when the key was removed.
     virtual ControlRecord decode(std::string_view key,
-                                 const std::optional<std::string> &value) const
-        = 0;
+                                 const std::optional<std::string> &value) const = 0;
 };
 
 /// \return the daemon's own format: key "configuration" with the configuration as JSON.
--- a/src/wire/DaemonListJson.cpp
+++ b/src/wire/DaemonListJson.cpp
@@ -13,11 +13,10 @@
     for (const Member &member : members) {
         const bool inService = !configuration || configuration->inService(member.dataCentre);
         if (member.state == MemberState::Alive && !member.leaving && inService) {
-            daemons.emplace_back(json::object {{"address",
-                                                endpointText({member.endpoint.address,
-                                                              member.callerPort})},
-                                               {"dataCentre", member.dataCentre},
-                                               {"region", member.region}});
+            daemons.emplace_back(json::object {
+                {"address", endpointText({member.endpoint.address, member.callerPort})},
+                {"dataCentre", member.dataCentre},
+                {"region", member.region}});
         }
     }
     return json::serialize(
--- a/src/wire/HttpDialect.h
+++ b/src/wire/HttpDialect.h
@@ -110,8 +110,7 @@
     /// \param fault header and rule when ec is set.
     /// \param ec WireError::BadHeader, or cleared.
     virtual CallEnvelope decodeCall(std::span<const HeaderField> fields, HeaderFault &fault,
-                                    std::error_code &ec) const
-        = 0;
+                                    std::error_code &ec) const = 0;
 
     /// \brief Replaces the headers that the daemon sets.
     /// \param envelope values to write.
@@ -120,27 +119,27 @@
 
     /// \param status of the answer.
     /// \param fields its headers.
-    virtual AnswerMarks decodeAnswer(unsigned status, std::span<const HeaderField> fields) const = 0;
+    virtual AnswerMarks decodeAnswer(unsigned status,
+                                     std::span<const HeaderField> fields) const = 0;
 
     /// \brief Removes the headers that only daemons read from a backend server's answer and adds
     /// those that callers expect.
     /// \param servedBy daemon beside the backend server.
-    virtual void encodeAnswer(std::string_view servedBy, std::vector<HeaderField> &fields) const = 0;
+    virtual void encodeAnswer(std::string_view servedBy,
+                              std::vector<HeaderField> &fields) const = 0;
 
     /// \param outcome whether the call may have run.
     /// \param reason why there is no answer.
     /// \param requestId of the call.
     /// \param retryAfter time after which the caller may come back; nothing when it need not.
     virtual RefusalHead encodeRefusal(Outcome outcome, Reason reason, std::string_view requestId,
-                                      std::optional<Duration> retryAfter) const
-        = 0;
+                                      std::optional<Duration> retryAfter) const = 0;
 
     /// \param status of the answer to a health check.
     /// \param fields its headers.
     /// \param body its body.
     virtual ProbeReport decodeProbe(unsigned status, std::span<const HeaderField> fields,
-                                    std::string_view body) const
-        = 0;
+                                    std::string_view body) const = 0;
 };
 
 /// \param fields headers of a message.
--- a/src/wire/LinkCodec.cpp
+++ b/src/wire/LinkCodec.cpp
@@ -28,8 +28,10 @@
         ec = WireError::BadFrame;
         return {};
     }
-    return {wire.in_use(),   wire.waiting(),  wire.limit(),        static_cast<BackendState>(wire.state()),
-            wire.slowness(), wire.failures(), wire.answer_micros()};
+    return {wire.in_use(),       wire.waiting(),
+            wire.limit(),        static_cast<BackendState>(wire.state()),
+            wire.slowness(),     wire.failures(),
+            wire.answer_micros()};
 }
 
 template <typename Repeated>
@@ -180,9 +182,8 @@
         break;
     case Wire::Frame::kAnswer: {
         Wire::Answer &answer = *wire.mutable_answer();
-        frame.body
-            = AnswerFrame {answer.status(), decodeFields(*answer.mutable_fields()),
-                           std::move(*answer.mutable_body()), answer.failure()};
+        frame.body = AnswerFrame {answer.status(), decodeFields(*answer.mutable_fields()),
+                                  std::move(*answer.mutable_body()), answer.failure()};
         break;
     }
     case Wire::Frame::kRefusal:
--- a/src/wire/OwnDialect.cpp
+++ b/src/wire/OwnDialect.cpp
@@ -157,8 +157,7 @@
     {
         RefusalHead head;
         head.status = reasonStatus(reason);
-        head.headers.push_back(
-            {std::string(Header::Outcome), std::string(outcomeName(outcome))});
+        head.headers.push_back({std::string(Header::Outcome), std::string(outcomeName(outcome))});
         head.headers.push_back({std::string(Header::Reason), std::string(reasonName(reason))});
         if (retryAfter && outcome == Outcome::NotRun && head.status == ServiceUnavailable) {
             const auto seconds = std::chrono::ceil<std::chrono::seconds>(*retryAfter);
--- a/standin/StoreModel.cpp
+++ b/standin/StoreModel.cpp
@@ -17,8 +17,8 @@
         if (body.size() < LengthBytes) {
             return false;
         }
-        const std::size_t size = boost::endian::load_big_u32(
-            reinterpret_cast<const unsigned char *>(body.data()));
+        const std::size_t size
+            = boost::endian::load_big_u32(reinterpret_cast<const unsigned char *>(body.data()));
         if (body.size() - LengthBytes < size || size == 0) {
             return false;
         }
--- a/standin/StoreServer.cpp
+++ b/standin/StoreServer.cpp
@@ -162,8 +162,8 @@
                                  const std::map<std::string, std::string> &query)
     {
         const std::uint64_t end = m_model.topic(topic).end();
-        if (const auto at = query.find("at"); at != query.end()
-            && numberFromText<std::uint64_t>(at->second) != end) {
+        if (const auto at = query.find("at");
+            at != query.end() && numberFromText<std::uint64_t>(at->second) != end) {
             co_return co_await write(socket, request, PreconditionFailed, numberJson("end", end));
         }
         if (!m_model.append(topic, request.body())) {
@@ -186,17 +186,16 @@
         const Topic &topic = m_model.topic(name);
         json::array items;
         for (const auto &[key, offset] : topic.newest) {
-            items.emplace_back(json::object {
-                {"key", key},
-                {"value", base64(StoreModel::valueOf(topic.records[offset]))},
-                {"offset", offset}});
+            items.emplace_back(
+                json::object {{"key", key},
+                              {"value", base64(StoreModel::valueOf(topic.records[offset]))},
+                              {"offset", offset}});
         }
         return json::serialize(
             json::object {{"items", items}, {"hasMore", false}, {"end", topic.end()}});
     }
 
-    asio::awaitable<bool> read(tcp::socket &socket, const Request &request,
-                               const std::string &name,
+    asio::awaitable<bool> read(tcp::socket &socket, const Request &request, const std::string &name,
                                const std::map<std::string, std::string> &query)
     {
         const auto number = [&query](const char *key) {
@@ -274,8 +273,7 @@
         response.body() = std::move(body);
         response.prepare_payload();
         boost::system::error_code ec;
-        co_await http::async_write(socket, response,
-                                   asio::redirect_error(asio::use_awaitable, ec));
+        co_await http::async_write(socket, response, asio::redirect_error(asio::use_awaitable, ec));
         co_return !ec && request.keep_alive();
     }
 
--- a/test/CallWorld.h
+++ b/test/CallWorld.h
@@ -44,8 +44,8 @@
 public:
     CallWorld(std::uint64_t seed, std::size_t daemons, Faults faults,
               const Guards &guards = FullGuards)
-        : m_random(seed), m_faults(faults), m_guards(guards),
-          budget(m_random), m_placement(Place {{"entry", 1}, "r", "dc"}, m_random)
+        : m_random(seed), m_faults(faults), m_guards(guards), budget(m_random),
+          m_placement(Place {{"entry", 1}, "r", "dc"}, m_random)
     {
         budget.limitsChanged({0.2, 1000, std::chrono::milliseconds(10'000)});
         m_executor.advance(std::chrono::hours(1));
--- a/test/correctness/NestedCallsStarve.cpp
+++ b/test/correctness/NestedCallsStarve.cpp
@@ -29,8 +29,8 @@
     CHECK(queue.offer({{1, 0}, now + milliseconds(100), 0, true}, now) == SlotVerdict::Start);
     unsigned started = 0;
     for (std::uint64_t i = 0; i < 20; ++i) {
-        started += queue.offer({{0, i}, now + milliseconds(100), 0, false}, now)
-                == SlotVerdict::Start
+        started
+            += queue.offer({{0, i}, now + milliseconds(100), 0, false}, now) == SlotVerdict::Start
             ? 1
             : 0;
     }
--- a/test/correctness/RetriesMultiplyLoad.cpp
+++ b/test/correctness/RetriesMultiplyLoad.cpp
@@ -48,8 +48,8 @@
         budget.firstAttempt("s", now);
         window.push_back({now, false});
         ++firsts;
-        const bool fails
-            = load.quietSeconds == 0 || second.count() % (load.quietSeconds + 3) >= load.quietSeconds;
+        const bool fails = load.quietSeconds == 0
+            || second.count() % (load.quietSeconds + 3) >= load.quietSeconds;
         while (fails && budget.take("s", now)) {
             window.push_back({now, true});
             ++repeats;
--- a/test/error/ConfigurationFaults.cpp
+++ b/test/error/ConfigurationFaults.cpp
@@ -3,8 +3,8 @@
 #include "decisions/ConfigurationRules.h"
 #include "support/ConfigurationSamples.h"
 #include "wire/ConfigurationJson.h"
-#include "wire/ControlSnapshot.h"
 #include "wire/ConfigurationSchema.h"
+#include "wire/ControlSnapshot.h"
 
 #include <doctest/doctest.h>
 
--- a/test/error/PlatformConfigurationFaults.cpp
+++ b/test/error/PlatformConfigurationFaults.cpp
@@ -65,8 +65,7 @@
     REQUIRE(std::holds_alternative<DataCentreTakenOut>(out));
     CHECK(std::get<DataCentreTakenOut>(out).out);
     CHECK(std::get<DataCentreTakenOut>(out).dataCentre == "recife-a");
-    CHECK_FALSE(
-        std::get<DataCentreTakenOut>(decode("evacuate/recife-a", std::nullopt)).out);
+    CHECK_FALSE(std::get<DataCentreTakenOut>(decode("evacuate/recife-a", std::nullopt)).out);
     CHECK(std::holds_alternative<UnrelatedRecord>(decode("other", "x")));
 }
 
--- a/test/error/StoreStopsAnswering.cpp
+++ b/test/error/StoreStopsAnswering.cpp
@@ -39,7 +39,8 @@
         serveReader();
     }
 
-    void newest(std::string_view, std::string_view, std::function<void(NewestRecords)> done) override
+    void newest(std::string_view, std::string_view,
+                std::function<void(NewestRecords)> done) override
     {
         ++newestCalls;
         NewestRecords newest;
@@ -176,8 +177,8 @@
     bench.store->fail();
     bench.executor.advance(30s);
     CHECK(bench.version() == 3);
-    bench.store->records.push_back({std::string(OwnConfigurationKey),
-                                    encodeConfiguration(*sampleConfiguration(7)), 1});
+    bench.store->records.push_back(
+        {std::string(OwnConfigurationKey), encodeConfiguration(*sampleConfiguration(7)), 1});
     bench.store->available = true;
     bench.executor.advance(1500ms);
     CHECK(bench.version() == 7);
--- a/test/fault/UnguardedDaemon.cpp
+++ b/test/fault/UnguardedDaemon.cpp
@@ -55,10 +55,9 @@
          [](DaemonStrategies &strategies, Guards &) {
              strategies.configurationFilter = &forgetOutages;
          }},
-    Row {"cold-start",
-         [](DaemonStrategies &strategies, Guards &) {
-             strategies.configurationFilter = &startHot;
-         }},
+    Row {
+        "cold-start",
+        [](DaemonStrategies &strategies, Guards &) { strategies.configurationFilter = &startHot; }},
     Row {"probe-budget",
          [](DaemonStrategies &strategies, Guards &) {
              strategies.configurationFilter = &probeOften;
--- a/test/performance/PolicyBench.cpp
+++ b/test/performance/PolicyBench.cpp
@@ -178,8 +178,8 @@
 
     unsigned indexOf(const DaemonId &id) const
     {
-        return static_cast<unsigned>(
-            std::ranges::find(m_members, id, &Member::id) - m_members.begin());
+        return static_cast<unsigned>(std::ranges::find(m_members, id, &Member::id)
+                                     - m_members.begin());
     }
 
     void place(unsigned sender, TimePoint received, std::vector<DaemonId> excluded)
@@ -231,9 +231,9 @@
     {
         const double ms
             = WorkTime.count() * m_servers[index].slowness * (0.7 + 0.6 * m_random.unit());
-        m_executor.after(std::chrono::duration_cast<Duration>(
-                             std::chrono::duration<double, std::milli>(ms)),
-                         [this, sender, received, index] { ended(sender, received, index); });
+        m_executor.after(
+            std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms)),
+            [this, sender, received, index] { ended(sender, received, index); });
     }
 
     void ended(unsigned sender, TimePoint received, unsigned index)
@@ -298,9 +298,9 @@
     constexpr std::array Ways {std::pair {Way::Expected, "expected-time"},
                                std::pair {Way::TwoChoices, "two-choices"},
                                std::pair {Way::Random, "random"}};
-    constexpr std::array Patterns {Pattern {"even", 0, 0.5, 1}, Pattern {"slow-spells", 0.25, 0.3, 1},
-                                   Pattern {"slow-spells-bursts", 0.25, 0.3, 2},
-                                   Pattern {"overload", 0.25, 0.8, 1}};
+    constexpr std::array Patterns {
+        Pattern {"even", 0, 0.5, 1}, Pattern {"slow-spells", 0.25, 0.3, 1},
+        Pattern {"slow-spells-bursts", 0.25, 0.3, 2}, Pattern {"overload", 0.25, 0.8, 1}};
     for (const Pattern &pattern : Patterns) {
         for (const auto &[way, name] : Ways) {
             const Result result = Model(way, pattern).run();
