Retry budget counts a sliding window and the calls of repeated runs

Tokens that were saved up in one window could be spent together with those of the next. A service that turned calls away (503 while slots were free) was asked up to six times for one call; each of these drew a token, but a nested call made by a repeated run counted as a first one and earned a part of a token.

Change: the budget counts firsts and repeats over one window in 20 slots and the slot in progress. An attempt says whether the call may have reached a server before; the daemon beside the server remembers such runs for 5 s and counts their nested calls as repeats. The part of the ratio that is spent is 0.5, where 0.4 twice was possible.

Ruled out: hedges as the cause; the trace of the failing window shows refusals by two servers, and each repeat had drawn a token.

--- a/src/decisions/CallFacts.h
+++ b/src/decisions/CallFacts.h
@@ -33,6 +33,8 @@
     unsigned priority = 0;
     /// True for a call that a backend server makes while it runs another.
     bool nested = false;
+    /// True for a call that a repeated run makes.
+    bool byRepeat = false;
     std::uint64_t bodyBytes = 0;
 };
 
--- a/src/decisions/CallFlow.cpp
+++ b/src/decisions/CallFlow.cpp
@@ -32,7 +32,11 @@
         refuse(Reason::Deadline);
         return finish();
     }
-    m_parts.budget.firstAttempt(m_facts.service, now);
+    if (m_facts.byRepeat) {
+        m_parts.budget.inherited(m_facts.service, now);
+    } else {
+        m_parts.budget.firstAttempt(m_facts.service, now);
+    }
     place(AttemptCause::First, now);
     return finish();
 }
@@ -48,6 +52,7 @@
     it->lifecycle.process(AttemptEvent::Refused);
     m_lastReason = reason;
     m_repeats = m_repeats || byServer;
+    m_turnedAway = m_turnedAway || byServer;
     m_excluded.push_back(it->target.daemon);
     if (anyOpen()) {
         return finish();
@@ -162,7 +167,9 @@
     attempt.sentAt = now;
     attempt.expected = placed.expected;
     attempt.lifecycle.process(AttemptEvent::Sent);
-    m_actions.emplace_back(SendAttempt {attempt.id, placed, cause});
+    const bool repeat
+        = m_turnedAway || cause == AttemptCause::Failure || cause == AttemptCause::Hedge;
+    m_actions.emplace_back(SendAttempt {attempt.id, placed, cause, repeat});
     m_attempts.push_back(std::move(attempt));
     if (cause != AttemptCause::Hedge) {
         planHedge(now);
--- a/src/decisions/CallFlow.h
+++ b/src/decisions/CallFlow.h
@@ -35,6 +35,8 @@
     AttemptId attempt;
     PlacedAttempt placed;
     AttemptCause cause = AttemptCause::First;
+    /// True when the call may have reached another backend server before.
+    bool repeat = false;
 };
 
 /// \brief Closes an attempt whose answer is no longer wanted.
@@ -144,6 +146,8 @@
     std::optional<AttemptId> m_failedAnswer;
     /// The next attempt is a repeat for the service, although the last one has not run.
     bool m_repeats = false;
+    /// A backend server has received the call and turned it away.
+    bool m_turnedAway = false;
     Reason m_lastReason = Reason::Overloaded;
     bool m_finished = false;
 };
--- a/src/decisions/RetryBudget.cpp
+++ b/src/decisions/RetryBudget.cpp
@@ -1,48 +1,60 @@
 #include "decisions/RetryBudget.h"
 
 #include <algorithm>
-#include <cmath>
-#include <utility>
 
 namespace Coltsfootwell {
 
 void RetryBudget::firstAttempt(std::string_view service, TimePoint now)
 {
-    bucket(service, now).tokens += m_limits.ratio * RatioUsed;
+    add(window(service, now), 1, 0);
 }
 
-bool RetryBudget::take(std::string_view service, TimePoint now)
+void RetryBudget::inherited(std::string_view service, TimePoint now)
 {
-    Bucket &own = bucket(service, now);
-    if (own.tokens >= 1) {
-        own.tokens -= 1;
-        return true;
-    }
-    // A part of a token allows a repeat with that probability, so that all daemons together spend
-    // what they hold together.
-    return m_random.unit() < std::exchange(own.tokens, 0);
+    add(window(service, now), 0, 1);
 }
 
-double RetryBudget::left(std::string_view service, TimePoint now)
+bool RetryBudget::take(std::string_view service, TimePoint now)
 {
-    return bucket(service, now).tokens;
+    Window &own = window(service, now);
+    const double allowed = m_limits.ratio * RatioUsed * own.total.firsts
+        + m_limits.slack * SlackUsed / static_cast<double>(m_daemons);
+    // A part of a repeat is allowed with that probability, so that all daemons together spend what
+    // they hold together.
+    const double part = std::clamp(allowed - own.total.repeats, 0.0, 1.0);
+    add(own, 0, part);
+    return part >= 1 || m_random.unit() < part;
 }
 
-RetryBudget::Bucket &RetryBudget::bucket(std::string_view service, TimePoint now)
+RetryBudget::Window &RetryBudget::window(std::string_view service, TimePoint now)
 {
-    const auto [it, added] = m_buckets.try_emplace(std::string(service));
-    Bucket &own = it->second;
-    const double share = m_limits.slack * SlackUsed / static_cast<double>(m_daemons);
-    if (added) {
-        own.tokens = std::min(1.0, share);
-    } else {
-        const std::chrono::duration<double> elapsed = now - own.at;
-        const double kept = std::exp(-(elapsed / std::chrono::duration<double>(m_limits.window)));
-        // Approaches the share, which is what one window allows.
-        own.tokens = own.tokens * kept + share * (1 - kept);
+    const Duration length = Duration(m_limits.window) / static_cast<Duration::rep>(SlotsPerWindow);
+    const std::int64_t current
+        = now.time_since_epoch() / std::max(length, Duration(std::chrono::milliseconds(1)));
+    const auto [it, added] = m_windows.try_emplace(std::string(service));
+    Window &own = it->second;
+    if (added || current < own.current
+        || current - own.current >= static_cast<std::int64_t>(Slots)) {
+        own = Window();
+        own.current = current;
+    }
+    while (own.current < current) {
+        ++own.current;
+        Counts &oldest = own.slots[static_cast<std::size_t>(own.current) % Slots];
+        own.total.firsts -= oldest.firsts;
+        own.total.repeats -= oldest.repeats;
+        oldest = Counts();
     }
-    own.at = now;
     return own;
 }
 
+void RetryBudget::add(Window &window, double firsts, double repeats)
+{
+    Counts &slot = window.slots[static_cast<std::size_t>(window.current) % Slots];
+    slot.firsts += firsts;
+    slot.repeats += repeats;
+    window.total.firsts += firsts;
+    window.total.repeats += repeats;
+}
+
 } // namespace Coltsfootwell
--- a/src/decisions/RetryBudget.h
+++ b/src/decisions/RetryBudget.h
@@ -5,6 +5,8 @@
 #include "kernel/Random.h"
 #include "kernel/Time.h"
 
+#include <array>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -21,7 +23,7 @@
     std::chrono::milliseconds window {10'000};
 };
 
-/// \brief One daemon's part of the budget: tokens for each service, which expire with the window.
+/// \brief One daemon's part of the budget: counts of each service over a sliding window.
 ///
 /// Load pattern: a service whose servers all fail; every daemon retries at the same moment, and the
 /// calls that a repeated run makes count as repeats again.
@@ -29,9 +31,8 @@
 {
 public:
     /// Part of the allowed ratio that is spent; the rest covers calls that repeated runs make.
-    static constexpr double RatioUsed = 0.4;
-    /// Part of the allowed slack that is spent. What was saved up in one window may be spent in the
-    /// next, so that twice this part can come together.
+    static constexpr double RatioUsed = 0.5;
+    /// Part of the allowed slack that is spent.
     static constexpr double SlackUsed = 0.4;
 
     /// \param random decides on parts of a repeat: the share of one of many daemons may be less
@@ -50,23 +51,35 @@
 
     void firstAttempt(std::string_view service, TimePoint now) override;
 
-    bool take(std::string_view service, TimePoint now) override;
+    void inherited(std::string_view service, TimePoint now) override;
 
-    /// \return tokens that are left for a service.
-    double left(std::string_view service, TimePoint now);
+    bool take(std::string_view service, TimePoint now) override;
 
 private:
-    struct Bucket
+    /// Slots cover one window and the slot in progress, so that no repeat is forgotten too early.
+    static constexpr std::size_t SlotsPerWindow = 20;
+    static constexpr std::size_t Slots = SlotsPerWindow + 1;
+
+    struct Counts
     {
-        double tokens = 0;
-        TimePoint at {};
+        double firsts = 0;
+        double repeats = 0;
     };
 
-    Bucket &bucket(std::string_view service, TimePoint now);
+    struct Window
+    {
+        std::array<Counts, Slots> slots {};
+        Counts total;
+        std::int64_t current = 0;
+    };
+
+    Window &window(std::string_view service, TimePoint now);
+    static void add(Window &window, double firsts, double repeats);
+
     Random &m_random;
     RetryLimits m_limits;
     std::size_t m_daemons = 1;
-    std::unordered_map<std::string, Bucket> m_buckets;
+    std::unordered_map<std::string, Window> m_windows;
 };
 
 } // namespace Coltsfootwell
--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -395,6 +395,9 @@
     {
         const RunAttempt &attempt = run.attempt;
         run.began = now();
+        if (attempt.repeat) {
+            m_calls.send(RepeatStarted {attempt.call.requestId});
+        }
         ExchangeRequest request;
         request.method = attempt.head->method;
         request.target = attempt.head->target;
--- a/src/services/CallMessages.h
+++ b/src/services/CallMessages.h
@@ -78,6 +78,8 @@
     unsigned priority = 0;
     bool nested = false;
     bool idempotent = false;
+    /// True when the call may have reached another backend server before.
+    bool repeat = false;
     Reply<AttemptResult> reply;
     /// Called when the run has a slot and wants its body; BodyArrived must follow.
     Task proceed;
@@ -180,6 +182,12 @@
     std::uint64_t number = 0;
 };
 
+/// \brief To "calls": the backend server beside this daemon starts a repeated run.
+struct RepeatStarted
+{
+    std::string requestId;
+};
+
 /// \brief To "calls": settings that can change while the daemon runs.
 struct CallSettingsChanged
 {
@@ -187,8 +195,8 @@
     RetryLimits retries;
 };
 
-using CallsMessage
-    = std::variant<SubmitCall, CancelCall, LoadLearned, DaemonUnreachable, CallSettingsChanged>;
+using CallsMessage = std::variant<SubmitCall, CancelCall, LoadLearned, DaemonUnreachable,
+                                  RepeatStarted, CallSettingsChanged>;
 using BackendMessage = std::variant<RunAttempt, BodyArrived, CancelAttempt, RevokeAttempt>;
 using LinksMessage = std::variant<RunAttempt, CancelAttempt, LoadChanged, AskPeer>;
 
--- a/src/services/Calls.cpp
+++ b/src/services/Calls.cpp
@@ -2,6 +2,7 @@
 
 #include "decisions/CallFlow.h"
 #include "decisions/Placement.h"
+#include "decisions/RepeatedRuns.h"
 #include "decisions/RetryAfter.h"
 #include "decisions/WeightedSplit.h"
 #include "services/CallMessages.h"
@@ -123,6 +124,7 @@
         CallState &state = m_calls[number];
         state.submitted = std::move(call);
         state.facts = std::get<CallFacts>(std::move(facts));
+        state.facts.byRepeat = m_repeatedRuns.contains(state.submitted.call.parentId, now());
         state.submitted.call.homeRegions = state.facts.homeRegions;
         state.trail.begin(state.facts, m_configuration->version, now());
         state.flow = std::make_unique<CallFlow>(
@@ -166,6 +168,8 @@
         m_telemetry.send(LogEvent {"daemon.unreachable", "", "daemon=" + news.daemon.name});
     }
 
+    void handle(RepeatStarted started) { m_repeatedRuns.add(std::move(started.requestId), now()); }
+
     void handle(CallSettingsChanged changed)
     {
         m_settings.ownService = std::move(changed.ownService);
@@ -207,6 +211,7 @@
         run.priority = state.facts.priority;
         run.nested = state.facts.nested;
         run.idempotent = state.facts.idempotent;
+        run.repeat = action.repeat;
         run.reply = Reply<AttemptResult>(
             m_kernel.executor(),
             [this, number, attempt = action.attempt,
@@ -327,6 +332,7 @@
     CallsSettings m_settings;
     Placement m_placement;
     RetryBudget m_budget;
+    RepeatedRuns m_repeatedRuns;
     WeightedSplit m_split;
     ConfigurationPtr m_configuration;
     StopPhase m_phase = StopPhase::Running;
--- a/src/services/LinkClient.cpp
+++ b/src/services/LinkClient.cpp
@@ -309,6 +309,7 @@
     run.startWithin = leftUntil(attempt.startBy, now());
     run.priority = attempt.priority;
     run.nested = attempt.nested;
+    run.repeat = attempt.repeat;
     run.idempotent = attempt.idempotent;
     run.call = attempt.call;
     sent.onWire = true;
--- a/src/services/LinkServer.cpp
+++ b/src/services/LinkServer.cpp
@@ -125,6 +125,7 @@
     run.startBy = now + frame.startWithin;
     run.priority = frame.priority;
     run.nested = frame.nested;
+    run.repeat = frame.repeat;
     run.idempotent = frame.idempotent;
     const std::weak_ptr<LinkServer> weak = weak_from_this();
     run.reply = Reply<AttemptResult>(
--- a/src/wire/HttpDialect.h
+++ b/src/wire/HttpDialect.h
@@ -43,6 +43,8 @@
     std::vector<std::string> homeRegions;
     /// Number of calls above this one.
     unsigned depth = 0;
+    /// Request whose run makes this call; empty when it is unknown or no run makes it.
+    std::string parentId;
     std::string traceParent;
 };
 
--- a/src/wire/LinkCodec.cpp
+++ b/src/wire/LinkCodec.cpp
@@ -80,6 +80,7 @@
         run.set_start_by_micros(static_cast<std::uint64_t>(frame.startWithin.count()));
         run.set_priority(frame.priority);
         run.set_nested(frame.nested);
+        run.set_repeat(frame.repeat);
         run.set_idempotent(frame.idempotent);
         for (const std::string &region : frame.call.homeRegions) {
             run.add_home_regions(region);
@@ -145,6 +146,7 @@
     frame.startWithin = microseconds(run.start_by_micros());
     frame.priority = run.priority();
     frame.nested = run.nested();
+    frame.repeat = run.repeat();
     frame.idempotent = run.idempotent();
     frame.call.requestId = std::move(*run.mutable_request_id());
     for (std::string &region : *run.mutable_home_regions()) {
--- a/src/wire/LinkFrame.h
+++ b/src/wire/LinkFrame.h
@@ -37,6 +37,8 @@
     unsigned priority = 0;
     bool nested = false;
     bool idempotent = false;
+    /// True when the call may have reached another backend server before.
+    bool repeat = false;
     CallEnvelope call;
 };
 
--- a/test/correctness/RetriesMultiplyLoad.cpp
+++ b/test/correctness/RetriesMultiplyLoad.cpp
@@ -1,4 +1,6 @@
-// Guards against retries that multiply the load of an outage, over all daemons together.
+// Guards against retries that multiply the load of an outage, over all daemons together: repeats
+// saved up over two windows, and calls of repeated runs that counted as first ones.
+#include "decisions/RepeatedRuns.h"
 #include "decisions/RetryBudget.h"
 
 #include <doctest/doctest.h>
@@ -88,3 +90,47 @@
     CHECK_FALSE(budget.take("s", now));
     CHECK(budget.take("s", now + milliseconds(20'000)));
 }
+
+TEST_CASE("what was not repeated in one window is not spent in the next one besides")
+{
+    SeededRandom random(1);
+    RetryBudget budget(random, {0.2, 0, milliseconds(10'000)});
+    TimePoint now {};
+    for (int i = 0; i < 4000; ++i) {
+        now += milliseconds(5);
+        budget.firstAttempt("s", now);
+    }
+    // 2,000 first attempts lie in the window, the last of 4,000.
+    int repeats = 0;
+    for (int i = 0; i < 2000; ++i) {
+        now += milliseconds(5);
+        budget.firstAttempt("s", now);
+        repeats += budget.take("s", now) ? 1 : 0;
+    }
+    CHECK(repeats <= 2000 * 0.2 * RetryBudget::RatioUsed * 1.05 + 1);
+}
+
+TEST_CASE("calls that repeated runs make use up the budget")
+{
+    SeededRandom random(1);
+    RetryBudget budget(random, {0.2, 0, milliseconds(10'000)});
+    TimePoint now {};
+    for (int i = 0; i < 100; ++i) {
+        budget.firstAttempt("s", now);
+    }
+    for (int i = 0; i < 20; ++i) {
+        budget.inherited("s", now);
+    }
+    CHECK_FALSE(budget.take("s", now));
+}
+
+TEST_CASE("a run that was repeated twice is known until the later repeat expires")
+{
+    RepeatedRuns runs;
+    TimePoint now {};
+    runs.add("order-with-a-long-identifier", now);
+    runs.add("order-with-a-long-identifier", now + milliseconds(3000));
+    CHECK(runs.contains("order-with-a-long-identifier", now + milliseconds(6000)));
+    CHECK_FALSE(runs.contains("order-with-a-long-identifier", now + milliseconds(9000)));
+    CHECK_FALSE(runs.contains("", now));
+}
