The lost-answer cell strikes every backend server

The cell struck a1 only, and calls avoid a server whose answers fail, so that hardly an order lost its answer there.

Change: every backend server loses 15 answers, so that a lost order does not depend on placement. The checks demand the same.

--- a/test/fault/matrix.py
+++ b/test/fault/matrix.py
@@ -33,6 +33,15 @@
         f.daemons["a1"], "/fault", {"straggleMs": 0, "failFastShare": 0, "cutAfterBytes": -1})
 
 
+def answers_lost(count):
+    """Every backend server loses answers, wherever the calls are placed at that moment."""
+    def strike(f):
+        for name, _region, _data_centre, service in DAEMONS:
+            if service:
+                f.post_backend(f.daemons[name], "/fault", {"loseAnswers": count})
+    return strike, lambda f: None
+
+
 def link_fault(name, mode, delay=0.0):
     return (lambda f: f.daemons[name].relay.set_mode(mode, delay)), lambda f: f.daemons[name].relay.set_mode("pass")
 
@@ -104,7 +113,7 @@
     ("run", "cold turn"): backend_fault(cold=True),
     ("answer", "cut"): backend_fault(cutAfterBytes=10),
     ("answer", "one-way cut"): link_fault("a1", "drop-from"),
-    ("answer", "answer lost"): backend_fault(loseAnswers=15),
+    ("answer", "answer lost"): answers_lost(15),
     ("answer", "straggler"): link_fault("a1", "delay", 0.3),
     ("publish", "store down"): store_stopped(),
     ("publish", "store slow"): store_fault(delayMs=300),
