Configuration without values that nothing reads

Cause: eight values of the own configuration had no effect since the platform path replaced what read them: logRegion, whenIsolated, freshnessMs, regionLinkBytesPerSecond, retryShare, and for each service connections, maxBodyBytes and growAfterAnswers. coltsfoot-setup asked for them and its explanation promised what no longer holds, such as a refusal with 413.

Change: they leave the types, the schema, the questionnaire and the examples. A file that has one is refused with its name. The tests of those fields test the same kinds of fault on fields that remain: a missing member, a choice, a region that is not named, an answer outside its choices, a question asked again.

--- a/src/decisions/Configuration.h
+++ b/src/decisions/Configuration.h
@@ -14,17 +14,10 @@
 
 using ConfigurationVersion = std::uint64_t;
 
-/// \brief What a daemon that cannot learn of newer configurations does with new work.
-enum class IsolationPolicy {
-    Refuse,
-    Serve,
-};
-
 /// \brief How a backend server is loaded while it is cold.
 struct ColdStart
 {
     unsigned initialSlots = 1;
-    unsigned growAfterAnswers = 10;
     /// Calls per second that a cold server bears; 0 when the service does not say.
     double callsPerSecond = 0;
     /// How long a server stays cold after its start; zero when the service does not say.
@@ -35,12 +28,9 @@
 struct ServiceRules
 {
     unsigned slots = 8;
-    unsigned connections = 64;
     std::chrono::milliseconds defaultDeadline {1000};
-    std::uint64_t maxBodyBytes = 16ULL << 20;
     ColdStart coldStart;
     double probesPerSecond = 2.0;
-    IsolationPolicy whenIsolated = IsolationPolicy::Refuse;
     /// Path that backend servers answer with their health and load.
     std::string healthPath = "/load";
 };
@@ -95,19 +85,10 @@
     bool inService = true;
 };
 
-/// \brief Shares and budgets that hold for the whole system.
-struct Limits
-{
-    double retryShare = 0.1;
-    std::uint64_t regionLinkBytesPerSecond = 3'000'000;
-    std::chrono::milliseconds freshness {2500};
-};
-
 /// \brief One version of the configuration; never changed after it was accepted.
 struct Configuration
 {
     ConfigurationVersion version = 0;
-    std::string logRegion;
     std::map<std::string, DataCentreRules, std::less<>> dataCentres;
     std::map<std::string, ServiceRules, std::less<>> services;
     std::vector<Route> routes;
@@ -115,7 +96,6 @@
     std::map<std::string, std::vector<std::string>, std::less<>> customerRegions;
     /// Names of daemons whose backend server operators have drained.
     std::set<std::string, std::less<>> drained;
-    Limits limits;
     RequestLimits requests;
 
     /// \param path path of a call.
--- a/src/decisions/ConfigurationRules.cpp
+++ b/src/decisions/ConfigurationRules.cpp
@@ -7,17 +7,9 @@
 namespace {
 
 constexpr unsigned MaxSlots = 10'000;
-constexpr unsigned MaxConnections = 1'000'000;
 constexpr std::chrono::milliseconds MaxDeadline {600'000};
-constexpr std::uint64_t MaxBodyBytes = 1ULL << 30;
 /// Promise 1: the budget of measuring allows at most two probes a second.
 constexpr double MaxProbesPerSecond = 2.0;
-constexpr double MaxRetryShare = 0.5;
-/// Readers poll every 250 ms and others ask them every 500 ms; a shorter limit would refuse work
-/// while everything runs as planned.
-constexpr std::chrono::milliseconds MinFreshness {1000};
-/// Promises 3, 8 and 10 allow 3 s.
-constexpr std::chrono::milliseconds MaxFreshness {3000};
 
 class RuleCheck
 {
@@ -34,7 +26,6 @@
         for (const auto &[customer, regions] : m_candidate.customerRegions) {
             checkRegions("/customers/" + customer + "/homeRegions", regions);
         }
-        checkLimits();
         return std::move(m_violations);
     }
 
@@ -74,22 +65,16 @@
                 fail("/dataCentres/" + name + "/region", rules.region, "must name a region");
             }
         }
-        if (!isRegion(m_candidate.logRegion)) {
-            fail("/logRegion", m_candidate.logRegion, "must be the region of a data centre");
-        }
     }
 
     void checkService(const std::string &path, const ServiceRules &rules)
     {
         range(path + "/slots", rules.slots, 1U, MaxSlots);
-        range(path + "/connections", rules.connections, 1U, MaxConnections);
         range(path + "/defaultDeadlineMs", rules.defaultDeadline.count(), std::int64_t {1},
               static_cast<std::int64_t>(MaxDeadline.count()));
-        range(path + "/maxBodyBytes", rules.maxBodyBytes, std::uint64_t {0}, MaxBodyBytes);
         range(path + "/probesPerSecond", rules.probesPerSecond, 0.0, MaxProbesPerSecond);
         range(path + "/coldStart/initialSlots", rules.coldStart.initialSlots, 1U,
               std::max(1U, rules.slots));
-        range(path + "/coldStart/growAfterAnswers", rules.coldStart.growAfterAnswers, 1U, MaxSlots);
     }
 
     void checkRegions(const std::string &path, const std::vector<std::string> &regions)
@@ -124,17 +109,6 @@
         }
     }
 
-    void checkLimits()
-    {
-        const Limits &limits = m_candidate.limits;
-        range("/limits/retryShare", limits.retryShare, 0.0, MaxRetryShare);
-        range("/limits/regionLinkBytesPerSecond", limits.regionLinkBytesPerSecond,
-              std::uint64_t {1}, std::uint64_t {1} << 40);
-        range("/limits/freshnessMs", limits.freshness.count(),
-              static_cast<std::int64_t>(MinFreshness.count()),
-              static_cast<std::int64_t>(MaxFreshness.count()));
-    }
-
     const Configuration &m_candidate;
     std::vector<RuleViolation> m_violations;
 };
--- a/src/programs/SetupAnswers.cpp
+++ b/src/programs/SetupAnswers.cpp
@@ -14,7 +14,6 @@
 constexpr double MaxOneWayMs = 1000;
 /// The configuration allows no more.
 constexpr double MaxDeadlineMs = 600'000;
-constexpr double MaxBodyMb = 1073;
 
 std::string nameRule(const std::string &name)
 {
@@ -75,7 +74,6 @@
                           std::set<std::string> &prefixes)
 {
     static const std::vector<std::string> methods {"GET", "HEAD", "PUT", "DELETE", "OPTIONS"};
-    static const std::vector<std::string> policies {"refuse", "serve"};
     const std::string id = "/service/" + name + '/';
     const std::string of = " of " + name;
     ServiceAnswers service;
@@ -83,9 +81,6 @@
     service.workers = count(ask, {id + "workers", "Number of workers" + of, {}}, 1, 1000);
     service.slots
         = count(ask, {id + "slots", "Calls that a worker" + of + " serves at once", {}}, 1, 10'000);
-    service.connections
-        = count(ask, {id + "connections", "Connections that a worker" + of + " accepts", "64"},
-                service.slots, 65'535);
     service.answerMs = ask.number({id + "answerMs", "Typical time of one call" + of + " in ms", {}},
                                   0.01, 600'000);
     // Shorter deadlines would pass before a call to the other region can be answered.
@@ -93,8 +88,6 @@
     service.deadlineMs
         = count(ask, {id + "deadlineMs", "Deadline of a call" + of + " without its own, in ms", {}},
                 shortest, MaxDeadlineMs);
-    service.maxBodyMb = ask.number({id + "maxBodyMb", "Largest request body" + of + " in MB", "16"},
-                                   0.001, MaxBodyMb);
     service.coldCalls
         = count(ask, {id + "coldCalls", "Calls at once that a worker" + of + " bears cold", "1"}, 1,
                 service.slots);
@@ -114,10 +107,6 @@
         {id + "homeRegions",
          "Regions that the data" + of + " must not leave (empty for no restriction)", ""},
         oneOf(answers.regions));
-    service.whenIsolated = ask.text(
-        {id + "whenIsolated",
-         "What " + name + " does in a region that is cut off (refuse or serve)", "refuse"},
-        oneOf(policies));
     return service;
 }
 
@@ -137,14 +126,6 @@
         answers.dataCentres[region]
             = names(ask, {"/dataCentres/" + region, "Data centres of " + region, {}}, dataCentres);
     }
-    answers.logRegion
-        = ask.text({"/logRegion", "Region of the platform's log", {}}, oneOf(answers.regions));
-    answers.linkMbit = ask.number(
-        {"/regionLinkMbit", "Speed of the link between regions, one way, in Mbit/s", {}}, 0.1,
-        1'000'000);
-    answers.linkSharePercent = ask.number(
-        {"/regionLinkSharePercent", "Share of that link that calls may use, in percent", "100"}, 1,
-        100);
     answers.dataCentresMs
         = ask.number({"/oneWayMs/dataCentres", "One-way latency between data centres in ms", {}}, 0,
                      MaxOneWayMs);
--- a/src/programs/SetupAnswers.h
+++ b/src/programs/SetupAnswers.h
@@ -13,15 +13,12 @@
     std::string name;
     unsigned workers = 0;
     unsigned slots = 0;
-    unsigned connections = 0;
     double answerMs = 0;
     unsigned deadlineMs = 0;
-    double maxBodyMb = 0;
     unsigned coldCalls = 0;
     std::string prefix;
     std::vector<std::string> idempotentMethods;
     std::vector<std::string> homeRegions;
-    std::string whenIsolated;
 };
 
 /// \brief All answers.
@@ -30,9 +27,6 @@
     std::string company;
     std::vector<std::string> regions;
     std::map<std::string, std::vector<std::string>> dataCentres;
-    std::string logRegion;
-    double linkMbit = 0;
-    double linkSharePercent = 0;
     double dataCentresMs = 0;
     double regionsMs = 0;
     double clientsMs = 0;
--- a/src/programs/SetupExplain.cpp
+++ b/src/programs/SetupExplain.cpp
@@ -40,22 +40,6 @@
     std::ostringstream m_out;
 };
 
-void explainLimits(Page &page, const SetupAnswers &answers, const Configuration &configuration)
-{
-    std::ostringstream link;
-    link << answers.linkSharePercent << "% of " << answers.linkMbit
-         << " Mbit/s, in bytes. Daemons use at most 80% of it, shared by the active senders of a "
-            "region.";
-    page.row("limits/regionLinkBytesPerSecond", configuration.limits.regionLinkBytesPerSecond,
-             link.str());
-    page.row("limits/retryShare", configuration.limits.retryShare,
-             "Retries and hedges add at most this share to the first attempts, so that an outage "
-             "does not multiply the load.");
-    page.row("limits/freshnessMs", configuration.limits.freshness.count(),
-             "A daemon without newer evidence refuses new work after this time, 500 ms before the "
-             "3 s in which a change must be in force.");
-}
-
 void explainService(Page &page, const SetupAnswers &answers, const ServiceAnswers &service,
                     const ServiceRules &rules)
 {
@@ -67,30 +51,20 @@
              << " calls/s when all are warm.";
     page.paragraph(capacity.str() + "\n");
     page.table();
-    page.row("slots", rules.slots,
-             "As answered. The daemon beside a worker admits no more calls at once; further calls "
-             "wait for up to 20 ms or go elsewhere.");
-    page.row("connections", rules.connections, "As answered.");
+    page.row(
+        "slots", rules.slots,
+        "As answered. The daemon beside a backend server admits no more calls at once; further "
+        "calls wait as long as they can still be in time, or go elsewhere.");
     std::ostringstream deadline;
     deadline << "As answered. It must be at least twice the time of a call plus the round trip "
                 "between regions ("
              << 2 * service.answerMs + 2 * answers.regionsMs << " ms).";
     page.row("defaultDeadlineMs", rules.defaultDeadline.count(), deadline.str());
-    page.row("maxBodyBytes", rules.maxBodyBytes,
-             "As answered, in bytes; larger bodies are refused with 413.");
     page.row("coldStart/initialSlots", rules.coldStart.initialSlots,
              "Calls that a cold worker bears at once, as answered.");
-    page.row("coldStart/growAfterAnswers", rules.coldStart.growAfterAnswers,
-             "The limit grows by one after this number of good answers.");
     page.row("probesPerSecond", rules.probesPerSecond,
              "The lower of 2 a second and 1% of the time of all slots. Only the daemon beside the "
              "worker probes it.");
-    page.row("whenIsolated", service.whenIsolated,
-             rules.whenIsolated == IsolationPolicy::Serve
-                 ? "As answered. A region that is cut off from the log goes on with the "
-                   "configuration it has, which gives up promises 3, 8 and 10 during the cut."
-                 : "A region that is cut off from the log cannot learn that a data centre was "
-                   "taken out, so it refuses new work after 2.5 s.");
     page.row("route " + service.prefix, service.name,
              "Calls whose path begins with this prefix, at a path segment.");
     page.row("idempotentMethods", joined(service.idempotentMethods),
@@ -101,12 +75,6 @@
              free ? "Every region may serve the call; the caller can restrict a single call by "
                     "header."
                   : "Calls are served, sent and kept nowhere else.");
-    const bool remoteLog = !free
-        && std::ranges::find(service.homeRegions, answers.logRegion) == service.homeRegions.end();
-    if (remoteLog) {
-        page.paragraph("\nThe log is outside these home regions. Callers use keys minted by a "
-                       "daemon (`POST /coltsfootwell/keys`); their own keys are refused.");
-    }
 }
 
 } // namespace
@@ -119,14 +87,10 @@
                    "listed with its reason.\n");
     page.table();
     page.row("version", configuration.version, "First version; each publish raises it by one.");
-    page.row("logRegion", configuration.logRegion,
-             "As answered. Keys made by callers can be claimed only where this region may be "
-             "reached.");
     for (const std::string &region : answers.regions) {
         page.row("dataCentres of " + region, joined(answers.dataCentres.at(region)),
                  "All start in service; `coltsfootctl out` and `back` change that.");
     }
-    explainLimits(page, answers, configuration);
     for (const ServiceAnswers &service : answers.services) {
         explainService(page, answers, service, configuration.services.at(service.name));
     }
--- a/src/programs/SetupPlan.cpp
+++ b/src/programs/SetupPlan.cpp
@@ -13,8 +13,6 @@
 
 namespace json = boost::json;
 
-constexpr double BytesPerMb = 1e6;
-constexpr double BytesPerMbit = 1e6 / 8;
 /// Design limits of probing: at most 2 probes/s, and at most 1% of the slots' time.
 constexpr double MaxProbesPerSecond = 2;
 constexpr double MaxProbeShare = 0.01;
@@ -31,13 +29,9 @@
 {
     ServiceRules rules;
     rules.slots = service.slots;
-    rules.connections = service.connections;
     rules.defaultDeadline = std::chrono::milliseconds(service.deadlineMs);
-    rules.maxBodyBytes = static_cast<std::uint64_t>(std::llround(service.maxBodyMb * BytesPerMb));
     rules.coldStart.initialSlots = service.coldCalls;
     rules.probesPerSecond = probesFor(service);
-    rules.whenIsolated
-        = service.whenIsolated == "serve" ? IsolationPolicy::Serve : IsolationPolicy::Refuse;
     return rules;
 }
 
@@ -86,7 +80,6 @@
 {
     Configuration configuration;
     configuration.version = 1;
-    configuration.logRegion = answers.logRegion;
     for (const auto &[region, dataCentres] : answers.dataCentres) {
         for (const std::string &name : dataCentres) {
             configuration.dataCentres[name] = {region, true};
@@ -101,8 +94,6 @@
         route.homeRegions = service.homeRegions;
     }
     configuration.customerRegions.insert(answers.customers.begin(), answers.customers.end());
-    configuration.limits.regionLinkBytesPerSecond = static_cast<std::uint64_t>(
-        std::llround(answers.linkMbit * BytesPerMbit * answers.linkSharePercent / 100));
     return configuration;
 }
 
--- a/src/wire/ConfigurationJson.cpp
+++ b/src/wire/ConfigurationJson.cpp
@@ -144,20 +144,14 @@
 void readService(ObjectReader reader, ServiceRules &rules)
 {
     reader.number("slots", rules.slots);
-    reader.number("connections", rules.connections);
     reader.milliseconds("defaultDeadlineMs", rules.defaultDeadline);
-    reader.number("maxBodyBytes", rules.maxBodyBytes);
     reader.number("probesPerSecond", rules.probesPerSecond);
     reader.object("coldStart", [&](ObjectReader inner) {
         inner.number("initialSlots", rules.coldStart.initialSlots);
-        inner.number("growAfterAnswers", rules.coldStart.growAfterAnswers);
         inner.number("callsPerSecond", rules.coldStart.callsPerSecond);
         inner.milliseconds("lastsMs", rules.coldStart.lasts);
     });
     reader.text("healthPath", rules.healthPath);
-    std::string isolation = "refuse";
-    reader.text("whenIsolated", isolation);
-    rules.whenIsolated = isolation == "serve" ? IsolationPolicy::Serve : IsolationPolicy::Refuse;
 }
 
 Route readRoute(ObjectReader reader)
@@ -196,17 +190,13 @@
 json::object objectOf(const ServiceRules &rules)
 {
     return {{"slots", rules.slots},
-            {"connections", rules.connections},
             {"defaultDeadlineMs", rules.defaultDeadline.count()},
-            {"maxBodyBytes", rules.maxBodyBytes},
             {"probesPerSecond", rules.probesPerSecond},
             {"coldStart",
              json::object {{"initialSlots", rules.coldStart.initialSlots},
-                           {"growAfterAnswers", rules.coldStart.growAfterAnswers},
                            {"callsPerSecond", rules.coldStart.callsPerSecond},
                            {"lastsMs", rules.coldStart.lasts.count()}}},
-            {"healthPath", rules.healthPath},
-            {"whenIsolated", rules.whenIsolated == IsolationPolicy::Serve ? "serve" : "refuse"}};
+            {"healthPath", rules.healthPath}};
 }
 
 json::object objectOf(const Route &route)
@@ -271,7 +261,6 @@
     }
     ObjectReader reader(document.get_object(), "", fault);
     reader.number("version", configuration.version);
-    reader.text("logRegion", configuration.logRegion);
     reader.objects("dataCentres", [&](const std::string &name, ObjectReader inner) {
         DataCentreRules &rules = configuration.dataCentres[name];
         inner.text("region", rules.region);
@@ -286,11 +275,6 @@
         inner.texts("homeRegions", configuration.customerRegions[name]);
     });
     reader.texts("drained", configuration.drained);
-    reader.object("limits", [&](ObjectReader inner) {
-        inner.number("retryShare", configuration.limits.retryShare);
-        inner.number("regionLinkBytesPerSecond", configuration.limits.regionLinkBytesPerSecond);
-        inner.milliseconds("freshnessMs", configuration.limits.freshness);
-    });
     reader.object("requests", [&](ObjectReader inner) {
         inner.number("headerBytes", configuration.requests.headerBytes);
         inner.number("bodyBytes", configuration.requests.bodyBytes);
@@ -307,7 +291,6 @@
 {
     json::object document;
     document["version"] = configuration.version;
-    document["logRegion"] = configuration.logRegion;
     json::object &dataCentres = document["dataCentres"].emplace_object();
     for (const auto &[name, rules] : configuration.dataCentres) {
         dataCentres[name] = json::object {{"region", rules.region}, {"inService", rules.inService}};
@@ -325,10 +308,6 @@
         customers[name] = json::object {{"homeRegions", arrayOf(regions)}};
     }
     document["drained"] = arrayOf(configuration.drained);
-    document["limits"]
-        = json::object {{"retryShare", configuration.limits.retryShare},
-                        {"regionLinkBytesPerSecond", configuration.limits.regionLinkBytesPerSecond},
-                        {"freshnessMs", configuration.limits.freshness.count()}};
     document["requests"] = objectOf(configuration.requests);
     return json::serialize(document);
 }
--- a/src/wire/ConfigurationSchema.cpp
+++ b/src/wire/ConfigurationSchema.cpp
@@ -29,11 +29,10 @@
     "names": {"type": "array", "items": {"type": "string", "minLength": 1}}
   },
   "type": "object",
-  "required": ["version", "logRegion", "dataCentres", "services", "routes"],
+  "required": ["version", "dataCentres", "services", "routes"],
   "additionalProperties": false,
   "properties": {
     "version": {"type": "integer", "minimum": 0},
-    "logRegion": {"type": "string", "minLength": 1},
     "dataCentres": {
       "type": "object",
       "additionalProperties": {
@@ -53,22 +52,18 @@
         "additionalProperties": false,
         "properties": {
           "slots": {"type": "integer", "minimum": 1, "maximum": 10000},
-          "connections": {"type": "integer", "minimum": 1, "maximum": 1000000},
           "defaultDeadlineMs": {"type": "integer", "minimum": 1, "maximum": 600000},
-          "maxBodyBytes": {"type": "integer", "minimum": 0, "maximum": 1073741824},
           "probesPerSecond": {"type": "number", "minimum": 0, "maximum": 2},
           "coldStart": {
             "type": "object",
             "additionalProperties": false,
             "properties": {
               "initialSlots": {"type": "integer", "minimum": 1, "maximum": 10000},
-              "growAfterAnswers": {"type": "integer", "minimum": 1, "maximum": 10000},
               "callsPerSecond": {"type": "number", "minimum": 0},
               "lastsMs": {"type": "integer", "minimum": 0, "maximum": 600000}
             }
           },
-          "healthPath": {"type": "string", "minLength": 1},
-          "whenIsolated": {"enum": ["refuse", "serve"]}
+          "healthPath": {"type": "string", "minLength": 1}
         }
       }
     },
@@ -123,15 +118,6 @@
         "headerTimeoutMs": {"type": "integer", "minimum": 1, "maximum": 600000},
         "idleTimeoutMs": {"type": "integer", "minimum": 1, "maximum": 3600000}
       }
-    },
-    "limits": {
-      "type": "object",
-      "additionalProperties": false,
-      "properties": {
-        "retryShare": {"type": "number", "minimum": 0, "maximum": 0.5},
-        "regionLinkBytesPerSecond": {"type": "integer", "minimum": 1},
-        "freshnessMs": {"type": "integer", "minimum": 1000, "maximum": 3000}
-      }
     }
   }
 })";
--- a/test/error/ConfigurationFaults.cpp
+++ b/test/error/ConfigurationFaults.cpp
@@ -54,9 +54,9 @@
         = onlyFault(SchemaKind::Configuration, replaced(sampleText(), "\"slots\":4", "\"slot\":4"));
     CHECK(unknown.path == "/services/bookings");
     CHECK(unknown.rule.find("slot") != std::string::npos);
-    const JsonFault missing = onlyFault(SchemaKind::Configuration,
-                                        replaced(sampleText(), "\"logRegion\":\"klang\",", ""));
-    CHECK(missing.rule.find("logRegion") != std::string::npos);
+    const JsonFault missing
+        = onlyFault(SchemaKind::Configuration, replaced(sampleText(), "\"version\":1,", ""));
+    CHECK(missing.rule.find("version") != std::string::npos);
 }
 
 TEST_CASE("the rule is named in words, with range, form or choice")
@@ -66,12 +66,13 @@
     };
     CHECK(ruleOf("\"slots\":4", "\"slots\":0") == "must be an integer from 1 to 10000");
     CHECK(ruleOf("\"slots\":4", "\"slots\":\"many\"") == "must be an integer from 1 to 10000");
-    CHECK(ruleOf("\"whenIsolated\":\"refuse\"", "\"whenIsolated\":\"ask\"")
-          == "must be \"refuse\" or \"serve\"");
     CHECK(ruleOf("\"slots\":4", "\"slot\":4") == "must not have a member \"slot\"");
     std::error_code ec;
     const auto faults = checkSchema(SchemaKind::DaemonSettings, R"({"listen":"here:1"})", ec);
     REQUIRE(faults.size() == 2);
+    const std::string choice
+        = R"({"id":"a","region":"r","dataCentre":"d","listen":"127.0.0.1:13000","interface":"ask"})";
+    CHECK(onlyFault(SchemaKind::DaemonSettings, choice).rule == "must be \"own\" or \"platform\"");
     CHECK(faultLine(faults[0]) == R"(/listen: "here:1" must have the form "IP number:port")");
     CHECK(faultLine(faults[1])
           == R"(the document: must have a member "id", must have a member "region", )"
@@ -97,7 +98,7 @@
     candidate->routes.front().service = "booking";
     candidate->routes.front().homeRegions = {"klang", "perak"};
     candidate->services["bookings"].coldStart.initialSlots = 9;
-    candidate->logRegion = "johor";
+    candidate->dataCentres["johor-a"] = {"", true};
     const auto violations = checkSuccessor(*candidate, 1);
     std::map<std::string, std::string> found;
     for (const RuleViolation &violation : violations) {
@@ -105,7 +106,7 @@
         found[violation.path] = violation.value;
     }
     const std::map<std::string, std::string> expected {
-        {"/logRegion", "johor"},
+        {"/dataCentres/johor-a/region", ""},
         {"/routes/0/homeRegions/1", "perak"},
         {"/routes/0/service", "booking"},
         {"/services/bookings/coldStart/initialSlots", "9"},
--- a/test/error/SetupAnswerFaults.cpp
+++ b/test/error/SetupAnswerFaults.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::string_view Good = R"({"company": "X", "regions": ["n", "s"],
-"dataCentres": {"n": ["n-a"], "s": ["s-a"]}, "logRegion": "n", "regionLinkMbit": 30,
+"dataCentres": {"n": ["n-a"], "s": ["s-a"]},
 "oneWayMs": {"dataCentres": 1, "regions": 30, "clients": 1}, "services": ["stock"],
 "service": {"stock": {"workers": 2, "slots": 8, "answerMs": 5, "deadlineMs": 500}}})";
 
@@ -39,7 +39,8 @@
     {
         std::string_view from, to, question, value;
     } rows[] = {
-        {"\"logRegion\": \"n\"", "\"logRegion\": \"x\"", "/logRegion", "x"},
+        {"\"workers\": 2", "\"workers\": 2, \"homeRegions\": [\"x\"]", "/service/stock/homeRegions",
+         "x"},
         {"\"slots\": 8", "\"slots\": 0", "/service/stock/slots", "0"},
         {"\"slots\": 8", "\"slots\": \"8 or 9\"", "/service/stock/slots", "8 or 9"},
         {"\"deadlineMs\": 500", "\"deadlineMs\": 69", "/service/stock/deadlineMs", "69"},
@@ -69,12 +70,12 @@
 
 TEST_CASE("the terminal asks again after a bad answer and ends with the input")
 {
-    std::istringstream in("X\nn\nn-a\nnowhere\nn\n");
+    std::istringstream in("X\nn\nn-a\nfar\n1\n");
     std::ostringstream out;
     std::optional<AnswerFault> fault;
     const auto source = makeTerminalSource(in, out);
     askSetup(*source, fault);
-    CHECK(out.str().find("value \"nowhere\" must be one of: n") != std::string::npos);
+    CHECK(out.str().find("value \"far\" must be a number") != std::string::npos);
     REQUIRE(fault);
-    CHECK(fault->question == "/regionLinkMbit");
+    CHECK(fault->question == "/oneWayMs/regions");
 }
--- a/test/fault/fleet.py
+++ b/test/fault/fleet.py
@@ -104,10 +104,9 @@
     def _configuration(self, services, slots, cold_slots, home_regions):
         return {
             "version": 1,
-            "logRegion": next(iter(self.daemons.values())).region,
             "dataCentres": {d.data_centre: {"region": d.region, "inService": True} for d in self.daemons.values()},
-            "services": {name: {"slots": slots, "connections": 64, "defaultDeadlineMs": 1500, "probesPerSecond": self.probes_per_second,
-                                "coldStart": {"initialSlots": cold_slots, "growAfterAnswers": 3}}
+            "services": {name: {"slots": slots, "defaultDeadlineMs": 1500, "probesPerSecond": self.probes_per_second,
+                                "coldStart": {"initialSlots": cold_slots}}
                          for name in services},
             "routes": [{"prefix": f"/{name}", "service": name, "idempotentMethods": ["GET"],
                         "homeRegions": home_regions.get(name, [])} for name in services]}
--- a/test/support/ConfigurationSamples.h
+++ b/test/support/ConfigurationSamples.h
@@ -16,7 +16,6 @@
 {
     auto configuration = std::make_shared<Configuration>();
     configuration->version = version;
-    configuration->logRegion = "klang";
     configuration->dataCentres["klang-a"] = {"klang", true};
     configuration->dataCentres["penang-a"] = {"penang", true};
     configuration->services["bookings"].slots = slots;
