Membership without log readers, witnesses and the age of evidence

Cause: daemons still pinged the "log readers" of their data centre every 500 ms and asked witnesses in the log's region, marked themselves as senders to other regions and told the age of their knowledge. Nothing read the results since each daemon follows the store itself; the region of the log was always empty.

Change: an answer to a ping tells the version that the daemon knows, no more. The checks of the age and of the ends of pings go with what they checked; in their place a test demands that a version which one of 64 daemons has reaches all within 3 s without the store, and one that no answer after a pause tells a version that nobody has.

--- a/src/decisions/Datagram.h
+++ b/src/decisions/Datagram.h
@@ -11,17 +11,6 @@
 
 namespace Coltsfootwell {
 
-/// \brief What a daemon reports of the newest configuration in its answer to a ping.
-struct AgedEvidence
-{
-    ConfigurationVersion version = 0;
-    /// Time since the version was known to be the newest; nothing when it never was.
-    std::optional<Duration> age;
-    bool logReachable = false;
-
-    bool operator==(const AgedEvidence &) const = default;
-};
-
 /// \brief Asks for an answer.
 struct Ping
 {
@@ -36,7 +25,8 @@
 struct Ack
 {
     std::uint64_t nonce = 0;
-    AgedEvidence evidence;
+    /// Configuration that the sender knows.
+    ConfigurationVersion version = 0;
     std::optional<std::uint64_t> digest;
 
     bool operator==(const Ack &) const = default;
--- a/src/decisions/Member.h
+++ b/src/decisions/Member.h
@@ -53,8 +53,6 @@
     std::uint32_t slots = 0;
     /// True once the daemon has begun a planned stop.
     bool leaving = false;
-    /// True while the daemon sends calls to other regions.
-    bool crossRegion = false;
 
     bool operator==(const Member &) const = default;
 };
--- a/src/decisions/Membership.cpp
+++ b/src/decisions/Membership.cpp
@@ -1,7 +1,5 @@
 #include "decisions/Membership.h"
 
-#include "decisions/Rendezvous.h"
-
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -38,7 +36,6 @@
         const auto phase = std::chrono::milliseconds(m_random.below(PingPeriod.count()));
         m_started = now;
         m_nextPing = now + phase;
-        m_nextReaderPing = now + phase;
         m_nextDigest
             = now + std::chrono::duration_cast<Duration>(FirstDigestPeriod * m_random.unit());
     } else if (now - m_lastTick > PauseTime) {
@@ -50,8 +47,6 @@
     judgeSuspicions(now);
     m_joined = m_joined || now - *m_started >= JoinTime;
     pingMembers(now);
-    pingReader(now);
-    pingWitness(now);
     askSeeds(now);
     wantDueSync(now);
     if (now >= m_nextExpiry) {
@@ -95,7 +90,7 @@
     if (datagram.from.member.state == MemberState::Left) {
         return; // A farewell; nobody waits for the answer.
     }
-    Ack ack {ping.nonce, agedEvidence(now), {}};
+    Ack ack {ping.nonce, m_version, {}};
     if (ping.wantDigest) {
         ack.digest = m_table.digest();
     }
@@ -123,16 +118,8 @@
         return;
     }
     ++m_counts.acks;
-    const AgedEvidence &evidence = ack.evidence;
-    std::optional<TimePoint> fresh;
-    if (evidence.age) {
-        fresh = it->sent - *evidence.age;
-    }
-    const Probe probe = *it;
     m_probes.erase(it);
-    reportEnd(probe, true);
-    m_outputs.emplace_back(PeerAnswered {from.id, from.endpoint, from.region, evidence.version,
-                                         fresh, evidence.logReachable, probe.sent});
+    m_outputs.emplace_back(PeerAnswered {from.id, from.endpoint, ack.version});
     if (ack.digest) {
         compareDigest(*ack.digest, from.endpoint, now);
     }
@@ -157,18 +144,10 @@
 {
     const auto it = std::ranges::find(m_probes, ack.nonce, &Probe::nonce);
     if (it != m_probes.end() && it->target == ack.target) {
-        reportEnd(*it, false);
         m_probes.erase(it);
     }
 }
 
-void Membership::reportEnd(const Probe &probe, bool answered)
-{
-    if (probe.random) {
-        m_outputs.emplace_back(PingEnded {probe.sent, answered});
-    }
-}
-
 void Membership::learn(const MemberRecord &received, TimePoint now, bool passOn)
 {
     const std::optional<MemberRecord> whole = m_table.completed(received);
@@ -256,7 +235,7 @@
         return isPingable(i) && (!wantDigest || m_table.members()[i].state == MemberState::Alive);
     });
     if (live) {
-        ping(*live, PingPurpose::Random, wantDigest, now);
+        ping(*live, wantDigest, now);
         if (wantDigest) {
             m_nextDigest = now
                 + (!m_matched     ? FirstDigestPeriod
@@ -272,47 +251,7 @@
         return m_table.members()[i].state == MemberState::Unreachable;
     });
     if (lost) {
-        ping(*lost, PingPurpose::Lost, false, now);
-    }
-}
-
-void Membership::pingReader(TimePoint now)
-{
-    if (now < m_nextReaderPing) {
-        return;
-    }
-    m_nextReaderPing = std::max(m_nextReaderPing + ReaderPingPeriod, now);
-    const Member &self = m_table.self();
-    std::vector<const Member *> readers = logReaders(m_table.members(), self.dataCentre);
-    const bool evident = m_fresh && m_logReachable && now - *m_fresh <= OldEvidence;
-    const auto own = std::ranges::find(readers, &self);
-    if (own != readers.end()) {
-        if (evident) {
-            return;
-        }
-        readers.erase(own);
-    }
-    if (!readers.empty()) {
-        const Member *reader = readers[m_readerTurn++ % readers.size()];
-        // With the gossip of all that ping it, a reader received 20 KB/s after a mass loss.
-        ping(static_cast<std::size_t>(reader - m_table.members().data()), PingPurpose::Reader,
-             false, now);
-    }
-}
-
-void Membership::pingWitness(TimePoint now)
-{
-    const bool old = !m_fresh || now - *m_fresh > OldEvidence;
-    if (!old || m_logRegion.empty() || now < m_nextWitnessPing) {
-        return;
-    }
-    m_nextWitnessPing = now + WitnessPingPeriod;
-    const auto witness = m_table.pick(m_random, [this](std::size_t i) {
-        const Member &member = m_table.members()[i];
-        return i != 0 && member.state == MemberState::Alive && member.region == m_logRegion;
-    });
-    if (witness) {
-        ping(*witness, PingPurpose::Witness, false, now);
+        ping(*lost, false, now);
     }
 }
 
@@ -349,7 +288,6 @@
         }
         if (now - probe.sent >= ProbeTimeout && !probe.target.empty()) {
             silent.push_back(probe.target);
-            reportEnd(probe, false);
         }
     }
     const auto isOver = [now](const auto &entry) { return now - entry.sent >= ProbeTimeout; };
@@ -418,20 +356,20 @@
     }
 }
 
-void Membership::ping(std::size_t index, PingPurpose purpose, bool wantDigest, TimePoint now)
+void Membership::ping(std::size_t index, bool wantDigest, TimePoint now)
 {
     const Member &target = m_table.members()[index];
     const std::uint64_t nonce = m_random.next();
-    m_probes.push_back({nonce, target.id.name, now, false, purpose == PingPurpose::Random});
+    m_probes.push_back({nonce, target.id.name, now, false});
     ++m_counts.pings;
     // The target refutes a doubt about itself.
     const bool doubted = target.state != MemberState::Alive;
     send(target.endpoint, Ping {nonce, wantDigest}, doubted ? std::optional(index) : std::nullopt,
-         now, purpose != PingPurpose::Reader);
+         now);
 }
 
 void Membership::send(const Endpoint &to, std::variant<Ping, Ack, IndirectPing, IndirectAck> body,
-                      std::optional<std::size_t> about, TimePoint now, bool gossip)
+                      std::optional<std::size_t> about, TimePoint now)
 {
     DatagramToSend out {to, {m_table.record(0, now), std::move(body), {}}};
     std::size_t bytes = Datagram::MaxBytes - BodyBoundBytes - encodedBound(out.datagram.from);
@@ -439,10 +377,8 @@
         out.datagram.records.push_back(m_table.newsOf(*about, now));
         bytes -= std::min(bytes, encodedBound(out.datagram.records.back()));
     }
-    if (gossip) {
-        bytes = std::min(bytes, m_gossipBytes);
-        m_gossipBytes -= m_table.takeGossip(bytes, out.datagram.records, now);
-    }
+    bytes = std::min(bytes, m_gossipBytes);
+    m_gossipBytes -= m_table.takeGossip(bytes, out.datagram.records, now);
     m_outputs.emplace_back(std::move(out));
 }
 
@@ -451,15 +387,6 @@
     return index != 0 && !isDown(m_table.members()[index]);
 }
 
-AgedEvidence Membership::agedEvidence(TimePoint now) const
-{
-    AgedEvidence evidence {m_version, {}, m_logReachable};
-    if (m_fresh) {
-        evidence.age = std::max<Duration>(now - *m_fresh, {});
-    }
-    return evidence;
-}
-
 Duration Membership::suspicionTime() const
 {
     const double members
@@ -478,14 +405,6 @@
     }
 }
 
-void Membership::changeCrossRegion(bool active)
-{
-    Member self = m_table.self();
-    if (std::exchange(self.crossRegion, active) != active) {
-        changeSelf(std::move(self));
-    }
-}
-
 void Membership::leave()
 {
     Member self = m_table.self();
@@ -527,12 +446,4 @@
     }
 }
 
-void Membership::setEvidence(ConfigurationVersion version, std::optional<TimePoint> fresh,
-                             bool logReachable)
-{
-    m_version = version;
-    m_fresh = fresh;
-    m_logReachable = logReachable;
-}
-
 } // namespace Coltsfootwell
--- a/src/decisions/Membership.h
+++ b/src/decisions/Membership.h
@@ -35,23 +35,7 @@
 {
     DaemonId peer;
     Endpoint endpoint;
-    std::string region;
     ConfigurationVersion version = 0;
-    /// Time of sending the ping less the age in the answer, so that neither a pause of this
-    /// process nor a late answer makes the evidence look newer than it is.
-    std::optional<TimePoint> fresh;
-    bool logReachable = false;
-    /// Time of sending the ping.
-    TimePoint asked {};
-};
-
-/// \brief The periodic ping to a random member has ended.
-struct PingEnded
-{
-    /// Time of sending the ping.
-    TimePoint asked {};
-    /// False when the member did not answer itself, also when others have reached it.
-    bool answered = false;
 };
 
 /// \brief Another process with this daemon's name has the same or a higher incarnation.
@@ -64,7 +48,7 @@
 };
 
 using MembershipOutput
-    = std::variant<DatagramToSend, SyncWanted, PeerAnswered, PingEnded, IncarnationConflict>;
+    = std::variant<DatagramToSend, SyncWanted, PeerAnswered, IncarnationConflict>;
 
 /// \brief Events since the start.
 struct MembershipCounts
@@ -84,7 +68,6 @@
     /// Longest time between two calls of tick().
     static constexpr std::chrono::milliseconds TickPeriod {100};
     static constexpr std::chrono::milliseconds PingPeriod {200};
-    static constexpr std::chrono::milliseconds ReaderPingPeriod {500};
     /// More than three round trips between regions (60 ms).
     static constexpr std::chrono::milliseconds DirectTimeout {200};
     static constexpr std::chrono::milliseconds ProbeTimeout {600};
@@ -103,16 +86,11 @@
     static constexpr std::chrono::seconds LostSeedPeriod {30};
     /// A later tick means that this process was paused, and missing answers prove nothing.
     static constexpr std::chrono::seconds PauseTime {1};
-    /// A log reader whose own evidence is older pings other readers too.
-    static constexpr std::chrono::seconds OldEvidence {1};
     /// Bounds what the loss or return of a region costs: without the bound a daemon sent 20 KB/s,
     /// and a third of 1,000 daemons would fill the link between regions.
-    /// Records that are received count too, so that a log reader, which gets more, sends less.
+    /// Records that are received count too.
     static constexpr std::size_t GossipBytesPerSecond = 4'000;
     static constexpr std::size_t GossipBurstBytes = 2'400;
-    /// Between questions to the log's region while the own evidence is old. The 12 random pings of
-    /// 2.5 s miss one region of three with a probability of (2/3)^12, 1 in 130.
-    static constexpr std::chrono::seconds WitnessPingPeriod {1};
     /// Bounds requests and answers of full syncs, sent and received.
     static constexpr std::size_t SyncBytesPerSecond = 5'000;
     static constexpr std::size_t SyncBurstBytes = 20'000;
@@ -149,9 +127,6 @@
     /// \brief Changes the part of the own record that describes the backend server.
     void changeBackend(std::string_view service, BackendState state, std::uint32_t slots);
 
-    /// \brief Announces that this daemon sends calls to other regions, or has ceased to.
-    void changeCrossRegion(bool active);
-
     /// \brief Announces a planned stop.
     void leave();
 
@@ -161,13 +136,8 @@
     /// \brief Adds seeds; beyond MaxSeeds further ones are ignored.
     void learnSeeds(std::span<const Endpoint> seeds);
 
-    /// \brief Sets what acks report.
-    /// \param fresh last time at which the version was known to be the newest.
-    void setEvidence(ConfigurationVersion version, std::optional<TimePoint> fresh,
-                     bool logReachable);
-
-    /// \brief Sets the region whose daemons are asked for the log while the own evidence is old.
-    void setLogRegion(std::string_view region) { m_logRegion = region; }
+    /// rief Sets the configuration version that answers to pings report.
+    void setVersion(ConfigurationVersion version) { m_version = version; }
 
     /// \return the request of a full sync that starts now.
     SyncRequest askSync(TimePoint now);
@@ -190,17 +160,6 @@
     bool hasJoined() const { return m_joined; }
 
 private:
-    enum class PingPurpose {
-        /// The periodic ping to a random member.
-        Random,
-        /// To a log reader, which gets many pings and so carries no gossip.
-        Reader,
-        /// To the log's region, while the own evidence is old.
-        Witness,
-        /// To an unreachable member.
-        Lost,
-    };
-
     struct Probe
     {
         std::uint64_t nonce = 0;
@@ -208,8 +167,6 @@
         std::string target;
         TimePoint sent {};
         bool indirect = false;
-        /// True for the periodic ping to a random member; its end is reported.
-        bool random = false;
     };
 
     /// An indirect ping made for another daemon.
@@ -235,10 +192,7 @@
     void changeSelf(Member self);
     void pause(TimePoint now);
     void refillBudgets(Duration elapsed);
-    void reportEnd(const Probe &probe, bool answered);
     void pingMembers(TimePoint now);
-    void pingReader(TimePoint now);
-    void pingWitness(TimePoint now);
     void askSeeds(TimePoint now);
     void wantDueSync(TimePoint now);
     void advanceProbes(TimePoint now);
@@ -250,11 +204,10 @@
     void spendSync(std::size_t bytes);
     std::size_t summaryBytes() const;
     void spendGossip(std::size_t bytes);
-    void ping(std::size_t index, PingPurpose purpose, bool wantDigest, TimePoint now);
+    void ping(std::size_t index, bool wantDigest, TimePoint now);
     void send(const Endpoint &to, std::variant<Ping, Ack, IndirectPing, IndirectAck> body,
-              std::optional<std::size_t> about, TimePoint now, bool gossip = true);
+              std::optional<std::size_t> about, TimePoint now);
     bool isPingable(std::size_t index) const;
-    AgedEvidence agedEvidence(TimePoint now) const;
     Duration suspicionTime() const;
 
     Random &m_random;
@@ -266,21 +219,15 @@
     MembershipCounts m_counts;
 
     ConfigurationVersion m_version = 0;
-    std::optional<TimePoint> m_fresh;
-    bool m_logReachable = false;
-    std::string m_logRegion;
 
     std::optional<TimePoint> m_started;
     TimePoint m_lastTick {};
     TimePoint m_nextPing {};
-    TimePoint m_nextReaderPing {};
-    TimePoint m_nextWitnessPing {};
     TimePoint m_nextUnreachablePing {};
     TimePoint m_nextDigest {};
     TimePoint m_nextExpiry {};
     std::optional<TimePoint> m_askedSeeds;
     TimePoint m_nextSync {};
-    std::size_t m_readerTurn = 0;
     std::size_t m_gossipBytes = GossipBurstBytes;
     std::size_t m_syncBytes = FirstSyncBytes;
     /// The last comparison of digests found equal lists.
--- a/src/decisions/Rendezvous.cpp
+++ b/src/decisions/Rendezvous.cpp
@@ -33,22 +33,4 @@
     return finalMix(hashBytes(hashBytes(hashBytes(FnvOffset, key), "\n"), candidate));
 }
 
-std::vector<const Member *> logReaders(std::span<const Member> members, std::string_view dataCentre)
-{
-    std::vector<const Member *> readers;
-    for (const Member &member : members) {
-        if (member.dataCentre == dataCentre && member.state == MemberState::Alive
-            && !member.leaving) {
-            readers.push_back(&member);
-        }
-    }
-    std::ranges::sort(readers, std::greater(), [dataCentre](const Member *member) {
-        return rendezvousWeight(dataCentre, member->id.name);
-    });
-    const std::size_t wanted
-        = std::max(MinReaders, (readers.size() + MembersPerReader - 1) / MembersPerReader);
-    readers.resize(std::min(readers.size(), wanted));
-    return readers;
-}
-
 } // namespace Coltsfootwell
--- a/src/services/ConfigurationFollower.cpp
+++ b/src/services/ConfigurationFollower.cpp
@@ -134,11 +134,7 @@
         return changed;
     }
 
-    void tellPosition()
-    {
-        m_membership.send(
-            LogEvidence {m_state.position(), m_kernel.executor().now(), m_storeAnswers, ""});
-    }
+    void tellPosition() { m_membership.send(ConfigurationKnown {m_state.position()}); }
 
     // The file.
 
--- a/src/services/Membership.cpp
+++ b/src/services/Membership.cpp
@@ -149,14 +149,8 @@
         }
     }
 
-    void handle(const LogEvidence &evidence)
-    {
-        m_membership.setEvidence(evidence.version, evidence.fresh, evidence.logReachable);
-        m_membership.setLogRegion(evidence.logRegion);
-    }
-
     void handle(const SeedsLearned &seeds) { m_membership.learnSeeds(seeds.endpoints); }
-    void handle(CrossRegionActive cross) { m_membership.changeCrossRegion(cross.active); }
+    void handle(ConfigurationKnown known) { m_membership.setVersion(known.version); }
     void handle(AnnounceLeaving) { m_membership.leave(); }
 
     void tick()
@@ -217,8 +211,6 @@
         m_configuration.send(PeerEvidence {answer.peer, answer.endpoint, answer.version});
     }
 
-    void carryOut(const PingEnded &) { }
-
     void carryOut(const SyncWanted &wanted)
     {
         if (m_syncing) {
--- a/src/services/MembershipMessages.h
+++ b/src/services/MembershipMessages.h
@@ -37,17 +37,10 @@
 {
 };
 
-/// \brief What this daemon knows of the newest configuration; goes into its answers to pings.
-struct LogEvidence
+/// rief The configuration that this daemon knows; goes into its answers to pings.
+struct ConfigurationKnown
 {
-    /// Version in force here.
     ConfigurationVersion version = 0;
-    /// Last time at which this version was known to be the newest.
-    std::optional<TimePoint> fresh;
-    /// True when this daemon has reached the log itself within the freshness time.
-    bool logReachable = false;
-    /// Region of the log; empty while unknown.
-    std::string logRegion;
 };
 
 /// \brief Addresses of daemons that were learned elsewhere, such as from the log.
@@ -56,13 +49,7 @@
     std::vector<Endpoint> endpoints;
 };
 
-/// \brief This daemon sends calls to other regions at present; others share the link with it.
-struct CrossRegionActive
-{
-    bool active = false;
-};
-
 using MembershipMessage = std::variant<SubscribeMembers, BackendChanged, AnnounceLeaving,
-                                       LogEvidence, SeedsLearned, CrossRegionActive>;
+                                       ConfigurationKnown, SeedsLearned>;
 
 } // namespace Coltsfootwell
--- a/src/wire/MembershipCodec.cpp
+++ b/src/wire/MembershipCodec.cpp
@@ -78,7 +78,6 @@
     wire.set_backend(static_cast<std::uint32_t>(member.backend));
     wire.set_slots(member.slots);
     wire.set_leaving(member.leaving);
-    wire.set_cross_region(member.crossRegion);
 }
 
 MemberRecord decodeRecord(const Wire::MemberRecord &wire, std::error_code &ec)
@@ -100,7 +99,6 @@
     member.backend = static_cast<BackendState>(wire.backend());
     member.slots = wire.slots();
     member.leaving = wire.leaving();
-    member.crossRegion = wire.cross_region();
     record.observers.assign(wire.observers().begin(), wire.observers().end());
     record.downFor = milliseconds(wire.down_for_ms());
     record.brief = wire.brief();
@@ -117,11 +115,7 @@
 {
     Wire::Ack &body = *wire.mutable_ack();
     body.set_nonce(ack.nonce);
-    body.set_version(ack.evidence.version);
-    if (ack.evidence.age) {
-        body.set_age_ms(wireMilliseconds(*ack.evidence.age));
-    }
-    body.set_log_reachable(ack.evidence.logReachable);
+    body.set_version(ack.version);
     if (ack.digest) {
         body.set_digest(*ack.digest);
     }
@@ -144,10 +138,7 @@
 
 Ack decodeAck(const Wire::Ack &wire)
 {
-    Ack ack {wire.nonce(), {wire.version(), {}, wire.log_reachable()}, {}};
-    if (wire.has_age_ms()) {
-        ack.evidence.age = milliseconds(wire.age_ms());
-    }
+    Ack ack {wire.nonce(), wire.version(), {}};
     if (wire.has_digest()) {
         ack.digest = wire.digest();
     }
--- /dev/null
+++ b/test/correctness/MembershipVersionTold.cpp
@@ -0,0 +1,64 @@
+// Guards against a configuration version that other daemons do not hear of in time while the store
+// is silent, and against one that seems newer than it is after a pause.
+#include "MembershipSimulation.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace Coltsfootwell;
+using namespace Coltsfootwell::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::pair<std::string, std::string> oneRegion(std::size_t)
+{
+    return {"klang", "klang-a"};
+}
+
+} // namespace
+
+TEST_CASE("answers that waited during a pause tell no version that nobody has")
+{
+    MembershipSimulation simulation(printedSeed("version", 4));
+    simulation.startMany(2, oneRegion);
+    simulation.run(10s);
+    simulation.processes()[1].membership->setVersion(8);
+    simulation.run(100ms);
+    simulation.freeze(simulation.processes()[0]);
+    simulation.run(20s);
+    simulation.thaw(simulation.processes()[0]);
+    simulation.run(5s);
+    REQUIRE(!simulation.processes()[0].answers.empty());
+    CHECK(simulation.processes()[0].answers.back().version == 8);
+    for (const PeerAnswered &answer : simulation.processes()[0].answers) {
+        CHECK((answer.version == 0 || answer.version == 8));
+    }
+}
+
+TEST_CASE("a version that one of 64 daemons has is known to all within 3 s without the store")
+{
+    MembershipSimulation simulation(printedSeed("version", 5));
+    simulation.startMany(64, oneRegion);
+    simulation.run(15s);
+    constexpr ConfigurationVersion Newest = 8;
+    simulation.processes()[0].membership->setVersion(Newest);
+    std::vector<bool> knows(simulation.processes().size(), false);
+    knows[0] = true;
+    const TimePoint published = simulation.now();
+    while (std::ranges::count(knows, true) < std::ssize(knows)
+           && simulation.now() - published < 3s) {
+        simulation.run(50ms);
+        for (std::size_t i = 0; i < knows.size(); ++i) {
+            Process &process = simulation.processes()[i];
+            if (!knows[i] && std::ranges::any_of(process.answers, [](const PeerAnswered &answer) {
+                    return answer.version == Newest;
+                })) {
+                knows[i] = true;
+                process.membership->setVersion(Newest);
+            }
+        }
+    }
+    CHECK(std::ranges::count(knows, true) == std::ssize(knows));
+}
