One reader of JSON fields

Cause: ConfigurationJson, DaemonSettings and platform/ each had a reader of the members of an object with its own rules. The one in platform/ knew no platform name. It cast whole numbers from floating point, so that a number too large for its field had an undefined value.

Change: JsonFields moves to src/wire and serves all three; whole numbers are checked against the type that holds them. A test refuses four such numbers.

--- a/platform/JsonFields.cpp
+++ b/src/wire/JsonFields.cpp
@@ -1,4 +1,4 @@
-#include "platform/JsonFields.h"
+#include "wire/JsonFields.h"
 
 #include <cmath>
 
@@ -44,6 +44,19 @@
     return found;
 }
 
+bool JsonFields::boolean(std::string_view key, bool fallback) const
+{
+    const json::value *value = find(key);
+    if (!value) {
+        return fallback;
+    }
+    if (!value->is_bool()) {
+        fail(key, "must be true or false");
+        return fallback;
+    }
+    return value->get_bool();
+}
+
 double JsonFields::number(std::string_view key, double fallback) const
 {
     const json::value *value = find(key);
@@ -127,11 +140,34 @@
     }
 }
 
-void JsonFields::fail(std::string_view key, std::string rule) const
+void JsonFields::members(std::string_view key,
+                         const std::function<void(std::string, const JsonFields &)> &visit) const
 {
-    if (m_fault.rule.empty()) {
-        const json::value *value = m_object.if_contains(json::string_view(key.data(), key.size()));
-        m_fault = {pathOf(key), value ? json::serialize(*value) : std::string(), std::move(rule)};
+    object(key, [&visit](const JsonFields &fields) {
+        for (std::string &name : fields.names()) {
+            fields.object(name, [&](const JsonFields &inner) { visit(std::move(name), inner); });
+        }
+    });
+}
+
+std::vector<std::string> JsonFields::names() const
+{
+    std::vector<std::string> found;
+    for (const auto &entry : m_object) {
+        found.emplace_back(std::string_view(entry.key()));
+    }
+    return found;
+}
+
+void JsonFields::fail(std::string_view key, std::string rule,
+                      std::optional<std::string_view> value) const
+{
+    if (!m_fault.rule.empty()) {
+        return;
+    }
+    m_fault = {pathOf(key), std::string(value.value_or("")), std::move(rule)};
+    if (const json::value *field = find(key); field && !value) {
+        m_fault.value = json::serialize(*field);
     }
 }
 
--- a/platform/JsonFields.h
+++ b/src/wire/JsonFields.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,9 +34,37 @@
     /// \return the text; a fault when it is missing or empty.
     std::string requiredText(std::string_view key) const;
 
-    /// \return the number; the fallback when the field is missing.
+    /// \return the truth value; the fallback when the field is missing.
+    bool boolean(std::string_view key, bool fallback) const;
+
+    /// \return the number; the fallback when the field is missing. A fault when it is negative.
     double number(std::string_view key, double fallback) const;
 
+    /// \return the whole number; the fallback when the field is missing. A fault when the type
+    /// cannot hold it.
+    template <typename Number>
+    Number integer(std::string_view key, Number fallback) const
+    {
+        const boost::json::value *value = find(key);
+        if (!value) {
+            return fallback;
+        }
+        boost::system::error_code ec;
+        const auto n = value->to_number<Number>(ec);
+        if (ec) {
+            fail(key, "must be a number in range");
+            return fallback;
+        }
+        return n;
+    }
+
+    /// \return a time that is given in milliseconds; the fallback when the field is missing.
+    std::chrono::milliseconds milliseconds(std::string_view key,
+                                           std::chrono::milliseconds fallback) const
+    {
+        return std::chrono::milliseconds(integer(key, fallback.count()));
+    }
+
     /// \return a time that is given in seconds; the fallback when the field is missing.
     std::chrono::milliseconds seconds(std::string_view key,
                                       std::chrono::milliseconds fallback
@@ -50,8 +79,17 @@
     /// \brief Visits the objects of an array; nothing when the field is missing.
     void objects(std::string_view key, const std::function<void(const JsonFields &)> &visit) const;
 
+    /// \brief Visits the objects that are the members of an object, with their names.
+    void members(std::string_view key,
+                 const std::function<void(std::string, const JsonFields &)> &visit) const;
+
+    /// \return the names of all fields.
+    std::vector<std::string> names() const;
+
     /// \brief Remembers a fault.
-    void fail(std::string_view key, std::string rule) const;
+    /// \param value the offending part; the whole field when nothing is given.
+    void fail(std::string_view key, std::string rule,
+              std::optional<std::string_view> value = std::nullopt) const;
 
 private:
     const boost::json::value *find(std::string_view key) const;
--- a/test/error/PlatformConfigurationFaults.cpp
+++ b/test/error/PlatformConfigurationFaults.cpp
@@ -59,6 +59,19 @@
     CHECK(std::holds_alternative<MalformedRecord>(decode("config", R"({"version":"xyz"})")));
 }
 
+TEST_CASE("a whole number that the daemon cannot hold is refused")
+{
+    for (const char *value : {"1e300", "4294967296", "-1", "2.5"}) {
+        CAPTURE(value);
+        std::string text = Good;
+        const std::string field = "\"maxAttempts\":";
+        text.replace(text.find(field) + field.size(), 1, value);
+        const ControlRecord record = decode("config", text);
+        REQUIRE(std::holds_alternative<MalformedRecord>(record));
+        CHECK(std::get<MalformedRecord>(record).fault.path == "/routes/0/maxAttempts");
+    }
+}
+
 TEST_CASE("a data centre is out while its key has a record")
 {
     const ControlRecord out = decode("evacuate/recife-a", "{}");
