Backend in four parts

Cause: services/Backend.cpp had 770 lines: registration, runs, probes and the words of the log in one class, and the request to the backend server was put together twice.

Change: BackendRuns admits, starts and ends runs, BackendProbe sends health checks, BackendLog has the words; Backend keeps the registration and the load that it reports. All run in the task of the service as before. launch() puts the request together once. No decision changes.

--- /dev/null
+++ b/src/services/BackendLog.cpp
@@ -0,0 +1,48 @@
+#include "services/BackendLog.h"
+
+#include <array>
+
+namespace Coltsfootwell {
+
+std::string_view stateName(BackendState state)
+{
+    constexpr std::array<std::string_view, 5> Names {"absent", "cold", "warm", "draining", "gone"};
+    return Names[static_cast<std::size_t>(state)];
+}
+
+std::string_view changeName(RegistrationChange change)
+{
+    constexpr std::array<std::string_view, 4> Names {"renewed", "replaced", "leaving", "outdated"};
+    return Names[static_cast<std::size_t>(change)];
+}
+
+std::string loadText(const LoadReport &load)
+{
+    return " inUse=" + std::to_string(load.inUse) + " waiting=" + std::to_string(load.waiting)
+        + " limit=" + std::to_string(load.limit) + " slowness=" + std::to_string(load.slowness)
+        + " failures=" + std::to_string(load.failures)
+        + " state=" + std::string(stateName(load.state));
+}
+
+LogEvent heartbeatEvent(const BackendHeartbeat &heartbeat, RegistrationChange change)
+{
+    return {"backend.heartbeat", "",
+            "instance=" + heartbeat.instance + " service=" + heartbeat.service
+                + " sequence=" + std::to_string(heartbeat.sequence)
+                + " state=" + (heartbeat.state == AnnouncedState::Ready ? "ready" : "draining")
+                + " slots=" + std::to_string(heartbeat.slots)
+                + " coldMs=" + std::to_string(heartbeat.cold.count())
+                + " change=" + std::string(changeName(change))};
+}
+
+void measure(const Address<TelemetryMessage> &telemetry, const std::string &service,
+             const LoadReport &load)
+{
+    telemetry.send(SetGauge {"backend_slots_in_use", service, double(load.inUse)});
+    telemetry.send(SetGauge {"backend_calls_waiting", service, double(load.waiting)});
+    telemetry.send(SetGauge {"backend_limit", service, double(load.limit)});
+    telemetry.send(SetGauge {"backend_slowness_percent", service, double(load.slowness)});
+    telemetry.send(SetGauge {"backend_failure_percent", service, double(load.failures)});
+}
+
+} // namespace Coltsfootwell
