Nested calls are not sized by their service's long calls

In the logs 1,231 of 1,808 nested calls to the service ended as not-run-overloaded with no attempt sent. Their entry daemons expected the usual answer time of the service, which its uploads make long, and a wait behind all that waits there, so that the deadline of 200 ms seemed out of reach.

Change: a nested call is expected to take at most a quarter of the time until its objective, and to overtake what waits, as it does beside the server.

Ruled out: refusals beside the server: 514 nested calls were refused there.

The test fails without the change.

--- a/src/decisions/Placement.cpp
+++ b/src/decisions/Placement.cpp
@@ -33,6 +33,9 @@
 constexpr Duration MaxSlowDelay = milliseconds(400);
 /// Age at which a report of slowness counts half.
 constexpr std::chrono::duration<double, std::milli> SlownessHalfLife {400};
+/// A nested call is expected to take at most this share of the time until its objective. The usual
+/// answer of its service may be that of much longer calls from outside.
+constexpr double NestedShare = 0.25;
 /// Waiting time that a failed attempt costs.
 constexpr Duration FailureCost = milliseconds(500);
 /// Work of a cold server takes this many times as long.
@@ -190,12 +193,15 @@
     const std::chrono::duration<double, std::milli> age = now - seen.reportedAt;
     const double slowness
         = 1 + (std::max(100U, report.slowness) / 100.0 - 1) * std::exp2(-age / SlownessHalfLife);
-    const Duration usual = report.answerMicros > 0 ? Duration(microseconds(report.answerMicros))
-                                                   : Duration(AssumedAnswer);
+    Duration usual = report.answerMicros > 0 ? Duration(microseconds(report.answerMicros))
+                                             : Duration(AssumedAnswer);
+    if (facts.nested) {
+        usual = std::min(usual, scaled(facts.objective - now, NestedShare));
+    }
     const unsigned slots = reported && report.limit > 0 ? report.limit : candidate.slots;
-    const double load = std::max(0.0,
-                                 static_cast<double>(report.inUse) + report.waiting
-                                     + static_cast<double>(seen.sentSince));
+    // Nested calls overtake what waits.
+    const double waiting = facts.nested ? 0 : report.waiting;
+    const double load = std::max(0.0, report.inUse + waiting + static_cast<double>(seen.sentSince));
     const double share = (load + 1) / slots;
     const double crowding
         = 1 + CrowdedSlowdown * std::clamp((share - CrowdedShare) / (1 - CrowdedShare), 0.0, 1.0);
--- /dev/null
+++ b/test/correctness/NestedCallsUnsent.cpp
@@ -0,0 +1,63 @@
+// Guards against nested calls that their entry daemon turns away unsent, because it expects them to
+// take as long as the long calls that their service gets from outside, and to wait behind these.
+#include "PlacementWorld.h"
+
+#include <doctest/doctest.h>
+
+using namespace Coltsfootwell;
+using namespace Coltsfootwell::Testing;
+using std::chrono::milliseconds;
+
+namespace {
+
+struct World
+{
+    World()
+    {
+        addMembers(members, "a", "a1", "uploads", 3, 6);
+        placement.membersChanged(members);
+        placement.configurationChanged(configurationFor(members));
+        LoadReport report;
+        report.inUse = 6;
+        report.waiting = 8;
+        report.limit = 6;
+        report.state = BackendState::Warm;
+        report.answerMicros = 400'000;
+        for (const Member &member : members) {
+            placement.reported(member.id, report, now);
+        }
+    }
+
+    CallFacts facts(bool nested) const
+    {
+        CallFacts facts = factsFor("uploads");
+        facts.nested = nested;
+        facts.objective = now + milliseconds(80);
+        facts.deadline = now + milliseconds(200);
+        return facts;
+    }
+
+    std::vector<Member> members;
+    SeededRandom random {1};
+    Placement placement {{{"a1-x", 1}, "a", "a1"}, random};
+    TimePoint now = TimePoint() + milliseconds(1000);
+};
+
+} // namespace
+
+TEST_CASE("a short nested call is sent to a service that is full of long calls")
+{
+    World world;
+    const auto choice = world.placement.pick(world.facts(true), {}, world.now);
+    REQUIRE(std::holds_alternative<PlacedAttempt>(choice));
+    // It may wait for a slot that becomes free.
+    CHECK(std::get<PlacedAttempt>(choice).startBy > world.now);
+}
+
+TEST_CASE("a call from outside that cannot be in time is turned away at once")
+{
+    World world;
+    const auto choice = world.placement.pick(world.facts(false), {}, world.now);
+    REQUIRE(std::holds_alternative<Reason>(choice));
+    CHECK(std::get<Reason>(choice) == Reason::Overloaded);
+}
