Runs do not start in a slow spell, bodies travel before a run holds a slot

Uploads took 100 to 250 ms or 600 to 1,400 ms and hardly anything between; those that started in a spell of slow work (a sixth) held their slots seven times as long, though spells last half a second. Nested calls (26 ms) and others (290 ms) shared one average, so that queues were taken for a third of their length.

Change: while a server is in a spell (at most 1.5 s, after that it counts as that slow) only nested calls start that end in time all the same; what can meet its objective goes before what is late, and makes room in a full queue; usual times are kept apart for nested and other calls, and reports tell the slots that are kept for nested ones; a body is fetched when its run is about to start and travels while the run holds no slot; a body whose link breaks on the way is asked for again, and parts from the replaced connection are dropped.

--- a/src/decisions/BackendHealth.cpp
+++ b/src/decisions/BackendHealth.cpp
@@ -9,13 +9,16 @@
 
 /// Weight of one answer in the moving average is 1 / AverageSpan.
 constexpr int AverageSpan = 16;
+/// An answer that took longer than this many times the average counts as that long: most of these
+/// began in a slow spell that was over when they ended.
+constexpr int OutlierFactor = 3;
 constexpr std::uint32_t UsualSpeed = 100;
 /// Answers before the first ones count as good, so that one failure is not a share of 100%.
 constexpr double PriorAnswers = 3;
 
 } // namespace
 
-void BackendHealth::ended(RunEnd end, Duration elapsed, TimePoint now)
+void BackendHealth::ended(RunEnd end, Duration elapsed, TimePoint now, CallOrigin origin)
 {
     switch (end) {
     case RunEnd::Good: {
@@ -25,7 +28,10 @@
         m_lastGood = now;
         learnFailure(0, now);
         const Duration usual = elapsed * UsualSpeed / std::max(UsualSpeed, slowness(now));
-        m_usual = m_usual == Duration() ? usual : m_usual + (usual - m_usual) / AverageSpan;
+        Duration &average = m_usual[std::size_t(origin)];
+        average = average == Duration()
+            ? usual
+            : average + (std::min(usual, average * OutlierFactor) - average) / AverageSpan;
         break;
     }
     case RunEnd::Bad:
@@ -51,6 +57,9 @@
 
 void BackendHealth::reportedSlowness(std::uint32_t percent, TimePoint now)
 {
+    if (slowness(now) < SpellSlowness) {
+        m_spellBegan = now;
+    }
     m_slowness = percent == 0 ? UsualSpeed : percent;
     m_slownessAt = now;
 }
@@ -87,6 +96,11 @@
     return UsualSpeed + static_cast<std::uint32_t>((m_slowness - UsualSpeed) * left);
 }
 
+bool BackendHealth::inSpell(TimePoint now) const
+{
+    return slowness(now) >= SpellSlowness && now - m_spellBegan < MaxSpell;
+}
+
 std::uint32_t BackendHealth::failurePercent(TimePoint now) const
 {
     const double kept = decay(now);
--- a/src/decisions/BackendHealth.h
+++ b/src/decisions/BackendHealth.h
@@ -3,6 +3,8 @@
 
 #include "kernel/Time.h"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 
 namespace Coltsfootwell {
@@ -22,6 +24,13 @@
     Unjudged,
 };
 
+/// \brief Where a call comes from, which tells how long it usually takes.
+enum class CallOrigin : std::uint8_t {
+    Caller,
+    /// A backend server makes it while it runs another call.
+    BackendServer,
+};
+
 /// \brief Running estimates of one backend server.
 ///
 /// Load patterns: work that suddenly takes several times as long for half a second, and servers
@@ -33,6 +42,10 @@
     static constexpr std::chrono::milliseconds FailureHalfLife {1500};
     /// A slowness that was not renewed fades to the usual speed in about this time.
     static constexpr std::chrono::milliseconds SlownessLifetime {600};
+    /// Slowness from which work is better left until the spell is over, in percent.
+    static constexpr std::uint32_t SpellSlowness = 250;
+    /// A server that is slow for longer counts as having this speed for good.
+    static constexpr std::chrono::milliseconds MaxSpell {1500};
     /// Failed connections in a row after which the server counts as down.
     static constexpr unsigned UnreachableUntilDown = 1;
     /// Runs lost in a row, or failures in a row, after which the server counts as down.
@@ -40,7 +53,7 @@
 
     /// \brief A run has ended.
     /// \param elapsed time from the first byte sent to the end of the answer.
-    void ended(RunEnd end, Duration elapsed, TimePoint now);
+    void ended(RunEnd end, Duration elapsed, TimePoint now, CallOrigin origin = CallOrigin::Caller);
 
     /// \brief The server reports how long its work takes.
     /// \param percent of the usual time; 0 is taken as 100.
@@ -62,11 +75,14 @@
     /// \return time that work takes, in percent of the usual time.
     std::uint32_t slowness(TimePoint now) const;
 
+    /// \return true in a spell of slow work that is likely to end soon.
+    bool inSpell(TimePoint now) const;
+
     /// \return share of recent answers that were failures, in percent.
     std::uint32_t failurePercent(TimePoint now) const;
 
-    /// \return usual time of one answer at normal speed.
-    Duration usualAnswer() const { return m_usual; }
+    /// \return usual time of one answer at normal speed; zero when unknown.
+    Duration usualAnswer(CallOrigin origin) const { return m_usual[std::size_t(origin)]; }
 
     /// \return time of the last news about the server's speed.
     TimePoint speedKnownAt() const { return m_slownessAt; }
@@ -78,9 +94,11 @@
     void learnFailure(double failure, TimePoint now);
     double decay(TimePoint now) const;
 
-    Duration m_usual {};
+    /// By origin.
+    std::array<Duration, 2> m_usual {};
     std::uint32_t m_slowness = 100;
     TimePoint m_slownessAt {};
+    TimePoint m_spellBegan {};
     /// Weights of recent failures and of all recent answers.
     double m_failures = 0;
     double m_answers = 0;
--- a/src/decisions/CallFlow.cpp
+++ b/src/decisions/CallFlow.cpp
@@ -176,11 +176,13 @@
     }
 }
 
-/// Waits for a server to become free, as long as an answer within the objective is possible.
+/// Waits for a server to become free, as long as an answer within the objective is possible. The
+/// parent of a nested call is lost without its answer, so that call waits until its deadline.
 void CallFlow::pause(Reason reason, TimePoint now)
 {
     m_lastReason = reason;
-    const TimePoint last = std::min(m_facts.objective, m_facts.deadline);
+    const TimePoint last
+        = m_facts.nested ? m_facts.deadline : std::min(m_facts.objective, m_facts.deadline);
     if (now + PauseTime >= last) {
         refuse(reason);
         return;
--- a/src/decisions/Load.h
+++ b/src/decisions/Load.h
@@ -20,6 +20,10 @@
     std::uint32_t failures = 0;
     /// Usual time of one answer in microseconds; 0 when unknown.
     std::uint32_t answerMicros = 0;
+    /// The same for nested calls, which are often much shorter than a service's other calls.
+    std::uint32_t nestedMicros = 0;
+    /// Slots within the limit that only nested calls get.
+    std::uint32_t reserved = 0;
 
     bool operator==(const LoadReport &) const = default;
 };
--- a/src/decisions/Placement.cpp
+++ b/src/decisions/Placement.cpp
@@ -28,13 +28,13 @@
 /// placed.
 constexpr std::uint64_t AssumedKilobytes = 8;
 
-/// A slow spell ends sooner or later, so that slow work is not expected to take longer than this
+/// Work waits for the end of a slow spell, so that it is not expected to take longer than this
 /// beyond its usual time.
 constexpr Duration MaxSlowDelay = milliseconds(400);
 /// Age at which a report of slowness counts half.
 constexpr std::chrono::duration<double, std::milli> SlownessHalfLife {400};
-/// A nested call is expected to take at most this share of the time until its objective. The usual
-/// answer of its service may be that of much longer calls from outside.
+/// A nested call at a server that has answered none yet is expected to take at most this share of
+/// the time until its objective. Other calls of its service may take much longer.
 constexpr double NestedShare = 0.25;
 /// Waiting time that a failed attempt costs.
 constexpr Duration FailureCost = milliseconds(500);
@@ -57,6 +57,17 @@
     return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
 }
 
+/// \return time of one answer at usual speed.
+Duration usualAnswer(const LoadReport &report, const CallFacts &facts, TimePoint now)
+{
+    if (facts.nested && report.nestedMicros > 0) {
+        return microseconds(report.nestedMicros);
+    }
+    const Duration usual = report.answerMicros > 0 ? Duration(microseconds(report.answerMicros))
+                                                   : Duration(Placement::AssumedAnswer);
+    return facts.nested ? std::min(usual, scaled(facts.objective - now, NestedShare)) : usual;
+}
+
 } // namespace
 
 Placement::Placement(Place place, Random &random) : m_place(std::move(place)), m_random(random)
@@ -193,12 +204,10 @@
     const std::chrono::duration<double, std::milli> age = now - seen.reportedAt;
     const double slowness
         = 1 + (std::max(100U, report.slowness) / 100.0 - 1) * std::exp2(-age / SlownessHalfLife);
-    Duration usual = report.answerMicros > 0 ? Duration(microseconds(report.answerMicros))
-                                             : Duration(AssumedAnswer);
-    if (facts.nested) {
-        usual = std::min(usual, scaled(facts.objective - now, NestedShare));
-    }
-    const unsigned slots = reported && report.limit > 0 ? report.limit : candidate.slots;
+    const Duration usual = usualAnswer(report, facts, now);
+    const unsigned limit = reported && report.limit > 0 ? report.limit : candidate.slots;
+    const unsigned reserved = facts.nested ? 0 : std::min(report.reserved, limit - 1);
+    const unsigned slots = limit - reserved;
     // Nested calls overtake what waits.
     const double waiting = facts.nested ? 0 : report.waiting;
     const double load = std::max(0.0, report.inUse + waiting + static_cast<double>(seen.sentSince));
--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -213,9 +213,9 @@
         load.state = m_state.state(at);
         load.slowness = m_state.health.slowness(at);
         load.failures = m_state.health.failurePercent(at);
-        load.answerMicros = static_cast<std::uint32_t>(
-            std::chrono::duration_cast<std::chrono::microseconds>(m_state.health.usualAnswer())
-                .count());
+        load.answerMicros = microsOf(m_state.health.usualAnswer(CallOrigin::Caller));
+        load.nestedMicros = microsOf(m_state.health.usualAnswer(CallOrigin::BackendServer));
+        load.reserved = m_runs->slots().reserved(at);
         return load;
     }
 
@@ -245,7 +245,16 @@
         }
     }
 
-    static bool isFull(const LoadReport &load) { return load.inUse + load.waiting >= load.limit; }
+    static std::uint32_t microsOf(Duration duration)
+    {
+        return static_cast<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
+    }
+
+    static bool isFull(const LoadReport &load)
+    {
+        return load.inUse + load.waiting + load.reserved >= load.limit;
+    }
 
     BackendState publicState(const LoadReport &load) const
     {
--- a/src/services/BackendRuns.cpp
+++ b/src/services/BackendRuns.cpp
@@ -77,7 +77,8 @@
             refuse(run, *reason);
             return;
         }
-        const SlotVerdict slot = m_slots.offer({id, run.startBy, run.priority, run.nested}, now());
+        const SlotVerdict slot
+            = m_slots.offer({id, run.startBy, run.priority, run.nested, run.laterBytes > 0}, now());
         if (slot == SlotVerdict::Refuse) {
             refuse(run, Reason::Overloaded);
             return;
@@ -93,9 +94,9 @@
                 m_runs.erase(id);
                 return;
             }
-            startRun(added);
+            begin(added);
         } else {
-            armQueueTimer();
+            decide();
         }
         m_parts.changed();
     }
@@ -103,11 +104,12 @@
     void handle(BodyArrived message) override
     {
         const auto it = m_runs.find(message.attempt);
-        if (it == m_runs.end() || it->second.exchange || !it->second.hasSlot) {
+        if (it == m_runs.end() || it->second.hasSlot) {
             return;
         }
         it->second.attempt.body = std::move(message.body);
-        begin(it->second);
+        m_slots.bodyArrived(message.attempt);
+        decide();
     }
 
     void handle(CancelAttempt cancel) override
@@ -138,6 +140,7 @@
     /// Starts and refuses what waits.
     void decide() override
     {
+        updateSpeed();
         bool again = true;
         while (again) {
             again = false;
@@ -146,7 +149,7 @@
                 ? m_slots.refuseAll()
                 : m_slots.decide(now(), m_state.pacer.mayStart(now()));
             for (const SlotDecision &decision : std::vector(decisions.begin(), decisions.end())) {
-                again = again || decision.start;
+                again = again || decision.step == SlotStep::Start;
                 carryOut(decision, closed.value_or(Reason::Overloaded));
             }
         }
@@ -173,21 +176,11 @@
             + " configuration=" + (configuration ? std::to_string(configuration->version) : "none");
     }
 
-    /// The run holds a slot; its body may still be at the entry daemon.
-    void startRun(Run &run)
-    {
-        m_state.pacer.started(now());
-        if (run.attempt.laterBytes > 0) {
-            run.attempt.proceed();
-            return;
-        }
-        begin(run);
-    }
-
     void begin(Run &run)
     {
         const RunAttempt &attempt = run.attempt;
         run.began = now();
+        m_state.pacer.started(now());
         if (attempt.repeat) {
             m_calls.send(RepeatStarted {attempt.call.requestId});
         }
@@ -265,13 +258,22 @@
         if (const auto &load = outcome.marks.load) {
             m_state.health.reportedSlowness(load->slowness, now());
         }
-        m_state.health.ended(judge(run, outcome), now() - run.began, now());
+        const CallOrigin origin
+            = run.attempt.nested ? CallOrigin::BackendServer : CallOrigin::Caller;
+        m_state.health.ended(judge(run, outcome), now() - run.began, now(), origin);
         if (outcome.marks.otherInstance) {
             // Another process has the address; its own heartbeat will say what it is.
             m_state.health.ended(RunEnd::Unreachable, {}, now());
         }
-        m_slots.runTimeChanged(m_state.health.usualAnswer()
-                               * std::min(m_state.health.slowness(now()), MaxQueueSlowness) / 100);
+    }
+
+    void updateSpeed()
+    {
+        const BackendHealth &health = m_state.health;
+        const std::uint32_t percent = std::min(health.slowness(now()), MaxQueueSlowness);
+        m_slots.speedChanged({health.usualAnswer(CallOrigin::Caller),
+                              health.usualAnswer(CallOrigin::BackendServer), percent / 100.0,
+                              health.inSpell(now())});
     }
 
     static RunEnd judge(const Run &run, const ExchangeOutcome &outcome)
@@ -357,10 +359,16 @@
         if (it == m_runs.end()) {
             return;
         }
-        if (decision.start) {
+        switch (decision.step) {
+        case SlotStep::Start:
             it->second.hasSlot = true;
-            startRun(it->second);
+            begin(it->second);
+            return;
+        case SlotStep::FetchBody:
+            it->second.attempt.proceed();
             return;
+        case SlotStep::Refuse:
+            break;
         }
         const Run refused = std::move(it->second);
         m_runs.erase(it);
--- a/src/services/CallMessages.h
+++ b/src/services/CallMessages.h
@@ -73,6 +73,8 @@
     /// Length of a body that is still at the entry daemon; 0 when `body` is the whole body.
     std::uint64_t laterBytes = 0;
     TimePoint deadline;
+    /// Time by which the answer has its full value.
+    TimePoint objective;
     /// Latest useful start; later the call is better placed elsewhere.
     TimePoint startBy;
     unsigned priority = 0;
@@ -81,7 +83,7 @@
     /// True when the call may have reached another backend server before.
     bool repeat = false;
     Reply<AttemptResult> reply;
-    /// Called when the run has a slot and wants its body; BodyArrived must follow.
+    /// Called when the run starts soon and wants its body; BodyArrived must follow.
     Task proceed;
 };
 
--- a/src/services/Calls.cpp
+++ b/src/services/Calls.cpp
@@ -204,6 +204,7 @@
         run.callerService = m_settings.ownService;
         run.body = state.submitted.body;
         run.deadline = state.facts.deadline;
+        run.objective = state.facts.objective;
         run.startBy = action.placed.startBy;
         run.priority = state.facts.priority;
         run.nested = state.facts.nested;
--- a/src/services/LinkClient.cpp
+++ b/src/services/LinkClient.cpp
@@ -28,7 +28,7 @@
 /// Unused connections are closed after this time.
 constexpr Duration MaxIdle = seconds(60);
 constexpr Duration QuestionTimeout = milliseconds(800);
-/// Longer bodies are sent after the serving daemon has a slot for the run.
+/// Longer bodies are sent when the serving daemon is about to start the run.
 constexpr std::size_t HeldBodyBytes = 16 * 1024;
 constexpr std::size_t PartBytes = 32 * 1024;
 
@@ -306,6 +306,7 @@
         run.body = *attempt.body;
     }
     run.deadlineIn = leftUntil(attempt.deadline, now());
+    run.objectiveIn = leftUntil(attempt.objective, now());
     run.startWithin = leftUntil(attempt.startBy, now());
     run.priority = attempt.priority;
     run.nested = attempt.nested;
--- a/src/services/LinkServer.cpp
+++ b/src/services/LinkServer.cpp
@@ -89,7 +89,7 @@
     if (auto *run = std::get_if<RunFrame>(&frame.body)) {
         this->run(client, frame.attempt, std::move(*run));
     } else if (auto *part = std::get_if<BodyPartFrame>(&frame.body)) {
-        takeBody(frame.attempt, std::move(*part));
+        takeBody(client, frame.attempt, std::move(*part));
     } else if (std::holds_alternative<CancelFrame>(frame.body)) {
         cancel(frame.attempt);
     } else if (const auto *asked = std::get_if<ResumeFrame>(&frame.body)) {
@@ -122,6 +122,7 @@
     run.body = std::make_shared<const std::string>(std::move(frame.body));
     run.laterBytes = frame.laterBytes;
     run.deadline = now + frame.deadlineIn;
+    run.objective = now + frame.objectiveIn;
     run.startBy = now + frame.startWithin;
     run.priority = frame.priority;
     run.nested = frame.nested;
@@ -134,29 +135,41 @@
                 self->finished(attempt, result ? std::move(*result) : AttemptLost {});
             }
         });
-    run.proceed = [weak, attempt] {
+    run.proceed = [weak, attempt, bytes = run.laterBytes] {
         if (const auto self = weak.lock()) {
-            const auto it = self->m_served.find(attempt);
-            const auto client = it == self->m_served.end() ? ClientPtr() : it->second.client.lock();
-            if (client) {
-                client->connection->send({attempt, {}, ProceedFrame {}});
-            }
+            self->askForBody(attempt, bytes);
         }
     };
     m_parts.toBackend(std::move(run));
 }
 
-void LinkServer::takeBody(const AttemptId &attempt, BodyPartFrame part)
+void LinkServer::askForBody(const AttemptId &attempt, std::uint64_t bytes)
 {
     const auto it = m_served.find(attempt);
     if (it == m_served.end()) {
         return;
     }
-    it->second.body += part.bytes;
+    it->second.body.clear();
+    it->second.missingBytes = bytes;
+    if (const ClientPtr client = it->second.client.lock()) {
+        client->connection->send({attempt, {}, ProceedFrame {}});
+    }
+}
+
+void LinkServer::takeBody(const ClientPtr &client, const AttemptId &attempt, BodyPartFrame part)
+{
+    const auto it = m_served.find(attempt);
+    // Parts of a connection that was replaced meanwhile come again over the new one.
+    if (it == m_served.end() || it->second.client.lock() != client) {
+        return;
+    }
+    Served &served = it->second;
+    served.missingBytes -= std::min<std::uint64_t>(served.missingBytes, part.bytes.size());
+    served.body += part.bytes;
     if (part.last) {
         m_parts.toBackend(BodyArrived {
             attempt,
-            std::make_shared<const std::string>(std::exchange(it->second.body, std::string()))});
+            std::make_shared<const std::string>(std::exchange(served.body, std::string()))});
     }
 }
 
@@ -177,6 +190,8 @@
         it->second.orphanSince.reset();
         if (it->second.finished) {
             client->connection->send(*it->second.finished);
+        } else if (it->second.missingBytes > 0) {
+            askForBody(attempt, it->second.body.size() + it->second.missingBytes);
         }
         return;
     }
--- a/src/services/LinkServer.h
+++ b/src/services/LinkServer.h
@@ -57,6 +57,8 @@
     {
         std::weak_ptr<Client> client;
         std::string body;
+        /// Length of the body that was asked for and has not arrived yet.
+        std::uint64_t missingBytes = 0;
         /// Answer, kept for a while in case its connection breaks on the way.
         std::optional<LinkFrame> finished;
         /// Set while the connection of the attempt is broken.
@@ -71,7 +73,8 @@
 
     void received(const ClientPtr &client, LinkFrame frame);
     void run(const ClientPtr &client, const AttemptId &attempt, RunFrame frame);
-    void takeBody(const AttemptId &attempt, BodyPartFrame part);
+    void takeBody(const ClientPtr &client, const AttemptId &attempt, BodyPartFrame part);
+    void askForBody(const AttemptId &attempt, std::uint64_t bytes);
     void cancel(const AttemptId &attempt);
     void resume(const ClientPtr &client, const AttemptId &attempt, Incarnation sentTo);
     void answer(const ClientPtr &client, ExchangeFrame question);
--- a/src/wire/LinkCodec.cpp
+++ b/src/wire/LinkCodec.cpp
@@ -20,6 +20,8 @@
     wire.set_slowness(load.slowness);
     wire.set_failures(load.failures);
     wire.set_answer_micros(load.answerMicros);
+    wire.set_nested_micros(load.nestedMicros);
+    wire.set_reserved(load.reserved);
 }
 
 LoadReport decodeLoad(const Wire::Load &wire, std::error_code &ec)
@@ -28,10 +30,11 @@
         ec = WireError::BadFrame;
         return {};
     }
-    return {wire.in_use(),       wire.waiting(),
-            wire.limit(),        static_cast<BackendState>(wire.state()),
-            wire.slowness(),     wire.failures(),
-            wire.answer_micros()};
+    return {wire.in_use(),        wire.waiting(),
+            wire.limit(),         static_cast<BackendState>(wire.state()),
+            wire.slowness(),      wire.failures(),
+            wire.answer_micros(), wire.nested_micros(),
+            wire.reserved()};
 }
 
 template <typename Repeated>
@@ -77,6 +80,7 @@
         run.set_body(frame.body);
         run.set_later_bytes(frame.laterBytes);
         run.set_deadline_micros(static_cast<std::uint64_t>(frame.deadlineIn.count()));
+        run.set_objective_micros(static_cast<std::uint64_t>(frame.objectiveIn.count()));
         run.set_start_by_micros(static_cast<std::uint64_t>(frame.startWithin.count()));
         run.set_priority(frame.priority);
         run.set_nested(frame.nested);
@@ -143,6 +147,7 @@
     frame.body = std::move(*run.mutable_body());
     frame.laterBytes = run.later_bytes();
     frame.deadlineIn = microseconds(run.deadline_micros());
+    frame.objectiveIn = microseconds(run.objective_micros());
     frame.startWithin = microseconds(run.start_by_micros());
     frame.priority = run.priority();
     frame.nested = run.nested();
--- a/src/wire/LinkFrame.h
+++ b/src/wire/LinkFrame.h
@@ -31,8 +31,9 @@
     std::string body;
     /// Length of a body that follows after ProceedFrame; 0 when `body` is the whole body.
     std::uint64_t laterBytes = 0;
-    /// Time that is left until the deadline and until the latest start.
+    /// Time that is left until the deadline, the objective and the latest start.
     std::chrono::microseconds deadlineIn {0};
+    std::chrono::microseconds objectiveIn {0};
     std::chrono::microseconds startWithin {0};
     unsigned priority = 0;
     bool nested = false;
@@ -42,7 +43,7 @@
     CallEnvelope call;
 };
 
-/// \brief The run has a slot and wants its body.
+/// \brief The run starts soon and wants its body.
 struct ProceedFrame
 {
 };
--- /dev/null
+++ b/test/correctness/BodyHoldsSlot.cpp
@@ -0,0 +1,81 @@
+// Guards against slots that stand idle while large bodies travel over narrow links: uploads of 60
+// KB over 10 Mbit/s held a third of a server's slots without working there.
+#include "decisions/SlotQueue.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace Coltsfootwell;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr TimePoint Now {};
+constexpr bool MayStart = true;
+
+SlotRequest requestFor(std::uint64_t number, bool bodyElsewhere)
+{
+    return {{0, number}, Now + milliseconds(100), 0, false, bodyElsewhere};
+}
+
+unsigned count(SlotQueue::Decisions decisions, SlotStep step)
+{
+    return static_cast<unsigned>(std::ranges::count(decisions, step, &SlotDecision::step));
+}
+
+} // namespace
+
+TEST_CASE("a run without its body holds no slot and asks for the body")
+{
+    SlotQueue queue;
+    queue.slotsChanged(2);
+    CHECK(queue.offer(requestFor(1, true), Now) == SlotVerdict::Wait);
+    const auto decisions = queue.decide(Now, MayStart);
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions[0].step == SlotStep::FetchBody);
+    CHECK(queue.inUse() == 0);
+    // It is asked for once.
+    CHECK(queue.decide(Now, MayStart).empty());
+}
+
+TEST_CASE("another run takes the slot while a body travels, and the run with the body is next")
+{
+    SlotQueue queue;
+    queue.slotsChanged(1);
+    queue.offer(requestFor(1, true), Now);
+    queue.decide(Now, MayStart);
+    CHECK(queue.offer(requestFor(2, false), Now) == SlotVerdict::Start);
+    CHECK(queue.offer(requestFor(3, false), Now) == SlotVerdict::Wait);
+    queue.bodyArrived({0, 1});
+    queue.released();
+    const auto decisions = queue.decide(Now, MayStart);
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions[0].attempt == AttemptId {0, 1});
+    CHECK(decisions[0].step == SlotStep::Start);
+}
+
+TEST_CASE("only runs that start soon have their bodies fetched")
+{
+    SlotQueue queue;
+    queue.slotsChanged(4);
+    for (std::uint64_t i = 0; i < 12; ++i) {
+        queue.offer(requestFor(i, true), Now);
+    }
+    CHECK(count(queue.decide(Now, MayStart), SlotStep::FetchBody)
+          == 4 + 4 / SlotQueue::SlotsPerFetch);
+}
+
+TEST_CASE("a run whose body was fetched is not sent elsewhere")
+{
+    SlotQueue queue;
+    queue.slotsChanged(1);
+    queue.offer(requestFor(1, false), Now);
+    queue.offer(requestFor(2, true), Now);
+    queue.decide(Now, MayStart);
+    const TimePoint late = Now + milliseconds(500);
+    CHECK(queue.decide(late, MayStart).empty());
+    queue.bodyArrived({0, 2});
+    queue.released();
+    CHECK(count(queue.decide(late, MayStart), SlotStep::Start) == 1);
+}
--- a/test/correctness/QueueUnbounded.cpp
+++ b/test/correctness/QueueUnbounded.cpp
@@ -27,7 +27,7 @@
 TEST_CASE("a run that cannot start in time is refused at once")
 {
     SlotQueue queue = queueOf(1);
-    queue.runTimeChanged(milliseconds(60));
+    queue.speedChanged({milliseconds(60), milliseconds(60)});
     const TimePoint now {};
     CHECK(queue.offer({{0, 1}, now + milliseconds(10), 0, false}, now) == SlotVerdict::Start);
     CHECK(queue.offer({{0, 2}, now + milliseconds(30), 0, false}, now) == SlotVerdict::Refuse);
@@ -44,7 +44,7 @@
     CHECK(queue.decide(now + milliseconds(29), true).empty());
     const auto decisions = queue.decide(now + milliseconds(30), true);
     REQUIRE(decisions.size() == 1);
-    CHECK_FALSE(decisions[0].start);
+    CHECK(decisions[0].step == SlotStep::Refuse);
 }
 
 TEST_CASE("slots and queue stay within their bounds under random calls")
@@ -72,9 +72,10 @@
         while (again) {
             again = false;
             for (const SlotDecision &decision : queue.decide(now, true)) {
-                again = again || decision.start;
-                running += decision.start ? 1 : 0;
-                late += decision.start && now > startBy[decision.attempt] ? 1 : 0;
+                again = again || (decision.step == SlotStep::Start);
+                running += (decision.step == SlotStep::Start) ? 1 : 0;
+                late += (decision.step == SlotStep::Start) && now > startBy[decision.attempt] ? 1
+                                                                                              : 0;
             }
         }
         REQUIRE(queue.inUse() == running);
--- /dev/null
+++ b/test/correctness/SlowSpellHoldsSlots.cpp
@@ -0,0 +1,122 @@
+// Guards against runs that start in a spell of slow work: each then holds its slot several times as
+// long, to its end, although the spell is over long before. Under load most slots were held so, and
+// every call of the service was late.
+#include "decisions/BackendHealth.h"
+#include "decisions/SlotQueue.h"
+
+#include <doctest/doctest.h>
+
+using namespace Coltsfootwell;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr TimePoint Now = TimePoint() + std::chrono::hours(1);
+constexpr bool MayStart = true;
+constexpr ServerSpeed Usual {milliseconds(60), milliseconds(15)};
+constexpr ServerSpeed Slow {milliseconds(60), milliseconds(15), 7, true};
+
+SlotQueue queueAt(const ServerSpeed &speed)
+{
+    SlotQueue queue;
+    queue.slotsChanged(4);
+    queue.speedChanged(speed);
+    return queue;
+}
+
+SlotRequest call(std::uint64_t number, milliseconds objective)
+{
+    SlotRequest request {{0, number}, Now + milliseconds(400)};
+    request.objective = Now + objective;
+    request.deadline = Now + milliseconds(1000);
+    return request;
+}
+
+SlotRequest nested(std::uint64_t number, milliseconds objective)
+{
+    SlotRequest request = call(number, objective);
+    request.nested = true;
+    return request;
+}
+
+} // namespace
+
+TEST_CASE("a call waits for the end of a slow spell, with all slots free")
+{
+    SlotQueue queue = queueAt(Slow);
+    CHECK(queue.offer(call(1, milliseconds(900)), Now) == SlotVerdict::Wait);
+    CHECK(queue.decide(Now, MayStart).empty());
+    queue.speedChanged(Usual);
+    const auto decisions = queue.decide(Now + milliseconds(50), MayStart);
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions[0].step == SlotStep::Start);
+}
+
+TEST_CASE("a nested call starts in a slow spell when it ends in time all the same")
+{
+    SlotQueue queue = queueAt(Slow);
+    CHECK(queue.offer(nested(1, milliseconds(120)), Now) == SlotVerdict::Start);
+    CHECK(queue.offer(nested(2, milliseconds(80)), Now) == SlotVerdict::Wait);
+}
+
+TEST_CASE("a nested call that is late already starts in a slow spell, since its parent needs it")
+{
+    SlotQueue queue = queueAt(Slow);
+    CHECK(queue.offer(nested(1, milliseconds(0)), Now) == SlotVerdict::Start);
+}
+
+TEST_CASE("a call that can be in time goes before one that is late")
+{
+    SlotQueue queue = queueAt(Usual);
+    for (std::uint64_t i = 0; i < 4; ++i) {
+        queue.offer(call(i, milliseconds(300)), Now);
+    }
+    queue.offer(call(10, milliseconds(20)), Now);
+    queue.offer(call(11, milliseconds(300)), Now);
+    queue.released();
+    const auto decisions = queue.decide(Now, MayStart);
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions[0].attempt == AttemptId {0, 11});
+}
+
+TEST_CASE("a full queue of late calls takes a call that can be in time")
+{
+    SlotQueue queue = queueAt({});
+    for (std::uint64_t i = 0; i < 4 + 4 * SlotQueue::QueuePerSlot; ++i) {
+        queue.offer(call(i, milliseconds(-10)), Now);
+    }
+    REQUIRE(queue.waiting() == 4 * SlotQueue::QueuePerSlot);
+    CHECK(queue.offer(call(100, milliseconds(-10)), Now) == SlotVerdict::Refuse);
+    CHECK(queue.offer(call(101, milliseconds(300)), Now) == SlotVerdict::Wait);
+    // The late one that was last makes room.
+    const auto decisions = queue.decide(Now, MayStart);
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions[0].step == SlotStep::Refuse);
+    CHECK(queue.waiting() == 4 * SlotQueue::QueuePerSlot);
+}
+
+TEST_CASE("a server that stays slow counts as having that speed")
+{
+    BackendHealth health;
+    TimePoint now = Now;
+    health.reportedSlowness(700, now);
+    CHECK(health.inSpell(now));
+    for (; now < Now + BackendHealth::MaxSpell; now += milliseconds(100)) {
+        health.reportedSlowness(700, now);
+    }
+    CHECK_FALSE(health.inSpell(now));
+    health.reportedSlowness(100, now);
+    health.reportedSlowness(700, now);
+    CHECK(health.inSpell(now));
+}
+
+TEST_CASE("nested calls do not shorten the usual time of other calls")
+{
+    BackendHealth health;
+    for (int i = 0; i < 200; ++i) {
+        health.ended(RunEnd::Good, milliseconds(15), Now, CallOrigin::BackendServer);
+        health.ended(RunEnd::Good, milliseconds(80), Now, CallOrigin::Caller);
+    }
+    CHECK(health.usualAnswer(CallOrigin::Caller) == milliseconds(80));
+    CHECK(health.usualAnswer(CallOrigin::BackendServer) == milliseconds(15));
+}
--- a/test/performance/PolicyBench.cpp
+++ b/test/performance/PolicyBench.cpp
@@ -103,6 +103,7 @@
         server.slowness = m_random.unit() < m_pattern.slowShare ? SlowFactor : 1;
         server.health.reportedSlowness(static_cast<std::uint32_t>(100 * server.slowness), now());
         tellAll(index);
+        decide(index);
         const double length = -std::log(1 - m_random.unit()) * SpellTime.count();
         m_executor.after(std::chrono::microseconds(static_cast<std::int64_t>(length * 1000)),
                          [this, index] { changeSpell(index); });
@@ -206,9 +207,9 @@
     {
         Server &server = m_servers[index];
         const AttemptId id {0, ++m_lastAttempt};
-        server.slots.runTimeChanged(std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double, std::milli>(WorkTime.count() * server.slowness)));
-        const SlotVerdict verdict = server.slots.offer({id, startBy, 0, false}, now());
+        updateSpeed(server);
+        const SlotVerdict verdict = server.slots.offer(
+            {id, startBy, 0, false, false, received + Objective, received + Deadline}, now());
         if (verdict == SlotVerdict::Refuse) {
             --m_open[sender][index];
             m_placements[sender]->reported(m_members[index].id, reportOf(index), now());
@@ -249,21 +250,28 @@
         decide(index);
     }
 
+    void updateSpeed(Server &server)
+    {
+        server.slots.speedChanged(
+            {WorkTime, WorkTime, server.slowness, server.health.inSpell(now())});
+    }
+
     void decide(unsigned index)
     {
         Server &server = m_servers[index];
+        updateSpeed(server);
         bool again = true;
         while (again) {
             again = false;
             const auto decisions = server.slots.decide(now(), true);
             for (const SlotDecision &decision : std::vector(decisions.begin(), decisions.end())) {
-                again = again || decision.start;
+                again = again || (decision.step == SlotStep::Start);
                 const auto it = std::ranges::find_if(server.waiting, [&](const auto &item) {
                     return item.first == decision.attempt;
                 });
                 const auto work = it->second;
                 server.waiting.erase(it);
-                if (decision.start) {
+                if ((decision.step == SlotStep::Start)) {
                     work();
                 } else {
                     ++m_result.refused;
