Placement: a spell is waiting time, bytes weigh more, lateness weighs most

Cause: runs no longer start in a spell, but placement still took a spell as a longer run, so that calls came back from a slow server 25 ms later and were handed on.

Change: a spell counts as waiting; a kilobyte weighs 3 ms in the region and 8 ms elsewhere; a server where the objective would be missed costs a second more, so that bodies move when it serves the caller and not for less. A run counts as late when 1.3 times its usual time does not fit.

--- a/src/decisions/Placement.cpp
+++ b/src/decisions/Placement.cpp
@@ -12,6 +12,7 @@
 
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 /// Home regions come from callers, so the number of cached subsets is bounded.
 constexpr std::size_t MaxSubsets = 1000;
@@ -22,8 +23,10 @@
 constexpr Duration Elsewhere = milliseconds(62);
 /// Bytes between data centres are paid for, and those between regions share a narrow link; one
 /// kilobyte weighs as much as this much waiting.
-constexpr Duration PerKilobyteInRegion = microseconds(1500);
-constexpr Duration PerKilobyteElsewhere = milliseconds(5);
+constexpr Duration PerKilobyteInRegion = milliseconds(3);
+constexpr Duration PerKilobyteElsewhere = milliseconds(8);
+/// Weight of missing the objective, more than moving any usual body.
+constexpr Duration LateCost = seconds(1);
 /// Kilobytes assumed for the headers and the answer, whose lengths are not known when a call is
 /// placed.
 constexpr std::uint64_t AssumedKilobytes = 8;
@@ -217,15 +220,18 @@
     const bool cold = reported ? report.state == BackendState::Cold : candidate.cold;
 
     Estimate found;
-    found.run = std::min(scaled(usual, slowness * crowding), usual + MaxSlowDelay)
-        * (cold ? ColdFactor : 1);
+    found.run = scaled(usual, crowding) * (cold ? ColdFactor : 1);
+    found.wait = std::min(scaled(usual, slowness - 1), MaxSlowDelay);
     if (load >= slots) {
-        found.wait = scaled(found.run, (load - slots + 1) / slots);
+        found.wait += scaled(found.run, (load - slots + 1) / slots);
     }
-    found.cost = candidate.distance + found.wait + found.run
-        + candidate.perKilobyte * (AssumedKilobytes + facts.bodyBytes / 1024)
+    const Duration expected = candidate.distance + found.wait + found.run;
+    found.cost = expected + candidate.perKilobyte * (AssumedKilobytes + facts.bodyBytes / 1024)
         + scaled(FailureCost, report.failures / 100.0)
         + scaled(OccupancyCost, std::min(1.0, share));
+    if (!facts.nested && now + expected > facts.objective) {
+        found.cost += LateCost;
+    }
     return found;
 }
 
--- a/src/decisions/Placement.h
+++ b/src/decisions/Placement.h
@@ -101,6 +101,7 @@
 
     struct Estimate
     {
+        /// Until a slot is free and a spell of slow work is over.
         Duration wait {};
         Duration run {};
         /// Expected time and what else makes the choice less desirable.
--- a/src/decisions/SlotQueue.cpp
+++ b/src/decisions/SlotQueue.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/// A run counts as late when this many times its usual time does not fit before its objective: runs
+/// differ in length, and a full server must not give its slots to those that just miss it.
+constexpr double LateMargin = 1.3;
+
 Duration scaled(Duration duration, double factor)
 {
     return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
@@ -164,7 +168,7 @@
 
 bool SlotQueue::isLate(const SlotRequest &request, TimePoint now) const
 {
-    return now + usualTime(request) > request.objective;
+    return now + scaled(usualTime(request), LateMargin) > request.objective;
 }
 
 /// \return true unless the run had better wait for the end of a slow spell.
@@ -178,7 +182,8 @@
     return request.nested && now + scaled(usualTime(request), m_speed.factor) <= last;
 }
 
-/// \return time until what goes before has left its slots, and one run that works now.
+/// \return time until a spell is over, what goes before has left its slots, and one run that works
+/// now.
 Duration SlotQueue::expectedWait(const SlotRequest &request, TimePoint now) const
 {
     const Rank rank = rankOf(request, now);
@@ -188,7 +193,8 @@
             ahead += usualTime(it.request);
         }
     }
-    return scaled(ahead, m_speed.factor) / std::max(1U, m_slots);
+    const Duration each = ahead / std::max(1U, m_slots);
+    return m_speed.spell && !request.nested ? SpellRest + each : scaled(each, m_speed.factor);
 }
 
 void SlotQueue::sort(TimePoint now)
