Crowding limit: slots of callers where a server slows down when nearly full

A run of 60 ms took over 200: the server slows down by 1.7 above four fifths of its slots, so that it answered fewer calls a second, each later.

--- a/src/decisions/SlotQueue.cpp
+++ b/src/decisions/SlotQueue.cpp
@@ -147,7 +147,8 @@
 unsigned SlotQueue::reserved(TimePoint now) const
 {
     const bool nestedComes = m_lastNested && now - *m_lastNested < ReserveLifetime;
-    return nestedComes ? m_slots / SlotsPerReserved : 0;
+    const unsigned forNested = nestedComes ? m_slots / SlotsPerReserved : 0;
+    return std::max(forNested, m_slots - std::min(m_slots, m_callerLimit));
 }
 
 unsigned SlotQueue::slotsFor(const SlotRequest &request, TimePoint now) const
--- a/src/decisions/SlotQueue.h
+++ b/src/decisions/SlotQueue.h
@@ -6,6 +6,7 @@
 #include "decisions/Outcome.h"
 #include "kernel/Time.h"
 
+#include <climits>
 #include <optional>
 #include <span>
 #include <tuple>
@@ -91,6 +92,9 @@
     /// \param slots runs that the server works on at once; 0 closes the queue.
     void slotsChanged(unsigned slots) { m_slots = slots; }
 
+    /// \param limit slots that callers' calls get; nested calls get all.
+    void limitCallers(unsigned limit) { m_callerLimit = limit; }
+
     /// \param speed of the server from now on.
     void speedChanged(const ServerSpeed &speed) { m_speed = speed; }
 
@@ -148,6 +152,7 @@
     void fetchBodies(TimePoint now);
 
     unsigned m_slots = 0;
+    unsigned m_callerLimit = UINT_MAX;
     unsigned m_inUse = 0;
     ServerSpeed m_speed;
     std::optional<TimePoint> m_lastNested;
--- a/src/services/BackendRuns.cpp
+++ b/src/services/BackendRuns.cpp
@@ -28,6 +28,11 @@
     std::shared_ptr<HttpExchange> exchange;
     TimePoint began;
     bool hasSlot = false;
+    /// Slots in use when it started, its own included.
+    unsigned inUseAtStart = 0;
+    /// False when the server was slow or cold at the start, or the run has made calls of its own:
+    /// then its time says nothing of how crowded the server was.
+    bool comparable = true;
     bool cancelled = false;
     std::optional<Reason> stopped;
 };
@@ -131,6 +136,16 @@
         decide();
     }
 
+    void handle(const CallMadeByRun &made) override
+    {
+        const auto it = std::ranges::find(m_runs, made.requestId, [](const auto &item) {
+            return item.second.attempt.call.requestId;
+        });
+        if (it != m_runs.end()) {
+            it->second.comparable = false;
+        }
+    }
+
     void handle(RevokeAttempt revoke) override
     {
         const RevokeVerdict verdict = m_ledger.revoke(revoke.attempt, revoke.sentTo);
@@ -180,6 +195,8 @@
     {
         const RunAttempt &attempt = run.attempt;
         run.began = now();
+        run.inUseAtStart = m_slots.inUse();
+        run.comparable = usualSpeed();
         m_state.pacer.started(now());
         if (attempt.repeat) {
             m_calls.send(RepeatStarted {attempt.call.requestId});
@@ -261,14 +278,24 @@
         const CallOrigin origin
             = run.attempt.nested ? CallOrigin::BackendServer : CallOrigin::Caller;
         m_state.health.ended(judge(run, outcome), now() - run.began, now(), origin);
+        if (run.comparable && usualSpeed() && judge(run, outcome) == RunEnd::Good
+            && origin == CallOrigin::Caller) {
+            m_state.crowding.ended(run.inUseAtStart, m_slots.slots(), now() - run.began, now());
+        }
         if (outcome.marks.otherInstance) {
             // Another process has the address; its own heartbeat will say what it is.
             m_state.health.ended(RunEnd::Unreachable, {}, now());
         }
     }
 
+    bool usualSpeed() const
+    {
+        return m_state.health.slowness(now()) < SlowPercent && !m_state.pacer.isCold(now());
+    }
+
     void updateSpeed()
     {
+        m_slots.limitCallers(m_state.crowding.limit(m_slots.slots(), now()));
         const BackendHealth &health = m_state.health;
         const std::uint32_t percent = std::min(health.slowness(now()), MaxQueueSlowness);
         m_slots.speedChanged({health.usualAnswer(CallOrigin::Caller),
--- a/src/services/BackendRuns.h
+++ b/src/services/BackendRuns.h
@@ -40,6 +40,7 @@
     virtual void handle(BodyArrived message) = 0;
     virtual void handle(CancelAttempt cancel) = 0;
     virtual void handle(RevokeAttempt revoke) = 0;
+    virtual void handle(const CallMadeByRun &made) = 0;
 
     /// \brief Starts and refuses what waits.
     virtual void decide() = 0;
--- a/src/services/BackendState.cpp
+++ b/src/services/BackendState.cpp
@@ -20,6 +20,7 @@
 void BackendStateView::replaced(TimePoint now)
 {
     health.reset();
+    crowding.reset();
     applyRules();
     pacer.coldUntil(now + registration.current()->cold);
 }
--- a/src/services/BackendState.h
+++ b/src/services/BackendState.h
@@ -6,6 +6,7 @@
 #include "decisions/BackendRegistration.h"
 #include "decisions/ColdPacer.h"
 #include "decisions/Configuration.h"
+#include "decisions/CrowdingLimit.h"
 #include "decisions/Load.h"
 #include "decisions/Outcome.h"
 #include "decisions/Place.h"
@@ -26,6 +27,7 @@
 
     BackendRegistration registration;
     BackendHealth health;
+    CrowdingLimit crowding;
     ColdPacer pacer;
 
     /// \brief Takes over a configuration.
--- a/src/services/CallMessages.h
+++ b/src/services/CallMessages.h
@@ -110,6 +110,13 @@
     Reply<bool> reply;
 };
 
+/// \brief To "backend": a run of the server has made a call of its own.
+struct CallMadeByRun
+{
+    /// Request id of the run.
+    std::string requestId;
+};
+
 /// \brief From "backend": the load of the backend server has changed by much.
 struct LoadChanged
 {
@@ -199,7 +206,8 @@
 
 using CallsMessage = std::variant<SubmitCall, CancelCall, LoadLearned, DaemonUnreachable,
                                   RepeatStarted, CallSettingsChanged>;
-using BackendMessage = std::variant<RunAttempt, BodyArrived, CancelAttempt, RevokeAttempt>;
+using BackendMessage
+    = std::variant<RunAttempt, BodyArrived, CancelAttempt, RevokeAttempt, CallMadeByRun>;
 using LinksMessage = std::variant<RunAttempt, CancelAttempt, LoadChanged, AskPeer>;
 
 } // namespace Coltsfootwell
--- a/src/services/Calls.cpp
+++ b/src/services/Calls.cpp
@@ -117,6 +117,9 @@
             refuseAtOnce(call, *refused);
             return;
         }
+        if (!call.call.parentId.empty()) {
+            m_backend.send(CallMadeByRun {call.call.parentId});
+        }
         const std::uint64_t number = call.number;
         CallState &state = m_calls[number];
         state.submitted = std::move(call);
