--- a/src/decisions/CallFlow.cpp
+++ b/src/decisions/CallFlow.cpp
@@ -183,11 +183,12 @@
     m_lastReason = reason;
     const TimePoint last
         = m_facts.nested ? m_facts.deadline : std::min(m_facts.objective, m_facts.deadline);
-    if (now + PauseTime >= last) {
+    if (now + m_pause >= last) {
         refuse(reason);
         return;
     }
-    m_placeAt = now + PauseTime;
+    m_placeAt = now + m_pause;
+    m_pause *= 2;
 }
 
 void CallFlow::retryAfterFailure(TimePoint now)
--- a/src/decisions/CallFlow.h
+++ b/src/decisions/CallFlow.h
@@ -82,7 +82,7 @@
 public:
     /// Refusals in a row after which the call waits before it is placed again.
     static constexpr std::size_t RefusalsUntilPause = 4;
-    /// Time between two searches for a free server.
+    /// Time until the second search for a free server; each later pause is twice as long.
     static constexpr std::chrono::milliseconds PauseTime {12};
     /// A hedge is sent this many times the expected time before the objective.
     static constexpr double HedgeLead = 1.4;
@@ -150,6 +150,7 @@
     bool m_turnedAway = false;
     Reason m_lastReason = Reason::Overloaded;
     bool m_finished = false;
+    Duration m_pause = PauseTime;
 };
 
 } // namespace Coltsfootwell
