--- a/src/decisions/SlotQueue.cpp
+++ b/src/decisions/SlotQueue.cpp
@@ -147,7 +147,7 @@
 unsigned SlotQueue::reserved(TimePoint now) const
 {
     const bool nestedComes = m_lastNested && now - *m_lastNested < ReserveLifetime;
-    const unsigned forNested = nestedComes ? std::min(m_slots - 1, m_slots / SlotsPerReserved + 1) : 0;
+    const unsigned forNested = nestedComes ? m_slots / SlotsPerReserved : 0;
     return std::max(forNested, m_slots - std::min(m_slots, m_callerLimit));
 }
 
--- a/src/decisions/SlotQueue.h
+++ b/src/decisions/SlotQueue.h
@@ -78,7 +78,7 @@
     /// Most runs that wait, as a multiple of the slots.
     static constexpr unsigned QueuePerSlot = 1;
     /// One of this many slots is kept for nested calls while there are any.
-    static constexpr unsigned SlotsPerReserved = 8;
+    static constexpr unsigned SlotsPerReserved = 4;
     /// Bodies are fetched ahead for one of this many slots, so that a slot that becomes free finds
     /// a run with its body.
     static constexpr unsigned SlotsPerFetch = 2;
