--- a/src/decisions/CallFlow.cpp
+++ b/src/decisions/CallFlow.cpp
@@ -13,11 +13,6 @@
     return reason == Reason::OutsideHomeRegions || reason == Reason::Deadline;
 }
 
-Duration scaled(Duration duration, double factor)
-{
-    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-}
-
 } // namespace
 
 CallFlow::CallFlow(CallFacts facts, const CallFlowParts &parts)
--- a/src/decisions/Placement.cpp
+++ b/src/decisions/Placement.cpp
@@ -55,11 +55,6 @@
 /// An attempt may wait this much longer than expected before it is placed anew.
 constexpr Duration WaitMargin = milliseconds(25);
 
-Duration scaled(Duration duration, double factor)
-{
-    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-}
-
 /// \return time of one answer at usual speed.
 Duration usualAnswer(const LoadReport &report, const CallFacts &facts, TimePoint now)
 {
--- a/src/decisions/SlotQueue.cpp
+++ b/src/decisions/SlotQueue.cpp
@@ -10,11 +10,6 @@
 /// differ in length, and a full server must not give its slots to those that just miss it.
 constexpr double LateMargin = 1.3;
 
-Duration scaled(Duration duration, double factor)
-{
-    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-}
-
 } // namespace
 
 SlotVerdict SlotQueue::offer(const SlotRequest &request, TimePoint now)
--- a/src/decisions/SlotQueue.h
+++ b/src/decisions/SlotQueue.h
@@ -82,7 +82,7 @@
     /// Bodies are fetched ahead for one of this many slots, so that a slot that becomes free finds
     /// a run with its body.
     static constexpr unsigned SlotsPerFetch = 2;
-    /// Time that a spell of slow work is expected to go on.
+    /// A spell of slow work goes on for at least about this long.
     static constexpr std::chrono::milliseconds SpellRest {100};
     /// Nested calls this recent keep their reserved slots.
     static constexpr std::chrono::seconds ReserveLifetime {3};
--- a/src/kernel/Time.h
+++ b/src/kernel/Time.h
@@ -9,4 +9,10 @@
 using Duration = std::chrono::steady_clock::duration;
 using TimePoint = std::chrono::steady_clock::time_point;
 
+/// \return the duration times the factor.
+constexpr Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
 } // namespace Coltsfootwell
--- a/src/services/BackendRuns.cpp
+++ b/src/services/BackendRuns.cpp
@@ -3,6 +3,7 @@
 #include "decisions/RunLedger.h"
 #include "services/BackendLimits.h"
 #include "services/BackendLog.h"
+#include "services/RunEvidence.h"
 
 #include <algorithm>
 #include <unordered_map>
@@ -16,8 +17,6 @@
 /// A server may forget an idle connection without notice, and what is sent then is lost.
 constexpr Duration MaxIdleOther = milliseconds(150);
 constexpr Duration NewConnectionOnly {};
-constexpr unsigned FirstServerError = 500;
-constexpr unsigned GatewayTimeout = 504;
 /// Queued runs of a server that is slower than this are refused early anyway, in percent.
 constexpr std::uint32_t MaxQueueSlowness = 1000;
 
@@ -26,13 +25,8 @@
 {
     RunAttempt attempt;
     std::shared_ptr<HttpExchange> exchange;
-    TimePoint began;
+    RunStart start;
     bool hasSlot = false;
-    /// Slots in use when it started, its own included.
-    unsigned inUseAtStart = 0;
-    /// False when the server was slow or cold at the start, or the run has made calls of its own:
-    /// then its time says nothing of how crowded the server was.
-    bool comparable = true;
     bool cancelled = false;
     std::optional<Reason> stopped;
 };
@@ -142,7 +136,7 @@
             return item.second.attempt.call.requestId;
         });
         if (it != m_runs.end()) {
-            it->second.comparable = false;
+            it->second.start.comparable = false;
         }
     }
 
@@ -194,9 +188,7 @@
     void begin(Run &run)
     {
         const RunAttempt &attempt = run.attempt;
-        run.began = now();
-        run.inUseAtStart = m_slots.inUse();
-        run.comparable = usualSpeed();
+        run.start = startOf(m_state, m_slots, attempt.nested, now());
         m_state.pacer.started(now());
         if (attempt.repeat) {
             m_calls.send(RepeatStarted {attempt.call.requestId});
@@ -263,36 +255,13 @@
         m_runs.erase(it);
         m_slots.released();
         if (pool == m_pool) {
-            learn(finished, outcome);
+            learnFrom(m_state, m_slots, finished.start, finished.cancelled, outcome, now());
         }
         answer(finished, std::move(outcome));
         m_parts.changed();
         decide();
     }
 
-    void learn(const Run &run, const ExchangeOutcome &outcome)
-    {
-        if (const auto &load = outcome.marks.load) {
-            m_state.health.reportedSlowness(load->slowness, now());
-        }
-        const CallOrigin origin
-            = run.attempt.nested ? CallOrigin::BackendServer : CallOrigin::Caller;
-        m_state.health.ended(judge(run, outcome), now() - run.began, now(), origin);
-        if (run.comparable && usualSpeed() && judge(run, outcome) == RunEnd::Good
-            && origin == CallOrigin::Caller) {
-            m_state.crowding.ended(run.inUseAtStart, m_slots.slots(), now() - run.began, now());
-        }
-        if (outcome.marks.otherInstance) {
-            // Another process has the address; its own heartbeat will say what it is.
-            m_state.health.ended(RunEnd::Unreachable, {}, now());
-        }
-    }
-
-    bool usualSpeed() const
-    {
-        return m_state.health.slowness(now()) < SlowPercent && !m_state.pacer.isCold(now());
-    }
-
     void updateSpeed()
     {
         m_slots.limitCallers(m_state.crowding.limit(m_slots.slots(), now()));
@@ -303,30 +272,6 @@
                               health.inSpell(now())});
     }
 
-    static RunEnd judge(const Run &run, const ExchangeOutcome &outcome)
-    {
-        using Kind = ExchangeOutcome::Kind;
-        switch (outcome.kind) {
-        case Kind::Answered:
-            if (outcome.marks.notRun || outcome.marks.otherInstance) {
-                return RunEnd::Shed;
-            }
-            if (outcome.status == GatewayTimeout) {
-                return RunEnd::Unjudged;
-            }
-            return outcome.status >= FirstServerError || !outcome.marks.trusted ? RunEnd::Bad
-                                                                                : RunEnd::Good;
-        case Kind::Unreachable:
-            return RunEnd::Unreachable;
-        case Kind::Lost:
-            return run.cancelled ? RunEnd::Unjudged : RunEnd::Lost;
-        case Kind::Unsent:
-        case Kind::StaleConnection:
-            break;
-        }
-        return RunEnd::Unjudged;
-    }
-
     void answer(const Run &run, ExchangeOutcome outcome)
     {
         using Kind = ExchangeOutcome::Kind;
@@ -375,7 +320,7 @@
     std::string runText(const Run &run) const
     {
         const auto micros
-            = std::chrono::duration_cast<std::chrono::microseconds>(now() - run.began).count();
+            = std::chrono::duration_cast<std::chrono::microseconds>(now() - run.start.at).count();
         return " service=" + run.attempt.service + " elapsedUs=" + std::to_string(micros)
             + loadFields();
     }
--- a/tutorial/lesson1_first_call.cpp
+++ b/tutorial/lesson1_first_call.cpp
@@ -86,7 +86,8 @@
            "the second one waits");
     slots.released();
     const auto decisions = slots.decide(clock.now(), true);
-    expect(decisions.size() == 1 && decisions[0].start, "it starts when the first has ended");
+    expect(decisions.size() == 1 && decisions[0].step == SlotStep::Start,
+           "it starts when the first has ended");
 
     // 4. A cold server bears a few calls per second, whatever its slots.
     ColdPacer pacer;
