Nested calls and travelling bodies do not take the places of callers in the queue

Change: the bound of one for each slot counts callers' calls that wait for more than their body; all together stay within two for each slot.

--- a/src/decisions/SlotQueue.cpp
+++ b/src/decisions/SlotQueue.cpp
@@ -33,7 +33,7 @@
     if (now + expectedWait(request, now) > request.startBy) {
         return SlotVerdict::Refuse;
     }
-    if (m_queue.size() >= static_cast<std::size_t>(m_slots) * QueuePerSlot) {
+    if (isFullFor(request, now)) {
         Waiting &last = m_queue.back();
         if (rankOf(last.request, now) <= rank || last.fetching) {
             return SlotVerdict::Refuse;
@@ -193,6 +193,18 @@
     return m_speed.spell && !request.nested ? SpellRest + each : scaled(each, m_speed.factor);
 }
 
+bool SlotQueue::isFullFor(const SlotRequest &request, TimePoint now) const
+{
+    if (m_queue.size() >= static_cast<std::size_t>(m_slots) * QueuePerSlot) {
+        return true;
+    }
+    const auto callers = std::ranges::count_if(
+        m_queue, [](const Waiting &it) { return !it.request.nested && !it.fetching; });
+    const unsigned most = slotsFor(request, now);
+    const unsigned free = most - std::min(most, m_inUse);
+    return !request.nested && static_cast<unsigned>(callers) >= m_slots * CallersPerSlot + free;
+}
+
 void SlotQueue::sort(TimePoint now)
 {
     std::ranges::stable_sort(m_queue, {},
--- a/src/decisions/SlotQueue.h
+++ b/src/decisions/SlotQueue.h
@@ -76,7 +76,10 @@
 {
 public:
     /// Most runs that wait, as a multiple of the slots.
-    static constexpr unsigned QueuePerSlot = 1;
+    static constexpr unsigned QueuePerSlot = 2;
+    /// Most callers' calls among them that wait for more than their body. With more of them no more
+    /// calls are answered, only later ones.
+    static constexpr unsigned CallersPerSlot = 1;
     /// One of this many slots is kept for nested calls while there are any.
     static constexpr unsigned SlotsPerReserved = 4;
     /// Bodies are fetched ahead for one of this many slots, so that a slot that becomes free finds
@@ -146,6 +149,7 @@
     bool speedAllows(const SlotRequest &request, TimePoint now) const;
     unsigned slotsFor(const SlotRequest &request, TimePoint now) const;
     Duration expectedWait(const SlotRequest &request, TimePoint now) const;
+    bool isFullFor(const SlotRequest &request, TimePoint now) const;
     void sort(TimePoint now);
     void startReady(TimePoint now);
     void refuseOverdue(TimePoint now);
--- a/test/correctness/SlowSpellHoldsSlots.cpp
+++ b/test/correctness/SlowSpellHoldsSlots.cpp
@@ -82,17 +82,17 @@
 TEST_CASE("a full queue of late calls takes a call that can be in time")
 {
     SlotQueue queue = queueAt({});
-    for (std::uint64_t i = 0; i < 4 + 4 * SlotQueue::QueuePerSlot; ++i) {
+    for (std::uint64_t i = 0; i < 4 + 4 * SlotQueue::CallersPerSlot; ++i) {
         queue.offer(call(i, milliseconds(-10)), Now);
     }
-    REQUIRE(queue.waiting() == 4 * SlotQueue::QueuePerSlot);
+    REQUIRE(queue.waiting() == 4 * SlotQueue::CallersPerSlot);
     CHECK(queue.offer(call(100, milliseconds(-10)), Now) == SlotVerdict::Refuse);
     CHECK(queue.offer(call(101, milliseconds(300)), Now) == SlotVerdict::Wait);
     // The late one that was last makes room.
     const auto decisions = queue.decide(Now, MayStart);
     REQUIRE(decisions.size() == 1);
     CHECK(decisions[0].step == SlotStep::Refuse);
-    CHECK(queue.waiting() == 4 * SlotQueue::QueuePerSlot);
+    CHECK(queue.waiting() == 4 * SlotQueue::CallersPerSlot);
 }
 
 TEST_CASE("a server that stays slow counts as having that speed")
