--- a/src/programs/LogExplain.cpp
+++ b/src/programs/LogExplain.cpp
@@ -29,11 +29,15 @@
 /// \return why the last attempt in the steps of a call ended, such as "refused-cold" or "lost".
 std::string lastStepOf(const std::string &steps)
 {
-    const std::size_t end = steps.rfind("end");
-    if (end == std::string::npos) {
-        return steps.find("send") == std::string::npos ? "no-attempt" : "no-answer";
+    const std::size_t send = steps.rfind(":send");
+    const std::size_t end = steps.rfind(":end");
+    if (send == std::string::npos) {
+        return "no-attempt";
     }
-    const std::size_t begin = std::min(steps.find(':', end) + 1, steps.size());
+    if (end == std::string::npos || end < send) {
+        return "no-answer";
+    }
+    const std::size_t begin = std::min(steps.find(':', end + 1) + 1, steps.size());
     return steps.substr(begin, steps.find_first_of("(;", begin) - begin);
 }
 
--- /dev/null
+++ b/test/correctness/ExplanationMisread.cpp
@@ -0,0 +1,40 @@
+// Guards against explanations that name the wrong cause: the words "send" and "end" of the steps of
+// a call were mixed up, so that a call whose attempt was still open was explained by its placement.
+#include "programs/LogExplain.h"
+
+#include <doctest/doctest.h>
+
+using namespace Coltsfootwell;
+
+namespace {
+
+std::string causeOf(const std::string &outcome, const std::string &steps)
+{
+    LogLine line;
+    REQUIRE(parseLogLine("timeMs=1 daemon=a event=call.ended request=r outcome=" + outcome
+                             + " elapsedUs=5 steps=" + steps,
+                         line));
+    return verdictOf({line}).cause;
+}
+
+} // namespace
+
+TEST_CASE("an attempt that was open at the end had no answer")
+{
+    CHECK(causeOf("unknown-cancelled", "32:send0:first->h1,expectUs=50500")
+          == "unknown-cancelled/no-answer");
+    CHECK(causeOf("unknown-deadline",
+                  "32:send0:first->h1,expectUs=5;9:end0:refused-overloaded(0+0/6,slow=100);"
+                  "10:send1:refusal->h2,expectUs=7")
+          == "unknown-deadline/no-answer");
+}
+
+TEST_CASE("the last attempt that has ended tells the cause")
+{
+    CHECK(causeOf("not-run-overloaded",
+                  "32:send0:first->h1,expectUs=5;9:end0:refused-cold(0+0/6,slow=100)")
+          == "not-run-overloaded/refused-cold");
+    CHECK(causeOf("unknown-answer-lost", "32:send0:first->h1,expectUs=5;9:end0:lost")
+          == "unknown-answer-lost/lost");
+    CHECK(causeOf("not-run-overloaded", "none") == "not-run-overloaded/no-attempt");
+}
--- a/test/fault/soak.py
+++ b/test/fault/soak.py
@@ -14,6 +14,7 @@
 import queue
 import random
 import signal
+import subprocess
 import sys
 import threading
 import time
@@ -110,6 +111,7 @@
         # (begin, end, what) of all that was done, in nanoseconds.
         self.strikes = []
         self.stops = []
+        self.errors = []
         self.outs = []
 
     def daemons(self):
@@ -173,14 +175,21 @@
             document = dict(self.fleet.configuration, version=self.version)
             path = self.fleet.directory / f"version-{self.version}.json"
         path.write_text(callers.json.dumps(document))
-        code, _ = self.fleet.control("publish", path)
+        code = self.operate("publish", path)
         if code == 0:
             self.fleet.accepted.append((time.monotonic_ns(), self.version))
         return f"publish {self.version}: {code}", lambda: None
 
+    def operate(self, *arguments):
+        """Returns the exit code of the operators' tool, or -1 when it waits for a store that is silent."""
+        try:
+            return self.fleet.control(*arguments)[0]
+        except subprocess.TimeoutExpired:
+            return -1
+
     def data_centre(self):
         name = self.random.choice(list(REGIONS))
-        code, _ = self.fleet.control("out", name)
+        code = self.operate("out", name)
         if code == 0:
             self.outs.append([time.monotonic_ns(), None, name])
         entry = self.outs[-1] if code == 0 else None
@@ -188,7 +197,7 @@
         def back():
             if entry:
                 entry[1] = time.monotonic_ns()
-            self.fleet.control("back", name)
+            self.operate("back", name)
         return f"out {name}: {code}", back
 
     FAULTS = (link, link, pause, kill, herd, stop, hang_up, store, backend, backend, configuration, data_centre)
@@ -205,12 +214,15 @@
     def series(self, seed):
         """Strikes again and again; several series overlap."""
         rng = random.Random(seed)
-        while not self.over.wait(rng.uniform(0.1, 1.0)):
-            began = time.monotonic_ns()
-            what, mend = rng.choice(self.FAULTS)(self)
-            self.over.wait(rng.uniform(0.1, 2.0))
-            mend()
-            self.strikes.append((began, time.monotonic_ns(), what))
+        try:
+            while not self.over.wait(rng.uniform(0.1, 1.0)):
+                began = time.monotonic_ns()
+                what, mend = rng.choice(self.FAULTS)(self)
+                self.over.wait(rng.uniform(0.1, 2.0))
+                mend()
+                self.strikes.append((began, time.monotonic_ns(), what))
+        except Exception as error:  # A series that ends early must not pass for one that found nothing.
+            self.errors.append(repr(error))
 
     def run(self):
         """Returns the violations by promise, and the calls."""
@@ -257,6 +269,7 @@
             "home regions": checkers.stays_at_home("home-", home_daemons, runs, {}),
             "out of service": self.out_of_service(runs),
             "planned stop": self.planned_stops(calls),
+            "soak": self.errors,
             "served again": [] if healed else ["not every daemon serves every service 15 s after the last fault"],
             "calls were served": [] if sum(c["status"] == 200 for c in calls) > 20 else ["hardly a call was served"],
         }
@@ -295,8 +308,10 @@
         return violations, calls, soak
     finally:
         soak.over.set()
-        soak.fleet.stop()
-        indexes.put(index)
+        try:
+            soak.fleet.stop()
+        finally:
+            indexes.put(index)
 
 
 def main():
