Cold servers get half of the slack that their platform allows beyond the rate

The platform's settings allow a second of a cold server 8 calls beyond its rate, which nobody used.

Change: setting coldSlack; half of it is used in each second, the other half is left for calls that start before a cold turn is known.

--- a/src/decisions/ColdPacer.cpp
+++ b/src/decisions/ColdPacer.cpp
@@ -36,7 +36,8 @@
 {
     return m_callsPerSecond <= 0
         ? 0
-        : std::max<std::size_t>(1, static_cast<std::size_t>(m_callsPerSecond));
+        : std::max<std::size_t>(1,
+                                static_cast<std::size_t>(m_callsPerSecond + SlackUsed * m_slack));
 }
 
 } // namespace Coltsfootwell
--- a/src/decisions/ColdPacer.h
+++ b/src/decisions/ColdPacer.h
@@ -18,8 +18,17 @@
     /// The server's limit holds for every span of this length.
     static constexpr std::chrono::seconds Window {1};
 
+    /// Part of the slack that is used; the rest is for calls that start before a cold turn is
+    /// known.
+    static constexpr double SlackUsed = 0.5;
+
     /// \param callsPerSecond that a cold server bears; 0 for no limit.
-    void limitChanged(double callsPerSecond) { m_callsPerSecond = callsPerSecond; }
+    /// \param slack calls in a second that it bears beyond that rate.
+    void limitChanged(double callsPerSecond, double slack = 0)
+    {
+        m_callsPerSecond = callsPerSecond;
+        m_slack = slack;
+    }
 
     /// \brief The server is cold until a time; an earlier end replaces a later one.
     void coldUntil(TimePoint end) { m_until = end; }
@@ -42,6 +51,7 @@
     std::size_t limit() const;
 
     double m_callsPerSecond = 0;
+    double m_slack = 0;
     TimePoint m_until {};
     std::deque<TimePoint> m_starts;
 };
--- a/src/programs/Daemon.cpp
+++ b/src/programs/Daemon.cpp
@@ -108,9 +108,9 @@
     if (settings.store) {
         kernel.add(makeDaemonRecords(kernel, store(), id, {settings.advertise, settings.listen}));
     }
-    kernel.add(makeBackend(
-        kernel, context,
-        {place, interface.dialect, part(settings.drain, DrainShare), strategies.guards}));
+    kernel.add(makeBackend(kernel, context,
+                           {place, interface.dialect, part(settings.drain, DrainShare),
+                            settings.coldSlack, strategies.guards}));
     interface.addRegistration(kernel, settings);
     if (settings.registration) {
         kernel.add(makeControlListener(kernel, context, {"registration", *settings.registration}));
--- a/src/programs/DaemonSettings.h
+++ b/src/programs/DaemonSettings.h
@@ -47,6 +47,8 @@
     std::chrono::milliseconds drain {3000};
     /// Time that a planned stop may take.
     std::chrono::milliseconds grace {30'000};
+    /// Calls in a second that a cold backend server bears beyond the rate of its service.
+    double coldSlack = 0;
     RetryLimits retries;
 };
 
--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -31,7 +31,7 @@
 public:
     Backend(Kernel &kernel, boost::asio::io_context &context, BackendSettings settings)
         : m_kernel(kernel), m_context(context), m_settings(std::move(settings)),
-          m_state(m_settings.place, m_settings.drainTime),
+          m_state(m_settings.place, m_settings.drainTime, m_settings.coldSlack),
           m_runs(makeBackendRuns({kernel, context, m_settings, m_state, m_telemetry, m_calls,
                                   [this] { return loadReport(); }, [this] { report(); }})),
           m_probe({kernel, context, *m_settings.dialect, m_state, m_telemetry,
--- a/src/services/Backend.h
+++ b/src/services/Backend.h
@@ -24,6 +24,8 @@
     /// Time for which a server that has announced its end still gets calls that have no other
     /// place.
     std::chrono::milliseconds drainTime {1500};
+    /// Calls in a second that a cold server bears beyond the rate of its service.
+    double coldSlack = 0;
     const Guards *guards = &FullGuards;
 };
 
--- a/src/services/BackendState.cpp
+++ b/src/services/BackendState.cpp
@@ -4,8 +4,9 @@
 
 namespace Coltsfootwell {
 
-BackendStateView::BackendStateView(Place place, std::chrono::milliseconds drainTime)
-    : m_place(std::move(place)), m_drainTime(drainTime)
+BackendStateView::BackendStateView(Place place, std::chrono::milliseconds drainTime,
+                                   double coldSlack)
+    : m_place(std::move(place)), m_drainTime(drainTime), m_coldSlack(coldSlack)
 {
 }
 
@@ -96,7 +97,7 @@
 void BackendStateView::applyRules()
 {
     const ServiceRules *found = rules();
-    pacer.limitChanged(found ? found->coldStart.callsPerSecond : 0);
+    pacer.limitChanged(found ? found->coldStart.callsPerSecond : 0, m_coldSlack);
 }
 
 } // namespace Coltsfootwell
--- a/src/services/BackendState.h
+++ b/src/services/BackendState.h
@@ -23,7 +23,8 @@
 public:
     /// \param place this daemon.
     /// \param drainTime see BackendSettings.
-    BackendStateView(Place place, std::chrono::milliseconds drainTime);
+    /// \param coldSlack see BackendSettings.
+    BackendStateView(Place place, std::chrono::milliseconds drainTime, double coldSlack = 0);
 
     BackendRegistration registration;
     BackendHealth health;
@@ -62,6 +63,7 @@
 
     Place m_place;
     std::chrono::milliseconds m_drainTime;
+    double m_coldSlack;
     ConfigurationPtr m_configuration;
 };
 
--- a/test/correctness/ColdServerOutgrown.cpp
+++ b/test/correctness/ColdServerOutgrown.cpp
@@ -33,6 +33,21 @@
     CHECK(most == 29);
 }
 
+TEST_CASE("half of the slack is used, and the rest is left for starts before a cold turn is known")
+{
+    // Where all hosts come back cold at once, the rate alone turned away calls that servers bear.
+    ColdPacer pacer;
+    pacer.limitChanged(11, 8);
+    const TimePoint now {};
+    pacer.coldUntil(now + seconds(3));
+    unsigned started = 0;
+    while (pacer.mayStart(now)) {
+        pacer.started(now);
+        ++started;
+    }
+    CHECK(started == 15);
+}
+
 TEST_CASE("starts before the cold turn count")
 {
     ColdPacer pacer;
