What waits for the end of a slow spell starts without news of it

Cause, found by reading: a run whose body was fetched has no time to leave the queue, and where health checks are not allowed nothing looked at it again when the spell had faded.

--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -268,6 +268,10 @@
         const bool busy = m_runs->slots().inUse() > 0;
         m_probeTimer = m_kernel.executor().after(m_probe.period(busy), [this] { checkProbe(); });
         limitSlots();
+        if (m_runs->slots().waiting() > 0) {
+            // What waits for the end of a slow spell starts when it is over, with or without news.
+            m_runs->decide();
+        }
         report();
         m_probe.check(busy);
     }
