--- a/src/services/BackendRuns.cpp
+++ b/src/services/BackendRuns.cpp
@@ -76,8 +76,10 @@
             refuse(run, *reason);
             return;
         }
-        const SlotVerdict slot
-            = m_slots.offer({id, run.startBy, run.priority, run.nested, run.laterBytes > 0}, now());
+        updateSpeed();
+        const SlotVerdict slot = m_slots.offer({id, run.startBy, run.priority, run.nested,
+                                                run.laterBytes > 0, run.objective, run.deadline},
+                                               now());
         if (slot == SlotVerdict::Refuse) {
             refuse(run, Reason::Overloaded);
             return;
--- a/test/error/LinkFrameFaults.cpp
+++ b/test/error/LinkFrameFaults.cpp
@@ -20,6 +20,7 @@
     run.body = std::string("\0\xff", 2);
     run.deadlineIn = std::chrono::microseconds(1'500'000);
     run.startWithin = std::chrono::microseconds(250);
+    run.objectiveIn = std::chrono::microseconds(700);
     run.priority = 2;
     run.nested = true;
     run.call.requestId = "id";
@@ -49,6 +50,7 @@
     CHECK(run.fields[1].value == "2");
     CHECK(run.deadlineIn == std::chrono::microseconds(1'500'000));
     CHECK(run.startWithin == std::chrono::microseconds(250));
+    CHECK(run.objectiveIn == std::chrono::microseconds(700));
     CHECK(run.nested);
     CHECK_FALSE(run.idempotent);
     CHECK(run.call.homeRegions == std::vector<std::string> {"north", "south"});
