--- a/test/fault/relay.py
+++ b/test/fault/relay.py
@@ -164,6 +164,9 @@
         return relay
 
     def stop(self):
+        """A second call does nothing, so that it cannot hide why a fleet did not start."""
+        if not self.thread.is_alive():
+            return
         asyncio.run_coroutine_threadsafe(self._cancel_all(), self.loop).result(5)
         self.loop.call_soon_threadsafe(self.loop.stop)
         self.thread.join(5)
--- a/test/fault/soak.py
+++ b/test/fault/soak.py
@@ -9,6 +9,7 @@
 """
 
 import argparse
+import collections
 import concurrent.futures
 import http.client
 import queue
@@ -32,6 +33,8 @@
 SERVICES = ("bookings", "catalogue")
 SECONDS = 12
 SETTLE_S = 3.0
+# Longest time that a planned stop is waited for.
+STOP_S = 8
 # Calls that are under way when a process is told to stop may take this long.
 DEADLINE_MS = 1500
 # A configuration in force is only demanded while nothing has struck for as long as this.
@@ -112,6 +115,9 @@
         self.strikes = []
         self.stops = []
         self.errors = []
+        # Children that were told to stop, and a lock for each process that is started again.
+        self.stopping = {}
+        self.restarting = collections.defaultdict(threading.Lock)
         self.outs = []
 
     def daemons(self):
@@ -147,6 +153,7 @@
     def stop(self):
         daemon = self.random.choice(self.daemons())
         self.stops.append((time.monotonic_ns(), daemon.port))
+        self.stopping[daemon.process] = daemon.process.child
         daemon.process.send(signal.SIGTERM)
         return f"stop {daemon.name}", lambda: self.restart(daemon.process)
 
@@ -203,13 +210,22 @@
     FAULTS = (link, link, pause, kill, herd, stop, hang_up, store, backend, backend, configuration, data_centre)
 
     def restart(self, process):
-        if process.running():
-            # A planned stop that takes longer than the pause; a second process would find its ports taken.
-            try:
-                process.child.wait(8)
-            except Exception:
-                process.kill()
-        process.start()
+        """Starts a process again. Two series may have ended the same one, and only one of them starts it."""
+        with self.restarting[process]:
+            if process.running() and not self.is_stopping(process):
+                return
+            if process.running():
+                # A planned stop that takes longer than the pause; a second process would find its ports taken.
+                try:
+                    process.child.wait(STOP_S)
+                except subprocess.TimeoutExpired:
+                    process.kill()
+            process.start()
+            self.stopping.pop(process, None)
+
+    def is_stopping(self, process):
+        """Returns whether the running child is the one that was told to stop."""
+        return self.stopping.get(process) is process.child
 
     def series(self, seed):
         """Strikes again and again; several series overlap."""
@@ -250,8 +266,7 @@
         for daemon in self.daemons():
             for process in (daemon.process, daemon.backend):
                 process.send(signal.SIGCONT)
-                if not process.running():
-                    process.start()
+                self.restart(process)
         end = time.monotonic() + fleet.START_TIMEOUT_S
         while time.monotonic() < end:
             if all(self.fleet.call_ready(daemon, service) for daemon in self.daemons() for service in SERVICES):
