--- a/test/fault/callers.py
+++ b/test/fault/callers.py
@@ -12,13 +12,22 @@
 
 
 def call_once(port, kind, order, deadline_ms=1500, headers=None, path="/bookings/x"):
-    """Makes one call and returns its record."""
-    record = {"order": order, "kind": kind, "method": METHOD[kind], "port": port,
+    """Makes one call over a connection of its own and returns its record."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=CONNECT_TIMEOUT_S)
+    record, _ = call_over(connection, kind, order, deadline_ms, headers, path)
+    connection.close()
+    return record
+
+
+def call_over(connection, kind, order, deadline_ms=1500, headers=None, path="/bookings/x"):
+    """Makes one call; returns its record, and whether the connection can be used again."""
+    record = {"order": order, "kind": kind, "method": METHOD[kind], "port": connection.port,
               "begin": time.monotonic_ns(), "status": 0, "outcome": "", "reason": "",
               "whole": False, "error": "", "echo": None, "connected": False}
-    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=CONNECT_TIMEOUT_S)
+    usable = False
     try:
-        connection.connect()
+        if connection.sock is None:
+            connection.connect()
         record["connected"] = True
         fields = {"Coltsfootwell-Deadline-Ms": str(deadline_ms)}
         fields.update(headers or {})
@@ -32,12 +41,11 @@
         record["whole"] = True
         if response.status == 200:
             record["echo"] = json.loads(body)
+        usable = not response.will_close
     except (OSError, http.client.HTTPException, ValueError) as error:
         record["error"] = f"{type(error).__name__}: {error}"
-    finally:
-        connection.close()
     record["end"] = time.monotonic_ns()
-    return record
+    return record, usable
 
 
 class Callers:
--- a/test/fault/soak.py
+++ b/test/fault/soak.py
@@ -12,6 +12,7 @@
 import collections
 import concurrent.futures
 import http.client
+import json
 import queue
 import random
 import signal
@@ -60,41 +61,18 @@
             connection = http.client.HTTPConnection("127.0.0.1", daemon.port, timeout=callers.CONNECT_TIMEOUT_S)
             for _ in range(self.random.randint(1, 40)):
                 n += 1
-                if self.soak.over.is_set() or not self.call(connection, daemon, f"{self.label}-{n}"):
+                if self.soak.over.is_set() or not self.call(connection, f"{self.label}-{n}"):
                     break
                 time.sleep(self.random.uniform(0.002, 0.02))
             connection.close()
 
-    def call(self, connection, daemon, order):
+    def call(self, connection, order):
         """Returns false when the connection cannot be used again."""
         kind = self.random.choice(("read", "read", "order", "photo"))
         service = self.random.choice(SERVICES)
         home = kind != "read" and self.random.random() < 0.3
-        record = {"order": f"home-{order}" if home else order, "kind": kind, "method": callers.METHOD[kind], "port": daemon.port,
-                  "begin": time.monotonic_ns(), "status": 0, "outcome": "", "reason": "", "whole": False, "error": "",
-                  "echo": None, "connected": False}
-        fields = {"Coltsfootwell-Deadline-Ms": str(DEADLINE_MS)}
-        if home:
-            fields["Coltsfootwell-Home-Regions"] = HOME
-        try:
-            if connection.sock is None:
-                connection.connect()
-            record["connected"] = True
-            connection.request(record["method"], f"/{service}/x?order={record['order']}", body=callers.BODY[kind] or None,
-                               headers=fields)
-            response = connection.getresponse()
-            record["status"] = response.status
-            record["outcome"] = response.getheader("Coltsfootwell-Outcome", "")
-            record["reason"] = response.getheader("Coltsfootwell-Reason", "")
-            body = response.read()
-            record["whole"] = True
-            if response.status == 200:
-                record["echo"] = callers.json.loads(body)
-            usable = not response.will_close
-        except (OSError, http.client.HTTPException, ValueError) as error:
-            record["error"] = f"{type(error).__name__}: {error}"
-            usable = False
-        record["end"] = time.monotonic_ns()
+        record, usable = callers.call_over(connection, kind, f"home-{order}" if home else order, DEADLINE_MS,
+                                           {"Coltsfootwell-Home-Regions": HOME} if home else None, f"/{service}/x")
         self.records.append(record)
         return usable
 
@@ -181,7 +159,7 @@
             self.version += self.random.randint(1, 5)
             document = dict(self.fleet.configuration, version=self.version)
             path = self.fleet.directory / f"version-{self.version}.json"
-        path.write_text(callers.json.dumps(document))
+        path.write_text(json.dumps(document))
         code = self.operate("publish", path)
         if code == 0:
             self.fleet.accepted.append((time.monotonic_ns(), self.version))
