--- a/src/services/ConfigurationFollower.cpp
+++ b/src/services/ConfigurationFollower.cpp
@@ -30,6 +30,15 @@
 /// Between questions to other daemons while nothing is known.
 constexpr milliseconds AskPeriod {300};
 
+/// \brief Where a state came from, for the log.
+struct StateOrigin
+{
+    std::string_view source;
+    AnswerTransfer transfer;
+    /// Versions that came with it and were replaced by later ones.
+    unsigned superseded = 0;
+};
+
 class ConfigurationFollower final : public Service
 {
 public:
@@ -101,8 +110,13 @@
     void handle(const ReloadConfiguration &) { readFile(); }
 
     /// Puts the present state in force.
-    void publish(std::string_view source)
+    void publish(const StateOrigin &origin)
     {
+        const Duration waited
+            = m_behindSince ? m_kernel.executor().now() - *m_behindSince : origin.transfer.arrival;
+        m_behindSince.reset();
+        m_telemetry.send(
+            ObserveTime {"configuration_delay_seconds", std::string(origin.source), waited});
         m_inForce = filtered(m_state.inForce());
         tellPosition();
         if (!m_inForce) {
@@ -112,11 +126,14 @@
         for (const std::string &dataCentre : m_state.out()) {
             out += (out.empty() ? "" : ",") + dataCentre;
         }
-        m_telemetry.send(LogEvent {"configuration.inForce", "",
-                                   "version=" + std::to_string(m_inForce->version)
-                                       + " position=" + std::to_string(m_state.position())
-                                       + " out=" + (out.empty() ? "none" : out)
-                                       + " source=" + std::string(source)});
+        m_telemetry.send(LogEvent {
+            "configuration.inForce", "",
+            "version=" + std::to_string(m_inForce->version)
+                + " position=" + std::to_string(m_state.position())
+                + " out=" + (out.empty() ? "none" : out) + " source=" + std::string(origin.source)
+                + " bytes=" + std::to_string(origin.transfer.bytes)
+                + " arrivalMs=" + inMs(origin.transfer.arrival) + " waitedMs=" + inMs(waited)
+                + " superseded=" + std::to_string(origin.superseded)});
         m_telemetry.send(
             SetGauge {"configuration_version", "", static_cast<double>(m_inForce->version)});
         for (const auto &subscriber : m_subscribers) {
@@ -124,6 +141,17 @@
         }
     }
 
+    static std::string inMs(Duration time)
+    {
+        return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
+    }
+
+    void countBytes(std::string_view source, std::size_t bytes)
+    {
+        m_telemetry.send(CountEvent {"configuration_bytes_total", std::string(source),
+                                     static_cast<double>(bytes)});
+    }
+
     ConfigurationPtr filtered(ConfigurationPtr configuration) const
     {
         if (!m_settings.filter || !configuration) {
@@ -151,7 +179,7 @@
             return;
         }
         if (apply(ownControlFormat().decode(OwnConfigurationKey, text.str()), "file")) {
-            publish("file");
+            publish({"file", {text.str().size(), {}}});
         }
     }
 
@@ -176,6 +204,7 @@
             return;
         }
         storeAnswered();
+        countBytes("store", newest.transfer.bytes);
         bool changed = false;
         for (const StoreRecord &record : newest.records) {
             ControlRecord decoded = m_settings.format->decode(record.key, record.value);
@@ -198,7 +227,7 @@
         m_state.reached(newest.end);
         m_readFrom = newest.end;
         if (std::exchange(m_newestChanged, false) || changed) {
-            publish("store");
+            publish({"store", newest.transfer});
         } else {
             tellPosition();
         }
@@ -227,18 +256,19 @@
             return;
         }
         storeAnswered();
-        bool changed = false;
+        countBytes("store", read.transfer.bytes);
+        unsigned changes = 0;
         for (const StoreRecord &record : read.records) {
             // A state that another daemon has told may already hold the record.
-            if (record.offset >= m_state.position()) {
-                changed = apply(m_settings.format->decode(record.key, record.value), record.key)
-                    || changed;
+            if (record.offset >= m_state.position()
+                && apply(m_settings.format->decode(record.key, record.value), record.key)) {
+                ++changes;
             }
         }
         m_readFrom = std::max(m_readFrom, read.next);
         m_state.reached(read.next);
-        if (changed) {
-            publish("store");
+        if (changes > 0) {
+            publish({"store", read.transfer, changes - 1});
         } else {
             tellPosition();
         }
@@ -295,7 +325,13 @@
     /// A peer knows more. The store usually tells the same a moment later.
     void handle(const PeerEvidence &evidence)
     {
-        if (evidence.position <= m_state.position() || m_askPending) {
+        if (evidence.position <= m_state.position()) {
+            return;
+        }
+        if (!m_behindSince) {
+            m_behindSince = m_kernel.executor().now();
+        }
+        if (m_askPending) {
             return;
         }
         m_askPending = true;
@@ -366,6 +402,7 @@
 
     void learnFromPeer(std::string_view bytes)
     {
+        countBytes("peer", bytes.size());
         const auto snapshot = decodeSnapshot(bytes);
         if (!snapshot || snapshot->position <= m_state.position() || !snapshot->configuration) {
             return;
@@ -374,7 +411,7 @@
         const bool outChanged = m_state.replaceOut(snapshot->out);
         m_state.reached(snapshot->position);
         if (newer || outChanged) {
-            publish("peer");
+            publish({"peer", {bytes.size(), {}}});
         }
     }
 
@@ -401,6 +438,8 @@
     TimerId m_timer = 0;
     TimerId m_askTimer = 0;
     bool m_askPending = false;
+    /// Since another daemon is known to know more.
+    std::optional<TimePoint> m_behindSince;
     bool m_stopped = false;
     Address<TelemetryMessage> m_telemetry;
     Address<LinksMessage> m_links;
--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -197,6 +197,7 @@
                                              asio::redirect_error(asio::use_awaitable, ec));
             heard = heard || connection.buffer.size() > 0 || !ec;
             self.m_receiving = true;
+            self.m_headerRead = self.m_executor.now();
             while (!ec && !parser.is_done()) {
                 renewDeadline();
                 co_await http::async_read_some(connection.socket, connection.buffer, parser,
@@ -229,6 +230,7 @@
         outcome.headers = passedHeaders(message);
         outcome.marks = self.m_dialect.decodeAnswer(outcome.status, outcome.headers);
         outcome.body = std::move(message.body());
+        outcome.arrival = self.m_executor.now() - self.m_headerRead;
         return outcome;
     }
 
--- a/src/services/HttpExchange.h
+++ b/src/services/HttpExchange.h
@@ -85,6 +85,8 @@
     std::vector<HeaderField> headers;
     std::string body;
     AnswerMarks marks;
+    /// Time from the answer's header to its last byte.
+    Duration arrival {};
 };
 
 /// \brief Runs one request. Every handler runs on the executor's thread.
@@ -122,6 +124,8 @@
     std::unique_ptr<Internal::HttpConnection> m_connection;
     bool m_cancelled = false;
     bool m_receiving = false;
+    /// Time at which the header of the answer was read.
+    TimePoint m_headerRead {};
 };
 
 } // namespace Coltsfootwell
--- a/src/services/StoreClient.h
+++ b/src/services/StoreClient.h
@@ -23,6 +23,15 @@
     std::uint64_t offset = 0;
 };
 
+/// \brief What an answer of the store took on the way.
+struct AnswerTransfer
+{
+    /// Length of its body.
+    std::size_t bytes = 0;
+    /// Time from its header to its last byte.
+    Duration arrival {};
+};
+
 /// \brief Newest record of each key.
 struct NewestRecords
 {
@@ -33,6 +42,7 @@
     bool hasMore = false;
     /// Offset of the next record of the topic.
     std::uint64_t end = 0;
+    AnswerTransfer transfer;
 };
 
 /// \brief Records from an offset on.
@@ -43,6 +53,7 @@
     std::vector<StoreRecord> records;
     /// Offset of the next record to read.
     std::uint64_t next = 0;
+    AnswerTransfer transfer;
 };
 
 /// \brief Outcome of an append.
