Failing test: a large configuration is late behind a narrow link

The test plays 90 daemons, their real followers and membership protocol under a manual clock, a link of 30 Mbit/s that is left for configurations, and a record of 1,600 routes.

--- /dev/null
+++ b/test/ConfigurationWorld.h
@@ -0,0 +1,494 @@
+// Many daemons that follow one store under a manual clock: the service "configuration" and the
+// membership protocol of each, two regions with one link between them, and a narrow link at each
+// host.
+#pragma once
+
+#include "decisions/Membership.h"
+#include "kernel/Kernel.h"
+#include "kernel/ManualExecutor.h"
+#include "platform/PlatformConfiguration.h"
+#include "services/CallMessages.h"
+#include "services/ConfigurationFollower.h"
+#include "services/ConfigurationMessages.h"
+#include "services/MembershipMessages.h"
+#include "services/ServiceError.h"
+#include "services/ServiceNames.h"
+#include "services/TelemetryMessages.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Coltsfootwell::Testing {
+
+using std::chrono::milliseconds;
+
+/// \brief A link that sends one answer after the other.
+class NarrowLink
+{
+public:
+    /// \param bytesPerSecond what is left of the link for configurations.
+    explicit NarrowLink(double bytesPerSecond) : m_bytesPerSecond(bytesPerSecond) { }
+
+    /// \return the time at which the last of the bytes has passed.
+    TimePoint send(TimePoint now, std::size_t bytes)
+    {
+        const std::chrono::duration<double> takes(static_cast<double>(bytes) / m_bytesPerSecond);
+        m_busyUntil = std::max(m_busyUntil, now) + std::chrono::duration_cast<Duration>(takes);
+        m_bytes += bytes;
+        return m_busyUntil;
+    }
+
+    std::uint64_t bytes() const { return m_bytes; }
+
+private:
+    double m_bytesPerSecond;
+    TimePoint m_busyUntil {};
+    std::uint64_t m_bytes = 0;
+};
+
+/// \param version written into the record.
+/// \param routes number of routes.
+/// \return a configuration as operators publish it on the users' platform.
+inline std::string publishedText(ConfigurationVersion version, std::size_t routes)
+{
+    constexpr std::uint64_t NameSeed = 20261204;
+    SeededRandom names(NameSeed);
+    char digits[9];
+    std::snprintf(digits, sizeof digits, "%08x", static_cast<unsigned>(version));
+    std::string text = R"({"version":")" + std::string(digits) + R"(","routes":[)";
+    for (std::size_t i = 0; i < routes; ++i) {
+        const std::string name = std::to_string(names.below(1'000'000'000));
+        // The timeout of one route tells versions apart.
+        const std::string timeout = i == 0 ? std::to_string(version) + ".5" : "1.5";
+        text += std::string(i == 0 ? "" : ",") + R"({"name":"route-)" + name
+            + R"(","host":"host.example","pathPrefix":"/p)" + name
+            + R"(/","service":"stock","kind":"idempotent","timeoutS":)" + timeout
+            + R"(,"targetLatencyS":0.5,"maxAttempts":2,"priority":2,"allowedRegions":[]})";
+    }
+    return text + R"(],"services":[{"name":"stock","healthPath":"/health"}]})";
+}
+
+/// \brief The daemons, the store and the links.
+class ConfigurationWorld
+{
+public:
+    static constexpr milliseconds NearLatency {1};
+    static constexpr milliseconds FarLatency {30};
+    /// A host's own link of 10 Mbit/s.
+    static constexpr double HostBytesPerSecond = 1.25e6;
+    /// "links" gives up a question after this time.
+    static constexpr milliseconds QuestionTimeout {800};
+
+    /// \param near daemons in the region of the store, in two data centres.
+    /// \param far daemons in the other region, in two data centres.
+    /// \param linkBytesPerSecond of the link between the regions, each way.
+    ConfigurationWorld(std::size_t near, std::size_t far, double linkBytesPerSecond)
+        : m_toFar(linkBytesPerSecond), m_toNear(linkBytesPerSecond)
+    {
+        for (std::size_t i = 0; i < near + far; ++i) {
+            const bool isFar = i >= near;
+            const std::string region = isFar ? "far" : "near";
+            m_daemons.push_back(std::make_unique<Daemon>(
+                *this, i, region, region + (i % 2 == 0 ? "-a" : "-b"), isFar));
+        }
+    }
+
+    /// \brief Starts all daemons, which learn of each other within a few seconds.
+    void start()
+    {
+        for (const auto &daemon : m_daemons) {
+            daemon->start();
+        }
+        run(std::chrono::seconds(8));
+    }
+
+    /// \brief An operator publishes; the store has acknowledged at once.
+    void publish(ConfigurationVersion version, std::size_t routes)
+    {
+        m_records.push_back({"config", publishedText(version, routes), m_records.size()});
+        m_published[version] = executor.now();
+        for (const auto &daemon : m_daemons) {
+            daemon->store->serve();
+        }
+    }
+
+    void run(Duration time) { executor.advance(time); }
+
+    /// \brief Nothing reaches or leaves a daemon any more, and its connections stay open.
+    void cut(std::size_t daemon) { m_daemons[daemon]->isCut = true; }
+
+    /// \return the daemon that sees the change first of those that are not cut.
+    std::size_t firstWith(ConfigurationVersion version) const
+    {
+        std::size_t first = m_daemons.size();
+        for (std::size_t i = 0; i < m_daemons.size(); ++i) {
+            const auto &daemon = *m_daemons[i];
+            if (!daemon.isCut && daemon.inForceAt(version)
+                && (first == m_daemons.size()
+                    || *daemon.inForceAt(version) < *m_daemons[first]->inForceAt(version))) {
+                first = i;
+            }
+        }
+        return first;
+    }
+
+    /// \return longest time from the acknowledgement of a version until it, or a later one, was in
+    /// force at a daemon that is not cut; nothing while one of them still lacks it.
+    std::optional<Duration> slowest(ConfigurationVersion version) const
+    {
+        Duration longest {};
+        for (const auto &daemon : m_daemons) {
+            const auto at = daemon->inForceAt(version);
+            if (daemon->isCut) {
+                continue;
+            }
+            if (!at) {
+                return std::nullopt;
+            }
+            longest = std::max(longest, *at - m_published.at(version));
+        }
+        return longest;
+    }
+
+    /// \return longest time over all versions; nothing while one is not in force everywhere.
+    std::optional<Duration> slowest() const
+    {
+        std::optional<Duration> longest = Duration();
+        for (const auto &[version, at] : m_published) {
+            const auto time = slowest(version);
+            longest = time && longest ? std::optional(std::max(*time, *longest)) : std::nullopt;
+        }
+        return longest;
+    }
+
+    /// \return true when no daemon has gone back to an older version.
+    bool neverBack() const
+    {
+        return std::ranges::all_of(m_daemons, [](const auto &daemon) {
+            return std::ranges::is_sorted(daemon->seen, {}, &Seen::version);
+        });
+    }
+
+    /// \return bytes that configurations have taken on the link to the far region.
+    std::uint64_t bytesToFar() const { return m_toFar.bytes(); }
+
+    std::size_t size() const { return m_daemons.size(); }
+
+    ManualExecutor executor;
+    /// While true the store answers nobody.
+    bool storeSilent = false;
+
+private:
+    struct Daemon;
+
+    /// A version in force from a time on.
+    struct Seen
+    {
+        ConfigurationVersion version = 0;
+        TimePoint at;
+    };
+
+    /// What one daemon sees of the store.
+    class WorldStore final : public StoreClient
+    {
+    public:
+        WorldStore(ConfigurationWorld &world, Daemon &daemon) : m_world(world), m_daemon(daemon) { }
+
+        void newest(std::string_view, std::string_view,
+                    std::function<void(NewestRecords)> done) override
+        {
+            NewestRecords newest;
+            newest.end = m_world.m_records.size();
+            if (!m_world.m_records.empty()) {
+                newest.records.push_back(m_world.m_records.back());
+                // The value is in base64.
+                newest.transfer.bytes = m_world.m_records.back().value->size() / 3 * 4;
+            }
+            answer(newest.transfer.bytes, [done, newest] { done(newest); });
+        }
+
+        void read(std::string_view, std::uint64_t from, milliseconds wait,
+                  std::function<void(RecordsRead)> done) override
+        {
+            m_reader = std::move(done);
+            m_from = from;
+            m_timer = m_world.executor.after(wait, [this] {
+                if (const auto reader = std::exchange(m_reader, nullptr)) {
+                    RecordsRead read;
+                    read.next = m_from;
+                    answer(0, [reader, read] { reader(read); });
+                }
+            });
+            serve();
+        }
+
+        void append(std::string_view, const StoreRecord &, std::optional<std::uint64_t>,
+                    std::function<void(RecordAppended)>) override
+        {
+        }
+
+        bool receiving() const override
+        {
+            const TimePoint now = m_world.executor.now();
+            return now >= m_arrivalBegin && now < m_arrivalEnd;
+        }
+
+        void stop() override
+        {
+            m_reader = nullptr;
+            m_arrivalEnd = {};
+            ++m_generation;
+        }
+
+        /// Answers a read that waits for records.
+        void serve()
+        {
+            if (!m_reader || m_from >= m_world.m_records.size()) {
+                return;
+            }
+            m_world.executor.cancel(m_timer);
+            RecordsRead read;
+            read.records.assign(m_world.m_records.begin() + static_cast<std::ptrdiff_t>(m_from),
+                                m_world.m_records.end());
+            read.next = m_world.m_records.size();
+            for (const StoreRecord &record : read.records) {
+                read.transfer.bytes += record.value->size();
+            }
+            answer(read.transfer.bytes,
+                   [reader = std::exchange(m_reader, nullptr), read] { reader(read); });
+        }
+
+    private:
+        void answer(std::size_t bytes, std::function<void()> deliver)
+        {
+            if (m_daemon.isCut || m_world.storeSilent) {
+                return;
+            }
+            const TimePoint now = m_world.executor.now();
+            TimePoint end = m_daemon.host.send(now, bytes);
+            if (m_daemon.isFar) {
+                end = std::max(end, m_world.m_toFar.send(now, bytes));
+            }
+            const std::chrono::duration<double> takes(static_cast<double>(bytes)
+                                                      / HostBytesPerSecond);
+            m_arrivalEnd = end + latency();
+            m_arrivalBegin = m_arrivalEnd - std::chrono::duration_cast<Duration>(takes);
+            m_world.executor.after(m_arrivalEnd - now, [this, generation = m_generation, deliver] {
+                if (generation == m_generation && !m_daemon.isCut) {
+                    deliver();
+                }
+            });
+        }
+
+        Duration latency() const { return m_daemon.isFar ? FarLatency : NearLatency; }
+
+        ConfigurationWorld &m_world;
+        Daemon &m_daemon;
+        std::function<void(RecordsRead)> m_reader;
+        std::uint64_t m_from = 0;
+        TimerId m_timer = 0;
+        TimePoint m_arrivalBegin {};
+        TimePoint m_arrivalEnd {};
+        /// Answers to calls of an earlier generation are dropped.
+        unsigned m_generation = 0;
+    };
+
+    struct Daemon
+    {
+        Daemon(ConfigurationWorld &owner, std::size_t index, const std::string &region,
+               const std::string &dataCentre, bool far)
+            : world(owner), isFar(far), random(index + 1), kernel(owner.executor, random),
+              store(std::make_shared<WorldStore>(owner, *this))
+        {
+            self.id = {"daemon-" + std::to_string(index), 1};
+            self.endpoint = endpointOf(index);
+            self.region = region;
+            self.dataCentre = dataCentre;
+            membership = std::make_unique<Membership>(
+                self, std::vector {endpointOf(0), endpointOf(1)}, random);
+            kernel.directory().publish(ServiceName::Telemetry, telemetry.address());
+            kernel.directory().publish(ServiceName::Membership, membershipMailbox.address());
+            kernel.directory().publish(ServiceName::Links, links.address());
+            kernel.add(makeConfiguration(kernel, store, settings()));
+        }
+
+        static Endpoint endpointOf(std::size_t index)
+        {
+            return {"10.0.0." + std::to_string(index + 1), 7000};
+        }
+
+        ConfigurationSettings settings() const { return {&platformControlFormat(), {}, ""}; }
+
+        void start()
+        {
+            std::error_code ec = kernel.start();
+            configuration
+                = kernel.directory().find<ConfigurationMessage>(ServiceName::Configuration, ec);
+            exchange = kernel.directory().find<PeerAsks>(
+                ServiceName::exchange(ExchangeSubject::ControlState), ec);
+            configuration.send(SubscribeConfiguration {subscriber.address()});
+            tick();
+        }
+
+        void tick()
+        {
+            perform(membership->tick(world.executor.now()));
+            world.executor.after(Membership::TickPeriod, [this] { tick(); });
+        }
+
+        void perform(Membership::Outputs outputs)
+        {
+            const std::vector<MembershipOutput> copy(outputs.begin(), outputs.end());
+            for (const MembershipOutput &output : copy) {
+                std::visit([this](const auto &body) { carryOut(body); }, output);
+            }
+            if (membersAddress && membership->revision() != publishedRevision) {
+                publishedRevision = membership->revision();
+                const auto members = membership->members();
+                membersAddress->send(MembersChanged {
+                    std::make_shared<const std::vector<Member>>(members.begin(), members.end())});
+            }
+        }
+
+        void carryOut(const DatagramToSend &out)
+        {
+            world.pass(
+                *this, out.to, [sender = self.endpoint, datagram = out.datagram](Daemon &to) {
+                    to.perform(to.membership->handle(datagram, sender, to.world.executor.now()));
+                });
+        }
+
+        void carryOut(const SyncWanted &wanted)
+        {
+            const SyncRequest request = membership->askSync(world.executor.now());
+            world.pass(*this, wanted.with, [asker = self.endpoint, request](Daemon &to) {
+                SyncAnswer answer;
+                to.perform(to.membership->answerSync(request, answer, to.world.executor.now()));
+                to.world.pass(to, asker, [answer](Daemon &back) {
+                    back.perform(back.membership->finishSync(
+                        answer.records, back.world.executor.now(), answer.partial));
+                });
+            });
+        }
+
+        void carryOut(const PeerAnswered &answer)
+        {
+            configuration.send(PeerEvidence {answer.peer, answer.endpoint, answer.version});
+        }
+
+        void carryOut(const IncarnationConflict &) { }
+
+        void handle(const MembershipMessage &message)
+        {
+            if (const auto *known = std::get_if<ConfigurationKnown>(&message)) {
+                membership->setVersion(known->version);
+            } else if (const auto *subscribe = std::get_if<SubscribeMembers>(&message)) {
+                membersAddress = subscribe->subscriber;
+            }
+        }
+
+        void ask(const AskPeer &question)
+        {
+            // The reply is held until "links" would give the question up.
+            world.executor.after(QuestionTimeout, [reply = question.reply] {});
+            world.pass(*this, question.endpoint, [this, question](Daemon &to) {
+                PeerAsks asks;
+                asks.bytes = question.bytes;
+                asks.reply = Reply<std::string>(
+                    world.executor,
+                    [this, &to, reply = question.reply](const std::optional<std::string> &bytes) {
+                        if (bytes) {
+                            world.send(to, *this, *bytes, reply);
+                        }
+                    });
+                to.exchange.send(std::move(asks));
+            });
+        }
+
+        std::optional<TimePoint> inForceAt(ConfigurationVersion version) const
+        {
+            const auto it = std::ranges::find_if(
+                seen, [version](const Seen &entry) { return entry.version >= version; });
+            return it == seen.end() ? std::nullopt : std::optional(it->at);
+        }
+
+        ConfigurationWorld &world;
+        bool isFar;
+        bool isCut = false;
+        NarrowLink host {HostBytesPerSecond};
+        SeededRandom random;
+        Kernel kernel;
+        std::shared_ptr<WorldStore> store;
+        Member self;
+        std::unique_ptr<Membership> membership;
+        std::uint64_t publishedRevision = 0;
+        std::vector<Seen> seen;
+        Address<ConfigurationMessage> configuration;
+        Address<PeerAsks> exchange;
+        std::optional<Address<MembersChanged>> membersAddress;
+        Mailbox<TelemetryMessage> telemetry {world.executor, [](const TelemetryMessage &) {}};
+        Mailbox<MembershipMessage> membershipMailbox {
+            world.executor, [this](const MembershipMessage &message) { handle(message); }};
+        Mailbox<LinksMessage> links {world.executor, [this](LinksMessage message) {
+                                         if (const auto *question
+                                             = std::get_if<AskPeer>(&message)) {
+                                             ask(*question);
+                                         }
+                                     }};
+        Mailbox<ConfigurationChanged> subscriber {
+            world.executor, [this](const ConfigurationChanged &news) {
+                if (news.configuration) {
+                    seen.push_back({news.configuration->version, world.executor.now()});
+                }
+            }};
+    };
+
+    /// Delivers a small message.
+    void pass(const Daemon &from, const Endpoint &to, std::function<void(Daemon &)> deliver)
+    {
+        const auto it = std::ranges::find_if(
+            m_daemons, [&to](const auto &daemon) { return daemon->self.endpoint == to; });
+        if (it == m_daemons.end() || from.isCut || (*it)->isCut) {
+            return;
+        }
+        Daemon &target = **it;
+        executor.after(from.isFar == target.isFar ? NearLatency : FarLatency,
+                       [&target, deliver = std::move(deliver)] {
+                           if (!target.isCut) {
+                               deliver(target);
+                           }
+                       });
+    }
+
+    /// Delivers a long answer, which takes its time on the links.
+    void send(Daemon &from, Daemon &to, const std::string &bytes, const Reply<std::string> &reply)
+    {
+        if (from.isCut) {
+            return;
+        }
+        const TimePoint now = executor.now();
+        TimePoint end
+            = std::max(from.host.send(now, bytes.size()), to.host.send(now, bytes.size()));
+        if (from.isFar != to.isFar) {
+            end = std::max(end, (to.isFar ? m_toFar : m_toNear).send(now, bytes.size()));
+        }
+        executor.after(end - now + (from.isFar == to.isFar ? NearLatency : FarLatency),
+                       [&to, reply, bytes] {
+                           if (!to.isCut) {
+                               reply(bytes);
+                           }
+                       });
+    }
+
+    NarrowLink m_toFar;
+    NarrowLink m_toNear;
+    std::vector<StoreRecord> m_records;
+    std::map<ConfigurationVersion, TimePoint> m_published;
+    std::vector<std::unique_ptr<Daemon>> m_daemons;
+};
+
+} // namespace Coltsfootwell::Testing
