--- a/src/decisions/Datagram.h
+++ b/src/decisions/Datagram.h
@@ -17,6 +17,8 @@
     std::uint64_t nonce = 0;
     /// True when the answer is to carry the digest of the member list.
     bool wantDigest = false;
+    /// Position of the operators' state that the sender knows.
+    std::uint64_t version = 0;
 
     bool operator==(const Ping &) const = default;
 };
@@ -25,8 +27,8 @@
 struct Ack
 {
     std::uint64_t nonce = 0;
-    /// Configuration that the sender knows.
-    ConfigurationVersion version = 0;
+    /// Position of the operators' state that the sender knows.
+    std::uint64_t version = 0;
     std::optional<std::uint64_t> digest;
 
     bool operator==(const Ack &) const = default;
--- a/src/decisions/Membership.cpp
+++ b/src/decisions/Membership.cpp
@@ -94,6 +94,10 @@
     if (ping.wantDigest) {
         ack.digest = m_table.digest();
     }
+    if (ping.version > m_version) {
+        m_outputs.emplace_back(
+            PeerReported {datagram.from.member.id, datagram.from.member.endpoint, ping.version});
+    }
     // A sender that is known as something newer learns of the doubt or of its replacement.
     const auto known = m_table.find(datagram.from.member.id.name);
     const bool behind = known && supersedes(m_table.members()[*known], datagram.from.member);
@@ -119,7 +123,7 @@
     }
     ++m_counts.acks;
     m_probes.erase(it);
-    m_outputs.emplace_back(PeerAnswered {from.id, from.endpoint, ack.version});
+    m_outputs.emplace_back(PeerReported {from.id, from.endpoint, ack.version});
     if (ack.digest) {
         compareDigest(*ack.digest, from.endpoint, now);
     }
@@ -135,8 +139,8 @@
     const std::uint64_t nonce = m_random.next();
     m_relays.push_back({nonce, ping.target, sender, ping.nonce, now});
     ++m_counts.pings;
-    send(target ? m_table.members()[*target].endpoint : ping.endpoint, Ping {nonce, false}, target,
-         now);
+    send(target ? m_table.members()[*target].endpoint : ping.endpoint,
+         Ping {nonce, false, m_version}, target, now);
 }
 
 void Membership::receive(const Datagram &datagram, const IndirectAck &ack, const Endpoint &sender,
@@ -273,7 +277,7 @@
         if (!known && seed != m_table.self().endpoint) {
             m_probes.push_back({m_random.next(), {}, now, false});
             ++m_counts.pings;
-            send(seed, Ping {m_probes.back().nonce, false}, {}, now);
+            send(seed, Ping {m_probes.back().nonce, false, m_version}, {}, now);
         }
     }
 }
@@ -364,8 +368,8 @@
     ++m_counts.pings;
     // The target refutes a doubt about itself.
     const bool doubted = target.state != MemberState::Alive;
-    send(target.endpoint, Ping {nonce, wantDigest}, doubted ? std::optional(index) : std::nullopt,
-         now);
+    send(target.endpoint, Ping {nonce, wantDigest, m_version},
+         doubted ? std::optional(index) : std::nullopt, now);
 }
 
 void Membership::send(const Endpoint &to, std::variant<Ping, Ack, IndirectPing, IndirectAck> body,
@@ -423,18 +427,41 @@
     self.leaving = true;
     self.state = MemberState::Left;
     changeSelf(std::move(self));
+    tellSome(FarewellPings, now, [](const Member &) { return true; });
+    return m_outputs;
+}
+
+Membership::Outputs Membership::versionKnown(std::uint64_t version, TimePoint now)
+{
+    m_outputs.clear();
+    if (version <= m_version || m_replaced) {
+        return m_outputs;
+    }
+    m_version = version;
+    const std::string dataCentre = m_table.self().dataCentre;
+    tellSome(NearNewsPings, now,
+             [&dataCentre](const Member &member) { return member.dataCentre == dataCentre; });
+    tellSome(FarNewsPings, now,
+             [&dataCentre](const Member &member) { return member.dataCentre != dataCentre; });
+    return m_outputs;
+}
+
+/// Pings some members, whose answers are not waited for.
+void Membership::tellSome(std::size_t n, TimePoint now,
+                          const std::function<bool(const Member &)> &accepts)
+{
     std::vector<std::size_t> told;
-    while (told.size() < FarewellPings) {
+    while (told.size() < n) {
         const auto next = m_table.pick(m_random, [&](std::size_t i) {
-            return isPingable(i) && std::ranges::find(told, i) == told.end();
+            return isPingable(i) && std::ranges::find(told, i) == told.end()
+                && accepts(m_table.members()[i]);
         });
         if (!next) {
-            break;
+            return;
         }
         told.push_back(*next);
-        send(m_table.members()[*next].endpoint, Ping {m_random.next(), false}, {}, now);
+        send(m_table.members()[*next].endpoint, Ping {m_random.next(), false, m_version}, {}, now);
     }
-    return m_outputs;
 }
 
 void Membership::learnSeeds(std::span<const Endpoint> seeds)
--- a/src/decisions/Membership.h
+++ b/src/decisions/Membership.h
@@ -10,6 +10,7 @@
 #include "decisions/MemberTable.h"
 #include "decisions/SyncMessages.h"
 
+#include <functional>
 #include <span>
 #include <string>
 #include <variant>
@@ -30,12 +31,13 @@
     Endpoint with;
 };
 
-/// \brief A daemon has answered a ping.
-struct PeerAnswered
+/// \brief A daemon has told how much it knows, in the answer to a ping or as news in a ping.
+struct PeerReported
 {
     DaemonId peer;
     Endpoint endpoint;
-    ConfigurationVersion version = 0;
+    /// Position of the operators' state that it knows; see ControlState.
+    std::uint64_t version = 0;
 };
 
 /// \brief Another process with this daemon's name has the same or a higher incarnation.
@@ -48,7 +50,7 @@
 };
 
 using MembershipOutput
-    = std::variant<DatagramToSend, SyncWanted, PeerAnswered, IncarnationConflict>;
+    = std::variant<DatagramToSend, SyncWanted, PeerReported, IncarnationConflict>;
 
 /// \brief Events since the start.
 struct MembershipCounts
@@ -107,6 +109,10 @@
     static constexpr std::chrono::seconds ExpiryPeriod {1};
     static constexpr std::size_t IndirectPings = 3;
     static constexpr std::size_t ConfirmingObservers = 2;
+    /// Daemons of the own data centre, and of all, that hear at once of a newer version. Those that
+    /// are missed learn it from the next ping.
+    static constexpr std::size_t NearNewsPings = 3;
+    static constexpr std::size_t FarNewsPings = 1;
     static constexpr std::size_t MaxSeeds = 64;
 
     using Outputs = std::span<const MembershipOutput>;
@@ -136,8 +142,10 @@
     /// \brief Adds seeds; beyond MaxSeeds further ones are ignored.
     void learnSeeds(std::span<const Endpoint> seeds);
 
-    /// rief Sets the configuration version that answers to pings report.
-    void setVersion(ConfigurationVersion version) { m_version = version; }
+    /// \brief This daemon knows the operators' state up to a position. Some others hear of it at
+    /// once, the rest from pings and their answers.
+    /// \param version position; lower ones than before change nothing.
+    Outputs versionKnown(std::uint64_t version, TimePoint now);
 
     /// \return the request of a full sync that starts now.
     SyncRequest askSync(TimePoint now);
@@ -207,6 +215,7 @@
     void ping(std::size_t index, bool wantDigest, TimePoint now);
     void send(const Endpoint &to, std::variant<Ping, Ack, IndirectPing, IndirectAck> body,
               std::optional<std::size_t> about, TimePoint now);
+    void tellSome(std::size_t n, TimePoint now, const std::function<bool(const Member &)> &accepts);
     bool isPingable(std::size_t index) const;
     Duration suspicionTime() const;
 
@@ -218,7 +227,7 @@
     std::vector<MembershipOutput> m_outputs;
     MembershipCounts m_counts;
 
-    ConfigurationVersion m_version = 0;
+    std::uint64_t m_version = 0;
 
     std::optional<TimePoint> m_started;
     TimePoint m_lastTick {};
--- a/src/programs/Daemon.cpp
+++ b/src/programs/Daemon.cpp
@@ -102,9 +102,10 @@
     }
     kernel.add(makeMembership(kernel, context, membership));
     kernel.add(makeLinks(kernel, context, {settings.peers, id}));
-    kernel.add(makeConfiguration(kernel, store(),
-                                 {interface.format, settings.dataCentres,
-                                  settings.configurationFile, strategies.configurationFilter}));
+    kernel.add(
+        makeConfiguration(kernel, store(),
+                          {interface.format, settings.dataCentres, settings.configurationFile,
+                           strategies.configurationFilter, id.name}));
     if (settings.store) {
         kernel.add(makeDaemonRecords(kernel, store(), id, {settings.advertise, settings.listen}));
     }
--- a/src/services/ConfigurationFollower.cpp
+++ b/src/services/ConfigurationFollower.cpp
@@ -1,5 +1,7 @@
 #include "services/ConfigurationFollower.h"
 
+#include "decisions/StateFetch.h"
+#include "decisions/StoreReaders.h"
 #include "services/CallMessages.h"
 #include "services/ConfigurationMessages.h"
 #include "services/ControlMessages.h"
@@ -7,7 +9,9 @@
 #include "services/ServiceError.h"
 #include "services/ServiceNames.h"
 #include "services/TelemetryMessages.h"
+#include "services/TopicReader.h"
 #include "wire/ControlSnapshot.h"
+#include "wire/SharedTexts.h"
 
 #include <algorithm>
 #include <fstream>
@@ -21,14 +25,26 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Longest wait of one read. A silent connection is noticed by what other daemons know.
-constexpr milliseconds ReadWait {20'000};
-constexpr milliseconds ShortestRetry {100};
-constexpr milliseconds LongestRetry {1'000};
-/// A daemon that knows more is asked when the store has not told the same in this time.
+/// Longest wait of one read. All connections to the store may go silent at the same moment; that of
+/// one of the readers is then noticed within a second or two.
+constexpr milliseconds ReadWait {4'000};
+/// A daemon that reads the store asks one that knows more when the store has not told the same in
+/// this time.
 constexpr milliseconds PeerLead {250};
+/// A call to the store that has not told what others know is given up after this time.
+constexpr milliseconds SilenceTime {500};
+/// Until the next daemon is asked.
+constexpr milliseconds AnswerTime {300};
 /// Between questions to other daemons while nothing is known.
-constexpr milliseconds AskPeriod {300};
+constexpr milliseconds CheckPeriod {300};
+/// A longer answer of the store is left to the readers.
+constexpr std::size_t ShortAnswerBytes = 64 * 1024;
+/// Daemons that have started know each other after this time, and with that who reads the store.
+constexpr milliseconds SettleTime {700};
+/// A daemon that knows no configuration reads one of any length after this time.
+constexpr milliseconds Patience {2'000};
+/// A daemon that hears nothing of others for this time reads the store itself.
+constexpr milliseconds IsolationTime {1'000};
 
 /// \brief Where a state came from, for the log.
 struct StateOrigin
@@ -44,8 +60,7 @@
 public:
     ConfigurationFollower(Kernel &kernel, std::shared_ptr<StoreClient> store,
                           ConfigurationSettings settings)
-        : m_kernel(kernel), m_store(std::move(store)), m_settings(std::move(settings)),
-          m_state(m_settings.dataCentres),
+        : m_kernel(kernel), m_settings(std::move(settings)), m_state(m_settings.dataCentres),
           m_mailbox(kernel.executor(),
                     [this](ConfigurationMessage message) {
                         std::visit([this](auto &&body) { handle(std::move(body)); },
@@ -53,9 +68,16 @@
                     }),
           m_askMailbox(kernel.executor(), [this](const PeerAsks &ask) { answerPeer(ask); }),
           m_membersMailbox(kernel.executor(),
-                           [this](MembersChanged news) { m_members = std::move(news.members); }),
+                           [this](MembersChanged news) { membersChanged(std::move(news)); }),
           m_showMailbox(kernel.executor(), [this](const ControlRequest &request) { show(request); })
     {
+        if (store) {
+            m_reader = std::make_unique<TopicReader>(
+                kernel, std::move(store), m_settings.format->topic(),
+                TopicHandlers {[this](const NewestRecords &newest) { newestRead(newest); },
+                               [this](const RecordsRead &read) { recordsRead(read); },
+                               [this] { readFailed(); }});
+        }
         kernel.directory().publish(name(), m_mailbox.address());
         kernel.directory().publish(ServiceName::exchange(ExchangeSubject::ControlState),
                                    m_askMailbox.address());
@@ -80,9 +102,12 @@
             return ServiceError::MissingService;
         }
         readFile();
-        if (m_store) {
-            readNewest("");
-            askWhileUnknown();
+        if (m_reader) {
+            m_started = now();
+            m_lastReport = now();
+            m_reader->start(m_telemetry);
+            readStore();
+            check();
         }
         return {};
     }
@@ -90,15 +115,18 @@
     void stop(Task done) override
     {
         m_stopped = true;
-        m_kernel.executor().cancel(m_timer);
-        m_kernel.executor().cancel(m_askTimer);
-        if (m_store) {
-            m_store->stop();
+        for (const TimerId timer : {m_checkTimer, m_fetchTimer}) {
+            m_kernel.executor().cancel(timer);
+        }
+        if (m_reader) {
+            m_reader->stop();
         }
         done();
     }
 
 private:
+    TimePoint now() const { return m_kernel.executor().now(); }
+
     // Subscribers.
 
     void handle(const SubscribeConfiguration &subscribe)
@@ -112,8 +140,7 @@
     /// Puts the present state in force.
     void publish(const StateOrigin &origin)
     {
-        const Duration waited
-            = m_behindSince ? m_kernel.executor().now() - *m_behindSince : origin.transfer.arrival;
+        const Duration waited = m_behindSince ? now() - *m_behindSince : origin.transfer.arrival;
         m_behindSince.reset();
         m_telemetry.send(
             ObserveTime {"configuration_delay_seconds", std::string(origin.source), waited});
@@ -146,12 +173,6 @@
         return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
     }
 
-    void countBytes(std::string_view source, std::size_t bytes)
-    {
-        m_telemetry.send(CountEvent {"configuration_bytes_total", std::string(source),
-                                     static_cast<double>(bytes)});
-    }
-
     ConfigurationPtr filtered(ConfigurationPtr configuration) const
     {
         if (!m_settings.filter || !configuration) {
@@ -178,104 +199,134 @@
             m_telemetry.send(LogEvent {"configuration.unreadable", "", "file=" + m_settings.file});
             return;
         }
-        if (apply(ownControlFormat().decode(OwnConfigurationKey, text.str()), "file")) {
+        if (apply(OwnConfigurationKey, text.str(), "file")) {
             publish({"file", {text.str().size(), {}}});
         }
     }
 
     // The store.
 
-    void readNewest(const std::string &after)
+    /// \return true when this daemon follows the store, and not only other daemons.
+    bool readsStore() const
     {
-        if (after.empty()) {
-            m_newestOut.clear();
-        }
-        m_store->newest(m_settings.format->topic(), after,
-                        [this](const NewestRecords &newest) { newestRead(newest); });
+        return !m_members || now() - m_lastReport > IsolationTime
+            || isStoreReader(m_settings.self, *m_members);
     }
 
-    void newestRead(const NewestRecords &newest)
+    /// Begins the next call to the store, if there is to be one.
+    void readStore()
     {
-        if (m_stopped) {
+        if (m_stopped || !m_reader || m_reader->isBusy()) {
             return;
         }
-        if (newest.ec) {
-            storeFailed(newest.ec);
+        if (m_wantsNewest) {
+            const std::size_t limit = newestLimit();
+            if (m_state.position() > 0 || limit > m_tooLongFor) {
+                m_reader->readNewest(limit);
+            }
+        } else if (readsStore()) {
+            m_reader->read(m_state.position(), ReadWait);
+        }
+    }
+
+    /// \return longest answer with newest records that this daemon reads now.
+    std::size_t newestLimit() const
+    {
+        const Duration up = now() - m_started;
+        const bool chosen = up >= SettleTime && readsStore();
+        const bool needed = m_state.position() == 0 && !m_fetching && (chosen || up >= Patience);
+        return m_anyLength || needed ? StoreClient::AnyLength : ShortAnswerBytes;
+    }
+
+    void newestRead(const NewestRecords &newest)
+    {
+        if (newest.ec == ServiceError::AnswerTooLong) {
+            m_telemetry.send(LogEvent {"configuration.long", "",
+                                       "position=" + std::to_string(m_state.position())});
+            // What has come since is shorter than everything.
+            m_wantsNewest = m_state.position() == 0;
+            m_tooLongFor = newestLimit();
+            readStore();
             return;
         }
-        storeAnswered();
-        countBytes("store", newest.transfer.bytes);
+        m_wantsNewest = false;
+        m_anyLength = false;
+        m_tooLongFor = 0;
+        std::set<std::string> dataCentresOut;
         bool changed = false;
         for (const StoreRecord &record : newest.records) {
             ControlRecord decoded = m_settings.format->decode(record.key, record.value);
             if (const auto *out = std::get_if<DataCentreTakenOut>(&decoded)) {
                 if (out->out) {
-                    m_newestOut.insert(out->dataCentre);
+                    dataCentresOut.insert(out->dataCentre);
                 }
             } else {
-                changed = apply(std::move(decoded), record.key) || changed;
+                changed = apply(std::move(decoded), record.key, record.value) || changed;
             }
         }
-        if (newest.hasMore && !newest.records.empty()) {
-            m_newestChanged = m_newestChanged || changed;
-            readNewest(newest.records.back().key);
-            return;
-        }
         if (newest.end >= m_state.position()) {
-            changed = m_state.replaceOut(m_newestOut) || changed;
+            changed = m_state.replaceOut(std::move(dataCentresOut)) || changed;
         }
         m_state.reached(newest.end);
-        m_readFrom = newest.end;
-        if (std::exchange(m_newestChanged, false) || changed) {
-            publish({"store", newest.transfer});
-        } else {
-            tellPosition();
-        }
-        readOn();
-    }
-
-    void readOn()
-    {
-        m_store->read(m_settings.format->topic(), m_readFrom, ReadWait,
-                      [this](const RecordsRead &read) { recordsRead(read); });
+        changed ? publish({"store", newest.transfer}) : tellPosition();
+        readStore();
     }
 
     void recordsRead(const RecordsRead &read)
     {
-        if (m_stopped) {
-            return;
-        }
         if (read.ec == ServiceError::HistoryLost) {
-            m_telemetry.send(
-                LogEvent {"store.historyLost", "", "position=" + std::to_string(m_readFrom)});
-            readNewest("");
+            m_telemetry.send(LogEvent {"store.historyLost", "",
+                                       "position=" + std::to_string(m_state.position())});
+            m_wantsNewest = true;
+            m_anyLength = true;
+            readStore();
             return;
         }
-        if (read.ec) {
-            storeFailed(read.ec);
-            return;
-        }
-        storeAnswered();
-        countBytes("store", read.transfer.bytes);
         unsigned changes = 0;
         for (const StoreRecord &record : read.records) {
             // A state that another daemon has told may already hold the record.
             if (record.offset >= m_state.position()
-                && apply(m_settings.format->decode(record.key, record.value), record.key)) {
+                && apply(m_settings.format->decode(record.key, record.value), record.key,
+                         record.value)) {
                 ++changes;
             }
         }
-        m_readFrom = std::max(m_readFrom, read.next);
         m_state.reached(read.next);
         if (changes > 0) {
             publish({"store", read.transfer, changes - 1});
         } else {
             tellPosition();
         }
-        readOn();
+        if (read.end > m_state.position() && isLong(read)) {
+            // The newest records are shorter than all versions up to them.
+            m_wantsNewest = true;
+            m_anyLength = true;
+        }
+        readStore();
+    }
+
+    static bool isLong(const RecordsRead &read)
+    {
+        return read.records.empty() || read.transfer.bytes > ShortAnswerBytes;
+    }
+
+    void readFailed()
+    {
+        m_wantsNewest = m_wantsNewest || m_state.position() == 0 || readsStore();
+        readStore();
     }
 
-    bool apply(ControlRecord record, std::string_view source)
+    bool apply(std::string_view key, const std::string &text, std::string_view source)
+    {
+        const ControlFormat &format
+            = key == OwnConfigurationKey ? ownControlFormat() : *m_settings.format;
+        return apply(format.decode(key, text), key, text, source);
+    }
+
+    /// \param value text of the record, which is handed on to other daemons.
+    /// \param source named in the log when the record is malformed.
+    bool apply(ControlRecord record, std::string_view key, const std::optional<std::string> &value,
+               std::string_view source = {})
     {
         if (auto *published = std::get_if<ConfigurationPublished>(&record)) {
             const ConfigurationVersion version = published->configuration->version;
@@ -284,6 +335,8 @@
                 m_telemetry.send(LogEvent {"configuration.outdated", "",
                                            "version=" + std::to_string(version)
                                                + " inForce=" + std::to_string(m_state.version())});
+            } else if (value) {
+                m_texts.keep(version, key, *value);
             }
             return newer;
         }
@@ -291,82 +344,90 @@
             return m_state.tookOut(out->dataCentre, out->out);
         }
         if (const auto *malformed = std::get_if<MalformedRecord>(&record)) {
-            m_telemetry.send(
-                LogEvent {"configuration.malformed", "",
-                          "record=" + std::string(source) + " " + faultLine(malformed->fault)});
+            m_telemetry.send(LogEvent {"configuration.malformed", "",
+                                       "record=" + std::string(source.empty() ? key : source) + " "
+                                           + faultLine(malformed->fault)});
         }
         return false;
     }
 
-    void storeAnswered()
-    {
-        m_retry = ShortestRetry;
-        if (!std::exchange(m_storeAnswers, true)) {
-            m_telemetry.send(LogEvent {"store.regained", "", ""});
-        }
-    }
+    // Other daemons.
 
-    void storeFailed(std::error_code ec)
+    void membersChanged(MembersChanged news)
     {
-        m_telemetry.send(CountEvent {"store_failures_total", ec.message()});
-        if (std::exchange(m_storeAnswers, false)) {
-            m_telemetry.send(LogEvent {"store.lost", "", "error=" + ec.message()});
-            tellPosition();
+        m_members = std::move(news.members);
+        if (m_reader && !readsStore() && m_reader->isWaiting()) {
+            // Others read the store for this daemon.
+            m_reader->drop();
         }
-        m_kernel.executor().cancel(m_timer);
-        m_timer = m_kernel.executor().after(
-            m_retry + milliseconds(m_kernel.random().below(ShortestRetry.count())),
-            [this] { readNewest(""); });
-        m_retry = std::min(m_retry * 2, LongestRetry);
+        readStore();
     }
 
-    // Other daemons.
-
-    /// A peer knows more. The store usually tells the same a moment later.
     void handle(const PeerEvidence &evidence)
     {
+        m_lastReport = now();
         if (evidence.position <= m_state.position()) {
             return;
         }
         if (!m_behindSince) {
-            m_behindSince = m_kernel.executor().now();
+            m_behindSince = now();
         }
-        if (m_askPending) {
-            return;
+        m_fetch.heard(evidence.endpoint, evidence.position);
+        if (!std::exchange(m_fetching, true)) {
+            // The store usually tells the same a moment later.
+            fetchAfter(m_reader && readsStore() ? Duration(PeerLead) : Duration());
         }
-        m_askPending = true;
-        m_kernel.executor().after(PeerLead, [this, evidence] {
-            m_askPending = false;
-            if (m_stopped || evidence.position <= m_state.position()) {
-                return;
-            }
-            if (m_store && m_store->receiving()) {
-                // Asking now would bring the same bytes a second time over the same links.
-                handle(evidence);
-                return;
-            }
-            askPeer(evidence.endpoint);
-            if (m_store && m_storeAnswers) {
-                // The read that should have told has gone silent.
-                m_telemetry.send(
-                    LogEvent {"store.silent", "",
-                              "position=" + std::to_string(m_state.position())
-                                  + " peerPosition=" + std::to_string(evidence.position)});
-                m_store->stop();
-                readNewest("");
+    }
+
+    void fetchAfter(Duration delay)
+    {
+        m_fetchTimer = m_kernel.executor().after(delay, [this] {
+            m_fetching = false;
+            if (!m_stopped && m_fetch.isBehind(m_state.position())) {
+                fetch();
             }
         });
     }
 
-    void askWhileUnknown()
+    /// Others know more.
+    void fetch()
     {
-        m_askTimer = m_kernel.executor().after(AskPeriod, [this] { askWhileUnknown(); });
+        m_fetching = true;
+        if (m_reader && m_reader->isReceiving()) {
+            // Asking now would bring the same bytes a second time over the same links.
+            fetchAfter(PeerLead);
+            return;
+        }
+        const auto endpoint = m_fetch.next(m_state.position());
+        if (endpoint) {
+            askPeer(*endpoint);
+        }
+        if (m_reader && readsStore() && m_reader->callAge() >= SilenceTime) {
+            // The read that should have told has gone silent.
+            m_telemetry.send(
+                LogEvent {"store.silent", "", "position=" + std::to_string(m_state.position())});
+            m_reader->drop();
+            m_wantsNewest = true;
+            readStore();
+        } else if (m_reader && !endpoint && !m_reader->isBusy()) {
+            m_telemetry.send(LogEvent {"configuration.unanswered", "",
+                                       "position=" + std::to_string(m_state.position())});
+            m_reader->read(m_state.position(), milliseconds(0));
+        }
+        fetchAfter(AnswerTime);
+    }
+
+    /// Looks whether this daemon is on its own, and asks others while nothing is known.
+    void check()
+    {
+        m_checkTimer = m_kernel.executor().after(CheckPeriod, [this] { check(); });
+        readStore();
         if (m_inForce || !m_members) {
             return;
         }
         std::vector<Endpoint> others;
         for (const Member &member : *m_members) {
-            if (member.state == MemberState::Alive) {
+            if (member.state == MemberState::Alive && member.id.name != m_settings.self) {
                 others.push_back(member.endpoint);
             }
         }
@@ -380,6 +441,7 @@
         AskPeer ask;
         ask.endpoint = endpoint;
         ask.subject = ExchangeSubject::ControlState;
+        ask.bytes = encodeStateQuestion({m_wantsWhole ? 0 : m_texts.newest()});
         ask.reply = Reply<std::string>(m_kernel.executor(),
                                        [this](const std::optional<std::string> &bytes) {
                                            if (bytes && !m_stopped) {
@@ -391,27 +453,52 @@
 
     void answerPeer(const PeerAsks &ask)
     {
-        ControlSnapshot snapshot;
-        snapshot.position = m_state.position();
-        snapshot.out = m_state.out();
-        if (const ConfigurationPtr inForce = m_state.inForce()) {
-            snapshot.configuration = inForce;
-        }
-        ask.reply(encodeSnapshot(snapshot));
+        const auto question = decodeStateQuestion(ask.bytes);
+        StateAnswer answer;
+        answer.position = m_state.position();
+        answer.out = m_state.out();
+        m_texts.fill(answer, question ? question->held : 0);
+        ask.reply(encodeStateAnswer(answer));
     }
 
     void learnFromPeer(std::string_view bytes)
     {
-        countBytes("peer", bytes.size());
-        const auto snapshot = decodeSnapshot(bytes);
-        if (!snapshot || snapshot->position <= m_state.position() || !snapshot->configuration) {
+        m_telemetry.send(
+            CountEvent {"configuration_bytes_total", "peer", static_cast<double>(bytes.size())});
+        const auto answer = decodeStateAnswer(bytes);
+        if (!answer || answer->position <= m_state.position() || answer->version == 0) {
             return;
         }
-        const bool newer = m_state.published(snapshot->configuration);
-        const bool outChanged = m_state.replaceOut(snapshot->out);
-        m_state.reached(snapshot->position);
+        bool newer = false;
+        if (answer->version > m_state.version()) {
+            const auto text = m_texts.restore(*answer);
+            if (!text) {
+                m_telemetry.send(LogEvent {"configuration.unusable", "",
+                                           "version=" + std::to_string(answer->version)
+                                               + " base=" + std::to_string(answer->base)});
+                m_wantsWhole = true;
+                return;
+            }
+            newer = apply(answer->key, *text, "peer");
+            if (m_state.version() < answer->version) {
+                return;
+            }
+            m_texts.handOn(*answer);
+            m_wantsWhole = false;
+        }
+        const bool outChanged = m_state.replaceOut(answer->out);
+        m_state.reached(answer->position);
+        m_wantsNewest = false;
+        m_anyLength = false;
         if (newer || outChanged) {
             publish({"peer", {bytes.size(), {}}});
+        } else {
+            tellPosition();
+        }
+        if (m_reader && !m_reader->isReceiving()) {
+            // What a read in progress would bring is known.
+            m_reader->drop();
+            readStore();
         }
     }
 
@@ -423,24 +510,33 @@
     }
 
     Kernel &m_kernel;
-    std::shared_ptr<StoreClient> m_store;
     ConfigurationSettings m_settings;
     ControlState m_state;
+    SharedTexts m_texts;
+    StateFetch m_fetch;
     ConfigurationPtr m_inForce;
     std::vector<Address<ConfigurationChanged>> m_subscribers;
     std::shared_ptr<const std::vector<Member>> m_members;
-    /// Data centres that are out, while pages of the newest records are read.
-    std::set<std::string> m_newestOut;
-    bool m_newestChanged = false;
-    std::uint64_t m_readFrom = 0;
-    bool m_storeAnswers = false;
-    milliseconds m_retry = ShortestRetry;
-    TimerId m_timer = 0;
-    TimerId m_askTimer = 0;
-    bool m_askPending = false;
+    /// Null for a site without a store.
+    std::unique_ptr<TopicReader> m_reader;
+    /// The newest records are to be read before what follows them.
+    bool m_wantsNewest = true;
+    /// The newest records are wanted whatever their length.
+    bool m_anyLength = false;
+    /// The first newest records are longer than this; 0 when that is not known.
+    std::size_t m_tooLongFor = 0;
+    TimePoint m_started {};
+    /// Last word from another daemon.
+    TimePoint m_lastReport {};
     /// Since another daemon is known to know more.
     std::optional<TimePoint> m_behindSince;
+    /// An answer that builds on a held text could not be used.
+    bool m_wantsWhole = false;
+    /// A look at who knows more is due.
+    bool m_fetching = false;
     bool m_stopped = false;
+    TimerId m_checkTimer = 0;
+    TimerId m_fetchTimer = 0;
     Address<TelemetryMessage> m_telemetry;
     Address<LinksMessage> m_links;
     Address<MembershipMessage> m_membership;
--- a/src/services/ConfigurationFollower.h
+++ b/src/services/ConfigurationFollower.h
@@ -24,6 +24,8 @@
     std::string file;
     /// Changes what is put in force; null for no change. Tests switch rules off with it.
     void (*filter)(Configuration &) = nullptr;
+    /// Name of this daemon.
+    std::string self;
 };
 
 /// \param kernel gives the executor and the directory.
--- a/src/services/ConfigurationMessages.h
+++ b/src/services/ConfigurationMessages.h
@@ -25,7 +25,7 @@
     Address<ConfigurationChanged> subscriber;
 };
 
-/// \brief From "membership": a peer has answered a ping.
+/// \brief From "membership": a daemon has told how much it knows.
 struct PeerEvidence
 {
     DaemonId peer;
--- a/src/services/DaemonRecords.cpp
+++ b/src/services/DaemonRecords.cpp
@@ -78,22 +78,23 @@
 
     void read(const std::string &after)
     {
-        m_store->newest(DaemonRecordsTopic, after, [this](const NewestRecords &newest) {
-            if (m_stopped) {
-                return;
-            }
-            if (newest.ec) {
-                later(RetryDelay, [this] { read(""); });
-                return;
-            }
-            learn(newest.records);
-            if (newest.hasMore && !newest.records.empty()) {
-                read(newest.records.back().key);
-                return;
-            }
-            m_reads = std::min(m_reads + 1, ReadDelays.size() - 1);
-            later(ReadDelays[m_reads], [this] { read(""); });
-        });
+        m_store->newest(DaemonRecordsTopic, after, StoreClient::AnyLength,
+                        [this](const NewestRecords &newest) {
+                            if (m_stopped) {
+                                return;
+                            }
+                            if (newest.ec) {
+                                later(RetryDelay, [this] { read(""); });
+                                return;
+                            }
+                            learn(newest.records);
+                            if (newest.hasMore && !newest.records.empty()) {
+                                read(newest.records.back().key);
+                                return;
+                            }
+                            m_reads = std::min(m_reads + 1, ReadDelays.size() - 1);
+                            later(ReadDelays[m_reads], [this] { read(""); });
+                        });
     }
 
     void learn(const std::vector<StoreRecord> &records)
--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -17,7 +17,6 @@
 constexpr Duration AssumedIdleLimit = seconds(8);
 /// A connection is not used in the last part of its idle time.
 constexpr Duration IdleMargin = seconds(1);
-constexpr std::uint64_t MaxAnswerBytes = 64ULL << 20;
 constexpr std::uint32_t MaxAnswerHeaderBytes = 64 * 1024;
 /// Answers to other requests that are passed over on one connection.
 constexpr unsigned MaxForeignAnswers = 4;
@@ -105,6 +104,7 @@
     HttpExchange &self;
     bool reused = false;
     bool heard = false;
+    bool tooLong = false;
     TimerId deadlineTimer = 0;
 
     asio::awaitable<bool> connect()
@@ -189,7 +189,7 @@
         HttpConnection &connection = *self.m_connection;
         for (unsigned n = 0; n < MaxForeignAnswers; ++n) {
             http::response_parser<http::string_body> parser;
-            parser.body_limit(MaxAnswerBytes);
+            parser.body_limit(self.m_request.maxAnswerBytes);
             parser.header_limit(MaxAnswerHeaderBytes);
             parser.skip(self.m_request.method == "HEAD");
             boost::system::error_code ec;
@@ -204,6 +204,7 @@
                                                asio::redirect_error(asio::use_awaitable, ec));
             }
             self.m_receiving = false;
+            tooLong = ec == http::error::body_limit;
             if (ec) {
                 co_return false;
             }
@@ -241,6 +242,7 @@
         }
         ExchangeOutcome outcome;
         outcome.kind = kind;
+        outcome.tooLong = tooLong;
         return outcome;
     }
 
--- a/src/services/HttpExchange.h
+++ b/src/services/HttpExchange.h
@@ -63,6 +63,8 @@
     /// A long answer over a narrow link is then not given up while it makes progress.
     Duration maxSilence {};
     Duration connectTimeout = std::chrono::milliseconds(250);
+    /// Longest body that is read.
+    std::uint64_t maxAnswerBytes = 64ULL << 20;
 };
 
 /// \brief How an exchange has ended.
@@ -81,6 +83,8 @@
     };
 
     Kind kind = Kind::Lost;
+    /// True when an answer was lost because it is longer than was allowed.
+    bool tooLong = false;
     unsigned status = 0;
     std::vector<HeaderField> headers;
     std::string body;
--- a/src/services/Membership.cpp
+++ b/src/services/Membership.cpp
@@ -150,7 +150,10 @@
     }
 
     void handle(const SeedsLearned &seeds) { m_membership.learnSeeds(seeds.endpoints); }
-    void handle(ConfigurationKnown known) { m_membership.setVersion(known.version); }
+    void handle(ConfigurationKnown known)
+    {
+        perform(m_membership.versionKnown(known.position, now()));
+    }
     void handle(AnnounceLeaving) { m_membership.leave(); }
 
     void tick()
@@ -206,9 +209,9 @@
         m_bytesSent += ec ? 0 : bytes.size() + DatagramHeaderBytes;
     }
 
-    void carryOut(const PeerAnswered &answer)
+    void carryOut(const PeerReported &report)
     {
-        m_configuration.send(PeerEvidence {answer.peer, answer.endpoint, answer.version});
+        m_configuration.send(PeerEvidence {report.peer, report.endpoint, report.version});
     }
 
     void carryOut(const SyncWanted &wanted)
--- a/src/services/MembershipMessages.h
+++ b/src/services/MembershipMessages.h
@@ -37,10 +37,11 @@
 {
 };
 
-/// rief The configuration that this daemon knows; goes into its answers to pings.
+/// \brief How much this daemon knows of the operators' state; it tells other daemons.
 struct ConfigurationKnown
 {
-    ConfigurationVersion version = 0;
+    /// See ControlState.
+    std::uint64_t position = 0;
 };
 
 /// \brief Addresses of daemons that were learned elsewhere, such as from the log.
--- a/src/services/ServiceError.cpp
+++ b/src/services/ServiceError.cpp
@@ -26,6 +26,8 @@
             return "the store has dropped the records that were asked for";
         case ServiceError::Conflict:
             return "the topic has changed since it was read";
+        case ServiceError::AnswerTooLong:
+            return "the answer of the store is longer than was allowed";
         }
         return "unknown service error";
     }
--- a/src/services/ServiceError.h
+++ b/src/services/ServiceError.h
@@ -13,6 +13,7 @@
     StoreUnavailable,
     HistoryLost,
     Conflict,
+    AnswerTooLong,
 };
 
 /// \return the category of ServiceError.
--- a/src/services/StoreClient.h
+++ b/src/services/StoreClient.h
@@ -35,7 +35,7 @@
 /// \brief Newest record of each key.
 struct NewestRecords
 {
-    /// ServiceError::StoreUnavailable or cleared.
+    /// ServiceError::StoreUnavailable, ServiceError::AnswerTooLong or cleared.
     std::error_code ec;
     std::vector<StoreRecord> records;
     /// True when there are more keys after the last one.
@@ -53,6 +53,8 @@
     std::vector<StoreRecord> records;
     /// Offset of the next record to read.
     std::uint64_t next = 0;
+    /// Offset of the next record of the topic; higher than `next` when there is more to read.
+    std::uint64_t end = 0;
     AnswerTransfer transfer;
 };
 
@@ -72,10 +74,12 @@
 
     /// \param topic name of the topic.
     /// \param after key after which the page begins; empty for the first page.
-    virtual void newest(std::string_view topic, std::string_view after,
+    /// \param maxBytes longest answer that is read.
+    virtual void newest(std::string_view topic, std::string_view after, std::size_t maxBytes,
                         std::function<void(NewestRecords)> done)
         = 0;
 
+    /// \brief Reads one record, and further ones as long as they are short.
     /// \param topic name of the topic.
     /// \param from offset of the first record wanted.
     /// \param wait time that the store waits for a record when there is none yet.
@@ -93,6 +97,9 @@
     /// \return true while an answer arrives, which may take long over a narrow link.
     virtual bool receiving() const = 0;
 
+    /// Answer of any length.
+    static constexpr std::size_t AnyLength = 64ULL << 20;
+
     /// \brief Drops all calls in progress; their handlers are not called.
     virtual void stop() = 0;
 };
--- a/src/wire/ControlSnapshot.h
+++ b/src/wire/ControlSnapshot.h
@@ -1,13 +1,11 @@
-// What daemons tell each other of the state that operators have published, as JSON.
+// The state that operators have published, as JSON for operators.
 #pragma once
 
 #include "decisions/Configuration.h"
 
 #include <cstdint>
-#include <optional>
 #include <set>
 #include <string>
-#include <string_view>
 
 namespace Coltsfootwell {
 
@@ -24,8 +22,4 @@
 /// \return its JSON text.
 std::string encodeSnapshot(const ControlSnapshot &snapshot);
 
-/// \param text answer of a daemon.
-/// \return the state, or nothing when it is malformed.
-std::optional<ControlSnapshot> decodeSnapshot(std::string_view text);
-
 } // namespace Coltsfootwell
--- a/src/wire/MembershipCodec.cpp
+++ b/src/wire/MembershipCodec.cpp
@@ -109,6 +109,7 @@
 {
     wire.mutable_ping()->set_nonce(ping.nonce);
     wire.mutable_ping()->set_want_digest(ping.wantDigest);
+    wire.mutable_ping()->set_version(ping.version);
 }
 
 void encodeBody(const Ack &ack, Wire::Datagram &wire)
@@ -149,7 +150,8 @@
 {
     switch (wire.body_case()) {
     case Wire::Datagram::kPing:
-        datagram.body = Ping {wire.ping().nonce(), wire.ping().want_digest()};
+        datagram.body
+            = Ping {wire.ping().nonce(), wire.ping().want_digest(), wire.ping().version()};
         return;
     case Wire::Datagram::kAck:
         datagram.body = decodeAck(wire.ack());
--- /dev/null
+++ b/src/wire/StateExchange.cpp
@@ -0,0 +1,55 @@
+#include "wire/StateExchange.h"
+
+#include "wire/generated/state.pb.h"
+
+namespace Coltsfootwell {
+
+namespace {
+
+template <typename Message>
+bool parse(std::string_view bytes, Message &message)
+{
+    return message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+}
+
+} // namespace
+
+std::string encodeStateQuestion(const StateQuestion &question)
+{
+    Wire::StateQuestion wire;
+    wire.set_held(question.held);
+    return wire.SerializeAsString();
+}
+
+std::optional<StateQuestion> decodeStateQuestion(std::string_view bytes)
+{
+    Wire::StateQuestion wire;
+    return parse(bytes, wire) ? std::optional(StateQuestion {wire.held()}) : std::nullopt;
+}
+
+std::string encodeStateAnswer(const StateAnswer &answer)
+{
+    Wire::StateAnswer wire;
+    for (const std::string &dataCentre : answer.out) {
+        wire.add_out(dataCentre);
+    }
+    wire.set_version(answer.version);
+    wire.set_base(answer.base);
+    wire.set_key(answer.key);
+    wire.set_content(answer.content);
+    wire.set_position(answer.position);
+    return wire.SerializeAsString();
+}
+
+std::optional<StateAnswer> decodeStateAnswer(std::string_view bytes)
+{
+    Wire::StateAnswer wire;
+    if (!parse(bytes, wire) || wire.position() == 0) {
+        return std::nullopt;
+    }
+    return StateAnswer {wire.position(), {wire.out().begin(), wire.out().end()},
+                        wire.version(),  wire.base(),
+                        wire.key(),      wire.content()};
+}
+
+} // namespace Coltsfootwell
--- a/standin/StoreServer.cpp
+++ b/standin/StoreServer.cpp
@@ -221,8 +221,13 @@
             co_return co_await write(socket, request, Gone, numberJson("first", topic.first));
         }
         std::string body = bigNumber(topic.end()) + bigNumber(topic.first);
+        const std::uint64_t maxBytes = number("maxKb") * 1024;
         for (std::uint64_t offset = from; offset < topic.end(); ++offset) {
-            body += framed(topic.records[offset]);
+            const std::string record = framed(topic.records[offset]);
+            if (offset > from && maxBytes > 0 && body.size() + record.size() > maxBytes) {
+                break;
+            }
+            body += record;
         }
         co_return co_await write(socket, request, 200, std::move(body));
     }
--- a/test/ConfigurationWorld.h
+++ b/test/ConfigurationWorld.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "decisions/Membership.h"
+#include "decisions/StoreReaders.h"
 #include "kernel/Kernel.h"
 #include "kernel/ManualExecutor.h"
 #include "platform/PlatformConfiguration.h"
@@ -99,11 +100,17 @@
 
     /// \brief Starts all daemons, which learn of each other within a few seconds.
     void start()
+    {
+        startAll();
+        run(std::chrono::seconds(8));
+    }
+
+    /// \brief Starts all daemons at the same moment.
+    void startAll()
     {
         for (const auto &daemon : m_daemons) {
             daemon->start();
         }
-        run(std::chrono::seconds(8));
     }
 
     /// \brief An operator publishes; the store has acknowledged at once.
@@ -118,22 +125,16 @@
 
     void run(Duration time) { executor.advance(time); }
 
-    /// \brief Nothing reaches or leaves a daemon any more, and its connections stay open.
-    void cut(std::size_t daemon) { m_daemons[daemon]->isCut = true; }
-
-    /// \return the daemon that sees the change first of those that are not cut.
-    std::size_t firstWith(ConfigurationVersion version) const
+    /// \brief Nothing reaches or leaves the daemons of a region that read the store any more, and
+    /// their connections stay open.
+    void cutReaders(std::string_view region)
     {
-        std::size_t first = m_daemons.size();
-        for (std::size_t i = 0; i < m_daemons.size(); ++i) {
-            const auto &daemon = *m_daemons[i];
-            if (!daemon.isCut && daemon.inForceAt(version)
-                && (first == m_daemons.size()
-                    || *daemon.inForceAt(version) < *m_daemons[first]->inForceAt(version))) {
-                first = i;
+        for (const auto &daemon : m_daemons) {
+            if (daemon->self.region == region
+                && isStoreReader(daemon->self.id.name, daemon->membership->members())) {
+                daemon->isCut = true;
             }
         }
-        return first;
     }
 
     /// \return longest time from the acknowledgement of a version until it, or a later one, was in
@@ -154,17 +155,6 @@
         return longest;
     }
 
-    /// \return longest time over all versions; nothing while one is not in force everywhere.
-    std::optional<Duration> slowest() const
-    {
-        std::optional<Duration> longest = Duration();
-        for (const auto &[version, at] : m_published) {
-            const auto time = slowest(version);
-            longest = time && longest ? std::optional(std::max(*time, *longest)) : std::nullopt;
-        }
-        return longest;
-    }
-
     /// \return true when no daemon has gone back to an older version.
     bool neverBack() const
     {
@@ -176,8 +166,6 @@
     /// \return bytes that configurations have taken on the link to the far region.
     std::uint64_t bytesToFar() const { return m_toFar.bytes(); }
 
-    std::size_t size() const { return m_daemons.size(); }
-
     ManualExecutor executor;
     /// While true the store answers nobody.
     bool storeSilent = false;
@@ -198,9 +186,11 @@
     public:
         WorldStore(ConfigurationWorld &world, Daemon &daemon) : m_world(world), m_daemon(daemon) { }
 
-        void newest(std::string_view, std::string_view,
+        void newest(std::string_view, std::string_view, std::size_t maxBytes,
                     std::function<void(NewestRecords)> done) override
         {
+            // A long answer is given up when its header arrives, with a window's bytes under way.
+            constexpr std::size_t WindowBytes = 64 * 1024;
             NewestRecords newest;
             newest.end = m_world.m_records.size();
             if (!m_world.m_records.empty()) {
@@ -208,6 +198,12 @@
                 // The value is in base64.
                 newest.transfer.bytes = m_world.m_records.back().value->size() / 3 * 4;
             }
+            if (newest.transfer.bytes > maxBytes) {
+                NewestRecords tooLong;
+                tooLong.ec = ServiceError::AnswerTooLong;
+                answer(WindowBytes, [done, tooLong] { done(tooLong); });
+                return;
+            }
             answer(newest.transfer.bytes, [done, newest] { done(newest); });
         }
 
@@ -252,11 +248,12 @@
             }
             m_world.executor.cancel(m_timer);
             RecordsRead read;
-            read.records.assign(m_world.m_records.begin() + static_cast<std::ptrdiff_t>(m_from),
-                                m_world.m_records.end());
-            read.next = m_world.m_records.size();
-            for (const StoreRecord &record : read.records) {
-                read.transfer.bytes += record.value->size();
+            constexpr std::size_t ReadBytes = 64 * 1024;
+            read.end = m_world.m_records.size();
+            read.next = m_from;
+            while (read.next < read.end && read.transfer.bytes < ReadBytes) {
+                read.records.push_back(m_world.m_records[read.next++]);
+                read.transfer.bytes += read.records.back().value->size();
             }
             answer(read.transfer.bytes,
                    [reader = std::exchange(m_reader, nullptr), read] { reader(read); });
@@ -308,8 +305,7 @@
             self.endpoint = endpointOf(index);
             self.region = region;
             self.dataCentre = dataCentre;
-            membership = std::make_unique<Membership>(
-                self, std::vector {endpointOf(0), endpointOf(1)}, random);
+            membership = std::make_unique<Membership>(self, std::vector<Endpoint> {}, random);
             kernel.directory().publish(ServiceName::Telemetry, telemetry.address());
             kernel.directory().publish(ServiceName::Membership, membershipMailbox.address());
             kernel.directory().publish(ServiceName::Links, links.address());
@@ -321,7 +317,10 @@
             return {"10.0.0." + std::to_string(index + 1), 7000};
         }
 
-        ConfigurationSettings settings() const { return {&platformControlFormat(), {}, ""}; }
+        ConfigurationSettings settings() const
+        {
+            return {&platformControlFormat(), {}, "", nullptr, self.id.name};
+        }
 
         void start()
         {
@@ -332,6 +331,14 @@
                 ServiceName::exchange(ExchangeSubject::ControlState), ec);
             configuration.send(SubscribeConfiguration {subscriber.address()});
             tick();
+            // Addresses are read from the store soon after the start.
+            world.executor.after(milliseconds(200 + random.below(300)), [this] {
+                std::vector<Endpoint> seeds;
+                for (std::size_t i = 0; i < world.m_daemons.size(); ++i) {
+                    seeds.push_back(endpointOf(i));
+                }
+                membership->learnSeeds(seeds);
+            });
         }
 
         void tick()
@@ -375,9 +382,9 @@
             });
         }
 
-        void carryOut(const PeerAnswered &answer)
+        void carryOut(const PeerReported &report)
         {
-            configuration.send(PeerEvidence {answer.peer, answer.endpoint, answer.version});
+            configuration.send(PeerEvidence {report.peer, report.endpoint, report.version});
         }
 
         void carryOut(const IncarnationConflict &) { }
@@ -385,7 +392,7 @@
         void handle(const MembershipMessage &message)
         {
             if (const auto *known = std::get_if<ConfigurationKnown>(&message)) {
-                membership->setVersion(known->version);
+                perform(membership->versionKnown(known->position, world.executor.now()));
             } else if (const auto *subscribe = std::get_if<SubscribeMembers>(&message)) {
                 membersAddress = subscribe->subscriber;
             }
--- a/test/MembershipSimulation.h
+++ b/test/MembershipSimulation.h
@@ -39,7 +39,7 @@
     bool frozen = false;
     std::deque<std::function<void()>> waiting;
     std::vector<IncarnationConflict> conflicts;
-    std::vector<PeerAnswered> answers;
+    std::vector<PeerReported> answers;
 };
 
 /// \brief A message on its way between two processes.
@@ -143,6 +143,12 @@
         return std::nullopt;
     }
 
+    /// \brief A process learns of a version from elsewhere.
+    void learnVersion(std::size_t index, std::uint64_t version)
+    {
+        perform(index, m_processes[index].membership->versionKnown(version, m_now));
+    }
+
     void freeze(Process &process) { process.frozen = true; }
 
     /// What waits in the sockets of a thawed process is handled before its timers or after them.
@@ -290,7 +296,7 @@
         });
     }
 
-    void carryOut(std::size_t index, const PeerAnswered &answer)
+    void carryOut(std::size_t index, const PeerReported &answer)
     {
         append(m_processes[index].answers, answer);
     }
--- a/test/correctness/ConfigurationLateBehindLink.cpp
+++ b/test/correctness/ConfigurationLateBehindLink.cpp
@@ -53,3 +53,49 @@
     }
     CHECK(world.neverBack());
 }
+
+TEST_CASE("readers of the store that are cut off delay nobody else")
+{
+    for (const bool everywhere : {false, true}) {
+        CAPTURE(everywhere);
+        ConfigurationWorld world(NearDaemons, FarDaemons, LinkBytesPerSecond);
+        world.publish(3, ManyRoutes);
+        world.start();
+        REQUIRE(world.slowest(3));
+        world.cutReaders("far");
+        if (everywhere) {
+            world.cutReaders("near");
+        }
+        world.publish(7, ManyRoutes);
+        world.run(10s);
+        REQUIRE(world.slowest(7));
+        MESSAGE("slowest after " << std::chrono::duration<double>(*world.slowest(7)).count());
+        CHECK(*world.slowest(7) <= ApplyTime);
+    }
+}
+
+TEST_CASE("what a large configuration takes on a link does not grow with the daemons behind it")
+{
+    const auto bytes = [](std::size_t far) {
+        ConfigurationWorld world(NearDaemons, far, LinkBytesPerSecond);
+        world.publish(3, ManyRoutes);
+        world.start();
+        const std::uint64_t before = world.bytesToFar();
+        world.publish(7, ManyRoutes);
+        world.run(10s);
+        REQUIRE(world.slowest(7));
+        return static_cast<double>(world.bytesToFar() - before);
+    };
+    CHECK(bytes(80) <= 1.5 * bytes(20));
+}
+
+TEST_CASE("all daemons that start at once know a large configuration in time")
+{
+    ConfigurationWorld world(NearDaemons, FarDaemons, LinkBytesPerSecond);
+    world.publish(3, ManyRoutes);
+    world.startAll();
+    world.run(10s);
+    REQUIRE(world.slowest(3));
+    MESSAGE("slowest after " << std::chrono::duration<double>(*world.slowest(3)).count());
+    CHECK(*world.slowest(3) <= ApplyTime);
+}
--- a/test/correctness/MembershipVersionTold.cpp
+++ b/test/correctness/MembershipVersionTold.cpp
@@ -24,7 +24,7 @@
     MembershipSimulation simulation(printedSeed("version", 4));
     simulation.startMany(2, oneRegion);
     simulation.run(10s);
-    simulation.processes()[1].membership->setVersion(8);
+    simulation.learnVersion(1, 8);
     simulation.run(100ms);
     simulation.freeze(simulation.processes()[0]);
     simulation.run(20s);
@@ -32,7 +32,7 @@
     simulation.run(5s);
     REQUIRE(!simulation.processes()[0].answers.empty());
     CHECK(simulation.processes()[0].answers.back().version == 8);
-    for (const PeerAnswered &answer : simulation.processes()[0].answers) {
+    for (const PeerReported &answer : simulation.processes()[0].answers) {
         CHECK((answer.version == 0 || answer.version == 8));
     }
 }
@@ -42,8 +42,8 @@
     MembershipSimulation simulation(printedSeed("version", 5));
     simulation.startMany(64, oneRegion);
     simulation.run(15s);
-    constexpr ConfigurationVersion Newest = 8;
-    simulation.processes()[0].membership->setVersion(Newest);
+    constexpr std::uint64_t Newest = 8;
+    simulation.learnVersion(0, Newest);
     std::vector<bool> knows(simulation.processes().size(), false);
     knows[0] = true;
     const TimePoint published = simulation.now();
@@ -51,12 +51,12 @@
            && simulation.now() - published < 3s) {
         simulation.run(50ms);
         for (std::size_t i = 0; i < knows.size(); ++i) {
-            Process &process = simulation.processes()[i];
-            if (!knows[i] && std::ranges::any_of(process.answers, [](const PeerAnswered &answer) {
+            const Process &process = simulation.processes()[i];
+            if (!knows[i] && std::ranges::any_of(process.answers, [](const PeerReported &answer) {
                     return answer.version == Newest;
                 })) {
                 knows[i] = true;
-                process.membership->setVersion(Newest);
+                simulation.learnVersion(i, Newest);
             }
         }
     }
--- /dev/null
+++ b/test/correctness/StateFetchStalls.cpp
@@ -0,0 +1,82 @@
+// Guards against a daemon that waits for one that does not answer although others know the
+// operators' state, and against data centres in which too few or too many daemons read the store.
+#include "decisions/StateFetch.h"
+#include "decisions/StoreReaders.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace Coltsfootwell;
+
+namespace {
+
+std::vector<Member> dataCentres(std::size_t perDataCentre)
+{
+    std::vector<Member> members;
+    for (const char *name : {"a", "b"}) {
+        for (std::size_t i = 0; i < perDataCentre; ++i) {
+            Member member;
+            member.id = {std::string(name) + std::to_string(i), 1};
+            member.dataCentre = name;
+            members.push_back(member);
+        }
+    }
+    return members;
+}
+
+std::vector<std::size_t> readersOf(const std::vector<Member> &members)
+{
+    std::vector<std::size_t> readers;
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        if (isStoreReader(members[i].id.name, members)) {
+            readers.push_back(i);
+        }
+    }
+    return readers;
+}
+
+} // namespace
+
+TEST_CASE("the next daemon is asked when one does not answer, and the store after all")
+{
+    StateFetch fetch;
+    fetch.heard({"10.0.0.1", 1}, 5);
+    fetch.heard({"10.0.0.2", 1}, 6);
+    fetch.heard({"10.0.0.3", 1}, 3);
+    CHECK(fetch.isBehind(4));
+    CHECK(fetch.next(4) == Endpoint {"10.0.0.1", 1});
+    CHECK(fetch.next(4) == Endpoint {"10.0.0.2", 1});
+    CHECK_FALSE(fetch.next(4));
+    fetch.heard({"10.0.0.1", 1}, 7);
+    CHECK(fetch.next(4) == Endpoint {"10.0.0.1", 1});
+    CHECK_FALSE(fetch.isBehind(7));
+}
+
+TEST_CASE("many daemons that know more do not crowd out the newest")
+{
+    StateFetch fetch;
+    for (std::uint16_t port = 1; port <= 20; ++port) {
+        fetch.heard({"10.0.0.1", port}, port);
+    }
+    CHECK(fetch.isBehind(19));
+    CHECK(fetch.next(19) == Endpoint {"10.0.0.1", 20});
+}
+
+TEST_CASE("two daemons of each data centre read the store, and others take over from them")
+{
+    std::vector<Member> members = dataCentres(20);
+    const auto readers = readersOf(members);
+    REQUIRE(readers.size() == 4);
+    CHECK(
+        std::ranges::count_if(readers, [&](std::size_t i) { return members[i].dataCentre == "a"; })
+        == 2);
+    members[readers[0]].state = MemberState::Suspect;
+    members[readers[1]].leaving = true;
+    unsigned others = 0;
+    for (const std::size_t i : readersOf(members)) {
+        others += i != readers[0] && i != readers[1] && members[i].dataCentre == "a" ? 1 : 0;
+    }
+    CHECK(others == 2);
+    CHECK(isStoreReader("stranger", members));
+}
--- a/test/error/ConfigurationFaults.cpp
+++ b/test/error/ConfigurationFaults.cpp
@@ -4,8 +4,11 @@
 #include "support/ConfigurationSamples.h"
 #include "wire/ConfigurationJson.h"
 #include "wire/ConfigurationSchema.h"
+#include "wire/ControlFormat.h"
 #include "wire/ControlSnapshot.h"
+#include "wire/SharedTexts.h"
 
+#include <boost/json.hpp>
 #include <doctest/doctest.h>
 
 using namespace Coltsfootwell;
@@ -114,16 +117,34 @@
     CHECK(found == expected);
 }
 
-TEST_CASE("a snapshot survives encoding, and what is out is told apart")
+TEST_CASE("a state survives encoding, and no part of it is taken for the whole")
 {
     const auto configuration = sampleConfiguration(3, 7);
-    const std::string text = encodeSnapshot({12, {"klang-a"}, configuration});
-    const auto snapshot = decodeSnapshot(text);
-    REQUIRE(snapshot);
-    CHECK(snapshot->position == 12);
-    CHECK(snapshot->out == std::set<std::string> {"klang-a"});
-    CHECK(encodeConfiguration(*snapshot->configuration) == encodeConfiguration(*configuration));
-    for (std::size_t n = 0; n < text.size(); ++n) {
-        CHECK_FALSE(decodeSnapshot(text.substr(0, n)));
+    const std::string text = encodeConfiguration(*configuration);
+    SharedTexts texts;
+    texts.keep(3, OwnConfigurationKey, text);
+    StateAnswer answer;
+    answer.position = 12;
+    answer.out = {"klang-a"};
+    texts.fill(answer, 0);
+    const std::string bytes = encodeStateAnswer(answer);
+    const auto decoded = decodeStateAnswer(bytes);
+    REQUIRE(decoded);
+    CHECK(*decoded == answer);
+    CHECK(decoded->position == 12);
+    CHECK(decoded->out == std::set<std::string> {"klang-a"});
+    CHECK(SharedTexts().restore(*decoded) == text);
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+        CHECK_FALSE(decodeStateAnswer(bytes.substr(0, n)));
     }
 }
+
+TEST_CASE("operators see the state as JSON")
+{
+    const auto configuration = sampleConfiguration(3, 7);
+    const std::string text = encodeSnapshot({12, {"klang-a"}, configuration});
+    const auto document = boost::json::parse(text).as_object();
+    CHECK(document.at("position").to_number<std::uint64_t>() == 12);
+    CHECK(document.at("out").as_array().at(0).as_string() == "klang-a");
+    CHECK(document.at("configuration") == boost::json::parse(encodeConfiguration(*configuration)));
+}
--- a/test/error/StoreStopsAnswering.cpp
+++ b/test/error/StoreStopsAnswering.cpp
@@ -11,7 +11,7 @@
 #include "services/TelemetryMessages.h"
 #include "support/ConfigurationSamples.h"
 #include "wire/ConfigurationJson.h"
-#include "wire/ControlSnapshot.h"
+#include "wire/SharedTexts.h"
 
 #include <doctest/doctest.h>
 
@@ -20,6 +20,19 @@
 
 namespace {
 
+/// \return what another daemon answers that knows a version up to a position.
+std::string peerAnswer(std::uint64_t position, std::set<std::string> out,
+                       ConfigurationVersion version)
+{
+    SharedTexts texts;
+    texts.keep(version, OwnConfigurationKey, encodeConfiguration(*sampleConfiguration(version)));
+    StateAnswer answer;
+    answer.position = position;
+    answer.out = std::move(out);
+    texts.fill(answer, 0);
+    return encodeStateAnswer(answer);
+}
+
 /// A store in memory that answers at once, or not at all.
 class FakeStore final : public StoreClient
 {
@@ -39,7 +52,7 @@
         serveReader();
     }
 
-    void newest(std::string_view, std::string_view,
+    void newest(std::string_view, std::string_view, std::size_t,
                 std::function<void(NewestRecords)> done) override
     {
         ++newestCalls;
@@ -110,6 +123,7 @@
             read.records.assign(records.begin() + static_cast<std::ptrdiff_t>(m_from),
                                 records.end());
             read.next = end();
+            read.end = end();
         } else {
             return;
         }
@@ -129,7 +143,7 @@
         directory.publish(ServiceName::Telemetry, telemetry.address());
         directory.publish(ServiceName::Membership, membership.address());
         directory.publish(ServiceName::Links, links.address());
-        kernel.add(makeConfiguration(kernel, store, {&ownControlFormat(), {}, ""}));
+        kernel.add(makeConfiguration(kernel, store, {&ownControlFormat(), {}, "", nullptr, ""}));
     }
 
     void start()
@@ -260,7 +274,7 @@
     bench.configuration.send(PeerEvidence {{"other", 1}, {"127.0.0.1", 1}, 4});
     bench.executor.advance(300ms);
     REQUIRE(bench.asked.size() == 1);
-    bench.asked[0].reply(encodeSnapshot({4, {"klang-a"}, sampleConfiguration(6)}));
+    bench.asked[0].reply(peerAnswer(4, {"klang-a"}, 6));
     bench.executor.advance(1ms);
     CHECK(bench.version() == 6);
     CHECK_FALSE(bench.inForce->inService("klang-a"));
