Newest records in several pages miss nothing that is published meanwhile

Callers would have met an old configuration without end: when the newest records of the operators' topic come in more than one page and a version is published between two of them, the daemon took the end of the last page as its position and never read that version. Pages are read from the end of the first one on now.

--- a/src/services/TopicReader.cpp
+++ b/src/services/TopicReader.cpp
@@ -34,6 +34,7 @@
     m_callBegan = m_kernel.executor().now();
     m_isRead = false;
     m_pages = {};
+    m_firstPage = true;
     m_maxBytes = maxBytes;
     readPage("");
 }
@@ -89,7 +90,9 @@
     const bool more = page.hasMore && !page.records.empty();
     const std::string last = more ? page.records.back().key : "";
     m_pages.ec = page.ec;
-    m_pages.end = page.end;
+    // Pages are no snapshot: what was appended meanwhile may be missing on the earlier ones.
+    m_pages.end = m_firstPage ? page.end : std::min(m_pages.end, page.end);
+    m_firstPage = false;
     m_pages.transfer.bytes += page.transfer.bytes;
     m_pages.transfer.arrival += page.transfer.arrival;
     std::ranges::move(page.records, std::back_inserter(m_pages.records));
--- a/src/services/TopicReader.h
+++ b/src/services/TopicReader.h
@@ -86,6 +86,7 @@
     State m_state = State::Idle;
     /// Pages read so far.
     NewestRecords m_pages;
+    bool m_firstPage = true;
     std::size_t m_maxBytes = 0;
     TimePoint m_callBegan {};
     /// The call in progress is read(), which may wait for records.
--- a/test/error/StoreStopsAnswering.cpp
+++ b/test/error/StoreStopsAnswering.cpp
@@ -58,6 +58,11 @@
         ++newestCalls;
         NewestRecords newest;
         newest.end = end();
+        if (onPage) {
+            newest = onPage(newestCalls);
+            m_executor.post([done, newest] { done(newest); });
+            return;
+        }
         if (!available) {
             newest.ec = ServiceError::StoreUnavailable;
         } else if (!records.empty()) {
@@ -102,6 +107,8 @@
     std::vector<StoreRecord> records;
     std::uint64_t first = 0;
     unsigned newestCalls = 0;
+    /// Makes the pages of newest records instead of the store; gets the number of the call.
+    std::function<NewestRecords(unsigned)> onPage;
     bool available = true;
     /// True for a connection that has gone silent: reads are never answered.
     bool silent = false;
@@ -265,6 +272,27 @@
     CHECK(bench.version() == 9);
 }
 
+TEST_CASE("a version that is published between two pages of newest records is not missed")
+{
+    // Pages are no snapshot: the end of a later page holds for records that the earlier one lacks.
+    Bench bench;
+    bench.store->publish(3);
+    bench.store->onPage = [&store = *bench.store](unsigned call) {
+        NewestRecords page;
+        page.hasMore = call == 1;
+        if (page.hasMore) {
+            page.records.push_back(store.records.back());
+        } else {
+            store.publish(9);
+        }
+        page.end = store.end();
+        return page;
+    };
+    bench.start();
+    bench.executor.advance(1s);
+    CHECK(bench.version() == 9);
+}
+
 TEST_CASE("another daemon tells the configuration while the store is away")
 {
     Bench bench;
