Answers without end take bounded memory

A head was bounded by 64 KB. A body was bounded by 64 MB for each run, so that a daemon beside such a server could take more memory than its host has, and all calls there would be lost. All answers that arrive from one server take 32 MB together now; beyond that the longest is given up and its call has an unknown outcome (AnswerBudget).

--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -99,6 +99,27 @@
     }
 }
 
+std::uint64_t HttpPool::answerBegins(std::weak_ptr<HttpExchange> exchange)
+{
+    m_arriving[++m_lastAnswer] = std::move(exchange);
+    return m_lastAnswer;
+}
+
+void HttpPool::answerGrows(std::uint64_t answer, std::size_t bytes)
+{
+    if (const auto longest = m_answers.grown(answer, bytes)) {
+        if (const auto exchange = m_arriving[*longest].lock()) {
+            exchange->cancel();
+        }
+    }
+}
+
+void HttpPool::answerEnds(std::uint64_t answer)
+{
+    m_answers.ended(answer);
+    m_arriving.erase(answer);
+}
+
 struct HttpExchange::Task
 {
     HttpExchange &self;
@@ -183,6 +204,26 @@
         }
     }
 
+    /// Reads what follows the header of an answer.
+    asio::awaitable<boost::system::error_code> readBody(
+        http::response_parser<http::string_body> &parser)
+    {
+        HttpConnection &connection = *self.m_connection;
+        const std::uint64_t answer = self.m_pool->answerBegins(self.weak_from_this());
+        boost::system::error_code ec;
+        self.m_receiving = true;
+        self.m_headerRead = self.m_executor.now();
+        while (!ec && !parser.is_done()) {
+            renewDeadline();
+            co_await http::async_read_some(connection.socket, connection.buffer, parser,
+                                           asio::redirect_error(asio::use_awaitable, ec));
+            self.m_pool->answerGrows(answer, parser.get().body().size());
+        }
+        self.m_receiving = false;
+        self.m_pool->answerEnds(answer);
+        co_return ec;
+    }
+
     /// Reads answers until one belongs to this request.
     asio::awaitable<bool> readOwn(http::response<http::string_body> &message, bool &keep)
     {
@@ -196,14 +237,9 @@
             co_await http::async_read_header(connection.socket, connection.buffer, parser,
                                              asio::redirect_error(asio::use_awaitable, ec));
             heard = heard || connection.buffer.size() > 0 || !ec;
-            self.m_receiving = true;
-            self.m_headerRead = self.m_executor.now();
-            while (!ec && !parser.is_done()) {
-                renewDeadline();
-                co_await http::async_read_some(connection.socket, connection.buffer, parser,
-                                               asio::redirect_error(asio::use_awaitable, ec));
+            if (!ec) {
+                ec = co_await readBody(parser);
             }
-            self.m_receiving = false;
             tooLong = ec == http::error::body_limit;
             if (ec) {
                 co_return false;
--- a/src/services/HttpExchange.h
+++ b/src/services/HttpExchange.h
@@ -1,12 +1,14 @@
 // One request to a backend server or to the store over a pooled connection.
 #pragma once
 
+#include "decisions/AnswerBudget.h"
 #include "decisions/Member.h"
 #include "kernel/Executor.h"
 #include "services/CallMessages.h"
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -20,7 +22,9 @@
 struct HttpConnection;
 }
 
-/// \brief Idle connections to one HTTP server.
+class HttpExchange;
+
+/// \brief Idle connections to one HTTP server, and the memory of its answers.
 class HttpPool
 {
 public:
@@ -42,10 +46,24 @@
     /// \brief Closes connections that the server is about to close.
     void expire(TimePoint now);
 
+    /// \brief The body of an answer begins to arrive.
+    /// \return its number.
+    std::uint64_t answerBegins(std::weak_ptr<HttpExchange> exchange);
+
+    /// \brief Closes the connection of the longest answer when all together are too long.
+    /// \param bytes length so far.
+    void answerGrows(std::uint64_t answer, std::size_t bytes);
+
+    /// \brief An answer is whole or lost.
+    void answerEnds(std::uint64_t answer);
+
 private:
     boost::asio::io_context &m_context;
     Endpoint m_endpoint;
     std::deque<std::unique_ptr<Internal::HttpConnection>> m_idle;
+    AnswerBudget m_answers;
+    std::map<std::uint64_t, std::weak_ptr<HttpExchange>> m_arriving;
+    std::uint64_t m_lastAnswer = 0;
 };
 
 /// \brief What is sent, and how long the exchange may last.
@@ -64,7 +82,7 @@
     Duration maxSilence {};
     Duration connectTimeout = std::chrono::milliseconds(250);
     /// Longest body that is read.
-    std::uint64_t maxAnswerBytes = 64ULL << 20;
+    std::uint64_t maxAnswerBytes = AnswerBudget::MaxBytes;
 };
 
 /// \brief How an exchange has ended.
--- a/src/services/StoreClient.h
+++ b/src/services/StoreClient.h
@@ -2,6 +2,7 @@
 // key, and their history.
 #pragma once
 
+#include "decisions/AnswerBudget.h"
 #include "kernel/Time.h"
 
 #include <cstdint>
@@ -97,8 +98,8 @@
     /// \return true while an answer arrives, which may take long over a narrow link.
     virtual bool receiving() const = 0;
 
-    /// Answer of any length.
-    static constexpr std::size_t AnyLength = 64ULL << 20;
+    /// No bound but that of all answers.
+    static constexpr std::size_t AnyLength = AnswerBudget::MaxBytes;
 
     /// \brief Drops all calls in progress; their handlers are not called.
     virtual void stop() = 0;
