What a daemon knows of the operators' state moves out of ConfigurationFollower

No change of behaviour but two log fields: configuration.malformed names the source, configuration.unusable also covers a text that is malformed. KnownState takes records over and hands them on; the follower decides who is asked.

--- a/src/services/ConfigurationFollower.cpp
+++ b/src/services/ConfigurationFollower.cpp
@@ -5,13 +5,14 @@
 #include "services/CallMessages.h"
 #include "services/ConfigurationMessages.h"
 #include "services/ControlMessages.h"
+#include "services/KnownState.h"
 #include "services/MembershipMessages.h"
 #include "services/ServiceError.h"
 #include "services/ServiceNames.h"
 #include "services/TelemetryMessages.h"
 #include "services/TopicReader.h"
 #include "wire/ControlSnapshot.h"
-#include "wire/SharedTexts.h"
+#include "wire/StateExchange.h"
 
 #include <algorithm>
 #include <fstream>
@@ -23,7 +24,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 /// Longest wait of one read. All connections to the store may go silent at the same moment; that of
 /// one of the readers is then noticed within a second or two.
@@ -60,7 +60,8 @@
 public:
     ConfigurationFollower(Kernel &kernel, std::shared_ptr<StoreClient> store,
                           ConfigurationSettings settings)
-        : m_kernel(kernel), m_settings(std::move(settings)), m_state(m_settings.dataCentres),
+        : m_kernel(kernel), m_settings(std::move(settings)),
+          m_state(*m_settings.format, m_settings.dataCentres),
           m_mailbox(kernel.executor(),
                     [this](ConfigurationMessage message) {
                         std::visit([this](auto &&body) { handle(std::move(body)); },
@@ -101,6 +102,7 @@
         if (ec) {
             return ServiceError::MissingService;
         }
+        m_state.start(m_telemetry);
         readFile();
         if (m_reader) {
             m_started = now();
@@ -144,13 +146,13 @@
         m_behindSince.reset();
         m_telemetry.send(
             ObserveTime {"configuration_delay_seconds", std::string(origin.source), waited});
-        m_inForce = filtered(m_state.inForce());
+        m_inForce = filtered(m_state.control().inForce());
         tellPosition();
         if (!m_inForce) {
             return;
         }
         std::string out;
-        for (const std::string &dataCentre : m_state.out()) {
+        for (const std::string &dataCentre : m_state.control().out()) {
             out += (out.empty() ? "" : ",") + dataCentre;
         }
         m_telemetry.send(LogEvent {
@@ -199,7 +201,7 @@
             m_telemetry.send(LogEvent {"configuration.unreadable", "", "file=" + m_settings.file});
             return;
         }
-        if (apply(OwnConfigurationKey, text.str(), "file")) {
+        if (m_state.applyFile(text.str())) {
             publish({"file", {text.str().size(), {}}});
         }
     }
@@ -252,22 +254,7 @@
         m_wantsNewest = false;
         m_anyLength = false;
         m_tooLongFor = 0;
-        std::set<std::string> dataCentresOut;
-        bool changed = false;
-        for (const StoreRecord &record : newest.records) {
-            ControlRecord decoded = m_settings.format->decode(record.key, record.value);
-            if (const auto *out = std::get_if<DataCentreTakenOut>(&decoded)) {
-                if (out->out) {
-                    dataCentresOut.insert(out->dataCentre);
-                }
-            } else {
-                changed = apply(std::move(decoded), record.key, record.value) || changed;
-            }
-        }
-        if (newest.end >= m_state.position()) {
-            changed = m_state.replaceOut(std::move(dataCentresOut)) || changed;
-        }
-        m_state.reached(newest.end);
+        const bool changed = m_state.applyNewest(newest);
         changed ? publish({"store", newest.transfer}) : tellPosition();
         readStore();
     }
@@ -282,16 +269,7 @@
             readStore();
             return;
         }
-        unsigned changes = 0;
-        for (const StoreRecord &record : read.records) {
-            // A state that another daemon has told may already hold the record.
-            if (record.offset >= m_state.position()
-                && apply(m_settings.format->decode(record.key, record.value), record.key,
-                         record.value)) {
-                ++changes;
-            }
-        }
-        m_state.reached(read.next);
+        const unsigned changes = m_state.applyRecords(read);
         if (changes > 0) {
             publish({"store", read.transfer, changes - 1});
         } else {
@@ -316,41 +294,6 @@
         readStore();
     }
 
-    bool apply(std::string_view key, const std::string &text, std::string_view source)
-    {
-        const ControlFormat &format
-            = key == OwnConfigurationKey ? ownControlFormat() : *m_settings.format;
-        return apply(format.decode(key, text), key, text, source);
-    }
-
-    /// \param value text of the record, which is handed on to other daemons.
-    /// \param source named in the log when the record is malformed.
-    bool apply(ControlRecord record, std::string_view key, const std::optional<std::string> &value,
-               std::string_view source = {})
-    {
-        if (auto *published = std::get_if<ConfigurationPublished>(&record)) {
-            const ConfigurationVersion version = published->configuration->version;
-            const bool newer = m_state.published(std::move(published->configuration));
-            if (!newer) {
-                m_telemetry.send(LogEvent {"configuration.outdated", "",
-                                           "version=" + std::to_string(version)
-                                               + " inForce=" + std::to_string(m_state.version())});
-            } else if (value) {
-                m_texts.keep(version, key, *value);
-            }
-            return newer;
-        }
-        if (const auto *out = std::get_if<DataCentreTakenOut>(&record)) {
-            return m_state.tookOut(out->dataCentre, out->out);
-        }
-        if (const auto *malformed = std::get_if<MalformedRecord>(&record)) {
-            m_telemetry.send(LogEvent {"configuration.malformed", "",
-                                       "record=" + std::string(source.empty() ? key : source) + " "
-                                           + faultLine(malformed->fault)});
-        }
-        return false;
-    }
-
     // Other daemons.
 
     void membersChanged(MembersChanged news)
@@ -441,7 +384,7 @@
         AskPeer ask;
         ask.endpoint = endpoint;
         ask.subject = ExchangeSubject::ControlState;
-        ask.bytes = encodeStateQuestion({m_wantsWhole ? 0 : m_texts.newest()});
+        ask.bytes = encodeStateQuestion(m_state.question());
         ask.reply = Reply<std::string>(m_kernel.executor(),
                                        [this](const std::optional<std::string> &bytes) {
                                            if (bytes && !m_stopped) {
@@ -453,12 +396,9 @@
 
     void answerPeer(const PeerAsks &ask)
     {
+        // A question that cannot be read gets the whole text.
         const auto question = decodeStateQuestion(ask.bytes);
-        StateAnswer answer;
-        answer.position = m_state.position();
-        answer.out = m_state.out();
-        m_texts.fill(answer, question ? question->held : 0);
-        ask.reply(encodeStateAnswer(answer));
+        ask.reply(encodeStateAnswer(m_state.answer(question.value_or(StateQuestion {}))));
     }
 
     void learnFromPeer(std::string_view bytes)
@@ -466,31 +406,13 @@
         m_telemetry.send(
             CountEvent {"configuration_bytes_total", "peer", static_cast<double>(bytes.size())});
         const auto answer = decodeStateAnswer(bytes);
-        if (!answer || answer->position <= m_state.position() || answer->version == 0) {
+        const auto learned = answer ? m_state.applyAnswer(*answer) : KnownState::Learned::Nothing;
+        if (learned == KnownState::Learned::Nothing || learned == KnownState::Learned::Unusable) {
             return;
         }
-        bool newer = false;
-        if (answer->version > m_state.version()) {
-            const auto text = m_texts.restore(*answer);
-            if (!text) {
-                m_telemetry.send(LogEvent {"configuration.unusable", "",
-                                           "version=" + std::to_string(answer->version)
-                                               + " base=" + std::to_string(answer->base)});
-                m_wantsWhole = true;
-                return;
-            }
-            newer = apply(answer->key, *text, "peer");
-            if (m_state.version() < answer->version) {
-                return;
-            }
-            m_texts.handOn(*answer);
-            m_wantsWhole = false;
-        }
-        const bool outChanged = m_state.replaceOut(answer->out);
-        m_state.reached(answer->position);
         m_wantsNewest = false;
         m_anyLength = false;
-        if (newer || outChanged) {
+        if (learned == KnownState::Learned::Change) {
             publish({"peer", {bytes.size(), {}}});
         } else {
             tellPosition();
@@ -504,15 +426,15 @@
 
     void show(const ControlRequest &request)
     {
-        ControlSnapshot snapshot {m_state.position(), m_state.out(), m_state.inForce()};
+        ControlSnapshot snapshot {m_state.position(), m_state.control().out(),
+                                  m_state.control().inForce()};
         request.reply(
             ControlAnswer {m_inForce ? 200U : 404U, "application/json", encodeSnapshot(snapshot)});
     }
 
     Kernel &m_kernel;
     ConfigurationSettings m_settings;
-    ControlState m_state;
-    SharedTexts m_texts;
+    KnownState m_state;
     StateFetch m_fetch;
     ConfigurationPtr m_inForce;
     std::vector<Address<ConfigurationChanged>> m_subscribers;
@@ -530,8 +452,6 @@
     TimePoint m_lastReport {};
     /// Since another daemon is known to know more.
     std::optional<TimePoint> m_behindSince;
-    /// An answer that builds on a held text could not be used.
-    bool m_wantsWhole = false;
     /// A look at who knows more is due.
     bool m_fetching = false;
     bool m_stopped = false;
--- a/src/services/ConfigurationFollower.h
+++ b/src/services/ConfigurationFollower.h
@@ -2,7 +2,7 @@
 // while the store is away.
 #pragma once
 
-#include "decisions/ControlState.h"
+#include "decisions/Configuration.h"
 #include "kernel/Kernel.h"
 #include "services/StoreClient.h"
 #include "wire/ControlFormat.h"
--- /dev/null
+++ b/src/services/KnownState.cpp
@@ -0,0 +1,119 @@
+#include "services/KnownState.h"
+
+#include <utility>
+
+namespace Coltsfootwell {
+
+KnownState::KnownState(const ControlFormat &format,
+                       std::map<std::string, std::string, std::less<>> dataCentres)
+    : m_format(format), m_control(std::move(dataCentres))
+{
+}
+
+bool KnownState::applyNewest(const NewestRecords &newest)
+{
+    std::set<std::string> out;
+    bool changed = false;
+    for (const StoreRecord &record : newest.records) {
+        const ControlRecord decoded = m_format.decode(record.key, record.value);
+        if (const auto *dataCentre = std::get_if<DataCentreTakenOut>(&decoded)) {
+            if (dataCentre->out) {
+                out.insert(dataCentre->dataCentre);
+            }
+        } else {
+            changed = apply(record.key, record.value, "store") || changed;
+        }
+    }
+    if (newest.end >= m_control.position()) {
+        changed = m_control.replaceOut(std::move(out)) || changed;
+    }
+    m_control.reached(newest.end);
+    return changed;
+}
+
+unsigned KnownState::applyRecords(const RecordsRead &read)
+{
+    unsigned changes = 0;
+    for (const StoreRecord &record : read.records) {
+        // A state that another daemon has told may already hold the record.
+        if (record.offset >= m_control.position() && apply(record.key, record.value, "store")) {
+            ++changes;
+        }
+    }
+    m_control.reached(read.next);
+    return changes;
+}
+
+bool KnownState::applyFile(const std::string &text)
+{
+    return apply(OwnConfigurationKey, text, "file");
+}
+
+KnownState::Learned KnownState::applyAnswer(const StateAnswer &answer)
+{
+    if (answer.position <= m_control.position() || answer.version == 0) {
+        return Learned::Nothing;
+    }
+    bool newer = false;
+    if (answer.version > m_control.version()) {
+        const auto text = m_texts.restore(answer);
+        newer = text && apply(answer.key, *text, "peer");
+        m_wantsWhole = !newer;
+        if (!newer || m_control.version() < answer.version) {
+            m_telemetry.send(LogEvent {"configuration.unusable", "",
+                                       "version=" + std::to_string(answer.version)
+                                           + " base=" + std::to_string(answer.base)});
+            return Learned::Unusable;
+        }
+        m_texts.handOn(answer);
+    }
+    const bool outChanged = m_control.replaceOut(answer.out);
+    m_control.reached(answer.position);
+    return newer || outChanged ? Learned::Change : Learned::Position;
+}
+
+StateQuestion KnownState::question() const
+{
+    return {m_wantsWhole ? 0 : m_texts.newest()};
+}
+
+StateAnswer KnownState::answer(const StateQuestion &question)
+{
+    StateAnswer answer;
+    answer.position = m_control.position();
+    answer.out = m_control.out();
+    m_texts.fill(answer, question.held);
+    return answer;
+}
+
+/// \param value text of the record, which is handed on to other daemons.
+/// \param source for the log.
+bool KnownState::apply(std::string_view key, const std::optional<std::string> &value,
+                       std::string_view source)
+{
+    const ControlFormat &format = key == OwnConfigurationKey ? ownControlFormat() : m_format;
+    ControlRecord record = format.decode(key, value);
+    if (auto *published = std::get_if<ConfigurationPublished>(&record)) {
+        const ConfigurationVersion version = published->configuration->version;
+        const bool newer = m_control.published(std::move(published->configuration));
+        if (newer) {
+            m_texts.keep(version, key, value.value_or(""));
+        } else {
+            m_telemetry.send(LogEvent {"configuration.outdated", "",
+                                       "version=" + std::to_string(version)
+                                           + " inForce=" + std::to_string(m_control.version())});
+        }
+        return newer;
+    }
+    if (const auto *out = std::get_if<DataCentreTakenOut>(&record)) {
+        return m_control.tookOut(out->dataCentre, out->out);
+    }
+    if (const auto *malformed = std::get_if<MalformedRecord>(&record)) {
+        m_telemetry.send(LogEvent {"configuration.malformed", "",
+                                   "record=" + std::string(key) + " source=" + std::string(source)
+                                       + " " + faultLine(malformed->fault)});
+    }
+    return false;
+}
+
+} // namespace Coltsfootwell
