Shares of a split route hold over many daemons with few calls each

With one call for each daemon between two changes all went to that service (off by 0.4 at weights of 60 and 40), with two half of them (off by 0.1); a daemon gets about two calls a second of such a route on the grown deployment. Sequences begin at a random place now. The new test failed before (off by 0.4, 0.1 and 0.07 for one, two and three calls) and passes now.

--- a/src/decisions/WeightedSplit.cpp
+++ b/src/decisions/WeightedSplit.cpp
@@ -2,13 +2,14 @@
 
 namespace Coltsfootwell {
 
-const std::string &WeightedSplit::next(const Route &route)
+namespace {
+
+/// Calls after which sequences of weights in percent repeat.
+constexpr std::uint64_t SequenceLength = 100;
+
+/// \return index of the next service.
+std::size_t advance(std::vector<double> &credits, const Route &route)
 {
-    if (route.split.empty()) {
-        return route.service;
-    }
-    std::vector<double> &credits = m_credits[route.host + route.prefix];
-    credits.resize(route.split.size(), 0);
     double total = 0;
     std::size_t best = 0;
     for (std::size_t i = 0; i < route.split.size(); ++i) {
@@ -19,7 +20,25 @@
         }
     }
     credits[best] -= total;
-    return route.split[best].service;
+    return best;
+}
+
+} // namespace
+
+const std::string &WeightedSplit::next(const Route &route)
+{
+    if (route.split.empty()) {
+        return route.service;
+    }
+    const auto [it, added] = m_credits.try_emplace(route.host + route.prefix);
+    std::vector<double> &credits = it->second;
+    if (added) {
+        credits.resize(route.split.size(), 0);
+        for (std::uint64_t n = m_random.below(SequenceLength); n > 0; --n) {
+            advance(credits, route);
+        }
+    }
+    return route.split[advance(credits, route)].service;
 }
 
 } // namespace Coltsfootwell
--- a/src/services/Calls.cpp
+++ b/src/services/Calls.cpp
@@ -334,7 +334,7 @@
     Placement m_placement;
     RetryBudget m_budget;
     RepeatedRuns m_repeatedRuns;
-    WeightedSplit m_split;
+    WeightedSplit m_split {m_kernel.random()};
     ConfigurationPtr m_configuration;
     std::unordered_map<std::uint64_t, CallState> m_calls;
     Address<LinksMessage> m_links;
