A daemon that learns addresses after its start asks them at once

Callers of a restarted daemon were refused for longer than needed: it knew no other daemon for up to a second, since it had asked its still empty list of seeds at its first tick and waited a second for the next time. An empty list is not counted as asked now. The new case of MembershipJoin failed before (1 member known 150 ms after the addresses) and passes now. The membership tests share one function for a site of one region.

--- a/src/decisions/Membership.cpp
+++ b/src/decisions/Membership.cpp
@@ -265,7 +265,7 @@
     const auto isLive = [](const Member &member) { return !isDown(member); };
     const bool alone = std::ranges::none_of(others, isLive);
     const Duration period = alone ? Duration(SeedPeriod) : Duration(LostSeedPeriod);
-    if (m_table.self().state == MemberState::Left
+    if (m_seeds.empty() || m_table.self().state == MemberState::Left
         || (m_askedSeeds && now - *m_askedSeeds < period)) {
         return;
     }
--- a/test/MembershipSimulation.h
+++ b/test/MembershipSimulation.h
@@ -327,6 +327,12 @@
     std::uint64_t m_lastSerial = 0;
 };
 
+/// \return region and data centre of every daemon of a small site.
+inline std::pair<std::string, std::string> oneRegion(std::size_t)
+{
+    return {"klang", "klang-a"};
+}
+
 /// \brief Runs until all n daemons know each other and their gossip has ended.
 /// \return false when they do not within a minute.
 inline bool joinAll(MembershipSimulation &simulation, std::size_t n)
--- a/test/correctness/MembershipFalseLoss.cpp
+++ b/test/correctness/MembershipFalseLoss.cpp
@@ -9,11 +9,6 @@
 
 namespace {
 
-std::pair<std::string, std::string> oneRegion(std::size_t)
-{
-    return {"klang", "klang-a"};
-}
-
 std::pair<std::string, std::string> threeRegions(std::size_t index)
 {
     const std::string region = "region-" + std::to_string(index % 3);
--- a/test/correctness/MembershipFrozenDaemon.cpp
+++ b/test/correctness/MembershipFrozenDaemon.cpp
@@ -7,15 +7,6 @@
 using namespace Coltsfootwell::Testing;
 using namespace std::chrono_literals;
 
-namespace {
-
-std::pair<std::string, std::string> oneRegion(std::size_t)
-{
-    return {"klang", "klang-a"};
-}
-
-} // namespace
-
 TEST_CASE("a frozen daemon that thaws refutes and blames nobody")
 {
     MembershipSimulation simulation(printedSeed("thaw", 3));
--- a/test/correctness/MembershipJoin.cpp
+++ b/test/correctness/MembershipJoin.cpp
@@ -7,15 +7,6 @@
 using namespace Coltsfootwell::Testing;
 using namespace std::chrono_literals;
 
-namespace {
-
-std::pair<std::string, std::string> oneRegion(std::size_t)
-{
-    return {"klang", "klang-a"};
-}
-
-} // namespace
-
 TEST_CASE("64 members that start together all know each other soon")
 {
     MembershipSimulation simulation(printedSeed("join", 1));
@@ -30,3 +21,16 @@
         CHECK(process.membership->digest() == simulation.processes()[0].membership->digest());
     }
 }
+
+TEST_CASE("a daemon that learns of others after its start asks them at once")
+{
+    // It knew nobody for a second, since it had asked its empty list of seeds before.
+    MembershipSimulation simulation(printedSeed("late-seeds", 2));
+    simulation.startMany(8, oneRegion);
+    REQUIRE(joinAll(simulation, 8));
+    Process &late = simulation.start("late", "klang", "klang-a", {});
+    simulation.run(300ms);
+    late.membership->learnSeeds(std::vector {MembershipSimulation::endpointOf(3)});
+    simulation.run(150ms);
+    CHECK(late.membership->members().size() > 1);
+}
--- a/test/correctness/MembershipLossUnnoticed.cpp
+++ b/test/correctness/MembershipLossUnnoticed.cpp
@@ -7,15 +7,6 @@
 using namespace Coltsfootwell::Testing;
 using namespace std::chrono_literals;
 
-namespace {
-
-std::pair<std::string, std::string> oneRegion(std::size_t)
-{
-    return {"klang", "klang-a"};
-}
-
-} // namespace
-
 TEST_CASE("a killed daemon becomes unreachable everywhere and is forgotten after 10 min")
 {
     MembershipSimulation simulation(printedSeed("kill", 2));
--- a/test/correctness/MembershipVersionTold.cpp
+++ b/test/correctness/MembershipVersionTold.cpp
@@ -10,15 +10,6 @@
 using namespace Coltsfootwell::Testing;
 using namespace std::chrono_literals;
 
-namespace {
-
-std::pair<std::string, std::string> oneRegion(std::size_t)
-{
-    return {"klang", "klang-a"};
-}
-
-} // namespace
-
 TEST_CASE("answers that waited during a pause tell no version that nobody has")
 {
     MembershipSimulation simulation(printedSeed("version", 4));
