Which call goes to the store is a decision of its own; asking the store after others waits

Daemons that hear of a version before a daemon of their region has it ask across the link, whose queue holds the readers' copies; their answers took over 0.3 s, and each then read the store. Such a daemon asks others again now and reads the store itself only after 1 to 1.5 s, at random.

--- /dev/null
+++ b/src/decisions/StoreSchedule.cpp
@@ -0,0 +1,79 @@
+#include "decisions/StoreSchedule.h"
+
+#include "decisions/StoreReaders.h"
+
+#include <utility>
+
+namespace Coltsfootwell {
+
+StoreSchedule::StoreSchedule(std::string self, std::size_t anyLength)
+    : m_self(std::move(self)), m_anyLength(anyLength)
+{
+}
+
+void StoreSchedule::started(TimePoint now)
+{
+    m_started = now;
+    m_lastHeard = now;
+}
+
+void StoreSchedule::membersChanged(std::shared_ptr<const std::vector<Member>> members)
+{
+    m_members = std::move(members);
+}
+
+bool StoreSchedule::readsStore(TimePoint now) const
+{
+    return !m_members || now - m_lastHeard > IsolationTime || isStoreReader(m_self, *m_members);
+}
+
+StoreCall StoreSchedule::next(std::uint64_t position, bool asksOthers, TimePoint now) const
+{
+    if (!m_wantsNewest) {
+        return readsStore(now) ? StoreCall(ReadOn {}) : StoreCall(NoCall {});
+    }
+    const Duration up = now - m_started;
+    const bool chosen = up >= SettleTime && readsStore(now);
+    const bool needed = position == 0 && !asksOthers && (chosen || up >= Patience);
+    const std::size_t maxBytes = m_wantsLong || needed ? m_anyLength : ShortAnswerBytes;
+    if (position == 0 && maxBytes <= m_tooLongFor) {
+        return NoCall {};
+    }
+    return ReadNewest {maxBytes};
+}
+
+void StoreSchedule::newestTooLong(std::uint64_t position, std::size_t maxBytes)
+{
+    // With a position, what has come since is shorter than everything.
+    m_wantsNewest = position == 0;
+    m_tooLongFor = maxBytes;
+}
+
+void StoreSchedule::stateKnown()
+{
+    m_wantsNewest = false;
+    m_wantsLong = false;
+    m_tooLongFor = 0;
+}
+
+void StoreSchedule::historyLost()
+{
+    m_wantsNewest = true;
+    m_wantsLong = true;
+}
+
+void StoreSchedule::moreToRead(std::size_t records, std::size_t bytes)
+{
+    if (records == 0 || bytes > ShortAnswerBytes) {
+        // The newest records are shorter than all versions up to them.
+        m_wantsNewest = true;
+        m_wantsLong = true;
+    }
+}
+
+void StoreSchedule::callFailed(std::uint64_t position, TimePoint now)
+{
+    m_wantsNewest = m_wantsNewest || position == 0 || readsStore(now);
+}
+
+} // namespace Coltsfootwell
--- /dev/null
+++ b/src/decisions/StoreSchedule.h
@@ -0,0 +1,113 @@
+// Which call a daemon makes to the store to learn the operators' state.
+//
+// Answers the load pattern of a long state behind a link that many daemons share, most of all when
+// they start together: short answers are read by everyone, since they cost little and come at once;
+// long ones only by the readers of each data centre, and by a daemon that nobody else tells.
+#pragma once
+
+#include "decisions/Member.h"
+#include "kernel/Time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Coltsfootwell {
+
+/// \brief Read the newest record of each key.
+struct ReadNewest
+{
+    /// Longest answer that is wanted.
+    std::size_t maxBytes = 0;
+
+    bool operator==(const ReadNewest &) const = default;
+};
+
+/// \brief Wait for what follows the known position.
+struct ReadOn
+{
+    bool operator==(const ReadOn &) const = default;
+};
+
+/// \brief Make no call now.
+struct NoCall
+{
+    bool operator==(const NoCall &) const = default;
+};
+
+using StoreCall = std::variant<NoCall, ReadNewest, ReadOn>;
+
+/// \brief Schedule of one daemon.
+class StoreSchedule
+{
+public:
+    /// A longer answer is left to the readers.
+    static constexpr std::size_t ShortAnswerBytes = 64 * 1024;
+    /// Daemons that have started know each other after this time, and with that who the readers
+    /// are.
+    static constexpr std::chrono::milliseconds SettleTime {1'000};
+    /// A daemon that knows no configuration reads one of any length after this time.
+    static constexpr std::chrono::milliseconds Patience {2'500};
+    /// A daemon that hears nothing of others for this time reads the store itself.
+    static constexpr std::chrono::milliseconds IsolationTime {1'000};
+
+    /// \param self name of the daemon.
+    /// \param anyLength size that stands for answers of any length.
+    StoreSchedule(std::string self, std::size_t anyLength);
+
+    /// \brief The daemon begins.
+    void started(TimePoint now);
+
+    /// \brief Other daemons came, went or changed.
+    void membersChanged(std::shared_ptr<const std::vector<Member>> members);
+
+    /// \brief Another daemon has told how much it knows.
+    void heardOfOthers(TimePoint now) { m_lastHeard = now; }
+
+    /// \return true when this daemon follows the store, and not only other daemons.
+    bool readsStore(TimePoint now) const;
+
+    /// \param position what is known.
+    /// \param asksOthers true while another daemon is asked for something newer.
+    /// \return the call to make when none is in progress.
+    StoreCall next(std::uint64_t position, bool asksOthers, TimePoint now) const;
+
+    /// \brief The newest records are longer than wanted.
+    /// \param maxBytes what was wanted.
+    void newestTooLong(std::uint64_t position, std::size_t maxBytes);
+
+    /// \brief The state is known up to a position, from the store or from another daemon.
+    void stateKnown();
+
+    /// \brief The store no longer holds what follows the position.
+    void historyLost();
+
+    /// \brief Records were read, and there are more behind them.
+    /// \param records number of records in the answer.
+    /// \param bytes length of the answer.
+    void moreToRead(std::size_t records, std::size_t bytes);
+
+    /// \brief A call has failed.
+    void callFailed(std::uint64_t position, TimePoint now);
+
+    /// \brief A call in progress was given up, since others know more.
+    void callSilent() { m_wantsNewest = true; }
+
+private:
+    std::string m_self;
+    std::size_t m_anyLength;
+    std::shared_ptr<const std::vector<Member>> m_members;
+    TimePoint m_started {};
+    TimePoint m_lastHeard {};
+    /// The newest records are to be read before what follows them.
+    bool m_wantsNewest = true;
+    /// They are wanted whatever their length.
+    bool m_wantsLong = false;
+    /// The first newest records are longer than this; 0 when that is not known.
+    std::size_t m_tooLongFor = 0;
+};
+
+} // namespace Coltsfootwell
--- a/src/services/ConfigurationFollower.cpp
+++ b/src/services/ConfigurationFollower.cpp
@@ -1,7 +1,7 @@
 #include "services/ConfigurationFollower.h"
 
 #include "decisions/StateFetch.h"
-#include "decisions/StoreReaders.h"
+#include "decisions/StoreSchedule.h"
 #include "services/CallMessages.h"
 #include "services/ConfigurationMessages.h"
 #include "services/ControlMessages.h"
@@ -35,17 +35,11 @@
 constexpr milliseconds SilenceTime {500};
 /// Until the next daemon is asked.
 constexpr milliseconds AnswerTime {300};
+/// A daemon that only hears of something newer reads the store after this time and up to half of it
+/// more, so that many do not read it at the same moment.
+constexpr milliseconds FallbackTime {1'000};
 /// Between questions to other daemons while nothing is known.
 constexpr milliseconds CheckPeriod {300};
-/// A longer answer of the store is left to the readers.
-constexpr std::size_t ShortAnswerBytes = 64 * 1024;
-/// Daemons that have started know each other after this time, and with that who reads the store.
-constexpr milliseconds SettleTime {700};
-/// A daemon that knows no configuration reads one of any length after this time.
-constexpr milliseconds Patience {2'000};
-/// A daemon that hears nothing of others for this time reads the store itself.
-constexpr milliseconds IsolationTime {1'000};
-
 /// \brief Where a state came from, for the log.
 struct StateOrigin
 {
@@ -62,6 +56,7 @@
                           ConfigurationSettings settings)
         : m_kernel(kernel), m_settings(std::move(settings)),
           m_state(*m_settings.format, m_settings.dataCentres),
+          m_schedule(m_settings.self, StoreClient::AnyLength),
           m_mailbox(kernel.executor(),
                     [this](ConfigurationMessage message) {
                         std::visit([this](auto &&body) { handle(std::move(body)); },
@@ -105,8 +100,7 @@
         m_state.start(m_telemetry);
         readFile();
         if (m_reader) {
-            m_started = now();
-            m_lastReport = now();
+            m_schedule.started(now());
             m_reader->start(m_telemetry);
             readStore();
             check();
@@ -208,98 +202,71 @@
 
     // The store.
 
-    /// \return true when this daemon follows the store, and not only other daemons.
-    bool readsStore() const
-    {
-        return !m_members || now() - m_lastReport > IsolationTime
-            || isStoreReader(m_settings.self, *m_members);
-    }
-
     /// Begins the next call to the store, if there is to be one.
     void readStore()
     {
         if (m_stopped || !m_reader || m_reader->isBusy()) {
             return;
         }
-        if (m_wantsNewest) {
-            const std::size_t limit = newestLimit();
-            if (m_state.position() > 0 || limit > m_tooLongFor) {
-                m_reader->readNewest(limit);
-            }
-        } else if (readsStore()) {
+        const StoreCall call = m_schedule.next(m_state.position(), m_fetching, now());
+        if (const auto *newest = std::get_if<ReadNewest>(&call)) {
+            m_newestLimit = newest->maxBytes;
+            m_reader->readNewest(m_newestLimit);
+        } else if (std::holds_alternative<ReadOn>(call)) {
             m_reader->read(m_state.position(), ReadWait);
         }
     }
 
-    /// \return longest answer with newest records that this daemon reads now.
-    std::size_t newestLimit() const
-    {
-        const Duration up = now() - m_started;
-        const bool chosen = up >= SettleTime && readsStore();
-        const bool needed = m_state.position() == 0 && !m_fetching && (chosen || up >= Patience);
-        return m_anyLength || needed ? StoreClient::AnyLength : ShortAnswerBytes;
-    }
-
     void newestRead(const NewestRecords &newest)
     {
         if (newest.ec == ServiceError::AnswerTooLong) {
-            m_telemetry.send(LogEvent {"configuration.long", "",
-                                       "position=" + std::to_string(m_state.position())});
-            // What has come since is shorter than everything.
-            m_wantsNewest = m_state.position() == 0;
-            m_tooLongFor = newestLimit();
-            readStore();
-            return;
+            tell("configuration.long");
+            m_schedule.newestTooLong(m_state.position(), m_newestLimit);
+        } else {
+            m_schedule.stateKnown();
+            m_state.applyNewest(newest) ? publish({"store", newest.transfer}) : tellPosition();
         }
-        m_wantsNewest = false;
-        m_anyLength = false;
-        m_tooLongFor = 0;
-        const bool changed = m_state.applyNewest(newest);
-        changed ? publish({"store", newest.transfer}) : tellPosition();
         readStore();
     }
 
     void recordsRead(const RecordsRead &read)
     {
         if (read.ec == ServiceError::HistoryLost) {
-            m_telemetry.send(LogEvent {"store.historyLost", "",
-                                       "position=" + std::to_string(m_state.position())});
-            m_wantsNewest = true;
-            m_anyLength = true;
+            tell("store.historyLost");
+            m_schedule.historyLost();
             readStore();
             return;
         }
-        const unsigned changes = m_state.applyRecords(read);
-        if (changes > 0) {
+        if (const unsigned changes = m_state.applyRecords(read); changes > 0) {
             publish({"store", read.transfer, changes - 1});
         } else {
             tellPosition();
         }
-        if (read.end > m_state.position() && isLong(read)) {
-            // The newest records are shorter than all versions up to them.
-            m_wantsNewest = true;
-            m_anyLength = true;
+        if (read.end > m_state.position()) {
+            m_schedule.moreToRead(read.records.size(), read.transfer.bytes);
         }
         readStore();
     }
 
-    static bool isLong(const RecordsRead &read)
+    void readFailed()
     {
-        return read.records.empty() || read.transfer.bytes > ShortAnswerBytes;
+        m_schedule.callFailed(m_state.position(), now());
+        readStore();
     }
 
-    void readFailed()
+    /// Logs an event with the position that is known.
+    void tell(std::string_view event)
     {
-        m_wantsNewest = m_wantsNewest || m_state.position() == 0 || readsStore();
-        readStore();
+        m_telemetry.send(LogEvent {event, "", "position=" + std::to_string(m_state.position())});
     }
 
     // Other daemons.
 
     void membersChanged(MembersChanged news)
     {
-        m_members = std::move(news.members);
-        if (m_reader && !readsStore() && m_reader->isWaiting()) {
+        m_members = news.members;
+        m_schedule.membersChanged(std::move(news.members));
+        if (m_reader && !m_schedule.readsStore(now()) && m_reader->isWaiting()) {
             // Others read the store for this daemon.
             m_reader->drop();
         }
@@ -308,17 +275,19 @@
 
     void handle(const PeerEvidence &evidence)
     {
-        m_lastReport = now();
+        m_schedule.heardOfOthers(now());
         if (evidence.position <= m_state.position()) {
             return;
         }
         if (!m_behindSince) {
             m_behindSince = now();
+            m_fallbackAfter
+                = FallbackTime + milliseconds(m_kernel.random().below(FallbackTime.count() / 2));
         }
         m_fetch.heard(evidence.endpoint, evidence.position);
         if (!std::exchange(m_fetching, true)) {
             // The store usually tells the same a moment later.
-            fetchAfter(m_reader && readsStore() ? Duration(PeerLead) : Duration());
+            fetchAfter(m_reader && m_schedule.readsStore(now()) ? Duration(PeerLead) : Duration());
         }
     }
 
@@ -345,16 +314,15 @@
         if (endpoint) {
             askPeer(*endpoint);
         }
-        if (m_reader && readsStore() && m_reader->callAge() >= SilenceTime) {
+        if (m_reader && m_schedule.readsStore(now()) && m_reader->callAge() >= SilenceTime) {
             // The read that should have told has gone silent.
-            m_telemetry.send(
-                LogEvent {"store.silent", "", "position=" + std::to_string(m_state.position())});
+            tell("store.silent");
             m_reader->drop();
-            m_wantsNewest = true;
+            m_schedule.callSilent();
             readStore();
-        } else if (m_reader && !endpoint && !m_reader->isBusy()) {
-            m_telemetry.send(LogEvent {"configuration.unanswered", "",
-                                       "position=" + std::to_string(m_state.position())});
+        } else if (m_reader && !endpoint && !m_reader->isBusy()
+                   && now() - m_behindSince.value_or(now()) >= m_fallbackAfter) {
+            tell("configuration.unanswered");
             m_reader->read(m_state.position(), milliseconds(0));
         }
         fetchAfter(AnswerTime);
@@ -410,8 +378,7 @@
         if (learned == KnownState::Learned::Nothing || learned == KnownState::Learned::Unusable) {
             return;
         }
-        m_wantsNewest = false;
-        m_anyLength = false;
+        m_schedule.stateKnown();
         if (learned == KnownState::Learned::Change) {
             publish({"peer", {bytes.size(), {}}});
         } else {
@@ -435,23 +402,19 @@
     Kernel &m_kernel;
     ConfigurationSettings m_settings;
     KnownState m_state;
+    StoreSchedule m_schedule;
     StateFetch m_fetch;
     ConfigurationPtr m_inForce;
     std::vector<Address<ConfigurationChanged>> m_subscribers;
     std::shared_ptr<const std::vector<Member>> m_members;
     /// Null for a site without a store.
     std::unique_ptr<TopicReader> m_reader;
-    /// The newest records are to be read before what follows them.
-    bool m_wantsNewest = true;
-    /// The newest records are wanted whatever their length.
-    bool m_anyLength = false;
-    /// The first newest records are longer than this; 0 when that is not known.
-    std::size_t m_tooLongFor = 0;
-    TimePoint m_started {};
-    /// Last word from another daemon.
-    TimePoint m_lastReport {};
+    /// Length that was wanted of the newest records that were asked for last.
+    std::size_t m_newestLimit = 0;
     /// Since another daemon is known to know more.
     std::optional<TimePoint> m_behindSince;
+    /// Time after which this daemon then reads the store itself.
+    Duration m_fallbackAfter {};
     /// A look at who knows more is due.
     bool m_fetching = false;
     bool m_stopped = false;
--- a/src/wire/LinkCodec.cpp
+++ b/src/wire/LinkCodec.cpp
@@ -1,5 +1,6 @@
 #include "wire/LinkCodec.h"
 
+#include "wire/ProtobufMessage.h"
 #include "wire/WireError.h"
 #include "wire/generated/link.pb.h"
 
@@ -278,7 +279,7 @@
     ec.clear();
     LinkFrame frame;
     Wire::Frame wire;
-    if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    if (!Internal::parseMessage(bytes, wire)) {
         ec = WireError::BadFrame;
         return frame;
     }
--- a/src/wire/MembershipCodec.cpp
+++ b/src/wire/MembershipCodec.cpp
@@ -1,5 +1,6 @@
 #include "wire/MembershipCodec.h"
 
+#include "wire/ProtobufMessage.h"
 #include "wire/WireError.h"
 #include "wire/generated/membership.pb.h"
 
@@ -191,12 +192,6 @@
     return records;
 }
 
-bool parse(std::string_view bytes, google::protobuf::MessageLite &message)
-{
-    return bytes.size() <= static_cast<std::size_t>(std::numeric_limits<int>::max())
-        && message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
-}
-
 } // namespace
 
 std::string encodeDatagram(const Datagram &datagram)
@@ -218,8 +213,8 @@
     ec.clear();
     Datagram datagram;
     Wire::Datagram wire;
-    if (bytes.size() > Datagram::MaxBytes || !parse(bytes, wire) || !wire.has_from()
-        || wire.from().brief()) {
+    if (bytes.size() > Datagram::MaxBytes || !Internal::parseMessage(bytes, wire)
+        || !wire.has_from() || wire.from().brief()) {
         ec = WireError::BadFrame;
         return datagram;
     }
@@ -252,7 +247,7 @@
     ec.clear();
     SyncRequest request;
     Wire::SyncRequest wire;
-    if (!parse(bytes, wire) || !wire.has_from() || wire.from().brief()) {
+    if (!Internal::parseMessage(bytes, wire) || !wire.has_from() || wire.from().brief()) {
         ec = WireError::BadFrame;
         return request;
     }
@@ -281,7 +276,7 @@
 {
     ec.clear();
     Wire::SyncAnswer wire;
-    if (!parse(bytes, wire)) {
+    if (!Internal::parseMessage(bytes, wire)) {
         ec = WireError::BadFrame;
         return {};
     }
--- a/src/wire/StateExchange.cpp
+++ b/src/wire/StateExchange.cpp
@@ -1,19 +1,10 @@
 #include "wire/StateExchange.h"
 
+#include "wire/ProtobufMessage.h"
 #include "wire/generated/state.pb.h"
 
 namespace Coltsfootwell {
 
-namespace {
-
-template <typename Message>
-bool parse(std::string_view bytes, Message &message)
-{
-    return message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
-}
-
-} // namespace
-
 std::string encodeStateQuestion(const StateQuestion &question)
 {
     Wire::StateQuestion wire;
@@ -24,7 +15,8 @@
 std::optional<StateQuestion> decodeStateQuestion(std::string_view bytes)
 {
     Wire::StateQuestion wire;
-    return parse(bytes, wire) ? std::optional(StateQuestion {wire.held()}) : std::nullopt;
+    return Internal::parseMessage(bytes, wire) ? std::optional(StateQuestion {wire.held()})
+                                               : std::nullopt;
 }
 
 std::string encodeStateAnswer(const StateAnswer &answer)
@@ -44,7 +36,7 @@
 std::optional<StateAnswer> decodeStateAnswer(std::string_view bytes)
 {
     Wire::StateAnswer wire;
-    if (!parse(bytes, wire) || wire.position() == 0) {
+    if (!Internal::parseMessage(bytes, wire) || wire.position() == 0) {
         return std::nullopt;
     }
     return StateAnswer {wire.position(), {wire.out().begin(), wire.out().end()},
