--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -1,6 +1,6 @@
 #include "services/HttpExchange.h"
 
-#include "services/HttpIo.h"
+#include "services/HttpConnection.h"
 #include "wire/TextNumber.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -9,38 +9,17 @@
 
 namespace Coltsfootwell {
 
+using namespace Internal;
+
 namespace {
 
 using std::chrono::seconds;
 
-/// Idle time after which a server that does not say otherwise may have closed a connection.
-constexpr Duration AssumedIdleLimit = seconds(8);
-/// A connection is not used in the last part of its idle time.
-constexpr Duration IdleMargin = seconds(1);
 constexpr std::uint32_t MaxAnswerHeaderBytes = 64 * 1024;
 /// Answers to other requests that are passed over on one connection.
 constexpr unsigned MaxForeignAnswers = 4;
 constexpr unsigned FirstSuccess = 200;
 
-} // namespace
-
-namespace Internal {
-
-struct HttpConnection
-{
-    explicit HttpConnection(asio::io_context &context) : socket(context) { }
-
-    tcp::socket socket;
-    beast::flat_buffer buffer;
-    TimePoint lastUsed {};
-    Duration idleLimit = AssumedIdleLimit;
-    bool connected = false;
-    /// True while a request is being written; the connection must not be used again before.
-    bool writing = false;
-};
-
-namespace {
-
 /// \return the time that the server keeps an idle connection, as its answer says.
 Duration idleLimitOf(const http::fields &fields)
 {
@@ -58,68 +37,6 @@
 
 } // namespace
 
-} // namespace Internal
-
-using namespace Internal;
-
-HttpPool::HttpPool(asio::io_context &context, Endpoint endpoint)
-    : m_context(context), m_endpoint(std::move(endpoint))
-{
-}
-
-HttpPool::~HttpPool() = default;
-
-std::unique_ptr<HttpConnection> HttpPool::take(Duration maxIdle, TimePoint now)
-{
-    while (!m_idle.empty() && now - m_idle.back()->lastUsed <= maxIdle) {
-        std::unique_ptr<HttpConnection> connection = std::move(m_idle.back());
-        m_idle.pop_back();
-        if (now - connection->lastUsed < connection->idleLimit - IdleMargin
-            && connection->buffer.size() == 0 && isQuiet(connection->socket)) {
-            return connection;
-        }
-    }
-    return std::make_unique<HttpConnection>(m_context);
-}
-
-void HttpPool::give(std::unique_ptr<HttpConnection> connection, TimePoint now)
-{
-    connection->lastUsed = now;
-    m_idle.push_back(std::move(connection));
-    if (m_idle.size() > MaxIdle) {
-        m_idle.pop_front();
-    }
-}
-
-void HttpPool::expire(TimePoint now)
-{
-    while (!m_idle.empty()
-           && now - m_idle.front()->lastUsed >= m_idle.front()->idleLimit - IdleMargin) {
-        m_idle.pop_front();
-    }
-}
-
-std::uint64_t HttpPool::answerBegins(std::weak_ptr<HttpExchange> exchange)
-{
-    m_arriving[++m_lastAnswer] = std::move(exchange);
-    return m_lastAnswer;
-}
-
-void HttpPool::answerGrows(std::uint64_t answer, std::size_t bytes)
-{
-    if (const auto longest = m_answers.grown(answer, bytes)) {
-        if (const auto exchange = m_arriving[*longest].lock()) {
-            exchange->cancel();
-        }
-    }
-}
-
-void HttpPool::answerEnds(std::uint64_t answer)
-{
-    m_answers.ended(answer);
-    m_arriving.erase(answer);
-}
-
 struct HttpExchange::Task
 {
     HttpExchange &self;
--- a/test/error/EndlessAnswer.cpp
+++ b/test/error/EndlessAnswer.cpp
@@ -148,10 +148,10 @@
         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
          "400\r\n" + std::string(1024, 'b') + "\r\n"},
         {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "body "}};
-    for (const auto &[head, repeated] : answers) {
-        CAPTURE(head);
+    for (const auto &answer : answers) {
+        CAPTURE(answer.first);
         boost::asio::io_context context;
-        TroubledServer server(context, head, repeated);
+        TroubledServer server(context, answer.first, answer.second);
         const std::vector<std::string> targets {"/1", "/2", "/3", "/whole", "/4", "/5", "/6"};
         const auto runs = runAll(context, server.endpoint(), targets, 20s);
         for (std::size_t i = 0; i < targets.size(); ++i) {
