Soak publishes large configurations and demands the newest one at the end; pages of the incident

Every other version that the soak publishes has 1,500 routes more, so that it is handed on between daemons, and once all faults are mended each daemon must have the newest accepted version in force within 3 s.

--- a/test/fault/soak.py
+++ b/test/fault/soak.py
@@ -41,6 +41,10 @@
 # A configuration in force is only demanded while nothing has struck for as long as this.
 CALM_S = 4.0
 CI_SEEDS = (1, 2)
+# Routes that every other version has besides.
+MORE_ROUTES = 1_500
+# A daemon that was mended last has the newest version in force after this time.
+NEWEST_S = 3.0
 # Seeds that failed once, each with its cause.
 REGRESSIONS = {}
 
@@ -158,6 +162,11 @@
         with self.lock:
             self.version += self.random.randint(1, 5)
             document = dict(self.fleet.configuration, version=self.version)
+            if self.version % 2:
+                # Long enough that only some daemons read it from the store.
+                document["routes"] = document["routes"] + [
+                    {"prefix": f"/more-{n}", "service": SERVICES[0], "idempotentMethods": ["GET"]}
+                    for n in range(MORE_ROUTES)]
             path = self.fleet.directory / f"version-{self.version}.json"
         path.write_text(json.dumps(document))
         code = self.operate("publish", path)
@@ -232,11 +241,12 @@
         for thread in crowd + storms:
             thread.join()
         healed = self.heal()
+        behind = self.behind()
         # Work of calls that were given up may still begin for a moment.
         time.sleep(0.5)
         samples = sampler.stop()
         calls = [record for caller in crowd for record in caller.records]
-        return self.judge(calls, self.fleet.runs(), expected, samples, healed), calls
+        return self.judge(calls, self.fleet.runs(), expected, samples, healed, behind), calls
 
     def heal(self):
         """Mends all; returns whether all services are served again by every daemon."""
@@ -252,13 +262,26 @@
             time.sleep(0.2)
         return False
 
-    def judge(self, calls, runs, expected, samples, healed):
+    def behind(self):
+        """Returns what daemons lack of the versions that were accepted, all faults being mended."""
+        newest = max((version for _, version in self.fleet.accepted), default=0)
+        end = time.monotonic() + NEWEST_S
+        while True:
+            held = {daemon: version for _, daemon, _, version in self.fleet.versions()}
+            faults = [f"{daemon.name} has version {held.get(daemon.name)} in force, accepted was {newest}"
+                      for daemon in self.daemons() if held.get(daemon.name, 0) < newest]
+            if not faults or time.monotonic() > end:
+                return faults
+            time.sleep(0.1)
+
+    def judge(self, calls, runs, expected, samples, healed, behind):
         home_daemons = {d.name for d in self.daemons() if d.region == HOME}
         violations = {
             "whole answers": checkers.whole_answers(calls, runs, expected),
             "not run is true": checkers.not_run_is_true(calls, runs),
             "at most once": checkers.at_most_once(calls, runs),
             "versions never revert": checkers.versions_in_force(samples, []),
+            "the newest version is in force": behind,
             "home regions": checkers.stays_at_home("home-", home_daemons, runs, {}),
             "out of service": self.out_of_service(runs),
             "planned stop": self.planned_stops(calls),
