Time behind others ends when a daemon has caught up without a new version

Found by reading the change: a daemon that learned a later position without another version kept the time since which it was behind, so that the next time it read the store at once instead of asking others for a second, and told a far too long delay in its log.

--- a/src/services/ConfigurationFollower.cpp
+++ b/src/services/ConfigurationFollower.cpp
@@ -40,6 +40,7 @@
 constexpr milliseconds FallbackTime {1'000};
 /// Between questions to other daemons while nothing is known.
 constexpr milliseconds CheckPeriod {300};
+
 /// \brief Where a state came from, for the log.
 struct StateOrigin
 {
@@ -137,7 +138,6 @@
     void publish(const StateOrigin &origin)
     {
         const Duration waited = m_behindSince ? now() - *m_behindSince : origin.transfer.arrival;
-        m_behindSince.reset();
         m_telemetry.send(
             ObserveTime {"configuration_delay_seconds", std::string(origin.source), waited});
         m_inForce = filtered(m_state.control().inForce());
@@ -179,7 +179,13 @@
         return changed;
     }
 
-    void tellPosition() { m_membership.send(ConfigurationKnown {m_state.position()}); }
+    void tellPosition()
+    {
+        if (!m_fetch.isBehind(m_state.position())) {
+            m_behindSince.reset();
+        }
+        m_membership.send(ConfigurationKnown {m_state.position()});
+    }
 
     // The file.
 
--- a/test/error/StoreStopsAnswering.cpp
+++ b/test/error/StoreStopsAnswering.cpp
@@ -1,5 +1,6 @@
 // Guards against a daemon that loses the configuration when the store goes away, goes back when it
 // returns, or misses what was published while it had forgotten its history.
+#include "decisions/StoreReaders.h"
 #include "kernel/Kernel.h"
 #include "kernel/ManualExecutor.h"
 #include "services/CallMessages.h"
@@ -15,6 +16,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace Coltsfootwell;
 using namespace std::chrono_literals;
 
@@ -74,6 +77,7 @@
     void read(std::string_view, std::uint64_t from, std::chrono::milliseconds,
               std::function<void(RecordsRead)> done) override
     {
+        ++reads;
         m_from = from;
         m_reader = std::move(done);
         serveReader();
@@ -107,6 +111,7 @@
     std::vector<StoreRecord> records;
     std::uint64_t first = 0;
     unsigned newestCalls = 0;
+    unsigned reads = 0;
     /// Makes the pages of newest records instead of the store; gets the number of the call.
     std::function<NewestRecords(unsigned)> onPage;
     bool available = true;
@@ -144,13 +149,14 @@
 
 struct Bench
 {
-    Bench()
+    /// \param self name among the members; empty for a daemon that is on its own.
+    explicit Bench(const std::string &self = "")
     {
         Directory &directory = kernel.directory();
         directory.publish(ServiceName::Telemetry, telemetry.address());
         directory.publish(ServiceName::Membership, membership.address());
         directory.publish(ServiceName::Links, links.address());
-        kernel.add(makeConfiguration(kernel, store, {&ownControlFormat(), {}, "", nullptr, ""}));
+        kernel.add(makeConfiguration(kernel, store, {&ownControlFormat(), {}, "", nullptr, self}));
     }
 
     void start()
@@ -175,7 +181,15 @@
     Mailbox<ConfigurationChanged> subscriber {
         executor, [this](ConfigurationChanged news) { inForce = news.configuration; }};
     Mailbox<TelemetryMessage> telemetry {executor, [](const TelemetryMessage &) {}};
-    Mailbox<MembershipMessage> membership {executor, [](const MembershipMessage &) {}};
+    std::vector<Member> members;
+    Mailbox<MembershipMessage> membership {
+        executor, [this](const MembershipMessage &message) {
+            if (const auto *subscribe = std::get_if<SubscribeMembers>(&message);
+                subscribe && !members.empty()) {
+                subscribe->subscriber.send(
+                    MembersChanged {std::make_shared<const std::vector<Member>>(members)});
+            }
+        }};
     Mailbox<LinksMessage> links {executor, [this](LinksMessage message) {
                                      if (auto *ask = std::get_if<AskPeer>(&message)) {
                                          asked.push_back(std::move(*ask));
@@ -309,6 +323,39 @@
     CHECK(bench.inForce->inService("penang-a"));
 }
 
+TEST_CASE("a daemon that others tell asks them for a while before it reads the store")
+{
+    std::vector<Member> members(3);
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        members[i].id = {"daemon-" + std::to_string(i), 1};
+    }
+    const auto told = std::ranges::find_if(members, [&members](const Member &member) {
+        return !isStoreReader(member.id.name, members);
+    });
+    Bench bench(told->id.name);
+    bench.members = members;
+    bench.store->publish(3);
+    bench.start();
+    const auto hear = [&bench](std::uint64_t position, Duration time) {
+        const TimePoint end = bench.executor.now() + time;
+        while (bench.executor.now() < end) {
+            bench.configuration.send(PeerEvidence {{"other", 1}, {"127.0.0.1", 1}, position});
+            bench.executor.advance(100ms);
+        }
+    };
+    hear(2, 100ms);
+    REQUIRE(bench.asked.size() == 1);
+    // The other daemon knows more, but no other version.
+    bench.asked[0].reply(peerAnswer(2, {}, 3));
+    hear(2, 10s);
+    const unsigned reads = bench.store->reads;
+    hear(3, 800ms);
+    CHECK(bench.asked.size() > 1);
+    CHECK(bench.store->reads == reads);
+    hear(3, 1200ms);
+    CHECK(bench.store->reads > reads);
+}
+
 TEST_CASE("a malformed record is passed over and the last good version holds")
 {
     Bench bench;
