A change of members does not cancel the read of a daemon that nobody tells

Found by reading the change: a daemon that reads the store once, since nobody has answered, dropped that read at the next change of the member list, of which there are many just then. Only the open-ended read of a daemon that is no reader any more is dropped now.

--- a/src/services/TopicReader.cpp
+++ b/src/services/TopicReader.cpp
@@ -32,7 +32,7 @@
 {
     m_state = State::Calling;
     m_callBegan = m_kernel.executor().now();
-    m_isRead = false;
+    m_waits = false;
     m_pages = {};
     m_firstPage = true;
     m_maxBytes = maxBytes;
@@ -43,7 +43,7 @@
 {
     m_state = State::Calling;
     m_callBegan = m_kernel.executor().now();
-    m_isRead = true;
+    m_waits = wait > milliseconds(0);
     m_store->read(m_topic, from, wait, [this](const RecordsRead &read) {
         if (m_state == State::Stopped) {
             return;
--- a/src/services/TopicReader.h
+++ b/src/services/TopicReader.h
@@ -39,8 +39,8 @@
     /// \return true during a call and the pause after one that has failed.
     bool isBusy() const { return m_state != State::Idle; }
 
-    /// \return true while the store has not begun to answer a read.
-    bool isWaiting() const { return m_isRead && m_state == State::Calling && !isReceiving(); }
+    /// \return true while the store waits for records.
+    bool isWaiting() const { return m_waits && m_state == State::Calling && !isReceiving(); }
 
     /// \return true while an answer arrives, which may take long over a narrow link.
     bool isReceiving() const { return m_store->receiving(); }
@@ -89,8 +89,8 @@
     bool m_firstPage = true;
     std::size_t m_maxBytes = 0;
     TimePoint m_callBegan {};
-    /// The call in progress is read(), which may wait for records.
-    bool m_isRead = false;
+    /// The store may wait for records before it answers the call in progress.
+    bool m_waits = false;
     bool m_storeAnswers = false;
     std::chrono::milliseconds m_retry;
     TimerId m_timer = 0;
--- a/test/error/StoreStopsAnswering.cpp
+++ b/test/error/StoreStopsAnswering.cpp
@@ -169,6 +169,14 @@
         executor.advance(100ms);
     }
 
+    void tellMembers()
+    {
+        if (!members.empty()) {
+            membersSubscriber.send(
+                MembersChanged {std::make_shared<const std::vector<Member>>(members)});
+        }
+    }
+
     ConfigurationVersion version() const { return inForce ? inForce->version : 0; }
 
     ManualExecutor executor;
@@ -182,14 +190,14 @@
         executor, [this](ConfigurationChanged news) { inForce = news.configuration; }};
     Mailbox<TelemetryMessage> telemetry {executor, [](const TelemetryMessage &) {}};
     std::vector<Member> members;
-    Mailbox<MembershipMessage> membership {
-        executor, [this](const MembershipMessage &message) {
-            if (const auto *subscribe = std::get_if<SubscribeMembers>(&message);
-                subscribe && !members.empty()) {
-                subscribe->subscriber.send(
-                    MembersChanged {std::make_shared<const std::vector<Member>>(members)});
-            }
-        }};
+    Address<MembersChanged> membersSubscriber;
+    Mailbox<MembershipMessage> membership {executor, [this](const MembershipMessage &message) {
+                                               if (const auto *subscribe
+                                                   = std::get_if<SubscribeMembers>(&message)) {
+                                                   membersSubscriber = subscribe->subscriber;
+                                                   tellMembers();
+                                               }
+                                           }};
     Mailbox<LinksMessage> links {executor, [this](LinksMessage message) {
                                      if (auto *ask = std::get_if<AskPeer>(&message)) {
                                          asked.push_back(std::move(*ask));
@@ -352,8 +360,14 @@
     hear(3, 800ms);
     CHECK(bench.asked.size() > 1);
     CHECK(bench.store->reads == reads);
+    // The store answers neither, and members come and go meanwhile.
+    bench.store->silent = true;
+    const unsigned stops = bench.store->stops;
     hear(3, 1200ms);
     CHECK(bench.store->reads > reads);
+    bench.tellMembers();
+    bench.executor.advance(1ms);
+    CHECK(bench.store->stops == stops);
 }
 
 TEST_CASE("a malformed record is passed over and the last good version holds")
