--- a/src/services/TopicReader.h
+++ b/src/services/TopicReader.h
@@ -45,9 +45,6 @@
     /// \return true while an answer arrives, which may take long over a narrow link.
     bool isReceiving() const { return m_store->receiving(); }
 
-    /// \return true when the last call was answered.
-    bool storeAnswers() const { return m_storeAnswers; }
-
     /// \return time since the call in progress began; zero without one.
     Duration callAge() const;
 
