--- a/src/services/HttpExchange.h
+++ b/src/services/HttpExchange.h
@@ -10,16 +10,8 @@
 #include <memory>
 #include <string>
 
-namespace boost::asio {
-class io_context;
-}
-
 namespace Coltsfootwell {
 
-namespace Internal {
-struct HttpConnection;
-}
-
 /// \brief What is sent, and how long the exchange may last.
 struct ExchangeRequest
 {
