A planned stop does not cut a request that has arrived or is about to

Cause: at the end of the time for leaving, the service "callers" closed each connection without a request under way. A connection whose request lay in the kernel unread, or that had just been opened, was closed too. The caller cannot tell whether its request was read. If its bytes had already woken the reader, the call would run and its answer be lost.

Ruled out: connections in the accept queue (they are accepted before the listening socket closes, and would be reset, which is another error), and the longest time of a stop (30 s).

Change: a stop leaves a connection with bytes to read to its reader, and waits up to one second from its opening for the first request of a connection. Used idle connections are closed as before. planned_stop now takes up to 100 ms between connecting and sending, which is stricter.

--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -20,6 +20,9 @@
 /// How long unread bytes are read after the last answer. Closing at once would reset the connection
 /// and could destroy the answer on its way.
 constexpr std::chrono::seconds LingerTime {1};
+/// How long a stop waits for the first request of an open connection. A caller that has just
+/// connected is about to send one, and could not tell whether it was read.
+constexpr std::chrono::seconds FirstRequestTime {1};
 constexpr unsigned StatusNoContent = 204;
 constexpr unsigned StatusNotModified = 304;
 
@@ -67,16 +70,38 @@
     void close() override
     {
         m_closing = true;
-        if (m_exchanges.empty() && m_phase == ReadPhase::Idle && m_buffer.size() == 0) {
-            boost::system::error_code ec;
-            m_socket.shutdown(tcp::socket::shutdown_send, ec);
-            m_socket.cancel(ec);
+        if (!isIdle()) {
+            return;
+        }
+        if (const Duration wait = firstRequestWait(); wait > Duration::zero()) {
+            armTimer(wait);
+            return;
         }
+        boost::system::error_code ec;
+        m_socket.shutdown(tcp::socket::shutdown_send, ec);
+        m_socket.cancel(ec);
     }
 
 private:
     using Parser = http::request_parser<http::string_body>;
 
+    /// \return true when no request is under way, also none whose first bytes wait in the kernel.
+    bool isIdle()
+    {
+        boost::system::error_code ec;
+        return m_exchanges.empty() && m_phase == ReadPhase::Idle && m_buffer.size() == 0
+            && m_socket.available(ec) == 0;
+    }
+
+    /// \return time for which a stop waits for the first request of this connection.
+    Duration firstRequestWait() const
+    {
+        if (m_hadRequest) {
+            return {};
+        }
+        return std::max(m_opened + FirstRequestTime - m_context->executor.now(), Duration::zero());
+    }
+
     asio::awaitable<void> run()
     {
         while (!m_readEnded) {
@@ -98,7 +123,7 @@
         boost::system::error_code ec;
         if (m_buffer.size() == 0) {
             m_phase = ReadPhase::Idle;
-            armTimer(m_context->limits.idleTimeout);
+            armTimer(m_closing ? firstRequestWait() : Duration(m_context->limits.idleTimeout));
             // Waits for the first byte apart, so that an idle connection and a slow request differ.
             co_await m_socket.async_wait(tcp::socket::wait_read,
                                          asio::redirect_error(asio::use_awaitable, ec));
@@ -201,6 +226,7 @@
             m_readEnded = true;
             return;
         }
+        m_hadRequest = true;
         auto exchange = std::make_shared<Exchange>();
         exchange->headRequest = message.method() == http::verb::head;
         exchange->keepAlive = message.keep_alive();
@@ -407,10 +433,12 @@
     asio::steady_timer m_room;
     std::deque<std::shared_ptr<Exchange>> m_exchanges;
     std::string m_out;
+    const TimePoint m_opened = m_context->executor.now();
     TimerId m_timer = 0;
     ReadPhase m_phase = ReadPhase::Idle;
     bool m_writing = false;
     bool m_closing = false;
+    bool m_hadRequest = false;
     bool m_closeAfter = false;
     bool m_readEnded = false;
     bool m_timedOut = false;
--- a/src/services/Callers.cpp
+++ b/src/services/Callers.cpp
@@ -64,14 +64,14 @@
     void stop(Task done) override
     {
         m_context->leaving = true;
-        for (SessionHandle *session : std::set(m_context->sessions)) {
-            session->close();
-        }
         // Connections that wait in the accept queue are served too: closing the listening socket
         // would reset them.
         acceptWaiting();
         boost::system::error_code ec;
         m_acceptor.close(ec);
+        for (SessionHandle *session : std::set(m_context->sessions)) {
+            session->close();
+        }
         if (m_context->sessions.empty()) {
             done();
         } else {
--- a/test/fault/promises.py
+++ b/test/fault/promises.py
@@ -97,10 +97,11 @@
 
 
 def planned_stop(port, binary, seed):
-    """Promise 9: the planned stop of an entry daemon and of a serving daemon cuts no call."""
+    """Promise 9: the planned stop of an entry daemon and of a serving daemon cuts no call, also none whose
+    caller has connected and is about to send it."""
     f = start(port, binary=binary, service_ms=150)
     try:
-        crowd = callers.Callers([d.port for d in f.daemons.values()], KINDS, threads=12, seed=seed)
+        crowd = callers.Callers([d.port for d in f.daemons.values()], KINDS, threads=12, seed=seed, send_delay_s=0.1)
         time.sleep(1)
         stopping = [f.daemons["e1"], f.daemons["a1"]]
         began = time.monotonic_ns()
