Refutations reach all members before their suspicion time ends

With one datagram in ten lost, a daemon takes a live one for unreachable now and then, and sends it no calls until it hears of it again.

Cause, from the times of doubts and refutations in five of these runs: the member had refuted each doubt 0.3 to 1 s after it arose, but the one daemon that then judged had not heard the refutation within the 1.5 s. A refutation travelled only with the pings of the member and of those who had heard it, and the member learned of the doubt only by chance.

Ruled out: a longer suspicion time (each real loss would be noticed later) and a second ping by each daemon before it judges (1,000 daemons would ping a frozen one at the same moment).

Change: who begins to doubt a member pings it with the doubt at once, and a member that refutes tells 8 others at once. The test now plays 12 seeds in place of one, which is stricter.

--- a/src/decisions/Membership.cpp
+++ b/src/decisions/Membership.cpp
@@ -160,7 +160,7 @@
     }
     MemberRecord record = normalised(*whole);
     if (record.member.id.name == m_table.self().id.name) {
-        learnOfSelf(record.member);
+        learnOfSelf(record.member, now);
         return;
     }
     const std::size_t needed = std::min(ConfirmingObservers, m_table.aliveCount());
@@ -172,7 +172,7 @@
     m_table.merge(record, now, passOn);
 }
 
-void Membership::learnOfSelf(const Member &heard)
+void Membership::learnOfSelf(const Member &heard, TimePoint now)
 {
     if (m_replaced) {
         return;
@@ -197,6 +197,7 @@
         ++m_counts.refutations;
         self.sequence = std::max(self.sequence, heard.sequence);
         changeSelf(std::move(self));
+        tellSome(RefutationPings, now, [](const Member &) { return true; });
     }
 }
 
@@ -339,7 +340,10 @@
         record.member.state = MemberState::Suspect;
         record.observers.push_back(m_table.self().id.name);
     }
+    const Endpoint endpoint = record.member.endpoint;
     m_table.merge(normalised(std::move(record)), now);
+    // A member that lives refutes sooner when it need not hear of the doubt from others.
+    send(endpoint, Ping {m_random.next(), false, m_version}, index, now);
 }
 
 void Membership::judgeSuspicions(TimePoint now)
--- a/src/decisions/Membership.h
+++ b/src/decisions/Membership.h
@@ -113,6 +113,9 @@
     /// are missed learn it from the next ping.
     static constexpr std::size_t NearNewsPings = 3;
     static constexpr std::size_t FarNewsPings = 1;
+    /// Members that hear at once of a refutation, which has to reach everyone within the suspicion
+    /// time.
+    static constexpr std::size_t RefutationPings = 8;
     static constexpr std::size_t MaxSeeds = 64;
 
     using Outputs = std::span<const MembershipOutput>;
@@ -196,7 +199,7 @@
 
     void learn(const MemberRecord &record, TimePoint now, bool passOn = true);
     void learnFromSync(std::span<const MemberRecord> records, TimePoint now);
-    void learnOfSelf(const Member &heard);
+    void learnOfSelf(const Member &heard, TimePoint now);
     void changeSelf(Member self);
     void pause(TimePoint now);
     void refillBudgets(Duration elapsed);
--- a/test/correctness/MembershipFalseLoss.cpp
+++ b/test/correctness/MembershipFalseLoss.cpp
@@ -56,12 +56,18 @@
 
 TEST_CASE("loss of one datagram in ten makes nobody unreachable")
 {
-    MembershipSimulation simulation(printedSeed("loss", 8));
-    simulation.lossRate = 0.1;
-    simulation.startMany(32, threeRegions);
-    REQUIRE(joinAll(simulation, 32));
-    simulation.run(300s);
-    for (const Process &process : simulation.processes()) {
-        CHECK(process.membership->counts().unreachable == 0);
+    // One seed in five showed a false loss while refutations spread slowly.
+    constexpr std::uint64_t Seeds = 12;
+    const std::uint64_t first = printedSeed("loss", 8);
+    for (std::uint64_t seed = first; seed < first + Seeds; ++seed) {
+        CAPTURE(seed);
+        MembershipSimulation simulation(seed);
+        simulation.lossRate = 0.1;
+        simulation.startMany(32, threeRegions);
+        REQUIRE(joinAll(simulation, 32));
+        simulation.run(300s);
+        for (const Process &process : simulation.processes()) {
+            CHECK(process.membership->counts().unreachable == 0);
+        }
     }
 }
