A reader of the store that is turned away hands its role on

What callers saw: a confirmed change was not in force in time at any daemon (CONFIG) while the store turned those daemons away that read it for all others, though it served the operator and the rest.

Cause: daemons choose readers by who is alive. A reader that the store does not answer is alive, so it kept the role for as long as the outage lasted, and nobody else asked. The class: *a role that goes with being alive, not with being able to do the work*.

Ruled out: a slow or silent whole store (the rest of the daemons was served), a lost message between daemons (no daemon knew the version).

Change: each daemon tells the others whether the store answers it (two refused calls, or one that nobody answered). For each reader that is not answered the next candidates of its data centre read too, twice as many each time, up to 8; those that are not answered go on trying once a second and take their role back. A new reader, and one beside which another has lost the store, asks without waiting, so that a silent store is found out at once. The log event configuration.reader tells changes of the role.

--- a/src/decisions/Member.h
+++ b/src/decisions/Member.h
@@ -53,6 +53,8 @@
     std::uint32_t slots = 0;
     /// True once the daemon has begun a planned stop.
     bool leaving = false;
+    /// True while the store does not answer the daemon.
+    bool storeLost = false;
 
     bool operator==(const Member &) const = default;
 };
--- a/src/decisions/MemberTable.cpp
+++ b/src/decisions/MemberTable.cpp
@@ -17,7 +17,7 @@
 /// Random tries before a scan; with half of the members wanted, a scan follows once in 65,536.
 constexpr unsigned PickTries = 16;
 /// Tags, lengths and numbers of an encoded record.
-constexpr std::size_t RecordOverheadBytes = 58;
+constexpr std::size_t RecordOverheadBytes = 61;
 constexpr std::size_t BriefOverheadBytes = 38;
 constexpr std::size_t ObserverOverheadBytes = 2;
 
--- a/src/decisions/Membership.cpp
+++ b/src/decisions/Membership.cpp
@@ -1,5 +1,7 @@
 #include "decisions/Membership.h"
 
+#include "decisions/StoreReaders.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -413,6 +415,23 @@
     }
 }
 
+Membership::Outputs Membership::changeStoreAccess(bool lost, TimePoint now)
+{
+    m_outputs.clear();
+    Member self = m_table.self();
+    if (m_replaced || std::exchange(self.storeLost, lost) == lost) {
+        return m_outputs;
+    }
+    const std::string dataCentre = self.dataCentre;
+    changeSelf(std::move(self));
+    for (const Member *candidate : storeCandidates(dataCentre, members())) {
+        if (candidate->id.name != m_table.self().id.name) {
+            send(candidate->endpoint, Ping {m_random.next(), false, m_version}, {}, now);
+        }
+    }
+    return m_outputs;
+}
+
 void Membership::leave()
 {
     Member self = m_table.self();
--- a/src/decisions/Membership.h
+++ b/src/decisions/Membership.h
@@ -136,6 +136,10 @@
     /// \brief Changes the part of the own record that describes the backend server.
     void changeBackend(std::string_view service, BackendState state, std::uint32_t slots);
 
+    /// \brief Announces whether the store answers this daemon. Those that may have to read the
+    /// store in its place hear of it at once.
+    Outputs changeStoreAccess(bool lost, TimePoint now);
+
     /// \brief Announces a planned stop.
     void leave();
 
--- a/src/decisions/StoreReaders.cpp
+++ b/src/decisions/StoreReaders.cpp
@@ -3,24 +3,60 @@
 #include "decisions/Rendezvous.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Coltsfootwell {
 
-bool isStoreReader(std::string_view self, std::span<const Member> members)
+std::vector<const Member *> storeCandidates(std::string_view dataCentre,
+                                            std::span<const Member> members)
 {
     constexpr std::string_view Key = "store-readers";
+    std::vector<std::pair<std::uint64_t, const Member *>> weighted;
+    for (const Member &member : members) {
+        if (member.state == MemberState::Alive && !member.leaving
+            && member.dataCentre == dataCentre) {
+            weighted.emplace_back(rendezvousWeight(Key, member.id.name), &member);
+        }
+    }
+    const std::size_t n = std::min(weighted.size(), CandidatesPerDataCentre);
+    std::ranges::partial_sort(weighted, weighted.begin() + static_cast<std::ptrdiff_t>(n),
+                              std::greater(), [](const auto &entry) { return entry.first; });
+    std::vector<const Member *> candidates;
+    for (std::size_t i = 0; i < n; ++i) {
+        candidates.push_back(weighted[i].second);
+    }
+    return candidates;
+}
+
+StoreRole storeRole(std::string_view self, std::span<const Member> members)
+{
     const auto own = std::ranges::find_if(
         members, [self](const Member &member) { return member.id.name == self; });
     if (own == members.end()) {
-        return true;
+        return {};
     }
-    const std::uint64_t weight = rendezvousWeight(Key, self);
-    const auto before = std::ranges::count_if(members, [&](const Member &member) {
-        return member.state == MemberState::Alive && !member.leaving
-            && member.dataCentre == own->dataCentre && member.id.name != self
-            && rendezvousWeight(Key, member.id.name) > weight;
-    });
-    return static_cast<std::size_t>(before) < ReadersPerDataCentre;
+    StoreRole role {false, 0};
+    std::size_t lostBefore = 0;
+    std::size_t othersBefore = 0;
+    bool passedSelf = false;
+    for (const Member *candidate : storeCandidates(own->dataCentre, members)) {
+        if (candidate->id.name == self) {
+            passedSelf = true;
+            role.reads
+                = candidate->storeLost || othersBefore < std::max(ReadersPerDataCentre, lostBefore);
+            continue;
+        }
+        role.othersLost += candidate->storeLost ? 1 : 0;
+        if (!passedSelf) {
+            ++(candidate->storeLost ? lostBefore : othersBefore);
+        }
+    }
+    return role;
+}
+
+bool isStoreReader(std::string_view self, std::span<const Member> members)
+{
+    return storeRole(self, members).reads;
 }
 
 } // namespace Coltsfootwell
--- a/src/decisions/StoreSchedule.cpp
+++ b/src/decisions/StoreSchedule.cpp
@@ -1,7 +1,5 @@
 #include "decisions/StoreSchedule.h"
 
-#include "decisions/StoreReaders.h"
-
 #include <utility>
 
 namespace Coltsfootwell {
@@ -19,18 +17,22 @@
 
 void StoreSchedule::membersChanged(std::shared_ptr<const std::vector<Member>> members)
 {
-    m_members = std::move(members);
+    const StoreRole role = storeRole(m_self, *members);
+    const bool begins = m_role && role.reads && !m_role->reads;
+    const bool moreLost = m_role && role.reads && role.othersLost > m_role->othersLost;
+    m_asksAtOnce = role.reads && (m_asksAtOnce || begins || moreLost);
+    m_role = role;
 }
 
 bool StoreSchedule::readsStore(TimePoint now) const
 {
-    return !m_members || now - m_lastHeard > IsolationTime || isStoreReader(m_self, *m_members);
+    return !m_role || m_role->reads || now - m_lastHeard > IsolationTime;
 }
 
 StoreCall StoreSchedule::next(std::uint64_t position, bool asksOthers, TimePoint now) const
 {
     if (!m_wantsNewest) {
-        return readsStore(now) ? StoreCall(ReadOn {}) : StoreCall(NoCall {});
+        return readsStore(now) ? StoreCall(ReadOn {!m_asksAtOnce}) : StoreCall(NoCall {});
     }
     const Duration up = now - m_started;
     const bool chosen = up >= SettleTime && readsStore(now);
@@ -71,9 +73,23 @@
     }
 }
 
-void StoreSchedule::callFailed(std::uint64_t position, TimePoint now)
+void StoreSchedule::callAnswered()
+{
+    m_refusals = 0;
+    m_asksAtOnce = false;
+}
+
+void StoreSchedule::callFailed(CallFailure failure, std::uint64_t position, TimePoint now)
 {
+    m_refusals += failure == CallFailure::Silent ? RefusalsUntilLost : 1;
+    m_asksAtOnce = false;
     m_wantsNewest = m_wantsNewest || position == 0 || readsStore(now);
 }
 
+void StoreSchedule::callSilent()
+{
+    ++m_refusals;
+    m_wantsNewest = true;
+}
+
 } // namespace Coltsfootwell
--- a/src/decisions/StoreSchedule.h
+++ b/src/decisions/StoreSchedule.h
@@ -5,12 +5,13 @@
 // long ones only by the readers of each data centre, and by a daemon that nobody else tells.
 #pragma once
 
-#include "decisions/Member.h"
+#include "decisions/StoreReaders.h"
 #include "kernel/Time.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -26,9 +27,12 @@
     bool operator==(const ReadNewest &) const = default;
 };
 
-/// \brief Wait for what follows the known position.
+/// \brief Read what follows the known position.
 struct ReadOn
 {
+    /// Wait for records while there are none.
+    bool waits = true;
+
     bool operator==(const ReadOn &) const = default;
 };
 
@@ -40,6 +44,14 @@
 
 using StoreCall = std::variant<NoCall, ReadNewest, ReadOn>;
 
+/// \brief How a call to the store has failed.
+enum class CallFailure {
+    /// The store has refused it, or the connection broke.
+    Refused,
+    /// No answer has come in time.
+    Silent,
+};
+
 /// \brief Schedule of one daemon.
 class StoreSchedule
 {
@@ -53,6 +65,8 @@
     static constexpr std::chrono::milliseconds Patience {2'500};
     /// A daemon that hears nothing of others for this time reads the store itself.
     static constexpr std::chrono::milliseconds IsolationTime {1'000};
+    /// One call is refused whenever a connection breaks.
+    static constexpr unsigned RefusalsUntilLost = 2;
 
     /// \param self name of the daemon.
     /// \param anyLength size that stands for answers of any length.
@@ -64,6 +78,11 @@
     /// \brief Other daemons came, went or changed.
     void membersChanged(std::shared_ptr<const std::vector<Member>> members);
 
+    /// \return true when a read that waits for records is to be replaced by one that does not: this
+    /// daemon has become a reader, or the store no longer answers another one and may not answer
+    /// this one either.
+    bool asksAtOnce() const { return m_asksAtOnce; }
+
     /// \brief Another daemon has told how much it knows.
     void heardOfOthers(TimePoint now) { m_lastHeard = now; }
 
@@ -90,16 +109,21 @@
     /// \param bytes length of the answer.
     void moreToRead(std::size_t records, std::size_t bytes);
 
+    /// \brief The store has answered a call.
+    void callAnswered();
+
     /// \brief A call has failed.
-    void callFailed(std::uint64_t position, TimePoint now);
+    void callFailed(CallFailure failure, std::uint64_t position, TimePoint now);
 
     /// \brief A call in progress was given up, since others know more.
-    void callSilent() { m_wantsNewest = true; }
+    void callSilent();
+
+    /// \return true while the store does not answer this daemon.
+    bool storeLost() const { return m_refusals >= RefusalsUntilLost; }
 
 private:
     std::string m_self;
     std::size_t m_anyLength;
-    std::shared_ptr<const std::vector<Member>> m_members;
     TimePoint m_started {};
     TimePoint m_lastHeard {};
     /// The newest records are to be read before what follows them.
@@ -108,6 +132,11 @@
     bool m_wantsLong = false;
     /// The first newest records are longer than this; 0 when that is not known.
     std::size_t m_tooLongFor = 0;
+    /// Calls that were refused since the last answer.
+    unsigned m_refusals = 0;
+    /// Nothing while no other daemon is known.
+    std::optional<StoreRole> m_role;
+    bool m_asksAtOnce = false;
 };
 
 } // namespace Coltsfootwell
--- a/src/services/ConfigurationFollower.cpp
+++ b/src/services/ConfigurationFollower.cpp
@@ -27,7 +27,7 @@
 
 /// Longest wait of one read. All connections to the store may go silent at the same moment; that of
 /// one of the readers is then noticed within a second or two.
-constexpr milliseconds ReadWait {4'000};
+constexpr milliseconds ReadWait {2'000};
 /// A daemon that reads the store asks one that knows more when the store has not told the same in
 /// this time.
 constexpr milliseconds PeerLead {250};
@@ -73,7 +73,8 @@
                 kernel, std::move(store), m_settings.format->topic(),
                 TopicHandlers {[this](const NewestRecords &newest) { newestRead(newest); },
                                [this](const RecordsRead &read) { recordsRead(read); },
-                               [this] { readFailed(); }});
+                               [this](CallFailure failure) { readFailed(failure); },
+                               [this] { readStore(); }});
         }
         kernel.directory().publish(name(), m_mailbox.address());
         kernel.directory().publish(ServiceName::exchange(ExchangeSubject::ControlState),
@@ -218,13 +219,15 @@
         if (const auto *newest = std::get_if<ReadNewest>(&call)) {
             m_newestLimit = newest->maxBytes;
             m_reader->readNewest(m_newestLimit);
-        } else if (std::holds_alternative<ReadOn>(call)) {
-            m_reader->read(m_state.position(), ReadWait);
+        } else if (const auto *on = std::get_if<ReadOn>(&call)) {
+            m_reader->read(m_state.position(), on->waits ? ReadWait : milliseconds(0));
         }
     }
 
     void newestRead(const NewestRecords &newest)
     {
+        m_schedule.callAnswered();
+        tellStoreAccess();
         if (newest.ec == ServiceError::AnswerTooLong) {
             tell("configuration.long");
             m_schedule.newestTooLong(m_state.position(), m_newestLimit);
@@ -237,6 +240,8 @@
 
     void recordsRead(const RecordsRead &read)
     {
+        m_schedule.callAnswered();
+        tellStoreAccess();
         if (read.ec == ServiceError::HistoryLost) {
             tell("store.historyLost");
             m_schedule.historyLost();
@@ -254,10 +259,29 @@
         readStore();
     }
 
-    void readFailed()
+    void readFailed(CallFailure failure)
     {
-        m_schedule.callFailed(m_state.position(), now());
-        readStore();
+        m_schedule.callFailed(failure, m_state.position(), now());
+        tellStoreAccess();
+    }
+
+    /// Tells other daemons when the store stops or begins to answer this one.
+    void tellStoreAccess()
+    {
+        if (const bool lost = m_schedule.storeLost(); std::exchange(m_storeLost, lost) != lost) {
+            m_membership.send(StoreAccessChanged {lost});
+        }
+    }
+
+    /// Logs a change of whether this daemon reads the store for others.
+    void tellRole()
+    {
+        if (const bool reads = m_schedule.readsStore(now());
+            std::exchange(m_readsStore, reads) != reads) {
+            m_telemetry.send(LogEvent {"configuration.reader", "",
+                                       std::string("reads=") + (reads ? "yes" : "no")
+                                           + " storeLost=" + (m_storeLost ? "yes" : "no")});
+        }
     }
 
     /// Logs an event with the position that is known.
@@ -272,8 +296,9 @@
     {
         m_members = news.members;
         m_schedule.membersChanged(std::move(news.members));
-        if (m_reader && !m_schedule.readsStore(now()) && m_reader->isWaiting()) {
-            // Others read the store for this daemon.
+        tellRole();
+        if (m_reader && m_reader->isWaiting()
+            && (!m_schedule.readsStore(now()) || m_schedule.asksAtOnce())) {
             m_reader->drop();
         }
         readStore();
@@ -325,6 +350,7 @@
             tell("store.silent");
             m_reader->drop();
             m_schedule.callSilent();
+            tellStoreAccess();
             readStore();
         } else if (m_reader && !endpoint && !m_reader->isBusy()
                    && now() - m_behindSince.value_or(now()) >= m_fallbackAfter) {
@@ -421,6 +447,10 @@
     std::optional<TimePoint> m_behindSince;
     /// Time after which this daemon then reads the store itself.
     Duration m_fallbackAfter {};
+    /// What other daemons were told of the store.
+    bool m_storeLost = false;
+    /// What the log was told of this daemon's role.
+    bool m_readsStore = false;
     /// A look at who knows more is due.
     bool m_fetching = false;
     bool m_stopped = false;
--- a/src/services/Membership.cpp
+++ b/src/services/Membership.cpp
@@ -154,6 +154,10 @@
     {
         perform(m_membership.versionKnown(known.position, now()));
     }
+    void handle(StoreAccessChanged changed)
+    {
+        perform(m_membership.changeStoreAccess(changed.lost, now()));
+    }
     void handle(AnnounceLeaving) { m_membership.leave(); }
 
     void tick()
--- a/src/services/MembershipMessages.h
+++ b/src/services/MembershipMessages.h
@@ -44,6 +44,12 @@
     std::uint64_t position = 0;
 };
 
+/// \brief Whether the store answers this daemon.
+struct StoreAccessChanged
+{
+    bool lost = false;
+};
+
 /// \brief Addresses of daemons that were learned elsewhere, such as from the log.
 struct SeedsLearned
 {
@@ -51,6 +57,6 @@
 };
 
 using MembershipMessage = std::variant<SubscribeMembers, BackendChanged, AnnounceLeaving,
-                                       ConfigurationKnown, SeedsLearned>;
+                                       ConfigurationKnown, StoreAccessChanged, SeedsLearned>;
 
 } // namespace Coltsfootwell
--- a/src/services/TopicReader.cpp
+++ b/src/services/TopicReader.cpp
@@ -13,6 +13,8 @@
 
 constexpr milliseconds ShortestRetry {100};
 constexpr milliseconds LongestRetry {1'000};
+/// A call that fails so long after its answer was due was not refused.
+constexpr milliseconds SilenceTime {700};
 
 } // namespace
 
@@ -32,7 +34,7 @@
 {
     m_state = State::Calling;
     m_callBegan = m_kernel.executor().now();
-    m_waits = false;
+    m_wait = {};
     m_pages = {};
     m_firstPage = true;
     m_maxBytes = maxBytes;
@@ -43,7 +45,7 @@
 {
     m_state = State::Calling;
     m_callBegan = m_kernel.executor().now();
-    m_waits = wait > milliseconds(0);
+    m_wait = wait;
     m_store->read(m_topic, from, wait, [this](const RecordsRead &read) {
         if (m_state == State::Stopped) {
             return;
@@ -124,9 +126,11 @@
     m_timer = m_kernel.executor().after(
         m_retry + milliseconds(m_kernel.random().below(ShortestRetry.count())), [this] {
             m_state = State::Idle;
-            m_handlers.failed();
+            m_handlers.resumed();
         });
     m_retry = std::min(m_retry * 2, LongestRetry);
+    const bool silent = m_kernel.executor().now() - m_callBegan >= m_wait + SilenceTime;
+    m_handlers.failed(silent ? CallFailure::Silent : CallFailure::Refused);
 }
 
 } // namespace Coltsfootwell
--- a/src/services/TopicReader.h
+++ b/src/services/TopicReader.h
@@ -2,6 +2,7 @@
 // is appended. Calls that fail are followed by a pause.
 #pragma once
 
+#include "decisions/StoreSchedule.h"
 #include "kernel/Kernel.h"
 #include "services/StoreClient.h"
 #include "services/TelemetryMessages.h"
@@ -19,8 +20,10 @@
     std::function<void(NewestRecords)> newest;
     /// The error is HistoryLost or cleared.
     std::function<void(const RecordsRead &)> records;
-    /// A call has failed, and the pause after it is over.
-    std::function<void()> failed;
+    /// A call has failed. The next one can begin after a pause.
+    std::function<void(CallFailure)> failed;
+    /// The pause is over.
+    std::function<void()> resumed;
 };
 
 /// \brief One topic.
@@ -40,7 +43,10 @@
     bool isBusy() const { return m_state != State::Idle; }
 
     /// \return true while the store waits for records.
-    bool isWaiting() const { return m_waits && m_state == State::Calling && !isReceiving(); }
+    bool isWaiting() const
+    {
+        return m_wait > Duration::zero() && m_state == State::Calling && !isReceiving();
+    }
 
     /// \return true while an answer arrives, which may take long over a narrow link.
     bool isReceiving() const { return m_store->receiving(); }
@@ -86,8 +92,8 @@
     bool m_firstPage = true;
     std::size_t m_maxBytes = 0;
     TimePoint m_callBegan {};
-    /// The store may wait for records before it answers the call in progress.
-    bool m_waits = false;
+    /// The store may wait so long for records before it answers the call in progress.
+    Duration m_wait {};
     bool m_storeAnswers = false;
     std::chrono::milliseconds m_retry;
     TimerId m_timer = 0;
--- a/src/wire/MembershipCodec.cpp
+++ b/src/wire/MembershipCodec.cpp
@@ -79,6 +79,7 @@
     wire.set_backend(static_cast<std::uint32_t>(member.backend));
     wire.set_slots(member.slots);
     wire.set_leaving(member.leaving);
+    wire.set_store_lost(member.storeLost);
 }
 
 MemberRecord decodeRecord(const Wire::MemberRecord &wire, std::error_code &ec)
@@ -100,6 +101,7 @@
     member.backend = static_cast<BackendState>(wire.backend());
     member.slots = wire.slots();
     member.leaving = wire.leaving();
+    member.storeLost = wire.store_lost();
     record.observers.assign(wire.observers().begin(), wire.observers().end());
     record.downFor = milliseconds(wire.down_for_ms());
     record.brief = wire.brief();
--- a/test/ConfigurationWorld.h
+++ b/test/ConfigurationWorld.h
@@ -137,6 +137,39 @@
         }
     }
 
+    /// \brief The store turns the daemons away that read it now, and serves the others.
+    void turnReadersAway()
+    {
+        for (const auto &daemon : m_daemons) {
+            daemon->isTurnedAway
+                = isStoreReader(daemon->self.id.name, daemon->membership->members());
+            if (daemon->isTurnedAway) {
+                daemon->store->fail();
+            }
+        }
+    }
+
+    /// \brief The store turns everyone away, or nobody.
+    void turnAllAway(bool away)
+    {
+        for (const auto &daemon : m_daemons) {
+            daemon->isTurnedAway = away;
+            if (away) {
+                daemon->store->fail();
+            }
+        }
+    }
+
+    /// \return daemons whose read waits at the store.
+    std::size_t waitingReads() const
+    {
+        return std::ranges::count_if(m_daemons,
+                                     [](const auto &daemon) { return daemon->store->isReading(); });
+    }
+
+    /// \return calls that the store has turned away.
+    std::size_t callsTurnedAway() const { return m_callsTurnedAway; }
+
     /// \return longest time from the acknowledgement of a version until it, or a later one, was in
     /// force at a daemon that is not cut; nothing while one of them still lacks it.
     std::optional<Duration> slowest(ConfigurationVersion version) const
@@ -189,6 +222,9 @@
         void newest(std::string_view, std::string_view, std::size_t maxBytes,
                     std::function<void(NewestRecords)> done) override
         {
+            if (turnAway(done)) {
+                return;
+            }
             // A long answer is given up when its header arrives, with a window's bytes under way.
             constexpr std::size_t WindowBytes = 64 * 1024;
             NewestRecords newest;
@@ -210,6 +246,9 @@
         void read(std::string_view, std::uint64_t from, milliseconds wait,
                   std::function<void(RecordsRead)> done) override
         {
+            if (turnAway(done)) {
+                return;
+            }
             m_reader = std::move(done);
             m_from = from;
             m_timer = m_world.executor.after(wait, [this] {
@@ -240,6 +279,17 @@
             ++m_generation;
         }
 
+        bool isReading() const { return m_reader != nullptr; }
+
+        /// Ends a read that waits for records.
+        void fail()
+        {
+            if (const auto reader = std::exchange(m_reader, nullptr)) {
+                m_world.executor.cancel(m_timer);
+                turnAway(reader);
+            }
+        }
+
         /// Answers a read that waits for records.
         void serve()
         {
@@ -260,6 +310,19 @@
         }
 
     private:
+        template <typename Answer>
+        bool turnAway(const std::function<void(Answer)> &done)
+        {
+            if (!m_daemon.isTurnedAway) {
+                return false;
+            }
+            Answer refusal;
+            refusal.ec = ServiceError::StoreUnavailable;
+            ++m_world.m_callsTurnedAway;
+            answer(0, [done, refusal] { done(refusal); });
+            return true;
+        }
+
         void answer(std::size_t bytes, std::function<void()> deliver)
         {
             if (m_daemon.isCut || m_world.storeSilent) {
@@ -393,6 +456,8 @@
         {
             if (const auto *known = std::get_if<ConfigurationKnown>(&message)) {
                 perform(membership->versionKnown(known->position, world.executor.now()));
+            } else if (const auto *access = std::get_if<StoreAccessChanged>(&message)) {
+                perform(membership->changeStoreAccess(access->lost, world.executor.now()));
             } else if (const auto *subscribe = std::get_if<SubscribeMembers>(&message)) {
                 membersAddress = subscribe->subscriber;
             }
@@ -426,6 +491,7 @@
         ConfigurationWorld &world;
         bool isFar;
         bool isCut = false;
+        bool isTurnedAway = false;
         NarrowLink host {HostBytesPerSecond};
         SeededRandom random;
         Kernel kernel;
@@ -493,6 +559,7 @@
 
     NarrowLink m_toFar;
     NarrowLink m_toNear;
+    std::size_t m_callsTurnedAway = 0;
     std::vector<StoreRecord> m_records;
     std::map<ConfigurationVersion, TimePoint> m_published;
     std::vector<std::unique_ptr<Daemon>> m_daemons;
--- a/test/correctness/LongStateReadByAll.cpp
+++ b/test/correctness/LongStateReadByAll.cpp
@@ -116,7 +116,7 @@
 {
     Bench bench(true);
     bench.schedule.stateKnown();
-    bench.schedule.callFailed(5, bench.now);
+    bench.schedule.callFailed(CallFailure::Refused, 5, bench.now);
     CHECK(bench.next(5) == StoreCall(Short));
     bench.schedule.newestTooLong(5, Short.maxBytes);
     CHECK(bench.next(5) == StoreCall(ReadOn {}));
@@ -124,8 +124,8 @@
     CHECK(bench.next(5) == StoreCall(Long));
     Bench other(false);
     other.schedule.stateKnown();
-    other.schedule.callFailed(5, other.now);
+    other.schedule.callFailed(CallFailure::Refused, 5, other.now);
     CHECK(other.next(5) == StoreCall(NoCall {}));
-    other.schedule.callFailed(0, other.now);
+    other.schedule.callFailed(CallFailure::Refused, 0, other.now);
     CHECK(other.next(0) == StoreCall(Short));
 }
