Others take turns at the store when it answers no candidate

Cause: the number of daemons that may read in place of the readers is bounded, so that a store that answers nobody is not asked by everyone. Beyond the bound nobody asked.

Ruled out: late takeover.

Change: when the store answers no candidate of a data centre, its other daemons ask by turns, one each 0.4 s, so that the number of calls does not grow with the number of daemons. One that is answered follows the store until a candidate is answered again.

--- a/src/decisions/StoreReaders.cpp
+++ b/src/decisions/StoreReaders.cpp
@@ -7,14 +7,22 @@
 
 namespace Coltsfootwell {
 
+namespace {
+
+bool isAvailable(const Member &member, std::string_view dataCentre)
+{
+    return member.state == MemberState::Alive && !member.leaving && member.dataCentre == dataCentre;
+}
+
+} // namespace
+
 std::vector<const Member *> storeCandidates(std::string_view dataCentre,
                                             std::span<const Member> members)
 {
     constexpr std::string_view Key = "store-readers";
     std::vector<std::pair<std::uint64_t, const Member *>> weighted;
     for (const Member &member : members) {
-        if (member.state == MemberState::Alive && !member.leaving
-            && member.dataCentre == dataCentre) {
+        if (isAvailable(member, dataCentre)) {
             weighted.emplace_back(rendezvousWeight(Key, member.id.name), &member);
         }
     }
@@ -35,11 +43,12 @@
     if (own == members.end()) {
         return {};
     }
-    StoreRole role {false, 0};
+    StoreRole role {false, 0, 0};
     std::size_t lostBefore = 0;
     std::size_t othersBefore = 0;
     bool passedSelf = false;
-    for (const Member *candidate : storeCandidates(own->dataCentre, members)) {
+    const auto candidates = storeCandidates(own->dataCentre, members);
+    for (const Member *candidate : candidates) {
         if (candidate->id.name == self) {
             passedSelf = true;
             role.reads
@@ -51,6 +60,11 @@
             ++(candidate->storeLost ? lostBefore : othersBefore);
         }
     }
+    if (!passedSelf && role.othersLost == candidates.size()) {
+        const auto available = std::ranges::count_if(
+            members, [own](const Member &member) { return isAvailable(member, own->dataCentre); });
+        role.takeTurns = static_cast<std::size_t>(available) - candidates.size();
+    }
     return role;
 }
 
--- a/src/decisions/StoreReaders.h
+++ b/src/decisions/StoreReaders.h
@@ -3,7 +3,8 @@
 // Answers the load pattern of many daemons behind one link: each copy that is read from the store
 // passes the link, so that their number must not grow with the number of daemons. Answers also a
 // store that turns some daemons away and serves the others: in the place of each reader that it
-// does not answer others try, twice as many each time, up to a fixed number.
+// does not answer others try, twice as many each time, up to a fixed number; when that many are
+// turned away, all others of the data centre try by turns.
 #pragma once
 
 #include "decisions/Member.h"
@@ -28,6 +29,9 @@
     bool reads = true;
     /// Other candidates of its data centre that the store does not answer.
     std::size_t othersLost = 0;
+    /// Daemons that try by turns, this one among them, since the store answers no candidate; 0 when
+    /// it need not.
+    std::size_t takeTurns = 0;
 };
 
 /// \param members all daemons that are known.
--- a/src/decisions/StoreSchedule.cpp
+++ b/src/decisions/StoreSchedule.cpp
@@ -1,5 +1,7 @@
 #include "decisions/StoreSchedule.h"
 
+#include "decisions/Rendezvous.h"
+
 #include <utility>
 
 namespace Coltsfootwell {
@@ -21,9 +23,20 @@
     const bool begins = m_role && role.reads && !m_role->reads;
     const bool moreLost = m_role && role.reads && role.othersLost > m_role->othersLost;
     m_asksAtOnce = role.reads && (m_asksAtOnce || begins || moreLost);
+    m_servedInTurn = m_servedInTurn && role.takeTurns > 0;
     m_role = role;
 }
 
+bool StoreSchedule::isOwnTurn(TimePoint now) const
+{
+    if (!m_role || m_role->takeTurns == 0) {
+        return false;
+    }
+    const std::uint64_t turn = rendezvousWeight("turn", m_self) % m_role->takeTurns;
+    const auto present = static_cast<std::uint64_t>(now.time_since_epoch() / TurnTime);
+    return present % m_role->takeTurns == turn;
+}
+
 bool StoreSchedule::readsStore(TimePoint now) const
 {
     return !m_role || m_role->reads || now - m_lastHeard > IsolationTime;
@@ -32,7 +45,11 @@
 StoreCall StoreSchedule::next(std::uint64_t position, bool asksOthers, TimePoint now) const
 {
     if (!m_wantsNewest) {
-        return readsStore(now) ? StoreCall(ReadOn {!m_asksAtOnce}) : StoreCall(NoCall {});
+        if (readsStore(now)) {
+            return ReadOn {!m_asksAtOnce};
+        }
+        return m_servedInTurn || isOwnTurn(now) ? StoreCall(ReadOn {m_servedInTurn})
+                                                : StoreCall(NoCall {});
     }
     const Duration up = now - m_started;
     const bool chosen = up >= SettleTime && readsStore(now);
@@ -77,12 +94,14 @@
 {
     m_refusals = 0;
     m_asksAtOnce = false;
+    m_servedInTurn = m_role && m_role->takeTurns > 0;
 }
 
 void StoreSchedule::callFailed(CallFailure failure, std::uint64_t position, TimePoint now)
 {
     m_refusals += failure == CallFailure::Silent ? RefusalsUntilLost : 1;
     m_asksAtOnce = false;
+    m_servedInTurn = false;
     m_wantsNewest = m_wantsNewest || position == 0 || readsStore(now);
 }
 
--- a/src/decisions/StoreSchedule.h
+++ b/src/decisions/StoreSchedule.h
@@ -65,6 +65,9 @@
     static constexpr std::chrono::milliseconds Patience {2'500};
     /// A daemon that hears nothing of others for this time reads the store itself.
     static constexpr std::chrono::milliseconds IsolationTime {1'000};
+    /// Length of the turn of each daemon that tries to read in place of readers. At least the time
+    /// between two calls of next().
+    static constexpr std::chrono::milliseconds TurnTime {400};
     /// One call is refused whenever a connection breaks.
     static constexpr unsigned RefusalsUntilLost = 2;
 
@@ -89,6 +92,10 @@
     /// \return true when this daemon follows the store, and not only other daemons.
     bool readsStore(TimePoint now) const;
 
+    /// \return true when a read may wait at the store for records: for a reader, and for a daemon
+    /// that the store answers in its place.
+    bool follows(TimePoint now) const { return readsStore(now) || m_servedInTurn; }
+
     /// \param position what is known.
     /// \param asksOthers true while another daemon is asked for something newer.
     /// \return the call to make when none is in progress.
@@ -122,6 +129,9 @@
     bool storeLost() const { return m_refusals >= RefusalsUntilLost; }
 
 private:
+    /// The turn of this daemon to try to read in place of the readers of its data centre.
+    bool isOwnTurn(TimePoint now) const;
+
     std::string m_self;
     std::size_t m_anyLength;
     TimePoint m_started {};
@@ -137,6 +147,8 @@
     /// Nothing while no other daemon is known.
     std::optional<StoreRole> m_role;
     bool m_asksAtOnce = false;
+    /// The store has answered this daemon when it took its turn.
+    bool m_servedInTurn = false;
 };
 
 } // namespace Coltsfootwell
--- a/src/services/ConfigurationFollower.cpp
+++ b/src/services/ConfigurationFollower.cpp
@@ -298,7 +298,7 @@
         m_schedule.membersChanged(std::move(news.members));
         tellRole();
         if (m_reader && m_reader->isWaiting()
-            && (!m_schedule.readsStore(now()) || m_schedule.asksAtOnce())) {
+            && (!m_schedule.follows(now()) || m_schedule.asksAtOnce())) {
             m_reader->drop();
         }
         readStore();
