Explanations tell calls whose lines were left out from unexplained ones

Cause: the line call.ended of a call that ended in time is routine, and four of them a second are written at each daemon. The line log.omitted gave their number without their weight, and the summary did not read it, so that it could not be told whether lines of failures were missing too.

Not looked at: lines that a slow reader loses (log_lines_dropped), which the summary does not see.

Change: log.omitted has weight=routine|important, and the summary prints how many ends of calls were left out of each.

--- a/src/decisions/LogBudget.cpp
+++ b/src/decisions/LogBudget.cpp
@@ -30,7 +30,7 @@
     std::vector<OmittedLines> omitted;
     for (auto &[key, bucket] : m_buckets) {
         if (const std::uint64_t lines = std::exchange(bucket.omitted, 0); lines > 0) {
-            omitted.push_back({key.first, lines});
+            omitted.push_back({key.first, key.second, lines});
         }
     }
     return omitted;
--- a/src/decisions/LogBudget.h
+++ b/src/decisions/LogBudget.h
@@ -11,10 +11,12 @@
 
 namespace Coltsfootwell {
 
-/// \brief Lines of one event that were left out.
+/// \brief Lines of one event and weight that were left out.
 struct OmittedLines
 {
     std::string event;
+    /// See LogWeight.
+    bool important = false;
     std::uint64_t lines = 0;
 };
 
--- a/src/programs/LogExplain.cpp
+++ b/src/programs/LogExplain.cpp
@@ -136,6 +136,7 @@
             }
             continue;
         }
+        countOmitted(line);
         if (!line.request.empty()) {
             m_requests[line.request].push_back(std::move(line));
         }
@@ -145,6 +146,15 @@
     }
 }
 
+void LogExplain::countOmitted(const LogLine &line)
+{
+    if (line.event != "log.omitted" || fieldOf(line, "of") != "call.ended") {
+        return;
+    }
+    m_omittedEnds[fieldOf(line, "weight")]
+        += numberFromText<std::uint64_t>(fieldOf(line, "lines")).value_or(0);
+}
+
 bool LogExplain::explain(std::string_view request, std::ostream &out) const
 {
     const auto it = m_requests.find(request);
@@ -178,6 +188,9 @@
     for (const auto &[cause, count] : causes) {
         out << count << ' ' << cause << '\n';
     }
+    for (const auto &[weight, lines] : m_omittedEnds) {
+        out << lines << ' ' << weight << " lines call.ended were left out by daemons under load\n";
+    }
 }
 
 } // namespace Coltsfootwell
--- a/src/programs/LogExplain.h
+++ b/src/programs/LogExplain.h
@@ -51,14 +51,20 @@
     /// \return false when no line names the request.
     bool explain(std::string_view request, std::ostream &out) const;
 
-    /// \brief Prints the causes of all failed requests by count.
+    /// \brief Prints the causes of all failed requests by count, and how many ends of calls the
+    /// daemons have left out of their logs.
     void summary(std::ostream &out) const;
 
     /// \return lines that could not be read, as "file:line".
     const std::vector<std::string> &badLines() const { return m_badLines; }
 
 private:
+    /// Counts lines that a daemon has left out.
+    void countOmitted(const LogLine &line);
+
     std::map<std::string, std::vector<LogLine>, std::less<>> m_requests;
+    /// Lines on the ends of calls that daemons have left out, by their weight.
+    std::map<std::string, std::uint64_t, std::less<>> m_omittedEnds;
     std::vector<std::string> m_badLines;
 };
 
--- a/src/services/Telemetry.cpp
+++ b/src/services/Telemetry.cpp
@@ -144,7 +144,8 @@
     {
         for (const OmittedLines &omitted : m_budget.takeOmitted()) {
             write("log.omitted", "",
-                  "of=" + omitted.event + " lines=" + std::to_string(omitted.lines));
+                  "of=" + omitted.event + " weight=" + (omitted.important ? "important" : "routine")
+                      + " lines=" + std::to_string(omitted.lines));
             handle(CountEvent {"log_lines_omitted_total", omitted.event, double(omitted.lines)});
         }
         m_timer = m_kernel.executor().after(OmittedPeriod, [this] { tellOmitted(); });
--- a/test/correctness/LogFloods.cpp
+++ b/test/correctness/LogFloods.cpp
@@ -34,3 +34,14 @@
     CHECK(budget.allows("b", true, now));
     CHECK(budget.allows("a", false, now));
 }
+
+TEST_CASE("what is left out is told apart by its weight")
+{
+    LogBudget budget;
+    const TimePoint now {};
+    while (budget.allows("call.ended", false, now)) { }
+    while (budget.allows("call.ended", true, now)) { }
+    const auto omitted = budget.takeOmitted();
+    REQUIRE(omitted.size() == 2);
+    CHECK(omitted[0].important != omitted[1].important);
+}
