--- /dev/null
+++ b/src/decisions/MembershipProbes.cpp
@@ -0,0 +1,177 @@
+// The part of Membership that pings others and judges those that do not answer.
+#include "decisions/Membership.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace Coltsfootwell {
+
+namespace {
+
+/// Smaller groups have the suspicion time of this many members.
+constexpr double MembersPerSuspicionTime = 10.0;
+
+} // namespace
+
+void Membership::pingMembers(TimePoint now)
+{
+    if (now < m_nextPing) {
+        return;
+    }
+    m_nextPing = std::max(m_nextPing + PingPeriod, now);
+    const bool wantDigest = now >= m_nextDigest;
+    const auto live = m_table.pick(m_random, [this, wantDigest](std::size_t i) {
+        // A suspect member would hardly answer with its digest.
+        return isPingable(i) && (!wantDigest || m_table.members()[i].state == MemberState::Alive);
+    });
+    if (live) {
+        ping(*live, wantDigest, now);
+        if (wantDigest) {
+            m_nextDigest = now
+                + (!m_matched     ? FirstDigestPeriod
+                       : m_agreed ? DigestPeriod
+                                  : SyncPeriod);
+        }
+    }
+    if (now < m_nextUnreachablePing) {
+        return;
+    }
+    m_nextUnreachablePing = now + UnreachablePingPeriod;
+    const auto lost = m_table.pick(m_random, [this](std::size_t i) {
+        return m_table.members()[i].state == MemberState::Unreachable;
+    });
+    if (lost) {
+        ping(*lost, false, now);
+    }
+}
+
+void Membership::askSeeds(TimePoint now)
+{
+    const auto others = m_table.members().subspan(1);
+    const auto isLive = [](const Member &member) { return !isDown(member); };
+    const bool alone = std::ranges::none_of(others, isLive);
+    const Duration period = alone ? Duration(SeedPeriod) : Duration(LostSeedPeriod);
+    if (m_seeds.empty() || m_table.self().state == MemberState::Left
+        || (m_askedSeeds && now - *m_askedSeeds < period)) {
+        return;
+    }
+    m_askedSeeds = now;
+    for (const Endpoint &seed : m_seeds) {
+        const bool known = std::ranges::any_of(others, [&](const Member &member) {
+            return isLive(member) && member.endpoint == seed;
+        });
+        if (!known && seed != m_table.self().endpoint) {
+            m_probes.push_back({m_random.next(), {}, now, false});
+            ++m_counts.pings;
+            send(seed, Ping {m_probes.back().nonce, false, m_version}, {}, now);
+        }
+    }
+}
+
+void Membership::advanceProbes(TimePoint now)
+{
+    std::vector<std::string> silent;
+    for (Probe &probe : m_probes) {
+        if (!probe.indirect && now - probe.sent >= DirectTimeout) {
+            probe.indirect = true;
+            askOthersToPing(probe, now);
+        }
+        if (now - probe.sent >= ProbeTimeout && !probe.target.empty()) {
+            silent.push_back(probe.target);
+        }
+    }
+    const auto isOver = [now](const auto &entry) { return now - entry.sent >= ProbeTimeout; };
+    std::erase_if(m_probes, isOver);
+    std::erase_if(m_relays, isOver);
+    for (const std::string &name : silent) {
+        suspect(name, now);
+    }
+}
+
+void Membership::askOthersToPing(const Probe &probe, TimePoint now)
+{
+    const std::optional<std::size_t> target = m_table.find(probe.target);
+    if (!target || isDown(m_table.members()[*target])) {
+        return;
+    }
+    std::vector<std::size_t> asked {*target};
+    while (asked.size() <= IndirectPings) {
+        const auto helper = m_table.pick(m_random, [&](std::size_t i) {
+            return i != 0 && m_table.members()[i].state == MemberState::Alive
+                && std::ranges::find(asked, i) == asked.end();
+        });
+        if (!helper) {
+            return;
+        }
+        asked.push_back(*helper);
+        send(m_table.members()[*helper].endpoint,
+             IndirectPing {probe.nonce, probe.target, m_table.members()[*target].endpoint}, target,
+             now);
+    }
+}
+
+void Membership::suspect(const std::string &name, TimePoint now)
+{
+    const std::optional<std::size_t> index = m_table.find(name);
+    if (!index || isDown(m_table.members()[*index])) {
+        return;
+    }
+    MemberRecord record = m_table.record(*index, now);
+    if (record.member.leaving) {
+        // A leaving member has said itself that it goes; it can still refute while it finishes.
+        record.member.state = MemberState::Left;
+    } else {
+        m_counts.suspicions += record.member.state == MemberState::Alive ? 1 : 0;
+        record.member.state = MemberState::Suspect;
+        record.observers.push_back(m_table.self().id.name);
+    }
+    const Endpoint endpoint = record.member.endpoint;
+    m_table.merge(normalised(std::move(record)), now);
+    // A member that lives refutes sooner when it need not hear of the doubt from others.
+    send(endpoint, Ping {m_random.next(), false, m_version}, index, now);
+}
+
+void Membership::judgeSuspicions(TimePoint now)
+{
+    const Duration time = suspicionTime();
+    for (std::size_t i = 1; i < m_table.members().size(); ++i) {
+        if (m_table.members()[i].state != MemberState::Suspect || now - m_table.since(i) < time) {
+            continue;
+        }
+        const std::size_t needed = std::min(ConfirmingObservers, m_table.aliveCount());
+        if (m_table.observers(i).size() >= needed) {
+            MemberRecord record = m_table.record(i, now);
+            record.member.state = MemberState::Unreachable;
+            ++m_counts.unreachable;
+            // Others come to the same conclusion from the confirmed suspicion.
+            m_table.merge(normalised(std::move(record)), now, false);
+        }
+    }
+}
+
+void Membership::ping(std::size_t index, bool wantDigest, TimePoint now)
+{
+    const Member &target = m_table.members()[index];
+    const std::uint64_t nonce = m_random.next();
+    m_probes.push_back({nonce, target.id.name, now, false});
+    ++m_counts.pings;
+    // The target refutes a doubt about itself.
+    const bool doubted = target.state != MemberState::Alive;
+    send(target.endpoint, Ping {nonce, wantDigest, m_version},
+         doubted ? std::optional(index) : std::nullopt, now);
+}
+
+bool Membership::isPingable(std::size_t index) const
+{
+    return index != 0 && !isDown(m_table.members()[index]);
+}
+
+Duration Membership::suspicionTime() const
+{
+    const double members
+        = std::max(static_cast<double>(m_table.members().size()), MembersPerSuspicionTime);
+    return std::chrono::duration_cast<Duration>(SuspicionTime * std::log10(members));
+}
+
+} // namespace Coltsfootwell
