--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -1,5 +1,6 @@
 #include "services/CallerSession.h"
 
+#include "services/CallerAnswer.h"
 #include "services/ControlMessages.h"
 #include "services/HttpIo.h"
 #include "services/ServiceNames.h"
@@ -23,8 +24,6 @@
 /// How long a stop waits for the first request of an open connection. A caller that has just
 /// connected is about to send one, and could not tell whether it was read.
 constexpr std::chrono::seconds FirstRequestTime {1};
-constexpr unsigned StatusNoContent = 204;
-constexpr unsigned StatusNotModified = 304;
 
 /// Why the connection waits for bytes.
 enum class ReadPhase {
@@ -41,7 +40,7 @@
     bool keepAlive = true;
     bool done = false;
     /// Makes the bytes of the answer.
-    std::function<std::string(const Exchange &, bool keep)> answer;
+    std::function<std::string(const AnswerForm &)> answer;
 };
 
 class Session final : public SessionHandle, public std::enable_shared_from_this<Session>
@@ -295,9 +294,8 @@
 
     void finishControl(const std::shared_ptr<Exchange> &exchange, ControlAnswer answer)
     {
-        exchange->answer = [answer = std::move(answer)](const Exchange &own, bool keep) {
-            const std::array headers {HeaderField {"Content-Type", answer.contentType}};
-            return bytesOf(answer.status, headers, answer.body, own.headRequest, keep);
+        exchange->answer = [answer = std::move(answer)](const AnswerForm &form) {
+            return controlBytes(answer, form);
         };
         exchange->done = true;
         flush();
@@ -305,53 +303,16 @@
 
     void finish(const std::shared_ptr<Exchange> &exchange, CallResult result)
     {
-        exchange->answer = [this, result = std::move(result)](const Exchange &own, bool keep) {
+        exchange->answer = [this, result = std::move(result),
+                            requestId = exchange->requestId](const AnswerForm &form) {
             return std::holds_alternative<CallAnswered>(result)
-                ? answerBytes(own, std::get<CallAnswered>(result), keep)
-                : refusalBytes(own, std::get<CallRefused>(result), keep);
+                ? answerBytes(m_context->dialect, std::get<CallAnswered>(result), form)
+                : refusalBytes(m_context->dialect, std::get<CallRefused>(result), requestId, form);
         };
         exchange->done = true;
         flush();
     }
 
-    std::string answerBytes(const Exchange &exchange, const CallAnswered &answered, bool keep) const
-    {
-        std::vector<HeaderField> headers = answered.headers;
-        m_context->dialect.encodeAnswer(answered.servedBy.name, headers);
-        return bytesOf(answered.status, headers,
-                       answered.body ? std::string_view(*answered.body) : std::string_view(),
-                       exchange.headRequest, keep);
-    }
-
-    std::string refusalBytes(const Exchange &exchange, const CallRefused &refused, bool keep) const
-    {
-        RefusalHead head = m_context->dialect.encodeRefusal(refused.outcome, refused.reason,
-                                                            exchange.requestId, refused.retryAfter);
-        head.headers.push_back({"Content-Type", "text/plain"});
-        const std::string text = std::string(reasonName(refused.reason)) + " ("
-            + std::string(outcomeName(refused.outcome)) + ")\n";
-        return bytesOf(head.status, head.headers, text, exchange.headRequest, keep);
-    }
-
-    static std::string bytesOf(unsigned status, std::span<const HeaderField> headers,
-                               std::string_view body, bool headRequest, bool keep)
-    {
-        http::response<http::span_body<const char>> message;
-        message.version(11);
-        message.result(status);
-        for (const HeaderField &field : headers) {
-            message.insert(field.name, field.value);
-        }
-        message.keep_alive(keep);
-        if (status != StatusNoContent && status != StatusNotModified) {
-            message.content_length(body.size());
-        }
-        if (!headRequest) {
-            message.body() = beast::span<const char>(body.data(), body.size());
-        }
-        return messageBytes(message);
-    }
-
     /// Writes the answers that are next in order.
     void flush()
     {
@@ -365,7 +326,7 @@
             // Requests behind a closing answer count as unread, so only the last answer closes.
             const bool last = m_exchanges.empty() && (m_readEnded || m_buffer.size() == 0);
             close = !exchange->keepAlive || (last && (m_closing || m_context->leaving));
-            m_out += exchange->answer(*exchange, !close);
+            m_out += exchange->answer({exchange->headRequest, !close});
         }
         m_room.cancel();
         m_closeAfter = m_closeAfter || close;
