What is in force moves out of ConfigurationFollower

The service "configuration" (476 lines) read the store, asked other daemons and told the other services and the log what is in force. The last part moves to ConfigurationInForce; nothing else changes. test-correctness and test-error passed before and after.

--- a/src/services/ConfigurationFollower.cpp
+++ b/src/services/ConfigurationFollower.cpp
@@ -3,6 +3,7 @@
 #include "decisions/StateFetch.h"
 #include "decisions/StoreSchedule.h"
 #include "services/CallMessages.h"
+#include "services/ConfigurationInForce.h"
 #include "services/ConfigurationMessages.h"
 #include "services/ControlMessages.h"
 #include "services/KnownState.h"
@@ -41,15 +42,6 @@
 /// Between questions to other daemons while nothing is known.
 constexpr milliseconds CheckPeriod {300};
 
-/// \brief Where a state came from, for the log.
-struct StateOrigin
-{
-    std::string_view source;
-    AnswerTransfer transfer;
-    /// Versions that came with it and were replaced by later ones.
-    unsigned superseded = 0;
-};
-
 class ConfigurationFollower final : public Service
 {
 public:
@@ -57,7 +49,7 @@
                           ConfigurationSettings settings)
         : m_kernel(kernel), m_settings(std::move(settings)),
           m_state(*m_settings.format, m_settings.dataCentres),
-          m_schedule(m_settings.self, StoreClient::AnyLength),
+          m_schedule(m_settings.self, StoreClient::AnyLength), m_inForce(m_settings.filter),
           m_mailbox(kernel.executor(),
                     [this](ConfigurationMessage message) {
                         std::visit([this](auto &&body) { handle(std::move(body)); },
@@ -100,6 +92,7 @@
             return ServiceError::MissingService;
         }
         m_state.start(m_telemetry);
+        m_inForce.start(m_telemetry);
         readFile();
         if (m_reader) {
             m_schedule.started(now());
@@ -129,8 +122,7 @@
 
     void handle(const SubscribeConfiguration &subscribe)
     {
-        m_subscribers.push_back(subscribe.subscriber);
-        subscribe.subscriber.send(ConfigurationChanged {m_inForce});
+        m_inForce.subscribe(subscribe.subscriber);
     }
 
     void handle(const ReloadConfiguration &) { readFile(); }
@@ -139,45 +131,8 @@
     void publish(const StateOrigin &origin)
     {
         const Duration waited = m_behindSince ? now() - *m_behindSince : origin.transfer.arrival;
-        m_telemetry.send(
-            ObserveTime {"configuration_delay_seconds", std::string(origin.source), waited});
-        m_inForce = filtered(m_state.control().inForce());
         tellPosition();
-        if (!m_inForce) {
-            return;
-        }
-        std::string out;
-        for (const std::string &dataCentre : m_state.control().out()) {
-            out += (out.empty() ? "" : ",") + dataCentre;
-        }
-        m_telemetry.send(LogEvent {
-            "configuration.inForce", "",
-            "version=" + std::to_string(m_inForce->version)
-                + " position=" + std::to_string(m_state.position())
-                + " out=" + (out.empty() ? "none" : out) + " source=" + std::string(origin.source)
-                + " bytes=" + std::to_string(origin.transfer.bytes)
-                + " arrivalMs=" + inMs(origin.transfer.arrival) + " waitedMs=" + inMs(waited)
-                + " superseded=" + std::to_string(origin.superseded)});
-        m_telemetry.send(
-            SetGauge {"configuration_version", "", static_cast<double>(m_inForce->version)});
-        for (const auto &subscriber : m_subscribers) {
-            subscriber.send(ConfigurationChanged {m_inForce});
-        }
-    }
-
-    static std::string inMs(Duration time)
-    {
-        return std::to_string(std::chrono::duration_cast<milliseconds>(time).count());
-    }
-
-    ConfigurationPtr filtered(ConfigurationPtr configuration) const
-    {
-        if (!m_settings.filter || !configuration) {
-            return configuration;
-        }
-        auto changed = std::make_shared<Configuration>(*configuration);
-        m_settings.filter(*changed);
-        return changed;
+        m_inForce.publish(m_state.control(), origin, waited);
     }
 
     void tellPosition()
@@ -365,7 +320,7 @@
     {
         m_checkTimer = m_kernel.executor().after(CheckPeriod, [this] { check(); });
         readStore();
-        if (m_inForce || !m_members) {
+        if (m_inForce.configuration() || !m_members) {
             return;
         }
         std::vector<Endpoint> others;
@@ -427,8 +382,8 @@
     {
         ControlSnapshot snapshot {m_state.position(), m_state.control().out(),
                                   m_state.control().inForce()};
-        request.reply(
-            ControlAnswer {m_inForce ? 200U : 404U, "application/json", encodeSnapshot(snapshot)});
+        request.reply(ControlAnswer {m_inForce.configuration() ? 200U : 404U, "application/json",
+                                     encodeSnapshot(snapshot)});
     }
 
     Kernel &m_kernel;
@@ -436,8 +391,7 @@
     KnownState m_state;
     StoreSchedule m_schedule;
     StateFetch m_fetch;
-    ConfigurationPtr m_inForce;
-    std::vector<Address<ConfigurationChanged>> m_subscribers;
+    ConfigurationInForce m_inForce;
     std::shared_ptr<const std::vector<Member>> m_members;
     /// Null for a site without a store.
     std::unique_ptr<TopicReader> m_reader;
