--- a/test/fault/promises.py
+++ b/test/fault/promises.py
@@ -7,6 +7,7 @@
 
 import argparse
 import concurrent.futures
+import random
 import signal
 import sys
 import time
@@ -23,6 +24,11 @@
 OUT_S = 5.0
 # Low, so that the budget is what limits the probes and not the period at which they are considered.
 PROBES_PER_SECOND = 0.5
+# Time after which a confirmed change is demanded everywhere, and some samples more.
+IN_FORCE_S = 3.6
+# The longest wait of a read at the store, and the time after which it is given up.
+SILENCE_S = 3.0
+CROWDED_DAEMONS = tuple((f"c{i}", "klang", "klang-a", "bookings") for i in range(7))
 HOME_DAEMONS = (("k1", "klang", "klang-a", "bookings"), ("k2", "klang", "klang-b", "other"),
                 ("p1", "penang", "penang-a", "bookings"), ("p2", "penang", "penang-b", "other"))
 
@@ -177,6 +183,24 @@
         f.stop()
 
 
+def one_reaches_store(port, binary, seed):
+    """Promise 10: a change is in force everywhere in time though the store answers one daemon only, whichever it is."""
+    f = start(port, CROWDED_DAEMONS, binary=binary)
+    try:
+        sampler = matrix.Sampler(f)
+        for name in random.Random(seed).sample(list(f.daemons), 3):
+            # With open connections that are cut a daemon knows at once; a silent store shows within SILENCE_S.
+            for mode, known_s in (("cut", 0), ("drop-from", SILENCE_S)):
+                for daemon in f.daemons.values():
+                    daemon.store_relay.set_mode("pass" if daemon.name == name else mode)
+                time.sleep(known_s)
+                f.operate("out" if mode == "cut" else "back", "klang-a")
+                time.sleep(IN_FORCE_S)
+        return checkers.versions_in_force(sampler.stop(), f.accepted)
+    finally:
+        f.stop()
+
+
 def home_regions(port, binary, seed):
     """Promise 4: a call with home regions is served nowhere else, also its nested calls. A daemon elsewhere that
     a caller has chosen sends it home and keeps nothing of its content."""
@@ -225,7 +249,7 @@
 
 
 SCENARIOS = (data_centre_out, data_centre_out_unheard, backend_leaves, planned_stop, cold_start, cold_without_warning,
-             versions, home_regions, probe_budget)
+             versions, one_reaches_store, home_regions, probe_budget)
 
 
 def main():
--- a/test/fault/soak.py
+++ b/test/fault/soak.py
@@ -150,6 +150,17 @@
         self.fleet.set_store_faults(**faults)
         return f"store {faults}", lambda: self.fleet.set_store_faults()
 
+    def store_links(self):
+        """The store answers one daemon only, and the operators publish."""
+        served = self.random.choice(self.daemons())
+        victims = [daemon for daemon in self.daemons() if daemon is not served]
+        mode = self.random.choice(("cut", "drop-from"))
+        for daemon in victims:
+            daemon.store_relay.set_mode(mode)
+        published, _ = self.configuration()
+        return (f"store {mode} but for {served.name}, {published}",
+                lambda: [daemon.store_relay.set_mode("pass") for daemon in victims])
+
     def backend(self):
         daemon = self.random.choice(self.daemons())
         fault = self.random.choice(({"straggleMs": 300}, {"failFastShare": 0.7}, {"cold": True}, {"cutAfterBytes": 10},
@@ -194,7 +205,8 @@
             self.operate("back", name)
         return f"out {name}: {code}", back
 
-    FAULTS = (link, link, pause, kill, herd, stop, hang_up, store, backend, backend, configuration, data_centre)
+    FAULTS = (link, link, pause, kill, herd, stop, hang_up, store, store_links, backend, backend, configuration,
+              data_centre)
 
     def restart(self, process):
         """Starts a process again. Two series may have ended the same one, and only one of them starts it."""
