Bytes for control between daemons are counted apart from calls

What was missing: the target size bounds control at 17 KB/s for a daemon, and docs/CAPACITY.md called the figure open, since bytes on connections between daemons were not told apart (an unused counter held their sum).

Change: each frame is counted as of a call (attempts, bodies, answers) or as control (pings, news of load, exchanges), metric link_bytes_total.

--- a/src/services/LinkClient.cpp
+++ b/src/services/LinkClient.cpp
@@ -167,7 +167,8 @@
 void LinkClient::connected(const PeerPtr &peer)
 {
     const auto socket = std::exchange(peer->connecting, nullptr);
-    peer->connection = std::make_shared<LinkConnection>(std::move(*socket), m_parts.executor);
+    peer->connection
+        = std::make_shared<LinkConnection>(std::move(*socket), m_parts.executor, m_parts.traffic);
     peer->brokenSince.reset();
     peer->pingedAt.reset();
     peer->daemon = {};
--- a/src/services/LinkClient.h
+++ b/src/services/LinkClient.h
@@ -24,6 +24,7 @@
     boost::asio::io_context &context;
     Executor &executor;
     DaemonId self;
+    std::shared_ptr<LinkTraffic> traffic;
     std::function<void(LoadLearned)> loadLearned;
     std::function<void(DaemonUnreachable)> unreachable;
     std::function<void(TelemetryMessage)> tell;
--- a/src/services/LinkConnection.cpp
+++ b/src/services/LinkConnection.cpp
@@ -13,8 +13,10 @@
 
 } // namespace
 
-LinkConnection::LinkConnection(tcp::socket socket, Executor &executor)
-    : m_socket(std::move(socket)), m_executor(executor), m_lastHeard(executor.now())
+LinkConnection::LinkConnection(tcp::socket socket, Executor &executor,
+                               std::shared_ptr<LinkTraffic> traffic)
+    : m_socket(std::move(socket)), m_executor(executor), m_lastHeard(executor.now()),
+      m_traffic(std::move(traffic))
 {
     boost::system::error_code ec;
     const auto peer = m_socket.remote_endpoint(ec);
@@ -33,7 +35,9 @@
     if (!m_open) {
         return;
     }
-    m_queued += encodeFrame(frame);
+    const std::string bytes = encodeFrame(frame);
+    m_traffic->add(frame, bytes.size());
+    m_queued += bytes;
     if (m_writing.empty()) {
         write();
     }
@@ -60,7 +64,6 @@
                 return;
             }
             self->m_lastHeard = self->m_executor.now();
-            self->m_bytes += n;
             self->takeFrames();
             if (self->m_open) {
                 self->read();
@@ -83,6 +86,7 @@
             break;
         }
         taken += size;
+        m_traffic->add(frame, size);
         // The handler may close the connection and with it the handler.
         const auto received = m_handlers.received;
         received(std::move(frame));
@@ -97,13 +101,12 @@
 {
     m_writing = std::exchange(m_queued, {});
     asio::async_write(m_socket, asio::buffer(m_writing),
-                      [self = shared_from_this()](boost::system::error_code ec, std::size_t n) {
+                      [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
                           self->m_writing.clear();
                           if (ec) {
                               self->fail();
                               return;
                           }
-                          self->m_bytes += n;
                           if (self->m_open && !self->m_queued.empty()) {
                               self->write();
                           }
--- a/src/services/LinkConnection.h
+++ b/src/services/LinkConnection.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "kernel/Executor.h"
+#include "services/LinkTraffic.h"
 #include "wire/LinkFrame.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -27,7 +28,9 @@
 public:
     /// \param socket connected.
     /// \param executor gives the time.
-    LinkConnection(boost::asio::ip::tcp::socket socket, Executor &executor);
+    /// \param traffic counts the bytes of all connections.
+    LinkConnection(boost::asio::ip::tcp::socket socket, Executor &executor,
+                   std::shared_ptr<LinkTraffic> traffic);
 
     /// \brief Begins to receive.
     void start(LinkHandlers handlers);
@@ -41,9 +44,6 @@
     /// \return time of the last byte received, or of the start.
     TimePoint lastHeard() const { return m_lastHeard; }
 
-    /// \return bytes sent and received so far.
-    std::uint64_t bytes() const { return m_bytes; }
-
     /// \return address of the other side.
     const std::string &peerAddress() const { return m_peerAddress; }
 
@@ -60,7 +60,7 @@
     std::string m_queued;
     std::string m_writing;
     TimePoint m_lastHeard;
-    std::uint64_t m_bytes = 0;
+    std::shared_ptr<LinkTraffic> m_traffic;
     std::string m_peerAddress;
     bool m_open = true;
 };
--- a/src/services/LinkServer.cpp
+++ b/src/services/LinkServer.cpp
@@ -28,7 +28,8 @@
 void LinkServer::accepted(tcp::socket socket)
 {
     const auto client = std::make_shared<Client>();
-    client->connection = std::make_shared<LinkConnection>(std::move(socket), m_parts.executor);
+    client->connection
+        = std::make_shared<LinkConnection>(std::move(socket), m_parts.executor, m_parts.traffic);
     m_clients.push_back(client);
     const std::weak_ptr<LinkServer> weakSelf = weak_from_this();
     const std::weak_ptr<Client> weak = client;
--- a/src/services/LinkServer.h
+++ b/src/services/LinkServer.h
@@ -20,6 +20,7 @@
 {
     Executor &executor;
     DaemonId self;
+    std::shared_ptr<LinkTraffic> traffic;
     std::function<void(BackendMessage)> toBackend;
     /// Passes a question on to the service of its subject.
     std::function<void(ExchangeSubject, PeerAsks)> ask;
--- a/src/services/Links.cpp
+++ b/src/services/Links.cpp
@@ -16,18 +16,20 @@
 using namespace Internal;
 
 constexpr std::chrono::milliseconds FlushTime {100};
+/// Between reports of the bytes sent and received.
+constexpr std::chrono::seconds ReportPeriod {1};
 
 class Links final : public Service
 {
 public:
     Links(Kernel &kernel, asio::io_context &context, LinksSettings settings)
         : m_kernel(kernel), m_settings(std::move(settings)), m_acceptor(context),
-          m_client({context, kernel.executor(), m_settings.self,
+          m_client({context, kernel.executor(), m_settings.self, m_traffic,
                     [this](LoadLearned news) { m_calls.send(std::move(news)); },
                     [this](DaemonUnreachable news) { m_calls.send(std::move(news)); },
                     [this](TelemetryMessage message) { m_telemetry.send(std::move(message)); }}),
           m_server(std::make_shared<LinkServer>(LinkServerParts {
-              kernel.executor(), m_settings.self,
+              kernel.executor(), m_settings.self, m_traffic,
               [this](BackendMessage message) { m_backend.send(std::move(message)); },
               [this](ExchangeSubject subject, PeerAsks ask) { pass(subject, std::move(ask)); }})),
           m_mailbox(kernel.executor(), [this](LinksMessage message) {
@@ -58,12 +60,14 @@
         }
         accept();
         tick();
+        reportTraffic();
         return {};
     }
 
     void stop(Task done) override
     {
         m_kernel.executor().cancel(m_timer);
+        m_kernel.executor().cancel(m_reportTimer);
         boost::system::error_code ec;
         m_acceptor.close(ec);
         // The last answers are still being written.
@@ -108,12 +112,30 @@
         m_timer = m_kernel.executor().after(LinkClient::TickPeriod, [this] { tick(); });
     }
 
+    void reportTraffic()
+    {
+        report("calls", &LinkTraffic::calls);
+        report("control", &LinkTraffic::control);
+        m_reportTimer = m_kernel.executor().after(ReportPeriod, [this] { reportTraffic(); });
+    }
+
+    void report(std::string_view kind, std::uint64_t LinkTraffic::*bytes)
+    {
+        const std::uint64_t added = *m_traffic.*bytes - m_reported.*bytes;
+        m_reported.*bytes += added;
+        m_telemetry.send(
+            CountEvent {"link_bytes_total", std::string(kind), static_cast<double>(added)});
+    }
+
     Kernel &m_kernel;
     LinksSettings m_settings;
     tcp::acceptor m_acceptor;
+    const std::shared_ptr<LinkTraffic> m_traffic = std::make_shared<LinkTraffic>();
+    LinkTraffic m_reported;
     LinkClient m_client;
     std::shared_ptr<LinkServer> m_server;
     TimerId m_timer = 0;
+    TimerId m_reportTimer = 0;
     Address<BackendMessage> m_backend;
     Address<CallsMessage> m_calls;
     Address<TelemetryMessage> m_telemetry;
--- a/test/error/BodyLostWithLink.cpp
+++ b/test/error/BodyLostWithLink.cpp
@@ -29,7 +29,8 @@
     {
         tcp::socket socket(context);
         socket.connect(acceptor.local_endpoint());
-        const auto link = std::make_shared<LinkConnection>(std::move(socket), executor);
+        const auto link = std::make_shared<LinkConnection>(std::move(socket), executor,
+                                                           std::make_shared<LinkTraffic>());
         link->start({[this](const LinkFrame &frame) {
                          proceeds += std::holds_alternative<ProceedFrame>(frame.body) ? 1 : 0;
                      },
@@ -71,6 +72,7 @@
     std::shared_ptr<LinkServer> server = std::make_shared<LinkServer>(
         LinkServerParts {executor,
                          {"serving", 1},
+                         std::make_shared<LinkTraffic>(),
                          [this](BackendMessage message) {
                              if (auto *run = std::get_if<RunAttempt>(&message)) {
                                  runs.push_back(std::move(*run));
