Bench of long bodies and of calls that make a call of their own

docs/PERFORMANCE.md called both not measured. tools/bench kinds runs the three paths of tools/bench latency for bodies of 64 and 256 KiB and for a call that makes one of its own.

--- a/test/performance/bench.py
+++ b/test/performance/bench.py
@@ -5,6 +5,7 @@
   latency   time added to a call: straight to the backend server, through the daemon beside it, and
             through two daemons; alternating rounds of one run
   idle      processor time, memory and membership bytes of idle daemons against their number
+  kinds     the same as latency for long bodies and for calls that make a call of their own
   core      calls per second and core of the daemons on the path
 """
 
@@ -85,7 +86,7 @@
     return f
 
 
-def bench_latency(seconds, rounds):
+def bench_latency(seconds, rounds, kind="read", rate=300, mix=None):
     f = start(FIRST_PORT, [("d1", "klang", "klang-a", "bookings"), ("e1", "klang", "klang-a", None)],
               slots=64, service_ms=0, cold_slots=64)
     try:
@@ -94,14 +95,14 @@
         samples = {name: [] for name in ports}
         for i in range(rounds):
             for name, port in ports.items():
-                report = load(port, 300, seconds, i)
+                report = load(port, rate, seconds, i, mix)
                 if set(report["status"]) != {"200"}:
                     raise RuntimeError(f"{name}: statuses {report['status']} where only 200 was expected")
                 samples[name].append(report["latency"])
         middle = {name: {q: sorted(s[f"{q}Ms"] for s in rows)[len(rows) // 2] for q in ("p50", "p99")}
                   for name, rows in samples.items()}
         for name in ("one daemon", "two daemons"):
-            emit(case="latency", path=name, rate=300, target_added_p99_ms=0.31,
+            emit(case="latency", kind=kind, path=name, rate=rate, target_added_p99_ms=0.31,
                  **{f"{q}_ms": middle[name][q] for q in ("p50", "p99")},
                  **{f"direct_{q}_ms": middle["direct"][q] for q in ("p50", "p99")},
                  **{f"added_{q}_ms": round(middle[name][q] - middle["direct"][q], 4) for q in ("p50", "p99")})
@@ -109,6 +110,15 @@
         f.stop()
 
 
+def bench_kinds(seconds, rounds):
+    post = {"name": "order", "method": "POST", "path": "/bookings/x", "deadlineMs": 2000}
+    for length in (64, 256):
+        bench_latency(seconds, rounds, f"body of {length} KiB", 100, [dict(post, bodyBytes=length * 1024)])
+    # Straight to the server the inner call still passes the daemon.
+    bench_latency(seconds, rounds, "with a call of its own", 100, [
+        {"name": "outer", "method": "GET", "path": "/bookings/x?nested=/bookings/y", "deadlineMs": 2000}])
+
+
 def bench_idle(counts, seconds):
     rows = []
     for i, n in enumerate(counts):
@@ -176,6 +186,8 @@
     for case in options.cases:
         if case == "latency":
             bench_latency(2 if options.quick else 5, 1 if options.quick else 3)
+        elif case == "kinds":
+            bench_kinds(2 if options.quick else 5, 1 if options.quick else 3)
         elif case == "core":
             bench_core(2 if options.quick else 5)
         elif case == "idle":
