--- a/src/decisions/StoreSchedule.cpp
+++ b/src/decisions/StoreSchedule.cpp
@@ -17,9 +17,9 @@
     m_lastHeard = now;
 }
 
-void StoreSchedule::membersChanged(std::shared_ptr<const std::vector<Member>> members)
+void StoreSchedule::membersChanged(std::span<const Member> members)
 {
-    const StoreRole role = storeRole(m_self, *members);
+    const StoreRole role = storeRole(m_self, members);
     const bool begins = m_role && role.reads && !m_role->reads;
     const bool moreLost = m_role && role.reads && role.othersLost > m_role->othersLost;
     m_asksAtOnce = role.reads && (m_asksAtOnce || begins || moreLost);
--- a/src/decisions/StoreSchedule.h
+++ b/src/decisions/StoreSchedule.h
@@ -10,11 +10,10 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <variant>
-#include <vector>
 
 namespace Coltsfootwell {
 
@@ -79,7 +78,7 @@
     void started(TimePoint now);
 
     /// \brief Other daemons came, went or changed.
-    void membersChanged(std::shared_ptr<const std::vector<Member>> members);
+    void membersChanged(std::span<const Member> members);
 
     /// \return true when a read that waits for records is to be replaced by one that does not: this
     /// daemon has become a reader, or the store no longer answers another one and may not answer
--- a/src/services/ConfigurationFollower.cpp
+++ b/src/services/ConfigurationFollower.cpp
@@ -249,8 +249,8 @@
 
     void membersChanged(MembersChanged news)
     {
-        m_members = news.members;
-        m_schedule.membersChanged(std::move(news.members));
+        m_members = std::move(news.members);
+        m_schedule.membersChanged(*m_members);
         tellRole();
         if (m_reader && m_reader->isWaiting()
             && (!m_schedule.follows(now()) || m_schedule.asksAtOnce())) {
--- a/test/correctness/LongStateReadByAll.cpp
+++ b/test/correctness/LongStateReadByAll.cpp
@@ -24,20 +24,20 @@
         schedule.membersChanged(members());
     }
 
-    static std::shared_ptr<const std::vector<Member>> members()
+    static std::vector<Member> members()
     {
         std::vector<Member> all(Daemons);
         for (std::size_t i = 0; i < Daemons; ++i) {
             all[i].id = {"daemon-" + std::to_string(i), 1};
         }
-        return std::make_shared<const std::vector<Member>>(std::move(all));
+        return all;
     }
 
     static std::string nameOf(bool reader)
     {
         const auto all = members();
-        for (const Member &member : *all) {
-            if (isStoreReader(member.id.name, *all) == reader) {
+        for (const Member &member : all) {
+            if (isStoreReader(member.id.name, all) == reader) {
                 return member.id.name;
             }
         }
