Log the start time of backend server processes, and what a deregistration met

The events backend.heartbeat and backend.left did not say which process of an id they meant: an id may be used again, and the start time tells one process from another.

--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -187,9 +187,8 @@
     {
         const RegistrationChange change
             = m_tracker.registration.processLeft(message.instance, now());
-        m_telemetry.send(LogEvent {"backend.left", "",
-                                   "instance=" + message.instance
-                                       + " change=" + std::string(registrationChangeName(change))});
+        m_telemetry.send(
+            deregistrationEvent(message.instance, m_tracker.registration.current(), change));
         message.acknowledged(true);
         publishLoadChanges();
         m_runs->dispatchQueue();
--- a/src/services/BackendLog.cpp
+++ b/src/services/BackendLog.cpp
@@ -28,6 +28,7 @@
 {
     return {"backend.heartbeat", "",
             "instance=" + heartbeat.instance + " service=" + heartbeat.service
+                + " startMs=" + std::to_string(heartbeat.processStartMs)
                 + " sequence=" + std::to_string(heartbeat.sequence)
                 + " state=" + (heartbeat.state == AnnouncedState::Ready ? "ready" : "draining")
                 + " slots=" + std::to_string(heartbeat.slots)
@@ -35,6 +36,20 @@
                 + " change=" + std::string(registrationChangeName(change))};
 }
 
+LogEvent deregistrationEvent(std::string_view instance,
+                             const std::optional<BackendHeartbeat> &current,
+                             RegistrationChange change)
+{
+    std::string known = "none";
+    if (current) {
+        known = current->instance + " startMs=" + std::to_string(current->processStartMs)
+            + " sequence=" + std::to_string(current->sequence);
+    }
+    return {"backend.left", "",
+            "instance=" + std::string(instance)
+                + " change=" + std::string(registrationChangeName(change)) + " known=" + known};
+}
+
 void sendLoadGauges(const Address<TelemetryMessage> &telemetry, const std::string &service,
                     const LoadReport &load)
 {
--- a/src/services/BackendLog.h
+++ b/src/services/BackendLog.h
@@ -6,6 +6,7 @@
 #include "kernel/Mailbox.h"
 #include "services/TelemetryMessages.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,6 +26,14 @@
 /// \return the log event "backend.heartbeat".
 LogEvent heartbeatEvent(const BackendHeartbeat &heartbeat, RegistrationChange change);
 
+/// \param instance id of the process that has deregistered.
+/// \param current registration before the deregistration; empty if the daemon knows none.
+/// \param change effect of the deregistration.
+/// \return the log event "backend.left".
+LogEvent deregistrationEvent(std::string_view instance,
+                             const std::optional<BackendHeartbeat> &current,
+                             RegistrationChange change);
+
 /// \brief Sends the load gauges of the backend server.
 /// \param telemetry receives the gauges.
 /// \param service service of the backend server, the label of the gauges.
