--- a/src/decisions/BackendRegistration.cpp
+++ b/src/decisions/BackendRegistration.cpp
@@ -1,17 +1,16 @@
 #include "decisions/BackendRegistration.h"
 
+#include <algorithm>
+
 namespace Coltsfootwell {
 
 RegistrationChange BackendRegistration::heartbeatReceived(const BackendHeartbeat &heartbeat,
                                                           TimePoint now)
 {
-    const bool hasLeft
-        = heartbeat.instance == m_leftInstance && heartbeat.processStartMs <= m_leftProcessStartMs;
-    if (hasLeft || isOlder(heartbeat)) {
+    if (hasLeft(heartbeat, now) || isOlder(heartbeat, now)) {
         return RegistrationChange::Outdated;
     }
-    const bool sameProcess = m_current && m_current->instance == heartbeat.instance
-        && m_current->processStartMs == heartbeat.processStartMs;
+    const bool sameProcess = isCurrentProcess(heartbeat);
     m_current = heartbeat;
     m_lastHeartbeatAt = now;
     if (!sameProcess) {
@@ -31,27 +30,41 @@
     return RegistrationChange::Renewed;
 }
 
-RegistrationChange BackendRegistration::processLeft(const std::string &instance, TimePoint now)
+RegistrationChange BackendRegistration::processLeft(const std::string &instance, TimePoint now,
+                                                    std::int64_t unixMs)
 {
-    if (m_current && m_current->instance != instance) {
-        return RegistrationChange::Outdated;
+    const bool isCurrent = m_current && m_current->instance == instance;
+    remember({instance, isCurrent ? m_current->processStartMs : 0, unixMs}, now);
+    if (!isCurrent) {
+        return m_current ? RegistrationChange::Outdated : RegistrationChange::Renewed;
     }
-    m_leftInstance = instance;
-    m_leftProcessStartMs = m_current ? m_current->processStartMs : 0;
-    if (!m_current || m_leavingSince) {
+    if (m_leavingSince) {
         return RegistrationChange::Renewed;
     }
     m_leavingSince = now;
     return RegistrationChange::Leaving;
 }
 
-bool BackendRegistration::isOlder(const BackendHeartbeat &heartbeat) const
+bool BackendRegistration::isCurrentProcess(const BackendHeartbeat &heartbeat) const
+{
+    return m_current && m_current->instance == heartbeat.instance
+        && m_current->processStartMs == heartbeat.processStartMs;
+}
+
+bool BackendRegistration::hasLeft(const BackendHeartbeat &heartbeat, TimePoint now) const
+{
+    return std::ranges::any_of(m_departures, [&heartbeat, now](const Departure &departure) {
+        return now - departure.announcedAt <= MaxHeartbeatDelay
+            && isFromLeftProcess(departure.process, heartbeat);
+    });
+}
+
+bool BackendRegistration::isOlder(const BackendHeartbeat &heartbeat, TimePoint now) const
 {
     if (!m_current) {
         return false;
     }
-    if (heartbeat.instance == m_current->instance
-        && heartbeat.processStartMs == m_current->processStartMs) {
+    if (isCurrentProcess(heartbeat)) {
         return heartbeat.sequence <= m_current->sequence;
     }
     // Processes without a start time replace each other in the order of arrival.
@@ -59,4 +72,17 @@
         && heartbeat.processStartMs < m_current->processStartMs;
 }
 
+void BackendRegistration::remember(LeftProcess process, TimePoint now)
+{
+    const auto isSame = [&process](const Departure &departure) {
+        return departure.process.instance == process.instance
+            && departure.process.processStartMs == process.processStartMs;
+    };
+    std::erase_if(m_departures, isSame);
+    if (m_departures.size() == MaxLeftProcesses) {
+        m_departures.erase(m_departures.begin());
+    }
+    m_departures.push_back({std::move(process), now});
+}
+
 } // namespace Coltsfootwell
--- a/src/decisions/BackendRegistration.h
+++ b/src/decisions/BackendRegistration.h
@@ -2,11 +2,13 @@
 // or from processes that have already ended.
 #pragma once
 
+#include "decisions/LeftProcess.h"
 #include "kernel/Time.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Coltsfootwell {
 
@@ -53,13 +55,19 @@
 class BackendRegistration
 {
 public:
+    /// Maximum delay of a heartbeat. A heartbeat that arrives this long after the last announcement
+    /// of a shutdown was sent after it, so that its process is in service: a deregistration may
+    /// come late, too, and names only an id, and clocks may be set back between two starts.
+    static constexpr std::chrono::seconds MaxHeartbeatDelay {30};
+
     /// \brief Applies a heartbeat.
     /// \param heartbeat a valid heartbeat.
     RegistrationChange heartbeatReceived(const BackendHeartbeat &heartbeat, TimePoint now);
 
-    /// \brief Records that a server process has deregistered.
+    /// \brief Records that a server process has deregistered, also if it is not the current one.
     /// \param instance identifier of the process.
-    RegistrationChange processLeft(const std::string &instance, TimePoint now);
+    /// \param unixMs current Unix time in milliseconds.
+    RegistrationChange processLeft(const std::string &instance, TimePoint now, std::int64_t unixMs);
 
     /// \return the last accepted heartbeat; empty before the first one.
     const std::optional<BackendHeartbeat> &current() const { return m_current; }
@@ -71,14 +79,26 @@
     TimePoint lastHeartbeatAt() const { return m_lastHeartbeatAt; }
 
 private:
-    bool isOlder(const BackendHeartbeat &heartbeat) const;
+    /// Number of processes that are remembered after they have left.
+    static constexpr std::size_t MaxLeftProcesses = 4;
+
+    struct Departure
+    {
+        LeftProcess process;
+        /// Time of the last announcement of the shutdown.
+        TimePoint announcedAt {};
+    };
+
+    bool isCurrentProcess(const BackendHeartbeat &heartbeat) const;
+    bool hasLeft(const BackendHeartbeat &heartbeat, TimePoint now) const;
+    bool isOlder(const BackendHeartbeat &heartbeat, TimePoint now) const;
+    void remember(LeftProcess process, TimePoint now);
 
     std::optional<BackendHeartbeat> m_current;
     std::optional<TimePoint> m_leavingSince;
     TimePoint m_lastHeartbeatAt {};
-    /// Process that has deregistered; its late heartbeats are ignored.
-    std::string m_leftInstance;
-    std::int64_t m_leftProcessStartMs = 0;
+    /// Processes that have deregistered, the latest one last.
+    std::vector<Departure> m_departures;
 };
 
 } // namespace Coltsfootwell
--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -27,6 +27,13 @@
 /// Interval at which stop() checks whether all runs have ended.
 constexpr milliseconds StopPollInterval {20};
 
+/// \return current Unix time in milliseconds, to be compared with the start times in heartbeats.
+std::int64_t unixMs()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<milliseconds>(sinceEpoch).count();
+}
+
 class Backend final : public Service
 {
 public:
@@ -186,7 +193,7 @@
     void handle(DeregistrationReceived message)
     {
         const RegistrationChange change
-            = m_tracker.registration.processLeft(message.instance, now());
+            = m_tracker.registration.processLeft(message.instance, now(), unixMs());
         m_telemetry.send(
             deregistrationEvent(message.instance, m_tracker.registration.current(), change));
         message.acknowledged(true);
--- a/test/correctness/DrainingServerGetsCalls.cpp
+++ b/test/correctness/DrainingServerGetsCalls.cpp
@@ -44,7 +44,7 @@
     BackendRegistration registration;
     const TimePoint now {};
     registration.heartbeatReceived(heartbeatOf("a", 10, 1), now);
-    CHECK(registration.processLeft("a", now) == RegistrationChange::Leaving);
+    CHECK(registration.processLeft("a", now, 100) == RegistrationChange::Leaving);
     CHECK(registration.heartbeatReceived(heartbeatOf("a", 10, 9), now)
           == RegistrationChange::Outdated);
     CHECK(registration.leavingSince());
@@ -55,7 +55,7 @@
     BackendRegistration registration;
     const TimePoint now {};
     registration.heartbeatReceived(heartbeatOf("a", 10, 50), now);
-    registration.processLeft("a", now);
+    registration.processLeft("a", now, 100);
     CHECK(registration.heartbeatReceived(heartbeatOf("a", 20, 1), now)
           == RegistrationChange::Replaced);
     CHECK_FALSE(registration.leavingSince());
@@ -70,6 +70,6 @@
     BackendRegistration registration;
     const TimePoint now {};
     registration.heartbeatReceived(heartbeatOf("b", 30, 1), now);
-    CHECK(registration.processLeft("a", now) == RegistrationChange::Outdated);
+    CHECK(registration.processLeft("a", now, 100) == RegistrationChange::Outdated);
     CHECK_FALSE(registration.leavingSince());
 }
--- a/test/correctness/ForbiddenRunAccepted.cpp
+++ b/test/correctness/ForbiddenRunAccepted.cpp
@@ -86,7 +86,7 @@
 TEST_CASE("a deregistered server accepts calls only during the drain time")
 {
     Fixture fixture;
-    fixture.tracker.registration.processLeft("i", fixture.now);
+    fixture.tracker.registration.processLeft("i", fixture.now, 0);
     CHECK_FALSE(fixture.refusal());
     CHECK(fixture.tracker.state(fixture.now) == BackendState::Draining);
     fixture.now += DrainTime + milliseconds(1);
--- /dev/null
+++ b/test/correctness/RestartedDaemonForgetsLeaving.cpp
@@ -0,0 +1,102 @@
+// Guards against a restarted daemon that puts a backend server back into service after the server
+// has announced its shutdown, and against one that locks out a process with the id of an earlier
+// one.
+#include "decisions/BackendRegistration.h"
+
+#include <doctest/doctest.h>
+
+using namespace Coltsfootwell;
+using std::chrono::seconds;
+
+namespace {
+
+/// Start of the process that leaves, and the time at which it deregisters, in Unix milliseconds.
+constexpr std::int64_t StartMs = 1'000'000;
+constexpr std::int64_t LeftMs = 1'060'000;
+
+BackendHeartbeat heartbeatOf(std::string instance, std::int64_t processStartMs,
+                             std::uint64_t sequence, AnnouncedState state = AnnouncedState::Ready)
+{
+    BackendHeartbeat heartbeat;
+    heartbeat.instance = std::move(instance);
+    heartbeat.processStartMs = processStartMs;
+    heartbeat.sequence = sequence;
+    heartbeat.state = state;
+    heartbeat.service = "s";
+    heartbeat.slots = 9;
+    return heartbeat;
+}
+
+} // namespace
+
+TEST_CASE("a late heartbeat after a deregistration does not register the process")
+{
+    // review/2: the deregistration is the first message that the restarted daemon receives.
+    BackendRegistration registration;
+    const TimePoint now {};
+    registration.processLeft("a", now, LeftMs);
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", StartMs, 6), now + seconds(1))
+          == RegistrationChange::Outdated);
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", StartMs, 7), now + seconds(9))
+          == RegistrationChange::Outdated);
+    CHECK_FALSE(registration.current());
+}
+
+TEST_CASE("a late heartbeat without a start time does not register a process that has left")
+{
+    BackendRegistration registration;
+    const TimePoint now {};
+    registration.processLeft("a", now, LeftMs);
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", 0, 6), now + seconds(1))
+          == RegistrationChange::Outdated);
+}
+
+TEST_CASE("a deregistration counts although another process is registered")
+{
+    // All heartbeats of the process "b" are late, so that the daemon hears of its shutdown first.
+    BackendRegistration registration;
+    const TimePoint now {};
+    registration.heartbeatReceived(heartbeatOf("a", StartMs, 1), now);
+    registration.processLeft("b", now, LeftMs);
+    CHECK(registration.heartbeatReceived(heartbeatOf("b", StartMs + 10'000, 1), now + seconds(1))
+          == RegistrationChange::Outdated);
+    CHECK(registration.current()->instance == "a");
+}
+
+TEST_CASE("a process that starts after a deregistration under the same id is registered")
+{
+    BackendRegistration registration;
+    const TimePoint now {};
+    registration.processLeft("a", now, LeftMs);
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", LeftMs + 1500, 1), now + seconds(2))
+          == RegistrationChange::Replaced);
+    CHECK_FALSE(registration.leavingSince());
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", StartMs, 7), now + seconds(3))
+          == RegistrationChange::Outdated);
+}
+
+TEST_CASE("another process is registered after a deregistration, whatever its start time")
+{
+    BackendRegistration registration;
+    const TimePoint now {};
+    registration.processLeft("a", now, LeftMs);
+    CHECK(registration.heartbeatReceived(heartbeatOf("b", StartMs, 1), now + seconds(1))
+          == RegistrationChange::Replaced);
+}
+
+TEST_CASE("a process that cannot be told from the one that left is registered once no heartbeat "
+          "can be late")
+{
+    // The clock of the server is two seconds behind, or the server announces no start time.
+    for (const std::int64_t start : {LeftMs - 2000, std::int64_t(0)}) {
+        BackendRegistration registration;
+        const TimePoint now {};
+        registration.processLeft("a", now, LeftMs);
+        CHECK(registration.heartbeatReceived(heartbeatOf("a", start, 1), now + seconds(5))
+              == RegistrationChange::Outdated);
+        CHECK(registration.heartbeatReceived(heartbeatOf("a", start, 18),
+                                             now + BackendRegistration::MaxHeartbeatDelay
+                                                 + seconds(1))
+              == RegistrationChange::Replaced);
+    }
+}
