A restarted daemon knows which shutdowns its predecessor acknowledged

What callers saw: a server deregistered or said that it was draining, and got its acknowledgement. Its daemon was killed and started again, and a heartbeat that the server had sent before arrived after that. The server was taken for a live one and got calls until its exit, which then lost those at work.

Cause: the registration lived in the daemon's process only. PROOFS.md listed it as a limit, with the reason that a started daemon waits for a heartbeat; but that heartbeat may be an old one.

Change: the service left-processes keeps the processes that have left in the store (topic keyed.left, one record for each host). A shutdown is acknowledged once the store has it, or after 0.6 s without its answer, since a server takes it for lost after one second; the record is then repeated. A daemon reads its record at the start. Until a health check of the same id, or heartbeats for 3 s, confirm the first registration of a daemon's process, the server gets no calls: this covers a record that did not reach the store, and locks out no live server, not even one whose health checks are false.

--- a/src/decisions/BackendRegistration.cpp
+++ b/src/decisions/BackendRegistration.cpp
@@ -5,39 +5,112 @@
 namespace Coltsfootwell {
 
 RegistrationChange BackendRegistration::heartbeatReceived(const BackendHeartbeat &heartbeat,
-                                                          TimePoint now)
+                                                          TimePoint now, std::int64_t unixMs)
 {
-    if (hasLeft(heartbeat, now) || isOlder(heartbeat, now)) {
+    if (isCurrentProcess(heartbeat)) {
+        return currentProcessReported(heartbeat, now, unixMs);
+    }
+    if (hasLeft(heartbeat, now)) {
+        if (heartbeat.state == AnnouncedState::Draining) {
+            renewDepartures(heartbeat, now);
+        }
         return RegistrationChange::Outdated;
     }
-    const bool sameProcess = isCurrentProcess(heartbeat);
+    if (isOlder(heartbeat)) {
+        return RegistrationChange::Outdated;
+    }
+    const bool isFirst = !m_current;
     m_current = heartbeat;
     m_lastHeartbeatAt = now;
-    if (!sameProcess) {
-        m_leavingSince.reset();
+    m_leavingSince.reset();
+    m_deregistered = false;
+    m_unconfirmedSince = isFirst && m_predecessorExpected ? std::optional(now) : std::nullopt;
+    // A process that was draining before this daemon started stays unconfirmed, since the time in
+    // which it still accepts calls may be over.
+    return heartbeat.state == AnnouncedState::Draining ? currentProcessLeaves(now, unixMs)
+                                                       : RegistrationChange::Replaced;
+}
+
+RegistrationChange BackendRegistration::processLeft(const std::string &instance, TimePoint now,
+                                                    std::int64_t unixMs)
+{
+    if (m_current && m_current->instance == instance) {
+        m_deregistered = true;
+        return currentProcessLeaves(now, unixMs);
     }
-    if (heartbeat.state == AnnouncedState::Draining) {
-        if (m_leavingSince) {
-            return RegistrationChange::Renewed;
-        }
-        m_leavingSince = now;
-        return RegistrationChange::Leaving;
+    remember({instance, 0, unixMs}, now);
+    return m_current ? RegistrationChange::Outdated : RegistrationChange::Renewed;
+}
+
+bool BackendRegistration::predecessorKnew(std::span<const LeftProcess> processes, TimePoint now,
+                                          std::int64_t unixMs)
+{
+    const std::vector<LeftProcess> merged = mergedLeftProcesses(processes, leftProcesses());
+    std::vector<Departure> departures;
+    for (const LeftProcess &process : merged) {
+        const auto it = std::ranges::find_if(m_departures, [&process](const Departure &known) {
+            return isSameProcess(known.process, process);
+        });
+        departures.push_back(it == m_departures.end() ? Departure {process, now} : *it);
+    }
+    m_departures = std::move(departures);
+    if (!m_current || m_leavingSince) {
+        return false;
+    }
+    const auto it = std::ranges::find_if(processes, [this](const LeftProcess &process) {
+        return isFromLeftProcess(process, *m_current);
+    });
+    if (it == processes.end()) {
+        return false;
     }
-    if (!sameProcess) {
-        return RegistrationChange::Replaced;
+    const auto age
+        = std::chrono::milliseconds(std::max<std::int64_t>(0, unixMs - it->announcedAtMs));
+    m_leavingSince = now - age;
+    m_deregistered = true;
+    m_unconfirmedSince.reset();
+    return true;
+}
+
+bool BackendRegistration::healthChecked(std::string_view instance, TimePoint sentAt)
+{
+    if (!m_unconfirmedSince || instance != m_current->instance || sentAt < *m_unconfirmedSince) {
+        return false;
+    }
+    m_unconfirmedSince.reset();
+    return true;
+}
+
+std::vector<LeftProcess> BackendRegistration::leftProcesses() const
+{
+    std::vector<LeftProcess> processes;
+    for (const Departure &departure : m_departures) {
+        processes.push_back(departure.process);
+    }
+    return processes;
+}
+
+RegistrationChange BackendRegistration::currentProcessReported(const BackendHeartbeat &heartbeat,
+                                                               TimePoint now, std::int64_t unixMs)
+{
+    const bool isReady = heartbeat.state == AnnouncedState::Ready;
+    if (heartbeat.sequence <= m_current->sequence || (isReady && m_deregistered)) {
+        return RegistrationChange::Outdated;
+    }
+    m_current = heartbeat;
+    m_lastHeartbeatAt = now;
+    if (!isReady) {
+        return currentProcessLeaves(now, unixMs);
+    }
+    if (m_unconfirmedSince && now - *m_unconfirmedSince >= ConfirmationTime) {
+        m_unconfirmedSince.reset();
     }
     // A process that has started to drain cannot become ready again.
     return RegistrationChange::Renewed;
 }
 
-RegistrationChange BackendRegistration::processLeft(const std::string &instance, TimePoint now,
-                                                    std::int64_t unixMs)
+RegistrationChange BackendRegistration::currentProcessLeaves(TimePoint now, std::int64_t unixMs)
 {
-    const bool isCurrent = m_current && m_current->instance == instance;
-    remember({instance, isCurrent ? m_current->processStartMs : 0, unixMs}, now);
-    if (!isCurrent) {
-        return m_current ? RegistrationChange::Outdated : RegistrationChange::Renewed;
-    }
+    remember({m_current->instance, m_current->processStartMs, unixMs}, now);
     if (m_leavingSince) {
         return RegistrationChange::Renewed;
     }
@@ -59,26 +132,36 @@
     });
 }
 
-bool BackendRegistration::isOlder(const BackendHeartbeat &heartbeat, TimePoint now) const
+void BackendRegistration::renewDepartures(const BackendHeartbeat &heartbeat, TimePoint now)
 {
-    if (!m_current) {
-        return false;
-    }
-    if (isCurrentProcess(heartbeat)) {
-        return heartbeat.sequence <= m_current->sequence;
+    for (Departure &departure : m_departures) {
+        if (isFromLeftProcess(departure.process, heartbeat)) {
+            departure.announcedAt = now;
+        }
     }
+}
+
+bool BackendRegistration::isOlder(const BackendHeartbeat &heartbeat) const
+{
     // Processes without a start time replace each other in the order of arrival.
-    return heartbeat.processStartMs != 0 && m_current->processStartMs != 0
+    return m_current && heartbeat.processStartMs != 0 && m_current->processStartMs != 0
         && heartbeat.processStartMs < m_current->processStartMs;
 }
 
 void BackendRegistration::remember(LeftProcess process, TimePoint now)
 {
-    const auto isSame = [&process](const Departure &departure) {
-        return departure.process.instance == process.instance
-            && departure.process.processStartMs == process.processStartMs;
-    };
-    std::erase_if(m_departures, isSame);
+    const auto known = std::ranges::find_if(m_departures, [&process](const Departure &departure) {
+        return isSameProcess(departure.process, process);
+    });
+    if (known != m_departures.end()) {
+        known->announcedAt = now;
+        // The start of a process is unknown, so that a repeated deregistration may be of a later
+        // one.
+        if (process.processStartMs == 0) {
+            known->process.announcedAtMs = process.announcedAtMs;
+        }
+        return;
+    }
     if (m_departures.size() == MaxLeftProcesses) {
         m_departures.erase(m_departures.begin());
     }
--- a/src/decisions/BackendRegistration.h
+++ b/src/decisions/BackendRegistration.h
@@ -7,7 +7,9 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Coltsfootwell {
@@ -60,28 +62,56 @@
     /// come late, too, and names only an id, and clocks may be set back between two starts.
     static constexpr std::chrono::seconds MaxHeartbeatDelay {30};
 
+    /// Time after which heartbeats alone confirm a registration, see expectPredecessor(). The
+    /// server sends two in this time.
+    static constexpr std::chrono::seconds ConfirmationTime {3};
+
+    /// \brief Makes the first registration wait until it is confirmed, because an earlier process
+    /// of this daemon may have acknowledged that the server leaves. Call it before the first
+    /// heartbeat.
+    void expectPredecessor() { m_predecessorExpected = true; }
+
     /// \brief Applies a heartbeat.
     /// \param heartbeat a valid heartbeat.
-    RegistrationChange heartbeatReceived(const BackendHeartbeat &heartbeat, TimePoint now);
+    /// \param unixMs current Unix time in milliseconds.
+    RegistrationChange heartbeatReceived(const BackendHeartbeat &heartbeat, TimePoint now,
+                                         std::int64_t unixMs);
 
     /// \brief Records that a server process has deregistered, also if it is not the current one.
     /// \param instance identifier of the process.
     /// \param unixMs current Unix time in milliseconds.
     RegistrationChange processLeft(const std::string &instance, TimePoint now, std::int64_t unixMs);
 
+    /// \brief Adds the shutdowns that earlier processes of this daemon have acknowledged.
+    /// \param processes processes in the order of their shutdown.
+    /// \param unixMs current Unix time in milliseconds.
+    /// \return true if the current process is one of them and leaves from now on.
+    bool predecessorKnew(std::span<const LeftProcess> processes, TimePoint now,
+                         std::int64_t unixMs);
+
+    /// \brief Records a health check in which the server says that it is in service.
+    /// \param instance id of the process that has answered; empty if it is not known.
+    /// \param sentAt time at which the health check was sent.
+    /// \return true if the current registration was not confirmed and now is.
+    bool healthChecked(std::string_view instance, TimePoint sentAt);
+
     /// \return the last accepted heartbeat; empty before the first one.
     const std::optional<BackendHeartbeat> &current() const { return m_current; }
 
+    /// \return false while the current process must get no calls, since it may have left before
+    /// this daemon started.
+    bool isConfirmed() const { return !m_unconfirmedSince; }
+
     /// \return time at which the current process announced that it leaves; empty while it serves.
     std::optional<TimePoint> leavingSince() const { return m_leavingSince; }
 
     /// \return time of the last accepted heartbeat.
     TimePoint lastHeartbeatAt() const { return m_lastHeartbeatAt; }
 
-private:
-    /// Number of processes that are remembered after they have left.
-    static constexpr std::size_t MaxLeftProcesses = 4;
+    /// \return the last processes that have announced their shutdown, in this order.
+    std::vector<LeftProcess> leftProcesses() const;
 
+private:
     struct Departure
     {
         LeftProcess process;
@@ -89,15 +119,23 @@
         TimePoint announcedAt {};
     };
 
+    RegistrationChange currentProcessReported(const BackendHeartbeat &heartbeat, TimePoint now,
+                                              std::int64_t unixMs);
+    RegistrationChange currentProcessLeaves(TimePoint now, std::int64_t unixMs);
     bool isCurrentProcess(const BackendHeartbeat &heartbeat) const;
     bool hasLeft(const BackendHeartbeat &heartbeat, TimePoint now) const;
-    bool isOlder(const BackendHeartbeat &heartbeat, TimePoint now) const;
+    void renewDepartures(const BackendHeartbeat &heartbeat, TimePoint now);
+    bool isOlder(const BackendHeartbeat &heartbeat) const;
     void remember(LeftProcess process, TimePoint now);
 
+    bool m_predecessorExpected = false;
     std::optional<BackendHeartbeat> m_current;
+    /// Time of the first heartbeat of a process whose registration is not confirmed.
+    std::optional<TimePoint> m_unconfirmedSince;
     std::optional<TimePoint> m_leavingSince;
+    bool m_deregistered = false;
     TimePoint m_lastHeartbeatAt {};
-    /// Processes that have deregistered, the latest one last.
+    /// Processes that have announced their shutdown, the latest one last.
     std::vector<Departure> m_departures;
 };
 
--- a/src/decisions/LeftProcess.cpp
+++ b/src/decisions/LeftProcess.cpp
@@ -2,8 +2,33 @@
 
 #include "decisions/BackendRegistration.h"
 
+#include <algorithm>
+
 namespace Coltsfootwell {
 
+bool isSameProcess(const LeftProcess &first, const LeftProcess &second)
+{
+    return first.instance == second.instance && first.processStartMs == second.processStartMs;
+}
+
+std::vector<LeftProcess> mergedLeftProcesses(std::span<const LeftProcess> earlier,
+                                             std::span<const LeftProcess> later)
+{
+    std::vector<LeftProcess> merged;
+    for (const LeftProcess &process : earlier) {
+        const auto isSame
+            = [&process](const LeftProcess &other) { return isSameProcess(process, other); };
+        if (std::ranges::none_of(later, isSame)) {
+            merged.push_back(process);
+        }
+    }
+    merged.insert(merged.end(), later.begin(), later.end());
+    if (merged.size() > MaxLeftProcesses) {
+        merged.erase(merged.begin(), merged.end() - MaxLeftProcesses);
+    }
+    return merged;
+}
+
 bool isFromLeftProcess(const LeftProcess &left, const BackendHeartbeat &heartbeat)
 {
     const bool sameInstance = left.instance == heartbeat.instance;
--- a/src/decisions/LeftProcess.h
+++ b/src/decisions/LeftProcess.h
@@ -5,7 +5,9 @@
 #include "kernel/Time.h"
 
 #include <cstdint>
+#include <span>
 #include <string>
+#include <vector>
 
 namespace Coltsfootwell {
 
@@ -26,6 +28,19 @@
     bool operator==(const LeftProcess &) const = default;
 };
 
+/// Number of processes that a daemon remembers after they have left.
+constexpr std::size_t MaxLeftProcesses = 4;
+
+/// \return true if both are the same process, whenever its shutdown was announced.
+bool isSameProcess(const LeftProcess &first, const LeftProcess &second);
+
+/// \brief Combines what an earlier and a later process of a daemon know.
+/// \param earlier processes in the order of their shutdown.
+/// \param later processes in the order of their shutdown.
+/// \return the last MaxLeftProcesses of all, each of them once.
+std::vector<LeftProcess> mergedLeftProcesses(std::span<const LeftProcess> earlier,
+                                             std::span<const LeftProcess> later);
+
 /// \param left process that has announced its shutdown.
 /// \param heartbeat heartbeat of any process beside the same daemon.
 /// \return true if the heartbeat was sent by the process that has left or by an earlier one.
--- a/src/decisions/ProbeSchedule.cpp
+++ b/src/decisions/ProbeSchedule.cpp
@@ -21,7 +21,7 @@
     if (conditions.slow) {
         maxAge = std::min<Duration>(maxAge, SlowProbeInterval);
     }
-    if (conditions.down) {
+    if (conditions.down || conditions.unconfirmed) {
         return m_lastSent + std::max<Duration>(minInterval, DownProbeInterval);
     }
     return std::max(m_lastSent + minInterval, conditions.speedUpdatedAt + maxAge);
--- a/src/decisions/ProbeSchedule.h
+++ b/src/decisions/ProbeSchedule.h
@@ -12,6 +12,8 @@
 struct ProbeConditions
 {
     bool down = false;
+    /// True if the server gets no calls until a probe tells that it is in service.
+    bool unconfirmed = false;
     bool busy = false;
     bool slow = false;
     bool cold = false;
@@ -30,7 +32,7 @@
     static constexpr std::chrono::milliseconds BusyProbeInterval {120};
     /// Age of the last speed update at which a slow server is probed to detect its recovery.
     static constexpr std::chrono::milliseconds SlowProbeInterval {90};
-    /// Minimum interval between probes of a server that is down.
+    /// Minimum interval between probes of a server that is down or unconfirmed.
     static constexpr std::chrono::milliseconds DownProbeInterval {100};
     /// Age of the last speed update at which a cold server is probed.
     static constexpr std::chrono::milliseconds ColdProbeInterval {400};
--- a/src/programs/Daemon.cpp
+++ b/src/programs/Daemon.cpp
@@ -9,6 +9,7 @@
 #include "services/ControlListener.h"
 #include "services/DaemonList.h"
 #include "services/DaemonRecords.h"
+#include "services/LeftProcessRecords.h"
 #include "services/Links.h"
 #include "services/Membership.h"
 #include "services/StopCoordinator.h"
@@ -59,7 +60,7 @@
 const DaemonInterface &ownInterface()
 {
     static const DaemonInterface interface {
-        &ownDialect(), &ownControlFormat(), &makePlatformStore, &addOwnRegistration, true
+        &ownDialect(), &ownControlFormat(), &makePlatformStore, &addOwnRegistration, false, true
     };
     return interface;
 }
@@ -117,6 +118,9 @@
     if (settings.store) {
         kernel.add(makeDaemonRecords(kernel, store(), id, {settings.advertise, settings.listen}));
     }
+    if (settings.store && interface.lastingInstanceIds) {
+        kernel.add(makeLeftProcessRecords(kernel, store(), id.name));
+    }
     kernel.add(makeBackend(kernel, context,
                            {locality, interface.dialect, fractionOf(settings.drain, DrainFraction),
                             settings.coldSlack, strategies.guards}));
--- a/src/programs/Daemon.h
+++ b/src/programs/Daemon.h
@@ -36,6 +36,9 @@
         = nullptr;
     /// Adds the services that receive heartbeats of backend servers to the kernel.
     void (*addRegistration)(Kernel &, const DaemonSettings &) = nullptr;
+    /// True if the id of a backend server's process stays the same for another process of the
+    /// daemon, so that its shutdown can be recorded in the store.
+    bool lastingInstanceIds = false;
     /// True if the callers' port serves the control paths below "/coltsfootwell/".
     bool servesControl = true;
 };
--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -13,6 +13,7 @@
 #include "services/ServiceNames.h"
 #include "services/StopMessages.h"
 #include "services/TelemetryMessages.h"
+#include "services/UnixTime.h"
 #include "wire/EndpointText.h"
 
 #include <algorithm>
@@ -27,13 +28,6 @@
 /// Interval at which stop() checks whether all runs have ended.
 constexpr milliseconds StopPollInterval {20};
 
-/// \return current Unix time in milliseconds, to be compared with the start times in heartbeats.
-std::int64_t unixMs()
-{
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<milliseconds>(sinceEpoch).count();
-}
-
 class Backend final : public Service
 {
 public:
@@ -94,6 +88,13 @@
             directory.find<ConfigurationMessage>(ServiceName::Configuration, ec)
                 .send(SubscribeConfiguration {m_configurationMailbox.address()});
         }
+        std::error_code withoutRecords;
+        m_leftProcesses
+            = directory.find<RecordLeftProcesses>(ServiceName::LeftProcesses, withoutRecords);
+        m_recordsLeft = !withoutRecords;
+        if (m_recordsLeft) {
+            m_tracker.registration.expectPredecessor();
+        }
         tick();
         checkProbe();
         return ec ? make_error_code(ServiceError::MissingService) : std::error_code();
@@ -168,8 +169,9 @@
     void handle(HeartbeatReceived message)
     {
         const BackendHeartbeat &heartbeat = message.heartbeat;
+        const bool wasConfirmed = m_tracker.registration.isConfirmed();
         const RegistrationChange change
-            = m_tracker.registration.heartbeatReceived(heartbeat, now());
+            = m_tracker.registration.heartbeatReceived(heartbeat, now(), unixMs());
         if (change == RegistrationChange::Replaced) {
             adoptInstance(heartbeat);
         } else if (change == RegistrationChange::Renewed
@@ -185,7 +187,13 @@
         if (change == RegistrationChange::Leaving && !m_hasInstance) {
             adoptInstance(heartbeat);
         }
-        message.acknowledged(true);
+        if (!wasConfirmed && m_tracker.registration.isConfirmed()) {
+            m_telemetry.send(LogEvent {"backend.confirmed", "",
+                                       "instance=" + heartbeat.instance + " by=heartbeats"});
+        }
+        heartbeat.state == AnnouncedState::Draining
+            ? acknowledgeRecorded(std::move(message.acknowledged))
+            : message.acknowledged(true);
         publishLoadChanges();
         m_runs->dispatchQueue();
     }
@@ -196,11 +204,47 @@
             = m_tracker.registration.processLeft(message.instance, now(), unixMs());
         m_telemetry.send(
             deregistrationEvent(message.instance, m_tracker.registration.current(), change));
-        message.acknowledged(true);
+        acknowledgeRecorded(std::move(message.acknowledged));
+        publishLoadChanges();
+        m_runs->dispatchQueue();
+    }
+
+    void handle(PredecessorRecordRead message)
+    {
+        BackendRegistration &registration = m_tracker.registration;
+        const bool ownAnnouncements = !registration.leftProcesses().empty();
+        if (registration.predecessorKnew(message.processes, now(), unixMs())) {
+            m_telemetry.send(heartbeatEvent(*registration.current(), RegistrationChange::Leaving));
+        }
+        if (ownAnnouncements) {
+            // The record must have the processes of both.
+            m_leftProcesses.send(RecordLeftProcesses {registration.leftProcesses(), {}});
+        }
         publishLoadChanges();
         m_runs->dispatchQueue();
     }
 
+    /// Acknowledges that the server leaves once the store has a record of it, so that a restarted
+    /// daemon knows of it, too. Without an answer of the store, the acknowledgement is given all
+    /// the same: it counts for this process, and the record is repeated.
+    void acknowledgeRecorded(Reply<bool> acknowledged)
+    {
+        if (!m_recordsLeft) {
+            acknowledged(true);
+            return;
+        }
+        auto reply = Reply<bool>(
+            m_kernel.executor(),
+            [this, acknowledged = std::move(acknowledged)](std::optional<bool> recorded) {
+                if (!recorded.value_or(false)) {
+                    m_telemetry.send(LogEvent {"backend.leftUnrecorded", "", ""});
+                }
+                acknowledged(true);
+            });
+        m_leftProcesses.send(
+            RecordLeftProcesses {m_tracker.registration.leftProcesses(), std::move(reply)});
+    }
+
     void adoptInstance(const BackendHeartbeat &heartbeat)
     {
         const auto endpoint = parseEndpoint(heartbeat.address);
@@ -213,6 +257,9 @@
         m_runs->instanceReplaced(pool);
         m_probe.instanceReplaced(pool);
         applyRules();
+        if (!m_tracker.registration.isConfirmed()) {
+            m_probe.sendIfDue(false);
+        }
     }
 
     // Load.
@@ -314,6 +361,9 @@
     Address<TelemetryMessage> m_telemetry;
     Address<LinksMessage> m_links;
     Address<CallsMessage> m_calls;
+    Address<RecordLeftProcesses> m_leftProcesses;
+    /// True if shutdowns of the server are recorded in the store.
+    bool m_recordsLeft = false;
     Mailbox<BackendMessage> m_mailbox;
     Mailbox<RegistrationMessage> m_registrationMailbox;
     Mailbox<ConfigurationChanged> m_configurationMailbox;
--- a/src/services/BackendMessages.h
+++ b/src/services/BackendMessages.h
@@ -1,4 +1,4 @@
-// Messages about the registration of the local backend server.
+// Messages about the registration of the local backend server and about its shutdown.
 #pragma once
 
 #include "decisions/BackendRegistration.h"
@@ -6,6 +6,7 @@
 
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace Coltsfootwell {
 
@@ -26,6 +27,25 @@
     Reply<bool> acknowledged;
 };
 
-using RegistrationMessage = std::variant<HeartbeatReceived, DeregistrationReceived>;
+/// \brief To "registration": the shutdowns that earlier processes of this daemon have acknowledged,
+/// as far as the store knows them.
+struct PredecessorRecordRead
+{
+    /// Processes in the order of their shutdown.
+    std::vector<LeftProcess> processes;
+};
+
+using RegistrationMessage
+    = std::variant<HeartbeatReceived, DeregistrationReceived, PredecessorRecordRead>;
+
+/// \brief To "left-processes": records processes that have announced their shutdown, in place of
+/// those recorded before.
+struct RecordLeftProcesses
+{
+    /// Processes in the order of their shutdown.
+    std::vector<LeftProcess> processes;
+    /// Called with true once the store has them, or with false if that takes too long.
+    Reply<bool> recorded;
+};
 
 } // namespace Coltsfootwell
--- a/src/services/BackendProbe.cpp
+++ b/src/services/BackendProbe.cpp
@@ -33,7 +33,9 @@
 
 Duration BackendProbe::checkInterval(bool busy) const
 {
-    const bool active = busy || m_forced || m_dependencies.tracker.health.isDown() || isSlow();
+    const BackendTracker &tracker = m_dependencies.tracker;
+    const bool active = busy || m_forced || tracker.health.isDown() || isSlow()
+        || !tracker.registration.isConfirmed();
     return active ? ActiveCheckInterval : IdleCheckInterval;
 }
 
@@ -45,6 +47,7 @@
     }
     ProbeConditions conditions;
     conditions.down = tracker.health.isDown();
+    conditions.unconfirmed = !tracker.registration.isConfirmed();
     conditions.busy = busy;
     conditions.slow = isSlow();
     conditions.cold = tracker.coldRateLimiter.isCold(now());
@@ -70,22 +73,26 @@
     std::make_shared<HttpExchange>(
         m_dependencies.context, m_dependencies.kernel.executor(), m_pool, m_dependencies.dialect,
         std::move(request), [] { return true; },
-        [this, pool = m_pool](const ExchangeOutcome &outcome) {
+        [this, pool = m_pool, sentAt = now()](const ExchangeOutcome &outcome) {
             m_inFlight = false;
             if (pool == m_pool) {
-                probeEnded(outcome);
+                probeEnded(outcome, sentAt);
             }
         })
         ->start();
 }
 
-void BackendProbe::probeEnded(const ExchangeOutcome &outcome)
+void BackendProbe::probeEnded(const ExchangeOutcome &outcome, TimePoint sentAt)
 {
     BackendTracker &tracker = m_dependencies.tracker;
     const bool wasDown = tracker.health.isDown();
     if (outcome.kind == ExchangeOutcome::Kind::Answered) {
         const ProbeReport probe
             = m_dependencies.dialect.decodeProbe(outcome.status, outcome.headers, outcome.body);
+        if (probe.healthy && tracker.registration.healthChecked(probe.instance, sentAt)) {
+            m_dependencies.telemetry.send(
+                LogEvent {"backend.confirmed", "", "instance=" + probe.instance + " by=health"});
+        }
         if (probe.load) {
             tracker.health.slownessReported(probe.load->slownessPercent, now());
         }
@@ -95,10 +102,13 @@
             tracker.coldRemainingReported(milliseconds(0), now());
         }
         // A health check can report a false failure while calls succeed. A failed one therefore
-        // only adds to a count of failures that each successful call resets.
-        probe.healthy || outcome.status < FirstRedirectStatus
-            ? tracker.health.probeAnswered(now())
-            : tracker.health.probeFailed(false, now());
+        // only adds to a count of failures that each successful call resets. An unconfirmed server
+        // gets no calls, so that nothing would reset the count.
+        if (probe.healthy || outcome.status < FirstRedirectStatus) {
+            tracker.health.probeAnswered(now());
+        } else if (tracker.registration.isConfirmed()) {
+            tracker.health.probeFailed(false, now());
+        }
         countResult(probe.healthy ? "healthy" : "unhealthy");
     } else {
         const bool refused = outcome.kind == ExchangeOutcome::Kind::Unreachable;
--- a/src/services/BackendProbe.h
+++ b/src/services/BackendProbe.h
@@ -54,7 +54,8 @@
     TimePoint now() const { return m_dependencies.kernel.executor().now(); }
     bool isSlow() const;
     void send();
-    void probeEnded(const ExchangeOutcome &outcome);
+    /// \param sentAt time at which the probe was sent.
+    void probeEnded(const ExchangeOutcome &outcome, TimePoint sentAt);
     void countResult(std::string_view result) const;
 
     BackendProbeDependencies m_dependencies;
--- a/src/services/BackendTracker.cpp
+++ b/src/services/BackendTracker.cpp
@@ -34,7 +34,7 @@
 
 std::optional<Reason> BackendTracker::unavailableReason(TimePoint now) const
 {
-    if (!registration.current() || health.isDown()) {
+    if (!registration.current() || !registration.isConfirmed() || health.isDown()) {
         return Reason::NoBackendServer;
     }
     if (const auto since = registration.leavingSince(); since && now - *since > m_drainTime) {
@@ -70,7 +70,7 @@
 
 BackendState BackendTracker::state(TimePoint now) const
 {
-    if (!registration.current()) {
+    if (!registration.current() || !registration.isConfirmed()) {
         return BackendState::Absent;
     }
     if (registration.leavingSince()) {
--- a/src/services/ServiceNames.h
+++ b/src/services/ServiceNames.h
@@ -15,6 +15,7 @@
 constexpr std::string_view Links = "links";
 constexpr std::string_view Backend = "backend";
 constexpr std::string_view Registration = "registration";
+constexpr std::string_view LeftProcesses = "left-processes";
 constexpr std::string_view Store = "store";
 constexpr std::string_view DaemonList = "daemon-list";
 constexpr std::string_view DaemonRecords = "daemon-records";
--- a/test/correctness/DrainingServerGetsCalls.cpp
+++ b/test/correctness/DrainingServerGetsCalls.cpp
@@ -28,13 +28,14 @@
 {
     BackendRegistration registration;
     TimePoint now {};
-    CHECK(registration.heartbeatReceived(heartbeatOf("a", 10, 1), now)
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", 10, 1), now, 100)
           == RegistrationChange::Replaced);
-    CHECK(registration.heartbeatReceived(heartbeatOf("a", 10, 3, AnnouncedState::Draining), now)
-          == RegistrationChange::Leaving);
-    CHECK(registration.heartbeatReceived(heartbeatOf("a", 10, 2), now)
+    CHECK(
+        registration.heartbeatReceived(heartbeatOf("a", 10, 3, AnnouncedState::Draining), now, 100)
+        == RegistrationChange::Leaving);
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", 10, 2), now, 100)
           == RegistrationChange::Outdated);
-    CHECK(registration.heartbeatReceived(heartbeatOf("a", 10, 4), now + seconds(1))
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", 10, 4), now + seconds(1), 100)
           == RegistrationChange::Renewed);
     CHECK(registration.leavingSince() == now);
 }
@@ -43,9 +44,9 @@
 {
     BackendRegistration registration;
     const TimePoint now {};
-    registration.heartbeatReceived(heartbeatOf("a", 10, 1), now);
+    registration.heartbeatReceived(heartbeatOf("a", 10, 1), now, 100);
     CHECK(registration.processLeft("a", now, 100) == RegistrationChange::Leaving);
-    CHECK(registration.heartbeatReceived(heartbeatOf("a", 10, 9), now)
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", 10, 9), now, 100)
           == RegistrationChange::Outdated);
     CHECK(registration.leavingSince());
 }
@@ -54,14 +55,14 @@
 {
     BackendRegistration registration;
     const TimePoint now {};
-    registration.heartbeatReceived(heartbeatOf("a", 10, 50), now);
+    registration.heartbeatReceived(heartbeatOf("a", 10, 50), now, 100);
     registration.processLeft("a", now, 100);
-    CHECK(registration.heartbeatReceived(heartbeatOf("a", 20, 1), now)
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", 20, 1), now, 100)
           == RegistrationChange::Replaced);
     CHECK_FALSE(registration.leavingSince());
-    CHECK(registration.heartbeatReceived(heartbeatOf("old", 10, 60), now)
+    CHECK(registration.heartbeatReceived(heartbeatOf("old", 10, 60), now, 100)
           == RegistrationChange::Outdated);
-    CHECK(registration.heartbeatReceived(heartbeatOf("b", 30, 1), now)
+    CHECK(registration.heartbeatReceived(heartbeatOf("b", 30, 1), now, 100)
           == RegistrationChange::Replaced);
 }
 
@@ -69,7 +70,7 @@
 {
     BackendRegistration registration;
     const TimePoint now {};
-    registration.heartbeatReceived(heartbeatOf("b", 30, 1), now);
+    registration.heartbeatReceived(heartbeatOf("b", 30, 1), now, 100);
     CHECK(registration.processLeft("a", now, 100) == RegistrationChange::Outdated);
     CHECK_FALSE(registration.leavingSince());
 }
--- a/test/correctness/ForbiddenRunAccepted.cpp
+++ b/test/correctness/ForbiddenRunAccepted.cpp
@@ -25,7 +25,7 @@
         heartbeat.service = "s";
         heartbeat.slots = 9;
         heartbeat.sequence = 1;
-        tracker.registration.heartbeatReceived(heartbeat, now);
+        tracker.registration.heartbeatReceived(heartbeat, now, 0);
         tracker.instanceReplaced(now);
         run.service = "s";
         run.deadline = now + milliseconds(10'000);
@@ -107,7 +107,7 @@
     unregistered.configurationChanged(fixture.configuration);
     CHECK(unregistered.refusalReason(fixture.run, fixture.now) == Reason::NoBackendServer);
     BackendTracker unconfigured {ThisDaemon, DrainTime};
-    unconfigured.registration.heartbeatReceived(fixture.heartbeat, fixture.now);
+    unconfigured.registration.heartbeatReceived(fixture.heartbeat, fixture.now, 0);
     CHECK(unconfigured.refusalReason(fixture.run, fixture.now) == Reason::StaleConfiguration);
 }
 
--- a/test/correctness/RestartedDaemonForgetsLeaving.cpp
+++ b/test/correctness/RestartedDaemonForgetsLeaving.cpp
@@ -35,9 +35,9 @@
     BackendRegistration registration;
     const TimePoint now {};
     registration.processLeft("a", now, LeftMs);
-    CHECK(registration.heartbeatReceived(heartbeatOf("a", StartMs, 6), now + seconds(1))
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", StartMs, 6), now + seconds(1), LeftMs)
           == RegistrationChange::Outdated);
-    CHECK(registration.heartbeatReceived(heartbeatOf("a", StartMs, 7), now + seconds(9))
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", StartMs, 7), now + seconds(9), LeftMs)
           == RegistrationChange::Outdated);
     CHECK_FALSE(registration.current());
 }
@@ -47,7 +47,7 @@
     BackendRegistration registration;
     const TimePoint now {};
     registration.processLeft("a", now, LeftMs);
-    CHECK(registration.heartbeatReceived(heartbeatOf("a", 0, 6), now + seconds(1))
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", 0, 6), now + seconds(1), LeftMs)
           == RegistrationChange::Outdated);
 }
 
@@ -56,9 +56,10 @@
     // All heartbeats of the process "b" are late, so that the daemon hears of its shutdown first.
     BackendRegistration registration;
     const TimePoint now {};
-    registration.heartbeatReceived(heartbeatOf("a", StartMs, 1), now);
+    registration.heartbeatReceived(heartbeatOf("a", StartMs, 1), now, LeftMs);
     registration.processLeft("b", now, LeftMs);
-    CHECK(registration.heartbeatReceived(heartbeatOf("b", StartMs + 10'000, 1), now + seconds(1))
+    CHECK(registration.heartbeatReceived(heartbeatOf("b", StartMs + 10'000, 1), now + seconds(1),
+                                         LeftMs)
           == RegistrationChange::Outdated);
     CHECK(registration.current()->instance == "a");
 }
@@ -68,10 +69,11 @@
     BackendRegistration registration;
     const TimePoint now {};
     registration.processLeft("a", now, LeftMs);
-    CHECK(registration.heartbeatReceived(heartbeatOf("a", LeftMs + 1500, 1), now + seconds(2))
-          == RegistrationChange::Replaced);
+    CHECK(
+        registration.heartbeatReceived(heartbeatOf("a", LeftMs + 1500, 1), now + seconds(2), LeftMs)
+        == RegistrationChange::Replaced);
     CHECK_FALSE(registration.leavingSince());
-    CHECK(registration.heartbeatReceived(heartbeatOf("a", StartMs, 7), now + seconds(3))
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", StartMs, 7), now + seconds(3), LeftMs)
           == RegistrationChange::Outdated);
 }
 
@@ -80,7 +82,7 @@
     BackendRegistration registration;
     const TimePoint now {};
     registration.processLeft("a", now, LeftMs);
-    CHECK(registration.heartbeatReceived(heartbeatOf("b", StartMs, 1), now + seconds(1))
+    CHECK(registration.heartbeatReceived(heartbeatOf("b", StartMs, 1), now + seconds(1), LeftMs)
           == RegistrationChange::Replaced);
 }
 
@@ -92,11 +94,113 @@
         BackendRegistration registration;
         const TimePoint now {};
         registration.processLeft("a", now, LeftMs);
-        CHECK(registration.heartbeatReceived(heartbeatOf("a", start, 1), now + seconds(5))
+        CHECK(registration.heartbeatReceived(heartbeatOf("a", start, 1), now + seconds(5), LeftMs)
               == RegistrationChange::Outdated);
-        CHECK(registration.heartbeatReceived(heartbeatOf("a", start, 18),
-                                             now + BackendRegistration::MaxHeartbeatDelay
-                                                 + seconds(1))
+        CHECK(registration.heartbeatReceived(
+                  heartbeatOf("a", start, 18),
+                  now + BackendRegistration::MaxHeartbeatDelay + seconds(1), LeftMs)
               == RegistrationChange::Replaced);
     }
 }
+
+TEST_CASE(
+    "a late heartbeat does not register a process whose shutdown the predecessor acknowledged")
+{
+    const LeftProcess left {"a", StartMs, LeftMs};
+    BackendRegistration registration;
+    registration.expectPredecessor();
+    const TimePoint now {};
+    CHECK_FALSE(registration.predecessorKnew(std::vector {left}, now, LeftMs + 500));
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", StartMs, 6), now + seconds(1), LeftMs)
+          == RegistrationChange::Outdated);
+    CHECK_FALSE(registration.current());
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", LeftMs + 3000, 1), now + seconds(4),
+                                         LeftMs + 4000)
+          == RegistrationChange::Replaced);
+}
+
+TEST_CASE("a process that is already registered leaves when the predecessor's record is read")
+{
+    // The store answers late, after a late heartbeat has registered the process.
+    BackendRegistration registration;
+    registration.expectPredecessor();
+    const TimePoint now {};
+    registration.heartbeatReceived(heartbeatOf("a", StartMs, 6), now, LeftMs + 1000);
+    registration.healthChecked("a", now);
+    CHECK(registration.predecessorKnew(std::vector {LeftProcess {"a", StartMs, LeftMs}},
+                                       now + seconds(1), LeftMs + 2000));
+    // The time in which it still accepts calls began at the announcement.
+    CHECK(registration.leavingSince() == now - seconds(1));
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", StartMs, 7), now + seconds(2),
+                                         LeftMs + 3000)
+          == RegistrationChange::Outdated);
+}
+
+TEST_CASE("shutdowns of the predecessor and of this process are recorded together")
+{
+    BackendRegistration registration;
+    const TimePoint now {};
+    registration.processLeft("b", now, LeftMs);
+    registration.predecessorKnew(std::vector {LeftProcess {"a", StartMs, StartMs + 1}}, now,
+                                 LeftMs);
+    CHECK(registration.leftProcesses()
+          == std::vector {LeftProcess {"a", StartMs, StartMs + 1}, LeftProcess {"b", 0, LeftMs}});
+}
+
+TEST_CASE("the first registration waits until a health check of the process confirms it")
+{
+    // The predecessor's acknowledgement did not reach the store.
+    BackendRegistration registration;
+    registration.expectPredecessor();
+    const TimePoint now {};
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", StartMs, 6), now, LeftMs)
+          == RegistrationChange::Replaced);
+    CHECK_FALSE(registration.isConfirmed());
+    CHECK_FALSE(registration.healthChecked("a", now - seconds(1)));
+    CHECK_FALSE(registration.healthChecked("other", now));
+    CHECK_FALSE(registration.isConfirmed());
+    CHECK(registration.healthChecked("a", now));
+    CHECK(registration.isConfirmed());
+    CHECK(registration.heartbeatReceived(heartbeatOf("b", StartMs + 1, 1), now, LeftMs)
+          == RegistrationChange::Replaced);
+    CHECK(registration.isConfirmed());
+}
+
+TEST_CASE("heartbeats confirm a registration whose health checks fail")
+{
+    BackendRegistration registration;
+    registration.expectPredecessor();
+    const TimePoint now {};
+    registration.heartbeatReceived(heartbeatOf("a", StartMs, 6), now, LeftMs);
+    registration.heartbeatReceived(heartbeatOf("a", StartMs, 7), now + seconds(1), LeftMs);
+    CHECK_FALSE(registration.isConfirmed());
+    registration.heartbeatReceived(heartbeatOf("a", StartMs, 6), now + seconds(5), LeftMs);
+    CHECK_FALSE(registration.isConfirmed());
+    registration.heartbeatReceived(heartbeatOf("a", StartMs, 8),
+                                   now + BackendRegistration::ConfirmationTime, LeftMs);
+    CHECK(registration.isConfirmed());
+}
+
+TEST_CASE("a process that is draining when the daemon starts gets no calls")
+{
+    BackendRegistration registration;
+    registration.expectPredecessor();
+    const TimePoint now {};
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", StartMs, 6, AnnouncedState::Draining),
+                                         now, LeftMs)
+          == RegistrationChange::Leaving);
+    CHECK_FALSE(registration.isConfirmed());
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", StartMs, 5), now, LeftMs)
+          == RegistrationChange::Outdated);
+}
+
+TEST_CASE("heartbeats of a draining process keep its late ones out")
+{
+    BackendRegistration registration;
+    const TimePoint now {};
+    registration.predecessorKnew(std::vector {LeftProcess {"a", StartMs, LeftMs}}, now, LeftMs);
+    registration.heartbeatReceived(heartbeatOf("a", StartMs, 30, AnnouncedState::Draining),
+                                   now + seconds(29), LeftMs);
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", StartMs, 29), now + seconds(35), LeftMs)
+          == RegistrationChange::Outdated);
+}
--- a/test/fault/platform_path.py
+++ b/test/fault/platform_path.py
@@ -48,6 +48,8 @@
         self.instance = f"i-{name}-1"
         self.runs = []
         self.mode = ""
+        self.health_status = 200
+        self.start_ms = 1000
         self.sequence = 0
         self.stopped = threading.Event()
         backend_server = self
@@ -71,7 +73,7 @@
             def do_GET(self):
                 body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
                 if self.path == "/health":
-                    self.send_answer(200, b"", X_Instance_Id=backend_server.instance)
+                    self.send_answer(backend_server.health_status, b"", X_Instance_Id=backend_server.instance)
                     return
                 if self.headers.get("X-Expected-Instance") != backend_server.instance:
                     self.send_answer(421, b"", X_Instance_Id=backend_server.instance)
@@ -115,12 +117,19 @@
             self.send_heartbeat("ready")
             self.stopped.wait(0.5)
 
-    def send_heartbeat(self, state):
+    def heartbeat(self, state):
+        """Returns the body of the next heartbeat."""
         self.sequence += 1
-        document = {"address": f"127.0.0.1:{self.port}", "born": 1000,
-                    "info": {"service": self.service, "version": "v1", "zone": "z", "slots": 8},
-                    "status": {"state": state, "sequence": self.sequence, "coldRemainingS": 0}}
-        return send_request(self.heartbeat_port, "PUT", f"/instances/{self.instance}", json.dumps(document).encode())[0]
+        return json.dumps({"address": f"127.0.0.1:{self.port}", "born": self.start_ms,
+                           "info": {"service": self.service, "version": "v1", "zone": "z", "slots": 8},
+                           "status": {"state": state, "sequence": self.sequence, "coldRemainingS": 0}}).encode()
+
+    def send_heartbeat(self, state, body=None):
+        """Sends a heartbeat, by default the next one; returns the status of the answer."""
+        return send_request(self.heartbeat_port, "PUT", f"/instances/{self.instance}", body or self.heartbeat(state))[0]
+
+    def deregister(self):
+        return send_request(self.heartbeat_port, "DELETE", f"/instances/{self.instance}")[0]
 
     def stop(self):
         self.stopped.set()
@@ -142,18 +151,24 @@
 
 
 class Site:
-    """Three data centres, each with two backend servers, one per service, and a daemon for each of them."""
+    """Daemons, each with a backend server.
+
+    hosts: tuples of name, data centre and service; by default two in each data centre, one per service.
+    """
 
-    def __init__(self):
+    def __init__(self, hosts=None, base_port=BASE_PORT, configuration=CONFIGURATION):
+        self.configuration = configuration
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="coltsfootwell-platform-"))
-        self.store_port = BASE_PORT
+        self.store_port = base_port
         self.store = fleet.Process([fleet.BUILD / "coltsfoot-store", "--listen", f"127.0.0.1:{self.store_port}"],
                                    self.directory / "store.log")
         self.daemons, self.backend_servers, self.ports = {}, {}, {}
         self.last_id = 0
-        for i, (data_centre, service) in enumerate((c, s) for c in REGIONS for s in ("catalogue", "bookings")):
-            name = f"{data_centre}-{service}"
-            port = BASE_PORT + 10 * (i + 1)
+        hosts = hosts or [(f"{c}-{s}", c, s) for c in REGIONS for s in ("catalogue", "bookings")]
+        self.services = {}
+        for i, (name, data_centre, service) in enumerate(hosts):
+            port = base_port + 10 * (i + 1)
+            self.services[name] = service
             settings = {"id": name, "region": REGIONS[data_centre], "dataCentre": data_centre, "dataCentres": REGIONS,
                         "interface": "platform", "service": service, "listen": f"127.0.0.1:{port}",
                         "peers": f"127.0.0.1:{port + 1}", "ready": f"127.0.0.1:{port + 2}",
@@ -170,13 +185,13 @@
         self.store.start()
         for daemon in self.daemons.values():
             daemon.start()
-        wait_for(lambda: self.publish("config", json.dumps(CONFIGURATION).encode()), "the store accepts records")
+        wait_for(lambda: self.publish("config", json.dumps(self.configuration).encode()), "the store accepts records")
         for name, port in self.ports.items():
-            self.backend_servers[name] = BackendServer(name, name.rsplit("-", 1)[1], port + 5, port + 3)
+            self.backend_servers[name] = BackendServer(name, self.services[name], port + 5, port + 3)
         wait_for(lambda: all(send_request(port + 2, "GET", "/ready")[0] == 200 for port in self.ports.values()),
                  "all daemons are ready")
-        wait_for(lambda: all(self.call(name, "GET", "/browse/x")[0] == 200 and self.call(name, "POST", "/book/x", b"x")[0] == 200
-                             for name in self.ports), "all daemons serve both routes")
+        wait_for(lambda: all(self.call(name, "POST", f"{route['pathPrefix']}x", b"x")[0] == 200
+                             for name in self.ports for route in self.configuration["routes"]), "all daemons serve all routes")
         for backend_server in self.backend_servers.values():
             backend_server.runs.clear()
 
