A repeated deregistration does not lock out the next process of an id

What callers saw: a server left and started again under its id. A deregistration of its first process arrived once more, and all calls of the service were refused from then on, although the second process went on sending heartbeats. Servers of the platform repeat their deregistration when they exit.

Cause: a deregistration names an id only and was taken for the registered process; a process that had left could not return, whatever it sent.

Ruled out: passing over a deregistration soon after a start (the second process may leave itself at once, which the scenario deregistration-return-deregistration-heartbeat plays); counting heartbeats (several may be late together).

Change: the deregistration still stops calls at once. If an earlier process of the id is known, a newer heartbeat makes it doubtful, and a health check sent after that heartbeat decides. The record in the store follows, so that the next process of the daemon does not lock it out.

--- a/src/decisions/BackendRegistration.cpp
+++ b/src/decisions/BackendRegistration.cpp
@@ -20,11 +20,14 @@
         return RegistrationChange::Outdated;
     }
     const bool isFirst = !m_current;
+    m_idReused = isUsedId(heartbeat.instance);
     m_current = heartbeat;
     m_lastHeartbeatAt = now;
     m_leavingSince.reset();
     m_deregistered = false;
     m_unconfirmedSince = isFirst && m_predecessorExpected ? std::optional(now) : std::nullopt;
+    // What covers the process now is too old to be of it.
+    forgetDepartures(heartbeat);
     // A process that was draining before this daemon started stays unconfirmed, since the time in
     // which it still accepts calls may be over.
     return heartbeat.state == AnnouncedState::Draining ? currentProcessLeaves(now, unixMs)
@@ -35,6 +38,10 @@
                                                     std::int64_t unixMs)
 {
     if (m_current && m_current->instance == instance) {
+        if (m_deregistered) {
+            // Health checks that were sent before count no more.
+            m_unconfirmedSince.reset();
+        }
         m_deregistered = true;
         return currentProcessLeaves(now, unixMs);
     }
@@ -77,6 +84,9 @@
         return false;
     }
     m_unconfirmedSince.reset();
+    if (m_deregistered) {
+        returnToService();
+    }
     return true;
 }
 
@@ -93,9 +103,12 @@
                                                                TimePoint now, std::int64_t unixMs)
 {
     const bool isReady = heartbeat.state == AnnouncedState::Ready;
-    if (heartbeat.sequence <= m_current->sequence || (isReady && m_deregistered)) {
+    if (heartbeat.sequence <= m_current->sequence) {
         return RegistrationChange::Outdated;
     }
+    if (isReady && m_deregistered) {
+        return deregisteredProcessReported(heartbeat, now);
+    }
     m_current = heartbeat;
     m_lastHeartbeatAt = now;
     if (!isReady) {
@@ -108,9 +121,48 @@
     return RegistrationChange::Renewed;
 }
 
+RegistrationChange BackendRegistration::deregisteredProcessReported(
+    const BackendHeartbeat &heartbeat, TimePoint now)
+{
+    if (!hasLeft(heartbeat, now)) {
+        m_current = heartbeat;
+        m_lastHeartbeatAt = now;
+        returnToService();
+        return RegistrationChange::Replaced;
+    }
+    if (!m_idReused) {
+        return RegistrationChange::Outdated;
+    }
+    // Either the heartbeat or the deregistration is late. A health check tells which.
+    m_current = heartbeat;
+    m_lastHeartbeatAt = now;
+    if (!m_unconfirmedSince) {
+        m_unconfirmedSince = now;
+    }
+    return RegistrationChange::Renewed;
+}
+
+void BackendRegistration::returnToService()
+{
+    m_leavingSince.reset();
+    m_unconfirmedSince.reset();
+    m_deregistered = false;
+    forgetDepartures(*m_current);
+}
+
+void BackendRegistration::forgetDepartures(const BackendHeartbeat &heartbeat)
+{
+    std::erase_if(m_departures, [&heartbeat](const Departure &departure) {
+        return departure.process.instance == heartbeat.instance
+            && isFromLeftProcess(departure.process, heartbeat);
+    });
+}
+
 RegistrationChange BackendRegistration::currentProcessLeaves(TimePoint now, std::int64_t unixMs)
 {
-    remember({m_current->instance, m_current->processStartMs, unixMs}, now);
+    LeftProcess process = currentProcess();
+    process.announcedAtMs = unixMs;
+    remember(std::move(process), now);
     if (m_leavingSince) {
         return RegistrationChange::Renewed;
     }
@@ -124,6 +176,19 @@
         && m_current->processStartMs == heartbeat.processStartMs;
 }
 
+LeftProcess BackendRegistration::currentProcess() const
+{
+    return {m_current->instance, m_current->processStartMs, 0};
+}
+
+bool BackendRegistration::isUsedId(std::string_view instance) const
+{
+    return (m_current && m_current->instance == instance)
+        || std::ranges::any_of(m_departures, [instance](const Departure &departure) {
+               return departure.process.instance == instance;
+           });
+}
+
 bool BackendRegistration::hasLeft(const BackendHeartbeat &heartbeat, TimePoint now) const
 {
     return std::ranges::any_of(m_departures, [&heartbeat, now](const Departure &departure) {
--- a/src/decisions/BackendRegistration.h
+++ b/src/decisions/BackendRegistration.h
@@ -92,7 +92,8 @@
     /// \brief Records a health check in which the server says that it is in service.
     /// \param instance id of the process that has answered; empty if it is not known.
     /// \param sentAt time at which the health check was sent.
-    /// \return true if the current registration was not confirmed and now is.
+    /// \return true if the current registration was not confirmed and now is, or if the process
+    /// returns to service, since it has not left.
     bool healthChecked(std::string_view instance, TimePoint sentAt);
 
     /// \return the last accepted heartbeat; empty before the first one.
@@ -121,8 +122,18 @@
 
     RegistrationChange currentProcessReported(const BackendHeartbeat &heartbeat, TimePoint now,
                                               std::int64_t unixMs);
+    /// Handles a ready heartbeat of the current process after a deregistration of its id.
+    RegistrationChange deregisteredProcessReported(const BackendHeartbeat &heartbeat,
+                                                   TimePoint now);
     RegistrationChange currentProcessLeaves(TimePoint now, std::int64_t unixMs);
+    void returnToService();
+    /// Forgets the departures that would keep out a process which is in service.
+    void forgetDepartures(const BackendHeartbeat &heartbeat);
     bool isCurrentProcess(const BackendHeartbeat &heartbeat) const;
+    /// \return the current process, without the time of an announcement.
+    LeftProcess currentProcess() const;
+    /// \return true if a process with this id is known.
+    bool isUsedId(std::string_view instance) const;
     bool hasLeft(const BackendHeartbeat &heartbeat, TimePoint now) const;
     void renewDepartures(const BackendHeartbeat &heartbeat, TimePoint now);
     bool isOlder(const BackendHeartbeat &heartbeat) const;
@@ -134,6 +145,9 @@
     std::optional<TimePoint> m_unconfirmedSince;
     std::optional<TimePoint> m_leavingSince;
     bool m_deregistered = false;
+    /// True if an earlier process is known to have had the id of the current one, so that a
+    /// deregistration of the id may be of either.
+    bool m_idReused = false;
     TimePoint m_lastHeartbeatAt {};
     /// Processes that have announced their shutdown, the latest one last.
     std::vector<Departure> m_departures;
--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -39,6 +39,7 @@
                                [this] { return loadReport(); }, [this] { publishLoadChanges(); }})),
           m_probe({kernel, context, *m_settings.dialect, m_tracker, m_telemetry,
                    [this] {
+                       recordReturn();
                        publishLoadChanges();
                        m_runs->dispatchQueue();
                    }}),
@@ -191,6 +192,7 @@
             m_telemetry.send(LogEvent {"backend.confirmed", "",
                                        "instance=" + heartbeat.instance + " by=heartbeats"});
         }
+        recordReturn();
         heartbeat.state == AnnouncedState::Draining
             ? acknowledgeRecorded(std::move(message.acknowledged))
             : message.acknowledged(true);
@@ -213,12 +215,13 @@
     {
         BackendRegistration &registration = m_tracker.registration;
         const bool ownAnnouncements = !registration.leftProcesses().empty();
+        m_recordedLeft = message.processes;
         if (registration.predecessorKnew(message.processes, now(), unixMs())) {
             m_telemetry.send(heartbeatEvent(*registration.current(), RegistrationChange::Leaving));
         }
         if (ownAnnouncements) {
             // The record must have the processes of both.
-            m_leftProcesses.send(RecordLeftProcesses {registration.leftProcesses(), {}});
+            recordLeftProcesses({});
         }
         publishLoadChanges();
         m_runs->dispatchQueue();
@@ -241,8 +244,21 @@
                 }
                 acknowledged(true);
             });
-        m_leftProcesses.send(
-            RecordLeftProcesses {m_tracker.registration.leftProcesses(), std::move(reply)});
+        recordLeftProcesses(std::move(reply));
+    }
+
+    void recordLeftProcesses(Reply<bool> reply)
+    {
+        m_recordedLeft = m_tracker.registration.leftProcesses();
+        m_leftProcesses.send(RecordLeftProcesses {m_recordedLeft, std::move(reply)});
+    }
+
+    /// Changes the record if a process that was taken for one that left has returned to service.
+    void recordReturn()
+    {
+        if (m_tracker.registration.leftProcesses().size() < m_recordedLeft.size()) {
+            recordLeftProcesses({});
+        }
     }
 
     void adoptInstance(const BackendHeartbeat &heartbeat)
@@ -364,6 +380,8 @@
     Address<RecordLeftProcesses> m_leftProcesses;
     /// True if shutdowns of the server are recorded in the store.
     bool m_recordsLeft = false;
+    /// Processes of the last RecordLeftProcesses message, or of the record that was read.
+    std::vector<LeftProcess> m_recordedLeft;
     Mailbox<BackendMessage> m_mailbox;
     Mailbox<RegistrationMessage> m_registrationMailbox;
     Mailbox<ConfigurationChanged> m_configurationMailbox;
--- /dev/null
+++ b/test/correctness/LateDeregistration.cpp
@@ -0,0 +1,101 @@
+// Guards against a backend server that is locked out because a deregistration of an earlier process
+// with its id arrives late or twice, and against one that gets calls after its own deregistration.
+#include "decisions/BackendRegistration.h"
+
+#include <doctest/doctest.h>
+
+using namespace Coltsfootwell;
+using std::chrono::seconds;
+
+namespace {
+
+/// Start of the first process, and its shutdown, in Unix milliseconds.
+constexpr std::int64_t StartMs = 1'000'000;
+constexpr std::int64_t LeftMs = 1'060'000;
+/// Start of the second process with the same id.
+constexpr std::int64_t SecondStartMs = 1'065'000;
+
+BackendHeartbeat heartbeatOf(std::int64_t processStartMs, std::uint64_t sequence)
+{
+    BackendHeartbeat heartbeat;
+    heartbeat.instance = "a";
+    heartbeat.processStartMs = processStartMs;
+    heartbeat.sequence = sequence;
+    heartbeat.service = "s";
+    heartbeat.slots = 9;
+    return heartbeat;
+}
+
+/// A registration whose server has left and started again under its id.
+struct Fixture
+{
+    Fixture()
+    {
+        registration.heartbeatReceived(heartbeatOf(StartMs, 40), now, LeftMs);
+        registration.processLeft("a", now, LeftMs);
+        registration.heartbeatReceived(heartbeatOf(SecondStartMs, 1), now, LeftMs + 5000);
+        CHECK_FALSE(registration.leavingSince());
+    }
+
+    /// \return true if the server gets calls.
+    bool isServing() const { return registration.isConfirmed() && !registration.leavingSince(); }
+
+    BackendRegistration registration;
+    TimePoint now {};
+};
+
+} // namespace
+
+TEST_CASE("a repeated deregistration of an earlier process does not lock out the one that serves")
+{
+    Fixture fixture;
+    BackendRegistration &registration = fixture.registration;
+    CHECK(registration.processLeft("a", fixture.now, LeftMs + 6000) == RegistrationChange::Leaving);
+    CHECK_FALSE(registration.healthChecked("a", fixture.now + seconds(1)));
+    CHECK_FALSE(fixture.isServing());
+    const TimePoint heartbeatAt = fixture.now + seconds(2);
+    CHECK(registration.heartbeatReceived(heartbeatOf(SecondStartMs, 2), heartbeatAt, LeftMs + 8000)
+          == RegistrationChange::Renewed);
+    CHECK_FALSE(fixture.isServing());
+    CHECK_FALSE(registration.healthChecked("a", fixture.now + seconds(1)));
+    CHECK(registration.healthChecked("a", heartbeatAt));
+    CHECK(fixture.isServing());
+    // The first process is still known to have left, and the second one is not.
+    CHECK(registration.leftProcesses() == std::vector {LeftProcess {"a", StartMs, LeftMs}});
+}
+
+TEST_CASE("the second process of an id gets no calls after its own deregistration")
+{
+    // A late heartbeat arrives, and the health checks fail, as those of a leaving server do.
+    Fixture fixture;
+    BackendRegistration &registration = fixture.registration;
+    registration.processLeft("a", fixture.now, LeftMs + 6000);
+    for (unsigned i = 2; i < 6; ++i) {
+        registration.heartbeatReceived(heartbeatOf(SecondStartMs, i), fixture.now + seconds(i),
+                                       LeftMs + 6000);
+        CHECK_FALSE(fixture.isServing());
+    }
+    registration.processLeft("a", fixture.now + seconds(7), LeftMs + 13'000);
+    CHECK_FALSE(registration.healthChecked("a", fixture.now + seconds(8)));
+    CHECK_FALSE(fixture.isServing());
+}
+
+TEST_CASE("a heartbeat that cannot be late puts a process back into service")
+{
+    // The deregistration of an earlier process, of which the daemon knows nothing, comes late.
+    BackendRegistration registration;
+    const TimePoint now {};
+    registration.heartbeatReceived(heartbeatOf(SecondStartMs, 1), now, SecondStartMs);
+    registration.processLeft("a", now, SecondStartMs + 1000);
+    CHECK(registration.heartbeatReceived(heartbeatOf(SecondStartMs, 5),
+                                         now + BackendRegistration::MaxHeartbeatDelay,
+                                         SecondStartMs)
+          == RegistrationChange::Outdated);
+    CHECK(registration.leavingSince());
+    CHECK(registration.heartbeatReceived(heartbeatOf(SecondStartMs, 20),
+                                         now + BackendRegistration::MaxHeartbeatDelay + seconds(1),
+                                         SecondStartMs)
+          == RegistrationChange::Replaced);
+    CHECK_FALSE(registration.leavingSince());
+    CHECK(registration.leftProcesses().empty());
+}
--- a/test/correctness/RestartedDaemonForgetsLeaving.cpp
+++ b/test/correctness/RestartedDaemonForgetsLeaving.cpp
@@ -100,6 +100,8 @@
                   heartbeatOf("a", start, 18),
                   now + BackendRegistration::MaxHeartbeatDelay + seconds(1), LeftMs)
               == RegistrationChange::Replaced);
+        // The next process of the daemon must not lock it out again.
+        CHECK(registration.leftProcesses().empty());
     }
 }
 
--- a/test/fault/leaving.py
+++ b/test/fault/leaving.py
@@ -150,6 +150,31 @@
     return scenario
 
 
+def repeated_deregistration(host):
+    """A deregistration of the first process of an id arrives once more after the second process has registered."""
+    host.announce("deregister")
+    time.sleep(DRAIN_S)
+    host.start_again()
+    time.sleep(2 * HEARTBEAT_INTERVAL_S)
+    host.server.deregister()
+    time.sleep(DRAIN_S)
+    return host.gets_calls_again()
+
+
+def second_deregistration(host):
+    """The second process of an id leaves, too; one of its heartbeats is late."""
+    host.announce("deregister")
+    time.sleep(DRAIN_S)
+    host.start_again()
+    time.sleep(2 * HEARTBEAT_INTERVAL_S)
+    late = host.late_heartbeat()
+    host.server.health_status = 503
+    acknowledged_at = host.announce("deregister")
+    time.sleep(HEARTBEAT_INTERVAL_S)
+    host.server.send_heartbeat("ready", late)
+    return host.gets_no_calls_after(acknowledged_at + DRAIN_S)
+
+
 SCENARIOS = {
     "deregistration-restart-heartbeat": restart_after_announcement("deregister"),
     "draining-restart-heartbeat": restart_after_announcement("draining"),
@@ -157,6 +182,8 @@
     "restart-deregistration-restart-heartbeat": second_restart,
     "deregistration-return": return_under_its_id(restarts=False),
     "deregistration-restart-return": return_under_its_id(restarts=True),
+    "deregistration-return-deregistration-repeated": repeated_deregistration,
+    "deregistration-return-deregistration-heartbeat": second_deregistration,
     "restart-well": restart_beside_live_server(200),
     "restart-said-to-be-ill": restart_beside_live_server(503),
 }
