A server is not locked out because its start seems older than that of a silent process

What callers would see: the clock of a host is set back, or a server announces no start time, and the server starts again. Its heartbeats counted as older than those of the process before, and it got no calls until the clock had caught up, or until it had sent more heartbeats than that process.

Cause: start times and sequences decided alone, also when the process that seemed newer had long been silent.

While the registered process sends heartbeats, nothing changes.

--- a/src/decisions/BackendRegistration.cpp
+++ b/src/decisions/BackendRegistration.cpp
@@ -7,7 +7,7 @@
 RegistrationChange BackendRegistration::heartbeatReceived(const BackendHeartbeat &heartbeat,
                                                           TimePoint now, std::int64_t unixMs)
 {
-    if (isCurrentProcess(heartbeat)) {
+    if (isCurrentProcess(heartbeat) && !countsAnew(heartbeat, now)) {
         return currentProcessReported(heartbeat, now, unixMs);
     }
     if (hasLeft(heartbeat, now)) {
@@ -16,7 +16,7 @@
         }
         return RegistrationChange::Outdated;
     }
-    if (isOlder(heartbeat)) {
+    if (isOlder(heartbeat) && !currentIsSilent(now)) {
         return RegistrationChange::Outdated;
     }
     const bool isFirst = !m_current;
@@ -213,6 +213,17 @@
         && heartbeat.processStartMs < m_current->processStartMs;
 }
 
+bool BackendRegistration::countsAnew(const BackendHeartbeat &heartbeat, TimePoint now) const
+{
+    return heartbeat.processStartMs == 0 && heartbeat.sequence <= m_current->sequence
+        && currentIsSilent(now);
+}
+
+bool BackendRegistration::currentIsSilent(TimePoint now) const
+{
+    return now - m_lastHeartbeatAt > MaxHeartbeatDelay;
+}
+
 void BackendRegistration::remember(LeftProcess process, TimePoint now)
 {
     const auto known = std::ranges::find_if(m_departures, [&process](const Departure &departure) {
--- a/src/decisions/BackendRegistration.h
+++ b/src/decisions/BackendRegistration.h
@@ -135,6 +135,12 @@
     /// \return true if a process with this id is known.
     bool isUsedId(std::string_view instance) const;
     bool hasLeft(const BackendHeartbeat &heartbeat, TimePoint now) const;
+    /// \return true if the heartbeat is of a later process that cannot be told from the current one
+    /// by its start time.
+    bool countsAnew(const BackendHeartbeat &heartbeat, TimePoint now) const;
+    /// \return true if the current process has sent nothing for so long that no heartbeat of an
+    /// earlier process can be late.
+    bool currentIsSilent(TimePoint now) const;
     void renewDepartures(const BackendHeartbeat &heartbeat, TimePoint now);
     bool isOlder(const BackendHeartbeat &heartbeat) const;
     void remember(LeftProcess process, TimePoint now);
