--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -1,23 +1,23 @@
 #include "services/CallerSession.h"
 
+#include "services/AnswerWriter.h"
 #include "services/CallerAnswer.h"
 #include "services/ControlMessages.h"
 #include "services/HttpIo.h"
+#include "services/PendingAnswers.h"
 #include "services/ServiceNames.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
 #include <array>
-#include <deque>
 
 namespace Coltsfootwell::Internal {
 
 namespace {
 
 constexpr std::string_view ControlPrefix = "/coltsfootwell/";
-/// Maximum number of pipelined requests of one connection that are in flight at the same time.
-constexpr std::size_t MaxPipelinedRequests = 64;
+constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 /// Time for which input is still read and discarded after the last answer. Closing a socket with
 /// unread input resets the connection, which can destroy an answer in transit.
 constexpr std::chrono::seconds LingerTimeout {1};
@@ -34,25 +34,14 @@
     Request,
 };
 
-/// One request and its answer. Answers are written in the order of their requests.
-struct Exchange
-{
-    /// Number of the call; 0 for requests on control paths and for refused requests.
-    std::uint64_t number = 0;
-    std::string requestId;
-    bool headRequest = false;
-    bool keepAlive = true;
-    bool done = false;
-    /// Serializes the answer.
-    std::function<std::string(const AnswerFraming &)> makeAnswerBytes;
-};
-
 class Session final : public SessionHandle, public std::enable_shared_from_this<Session>
 {
 public:
     Session(tcp::socket socket, std::shared_ptr<SessionContext> context)
         : m_socket(std::move(socket)), m_context(std::move(context)),
-          m_readerWakeup(m_socket.get_executor())
+          m_readerWakeup(m_socket.get_executor()),
+          m_writer(
+              m_socket, [this] { answersWritten(); }, [this] { connectionLost(); })
     {
         m_context->sessions.insert(this);
     }
@@ -88,12 +77,15 @@
 private:
     using Parser = http::request_parser<http::string_body>;
 
-    /// \return true if no request is in flight and no bytes of one are buffered here or in the
-    /// kernel.
+    /// \return true if a request is in flight or an answer is being written.
+    bool isAnswering() const { return !m_pending.empty() || m_writer.isWriting(); }
+
+    /// \return true if nothing is to be answered or written, and no bytes of a request are buffered
+    /// here or in the kernel.
     bool isIdle()
     {
         boost::system::error_code ec;
-        return m_exchanges.empty() && m_phase == ReadPhase::Idle && m_buffer.size() == 0
+        return !isAnswering() && m_phase == ReadPhase::Idle && m_buffer.size() == 0
             && m_socket.available(ec) == 0;
     }
 
@@ -110,12 +102,15 @@
     asio::awaitable<void> run()
     {
         while (!m_readEnded) {
-            while (m_exchanges.size() >= MaxPipelinedRequests) {
+            while (m_pending.full()) {
                 boost::system::error_code ec;
+                armTimer(m_context->limits.idleTimeout);
                 m_readerWakeup.expires_at(std::chrono::steady_clock::time_point::max());
                 co_await m_readerWakeup.async_wait(asio::redirect_error(asio::use_awaitable, ec));
             }
-            co_await readRequest();
+            if (!m_readEnded) {
+                co_await readRequest();
+            }
         }
         m_context->executor.cancel(m_timer);
     }
@@ -144,9 +139,8 @@
         if (!ec && !parser.is_done()) {
             armTimer(m_context->limits.idleTimeout);
             if (beast::iequals(parser.get()[http::field::expect], "100-continue")
-                && m_exchanges.empty()) {
-                constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
-                co_await asio::async_write(m_socket, asio::buffer(Continue),
+                && m_pending.empty()) {
+                co_await asio::async_write(m_socket, asio::buffer(ContinueAnswer),
                                            asio::redirect_error(asio::use_awaitable, ec));
             }
             if (!ec) {
@@ -175,7 +169,13 @@
 
     void timedOut()
     {
-        if (m_phase == ReadPhase::Idle && !m_exchanges.empty()) {
+        if (m_phase == ReadPhase::Idle && isAnswering()) {
+            if (m_writer.isWriting() && !m_writer.takeProgress()) {
+                // The caller has read nothing for the whole time.
+                m_readEnded = true;
+                connectionLost();
+                return;
+            }
             armTimer(m_context->limits.idleTimeout);
             return;
         }
@@ -187,7 +187,7 @@
     void readFailed(boost::system::error_code ec)
     {
         m_readEnded = true;
-        if (m_phase == ReadPhase::Idle && (m_timedOut || m_closing) && m_exchanges.empty()) {
+        if (m_phase == ReadPhase::Idle && (m_timedOut || m_closing) && !isAnswering()) {
             closeGracefully();
         } else if (m_timedOut) {
             addRefusal(Reason::RequestTimeout);
@@ -198,6 +198,13 @@
         } else if (ec.category() == make_error_code(http::error::bad_method).category()
                    && ec != http::error::end_of_stream && ec != http::error::partial_message) {
             addRefusal(Reason::BadHeader);
+        } else if (m_writer.isWriting()
+                   && (ec == http::error::end_of_stream || ec == http::error::partial_message)) {
+            // The caller sends no more, but may still read the answers that are ready. If it has
+            // closed the connection, the write fails.
+            m_pending.cancelUnanswered(m_context->calls);
+            m_closing = true;
+            m_closeAfterWrite = m_pending.empty();
         } else {
             connectionLost();
         }
@@ -206,28 +213,24 @@
     /// Cancels all calls of the connection after the caller has closed it or it has failed.
     void connectionLost()
     {
-        for (const auto &exchange : m_exchanges) {
-            if (!exchange->done && exchange->number != 0) {
-                m_context->calls.send(CancelCall {exchange->number});
-            }
-        }
-        m_exchanges.clear();
+        m_pending.cancelAll(m_context->calls);
         boost::system::error_code ec;
         m_socket.close(ec);
+        m_readerWakeup.cancel();
     }
 
     void addRefusal(Reason reason)
     {
         auto exchange = std::make_shared<Exchange>();
         exchange->keepAlive = false;
-        m_exchanges.push_back(exchange);
+        m_pending.add(exchange);
         completeCall(exchange, CallRefused {Outcome::NotRun, reason, {}});
     }
 
     void requestReceived(http::request<http::string_body> message)
     {
         const bool draining = m_closing || m_context->draining;
-        if (m_closeAfterWrite || (draining && !m_exchanges.empty())) {
+        if (m_closeAfterWrite || (draining && !m_pending.empty())) {
             // The answer that closes the connection implies that this request was not processed.
             // If such requests were processed, a caller that always has another request in flight
             // could keep its connection open forever.
@@ -238,7 +241,7 @@
         auto exchange = std::make_shared<Exchange>();
         exchange->headRequest = message.method() == http::verb::head;
         exchange->keepAlive = message.keep_alive();
-        m_exchanges.push_back(exchange);
+        m_pending.add(exchange);
         if (m_context->servesControl && stdView(message.target()).starts_with(ControlPrefix)) {
             forwardToControl(exchange, std::move(message));
         } else {
@@ -306,7 +309,6 @@
         exchange->makeAnswerBytes = [answer = std::move(answer)](const AnswerFraming &framing) {
             return serializeControlAnswer(answer, framing);
         };
-        exchange->done = true;
         writeCompletedAnswers();
     }
 
@@ -320,50 +322,43 @@
                       : serializeRefusal(m_context->dialect, std::get<CallRefused>(result),
                                          requestId, framing);
               };
-        exchange->done = true;
         writeCompletedAnswers();
     }
 
     /// Writes all completed answers that are next in order.
     void writeCompletedAnswers()
     {
-        if (m_writing || !m_socket.is_open()) {
+        if (m_writer.isWriting() || !m_socket.is_open()) {
             return;
         }
+        std::string bytes;
         bool close = false;
-        while (!m_exchanges.empty() && m_exchanges.front()->done && !close) {
-            const std::shared_ptr<Exchange> exchange = m_exchanges.front();
-            m_exchanges.pop_front();
+        while (const std::shared_ptr<Exchange> exchange
+               = close ? nullptr : m_pending.takeAnswered()) {
             // Callers treat requests after a closing answer as not processed, so only the last
             // answer may close the connection.
-            const bool last = m_exchanges.empty() && (m_readEnded || m_buffer.size() == 0);
+            const bool last = m_pending.empty() && (m_readEnded || m_buffer.size() == 0);
             close = !exchange->keepAlive || (last && (m_closing || m_context->draining));
-            m_outgoing += exchange->makeAnswerBytes({exchange->headRequest, !close});
+            bytes += exchange->makeAnswerBytes({exchange->headRequest, !close});
         }
         m_readerWakeup.cancel();
         m_closeAfterWrite = m_closeAfterWrite || close;
         m_readEnded = m_readEnded || close;
-        if (!m_outgoing.empty()) {
-            write();
+        if (!bytes.empty()) {
+            m_writer.write(std::move(bytes), shared_from_this());
         }
     }
 
-    void write()
+    void answersWritten()
     {
-        m_writing = true;
-        auto bytes = std::make_shared<std::string>(std::exchange(m_outgoing, {}));
-        asio::async_write(
-            m_socket, asio::buffer(*bytes),
-            [self = shared_from_this(), bytes](boost::system::error_code ec, std::size_t) {
-                self->m_writing = false;
-                if (ec) {
-                    self->connectionLost();
-                } else if (self->m_closeAfterWrite) {
-                    self->closeGracefully();
-                } else {
-                    self->writeCompletedAnswers();
-                }
-            });
+        if (m_closeAfterWrite) {
+            closeGracefully();
+            return;
+        }
+        writeCompletedAnswers();
+        if (m_closing && isIdle()) {
+            close();
+        }
     }
 
     /// Shuts down the sending side and discards input for a while before the socket is closed.
@@ -405,12 +400,11 @@
     std::shared_ptr<SessionContext> m_context;
     /// Never expires; cancelled to resume the reader when the number of pipelined requests falls.
     asio::steady_timer m_readerWakeup;
-    std::deque<std::shared_ptr<Exchange>> m_exchanges;
-    std::string m_outgoing;
+    PendingAnswers m_pending;
+    AnswerWriter m_writer;
     const TimePoint m_openedAt = m_context->executor.now();
     TimerId m_timer = 0;
     ReadPhase m_phase = ReadPhase::Idle;
-    bool m_writing = false;
     bool m_closing = false;
     bool m_receivedRequest = false;
     bool m_closeAfterWrite = false;
--- /dev/null
+++ b/test/support/CallersFixture.h
@@ -0,0 +1,158 @@
+// The service "callers" on a real socket, for tests of caller connections.
+#pragma once
+
+#include "kernel/AsioExecutor.h"
+#include "services/CallMessages.h"
+#include "services/Callers.h"
+#include "services/ConfigurationMessages.h"
+#include "services/ServiceNames.h"
+#include "services/TelemetryMessages.h"
+#include "wire/OwnDialect.h"
+
+#include <boost/asio.hpp>
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace Coltsfootwell::Testing {
+
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+
+/// Maximum time for which a stop discards unread input of a connection after its last answer, plus
+/// a margin.
+constexpr std::chrono::seconds MaxLingerTime {2};
+
+class ZeroRandom final : public Random
+{
+public:
+    std::uint64_t next() override { return 0; }
+};
+
+inline tcp::endpoint unusedEndpoint()
+{
+    boost::asio::io_context context;
+    return tcp::acceptor(context, {boost::asio::ip::address_v4::loopback(), 0}).local_endpoint();
+}
+
+/// The service "callers" between real connections and a fake service "calls" that answers every
+/// call.
+class CallersFixture
+{
+public:
+    CallersFixture()
+        : m_kernel(m_executor, m_random),
+          m_calls(m_executor,
+                  [this](CallsMessage message) {
+                      if (auto *call = std::get_if<SubmitCall>(&message)) {
+                          ++answered;
+                          held = call->reply;
+                          if (!holdAnswers) {
+                              answerHeld();
+                          }
+                      } else if (std::holds_alternative<CancelCall>(message)) {
+                          ++cancelled;
+                      }
+                  }),
+          m_telemetry(m_executor, [](const TelemetryMessage &) {}),
+          m_configuration(m_executor, [this](ConfigurationMessage message) {
+              if (auto *subscribe = std::get_if<SubscribeConfiguration>(&message)) {
+                  m_subscriber = subscribe->subscriber;
+              }
+          })
+    {
+        Directory &directory = m_kernel.directory();
+        directory.publish(ServiceName::Calls, m_calls.address());
+        directory.publish(ServiceName::Telemetry, m_telemetry.address());
+        directory.publish(ServiceName::Configuration, m_configuration.address());
+        CallersSettings settings;
+        settings.listen = {"127.0.0.1", m_endpoint.port()};
+        settings.dialect = &ownDialect();
+        m_kernel.add(makeCallers(m_kernel, m_context, std::move(settings)));
+        REQUIRE_FALSE(m_kernel.start());
+    }
+
+    ~CallersFixture() { m_context.restart(); }
+
+    /// Runs the service for some time.
+    void runFor(Duration time)
+    {
+        m_context.restart();
+        m_context.run_for(time);
+    }
+
+    void stop()
+    {
+        m_kernel.stop([this] { stopped = true; });
+    }
+
+    /// \return a connection that the service has accepted.
+    tcp::socket connect()
+    {
+        tcp::socket socket(m_callerContext);
+        socket.connect(m_endpoint);
+        runFor(50ms);
+        return socket;
+    }
+
+    static void sendRequest(tcp::socket &socket)
+    {
+        const std::string text = "POST /bookings/x HTTP/1.1\r\nHost: bookings\r\n"
+                                 "Content-Length: 5\r\n\r\norder";
+        boost::asio::write(socket, boost::asio::buffer(text));
+    }
+
+    /// \return the bytes received so far, at most 4096; empty if there are none.
+    std::string received(tcp::socket &socket)
+    {
+        runFor(200ms);
+        std::string text(4096, '\0');
+        boost::system::error_code ec;
+        socket.non_blocking(true);
+        text.resize(socket.read_some(boost::asio::buffer(text), ec));
+        return text;
+    }
+
+    const tcp::endpoint &endpoint() const { return m_endpoint; }
+
+    /// Answers the last call, with `body`.
+    void answerHeld()
+    {
+        held(CallAnswered {200, {}, std::make_shared<const std::string>(body), DaemonId {}});
+    }
+
+    /// Changes the limits of requests.
+    void setLimits(const RequestLimits &limits)
+    {
+        // The service subscribes when it runs for the first time.
+        runFor(50ms);
+        auto configuration = std::make_shared<Configuration>();
+        configuration->requestLimits = limits;
+        m_subscriber.send(ConfigurationChanged {std::move(configuration)});
+        runFor(50ms);
+    }
+
+    /// Body of the answers.
+    std::string body = "done";
+    /// True if calls wait for answerHeld().
+    bool holdAnswers = false;
+    Reply<CallResult> held;
+    /// Number of calls.
+    unsigned answered = 0;
+    unsigned cancelled = 0;
+    bool stopped = false;
+
+private:
+    boost::asio::io_context m_context;
+    boost::asio::io_context m_callerContext;
+    AsioExecutor m_executor {m_context};
+    ZeroRandom m_random;
+    tcp::endpoint m_endpoint = unusedEndpoint();
+    Kernel m_kernel;
+    Mailbox<CallsMessage> m_calls;
+    Mailbox<TelemetryMessage> m_telemetry;
+    Mailbox<ConfigurationMessage> m_configuration;
+    Address<ConfigurationChanged> m_subscriber;
+};
+
+} // namespace Coltsfootwell::Testing
