--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -138,15 +138,11 @@
         }
         if (!ec && !parser.is_done()) {
             armTimer(m_context->limits.idleTimeout);
-            if (beast::iequals(parser.get()[http::field::expect], "100-continue")
-                && m_pending.empty()) {
-                co_await asio::async_write(m_socket, asio::buffer(ContinueAnswer),
-                                           asio::redirect_error(asio::use_awaitable, ec));
-            }
-            if (!ec) {
-                co_await http::async_read(m_socket, m_buffer, parser,
-                                          asio::redirect_error(asio::use_awaitable, ec));
-            }
+            m_continueExpected = beast::iequals(parser.get()[http::field::expect], "100-continue");
+            writeCompletedAnswers();
+            co_await http::async_read(m_socket, m_buffer, parser,
+                                      asio::redirect_error(asio::use_awaitable, ec));
+            m_continueExpected = false;
         }
         m_context->executor.cancel(m_timer);
         if (ec) {
@@ -325,7 +321,8 @@
         writeCompletedAnswers();
     }
 
-    /// Writes all completed answers that are next in order.
+    /// Writes all completed answers that are next in order, and after them the interim answer that
+    /// the caller of the request that is being read waits for.
     void writeCompletedAnswers()
     {
         if (m_writer.isWriting() || !m_socket.is_open()) {
@@ -344,6 +341,10 @@
         m_readerWakeup.cancel();
         m_closeAfterWrite = m_closeAfterWrite || close;
         m_readEnded = m_readEnded || close;
+        if (m_continueExpected && m_pending.empty() && !m_closeAfterWrite) {
+            m_continueExpected = false;
+            bytes += ContinueAnswer;
+        }
         if (!bytes.empty()) {
             m_writer.write(std::move(bytes), shared_from_this());
         }
@@ -405,6 +406,8 @@
     const TimePoint m_openedAt = m_context->executor.now();
     TimerId m_timer = 0;
     ReadPhase m_phase = ReadPhase::Idle;
+    /// True while the caller of the request that is being read waits for "100 Continue".
+    bool m_continueExpected = false;
     bool m_closing = false;
     bool m_receivedRequest = false;
     bool m_closeAfterWrite = false;
