--- a/src/decisions/Membership.cpp
+++ b/src/decisions/Membership.cpp
@@ -20,9 +20,9 @@
 } // namespace
 
 Membership::Membership(Member self, std::vector<Endpoint> seeds, Random &random)
-    : m_random(random), m_table(std::move(self))
+    : m_random(random), m_table(std::move(self)), m_configuredSeeds(std::move(seeds)),
+      m_seeds(m_configuredSeeds)
 {
-    addSeeds(seeds);
 }
 
 Membership::Outputs Membership::tick(TimePoint now)
@@ -336,13 +336,16 @@
     }
 }
 
-void Membership::addSeeds(std::span<const Endpoint> seeds)
+void Membership::seedsDiscovered(std::span<const Endpoint> seeds)
 {
-    for (const Endpoint &seed : seeds) {
-        if (m_seeds.size() < MaxSeeds && std::ranges::find(m_seeds, seed) == m_seeds.end()) {
+    m_seeds = m_configuredSeeds;
+    for (const Endpoint &seed : seeds.first(std::min(seeds.size(), MaxSeeds))) {
+        if (std::ranges::find(m_configuredSeeds, seed) == m_configuredSeeds.end()) {
             m_seeds.push_back(seed);
         }
     }
+    m_nextSeed = 0;
+    m_lastSeedPing.reset();
 }
 
 } // namespace Coltsfootwell
--- a/src/decisions/Membership.h
+++ b/src/decisions/Membership.h
@@ -140,8 +140,14 @@
     /// Number of members that are notified immediately of a refutation, which must reach every
     /// member within the suspicion timeout.
     static constexpr std::size_t RefutationPings = 8;
-    /// Maximum number of seeds.
-    static constexpr std::size_t MaxSeeds = 64;
+    /// Maximum number of seeds that are pinged at once.
+    static constexpr std::size_t MaxSeedPings = 64;
+    /// Interval between pings of parts of the seeds while no other member is alive or suspect,
+    /// until all have been pinged.
+    static constexpr std::chrono::milliseconds SeedBatchInterval {250};
+    /// Maximum number of seeds, a multiple of the daemons at target size, since many may be of
+    /// hosts that are gone.
+    static constexpr std::size_t MaxSeeds = 16'384;
 
     using Outputs = std::span<const MembershipOutput>;
 
@@ -173,8 +179,9 @@
     /// \brief Announces the end of a planned stop to random members.
     Outputs announceLeft(TimePoint now);
 
-    /// \brief Adds seeds; those beyond MaxSeeds are ignored.
-    void addSeeds(std::span<const Endpoint> seeds);
+    /// \brief Replaces the seeds of earlier calls; those beyond MaxSeeds are ignored.
+    /// \param seeds endpoints of daemons, those that are most likely to be alive first.
+    void seedsDiscovered(std::span<const Endpoint> seeds);
 
     /// \brief Sets the position of this daemon's control state. Some random members are notified
     /// immediately, the others with further pings and Acks.
@@ -246,6 +253,7 @@
     void refillBudgets(Duration elapsed);
     void pingMembers(TimePoint now);
     void pingSeeds(TimePoint now);
+    void pingSeed(const Endpoint &seed, TimePoint now);
     void startDueSync(TimePoint now);
     void expireProbes(TimePoint now);
     void sendIndirectPings(const Probe &probe, TimePoint now);
@@ -267,7 +275,12 @@
 
     Random &m_random;
     MemberTable m_table;
+    /// Seeds of the constructor.
+    std::vector<Endpoint> m_configuredSeeds;
+    /// All seeds in the order of their pings.
     std::vector<Endpoint> m_seeds;
+    /// Index of the next seed to ping; 0 if all have been pinged.
+    std::size_t m_nextSeed = 0;
     std::vector<Probe> m_probes;
     std::vector<RelayedPing> m_relayedPings;
     std::vector<MembershipOutput> m_outputs;
--- a/src/decisions/MembershipProbes.cpp
+++ b/src/decisions/MembershipProbes.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 namespace Coltsfootwell {
@@ -52,23 +53,38 @@
     const auto others = m_table.members().subspan(1);
     const auto isLive = [](const Member &member) { return !isDown(member); };
     const bool isIsolated = std::ranges::none_of(others, isLive);
-    const Duration interval
-        = isIsolated ? Duration(SeedPingInterval) : Duration(SeedReconnectInterval);
+    Duration interval = SeedReconnectInterval;
+    if (isIsolated) {
+        interval = m_nextSeed == 0 ? Duration(SeedPingInterval) : Duration(SeedBatchInterval);
+    }
     if (m_seeds.empty() || m_table.self().state == MemberState::Left
         || (m_lastSeedPing && now - *m_lastSeedPing < interval)) {
         return;
     }
     m_lastSeedPing = now;
-    for (const Endpoint &seed : m_seeds) {
-        const bool isMember = std::ranges::any_of(others, [&](const Member &member) {
-            return isLive(member) && member.endpoint == seed;
-        });
-        if (!isMember && seed != m_table.self().endpoint) {
-            m_probes.push_back({m_random.next(), {}, now, false});
-            ++m_counts.pings;
-            sendDatagram(seed, Ping {m_probes.back().nonce, false, m_position}, {}, now);
+    std::set<Endpoint> excluded {m_table.self().endpoint};
+    for (const Member &member : others) {
+        if (isLive(member)) {
+            excluded.insert(member.endpoint);
         }
     }
+    for (std::size_t pinged = 0; pinged < MaxSeedPings && m_nextSeed < m_seeds.size();
+         ++m_nextSeed) {
+        if (!excluded.contains(m_seeds[m_nextSeed])) {
+            pingSeed(m_seeds[m_nextSeed], now);
+            ++pinged;
+        }
+    }
+    if (m_nextSeed == m_seeds.size()) {
+        m_nextSeed = 0;
+    }
+}
+
+void Membership::pingSeed(const Endpoint &seed, TimePoint now)
+{
+    m_probes.push_back({m_random.next(), {}, now, false});
+    ++m_counts.pings;
+    sendDatagram(seed, Ping {m_probes.back().nonce, false, m_position}, {}, now);
 }
 
 void Membership::expireProbes(TimePoint now)
--- a/src/services/DaemonRecords.cpp
+++ b/src/services/DaemonRecords.cpp
@@ -1,13 +1,17 @@
 #include "services/DaemonRecords.h"
 
 #include "decisions/StoreReaders.h"
+#include "services/DaemonRecordExpiry.h"
 #include "services/MembershipMessages.h"
 #include "services/ServiceError.h"
 #include "services/ServiceNames.h"
 #include "services/TelemetryMessages.h"
 #include "wire/EndpointText.h"
 
+#include <algorithm>
 #include <array>
+#include <functional>
+#include <iterator>
 
 namespace Coltsfootwell {
 
@@ -26,6 +30,11 @@
 constexpr std::array<milliseconds, 4> ReadDelays {milliseconds(200), milliseconds(800),
                                                   milliseconds(5'000), milliseconds(60'000)};
 
+/// Maximum interval between appends of the daemon's own record, which show that it is in use.
+constexpr milliseconds RenewalInterval = milliseconds(DaemonRecordExpiry::Lifetime) / 6;
+/// Delay before a failed renewal is repeated.
+constexpr seconds RenewalRetryDelay {60};
+
 class DaemonRecords final : public Service
 {
 public:
@@ -58,6 +67,7 @@
     {
         m_stopped = true;
         m_kernel.executor().cancel(m_timer);
+        m_kernel.executor().cancel(m_renewalTimer);
         m_store->cancelAll();
         done();
     }
@@ -70,8 +80,7 @@
 
     void appendRecord()
     {
-        const StoreRecord record {m_self.name, encodeAddresses(m_addresses), 0};
-        m_store->append(DaemonRecordsTopic, record, std::nullopt,
+        m_store->append(DaemonRecordsTopic, ownRecord(), std::nullopt,
                         [this](const RecordAppended &appended) {
                             if (m_stopped) {
                                 return;
@@ -80,12 +89,42 @@
                                 schedule(RetryDelay, [this] { appendRecord(); });
                                 return;
                             }
+                            scheduleRenewal();
                             schedule(ReadDelays[0], [this] { readPage(""); });
                         });
     }
 
+    StoreRecord ownRecord() const { return {m_self.name, encodeAddresses(m_addresses), 0}; }
+
+    void scheduleRenewal()
+    {
+        // A random part of the interval spreads the renewals of daemons that started together.
+        const auto delay
+            = RenewalInterval - milliseconds(m_kernel.random().below(RenewalInterval.count() / 2));
+        m_renewalTimer = m_kernel.executor().scheduleAfter(delay, [this] { renewRecord(); });
+    }
+
+    void renewRecord()
+    {
+        m_store->append(DaemonRecordsTopic, ownRecord(), std::nullopt,
+                        [this](const RecordAppended &appended) {
+                            if (m_stopped) {
+                                return;
+                            }
+                            if (!appended.ec) {
+                                scheduleRenewal();
+                                return;
+                            }
+                            m_renewalTimer = m_kernel.executor().scheduleAfter(
+                                RenewalRetryDelay, [this] { renewRecord(); });
+                        });
+    }
+
     void readPage(const std::string &after)
     {
+        if (after.empty()) {
+            m_records.clear();
+        }
         m_store->readNewest(DaemonRecordsTopic, after, StoreClient::MaxAnswerBytes,
                             [this](const NewestRecords &newest) {
                                 if (m_stopped) {
@@ -95,15 +134,24 @@
                                     schedule(RetryDelay, [this] { readPage(""); });
                                     return;
                                 }
-                                publishSeeds(newest.records);
+                                std::ranges::copy(newest.records, std::back_inserter(m_records));
                                 if (newest.hasMore && !newest.records.empty()) {
                                     readPage(newest.records.back().key);
                                     return;
                                 }
+                                publishSeeds();
+                                removeExpired(expiredRecords(), newest.end);
                                 scheduleNextRead();
                             });
     }
 
+    std::vector<std::string> expiredRecords()
+    {
+        // Without the member list, no daemon is known to be down.
+        return m_members ? m_expiry.recordsRead(m_records, *m_members, m_kernel.executor().now())
+                         : std::vector<std::string>();
+    }
+
     void scheduleNextRead()
     {
         m_readDelayIndex = std::min(m_readDelayIndex + 1, ReadDelays.size() - 1);
@@ -113,10 +161,13 @@
         });
     }
 
-    void publishSeeds(const std::vector<StoreRecord> &records)
+    void publishSeeds()
     {
+        // A daemon appends its record when it starts, so that after a restart of all daemons the
+        // newest records are those of living ones.
+        std::ranges::sort(m_records, std::ranges::greater(), &StoreRecord::offset);
         SeedsDiscovered seeds;
-        for (const StoreRecord &record : records) {
+        for (const StoreRecord &record : m_records) {
             const auto addresses = decodeAddresses(record.value.value_or(""));
             if (addresses && record.key != m_self.name) {
                 seeds.endpoints.push_back(addresses->peers);
@@ -128,14 +179,38 @@
         m_membership.send(std::move(seeds));
     }
 
+    /// Removes records one after the other, and stops when the topic changes meanwhile, since the
+    /// change may be a renewal of the next one.
+    void removeExpired(std::vector<std::string> names, std::uint64_t end)
+    {
+        if (names.empty()) {
+            return;
+        }
+        const StoreRecord removal {names.back(), std::nullopt, 0};
+        names.pop_back();
+        m_store->append(
+            DaemonRecordsTopic, removal, end,
+            [this, names = std::move(names), name = removal.key](const RecordAppended &appended) {
+                if (m_stopped || appended.ec) {
+                    return;
+                }
+                m_telemetry.send(LogEvent {"daemons.removed", "", "daemon=" + name});
+                removeExpired(names, appended.end);
+            });
+    }
+
     Kernel &m_kernel;
     std::shared_ptr<StoreClient> m_store;
     DaemonId m_self;
     DaemonAddresses m_addresses;
     std::shared_ptr<const std::vector<Member>> m_members;
+    /// Records of the pages that have been read so far.
+    std::vector<StoreRecord> m_records;
+    DaemonRecordExpiry m_expiry;
     std::size_t m_readDelayIndex = 0;
     bool m_stopped = false;
     TimerId m_timer = 0;
+    TimerId m_renewalTimer = 0;
     Address<MembershipMessage> m_membership;
     Address<TelemetryMessage> m_telemetry;
     Mailbox<MembersChanged> m_membersMailbox;
--- a/src/services/Membership.cpp
+++ b/src/services/Membership.cpp
@@ -152,7 +152,7 @@
         }
     }
 
-    void handle(const SeedsDiscovered &seeds) { m_membership.addSeeds(seeds.endpoints); }
+    void handle(const SeedsDiscovered &seeds) { m_membership.seedsDiscovered(seeds.endpoints); }
     void handle(ConfigurationPositionChanged changed)
     {
         executeOutputs(m_membership.advancePosition(changed.position, now()));
--- a/src/services/MembershipMessages.h
+++ b/src/services/MembershipMessages.h
@@ -54,9 +54,10 @@
 };
 
 /// \brief Addresses of daemons that were discovered outside the membership protocol, such as in the
-/// store.
+/// store. They replace those of earlier messages.
 struct SeedsDiscovered
 {
+    /// Those that are most likely to be alive come first.
     std::vector<Endpoint> endpoints;
 };
 
--- a/test/ConfigurationSimulation.h
+++ b/test/ConfigurationSimulation.h
@@ -385,7 +385,7 @@
                 for (std::size_t i = 0; i < simulation.m_daemons.size(); ++i) {
                     seeds.push_back(endpointOf(i));
                 }
-                membership->addSeeds(seeds);
+                membership->seedsDiscovered(seeds);
             });
         }
 
--- a/test/correctness/MembershipJoin.cpp
+++ b/test/correctness/MembershipJoin.cpp
@@ -31,7 +31,7 @@
     REQUIRE(waitForJoin(simulation, 8));
     Process &late = simulation.start("late", "klang", "klang-a", {});
     simulation.run(300ms);
-    late.membership->addSeeds(std::vector {MembershipSimulation::endpointOf(3)});
+    late.membership->seedsDiscovered(std::vector {MembershipSimulation::endpointOf(3)});
     simulation.run(150ms);
     CHECK(late.membership->members().size() > 1);
 }
