A log reader that ends does not end the daemon

What callers saw: when the reader of a daemon's standard output ended, the daemon was ended by SIGPIPE at its next log line, and its calls with it.

Cause: a pipe without a reader counts as writable, and the write raised the signal before its error was handled. Ruled out: a blocked write (the pipe is polled before).

Change: SIGPIPE is ignored.

--- a/src/programs/DaemonMain.cpp
+++ b/src/programs/DaemonMain.cpp
@@ -178,6 +178,9 @@
         std::cerr << "coltsfootd: " << settingsFile << ": " << formatFault(fault) << '\n';
         return ExitBadSettings;
     }
+    // A log reader that ends must not end the daemon with the next line. Sockets do not raise the
+    // signal.
+    std::signal(SIGPIPE, SIG_IGN);
     openLog();
     return run(settingsFile, settings, strategies);
 }
--- a/test/fault/platform_path.py
+++ b/test/fault/platform_path.py
@@ -417,6 +417,25 @@
             + expect(not daemon.is_running(), "the daemon still runs 6 s after its last call"))
 
 
+def closed_log_reader_ends_no_daemon(site):
+    """A daemon whose standard output is a pipe goes on serving calls after the reader of its log has ended."""
+    name = "klang-b-bookings"
+    daemon = site.daemons[name]
+    daemon.kill()
+    with subprocess.Popen(daemon.arguments, stdout=subprocess.PIPE, stdin=subprocess.DEVNULL) as process:
+        wait_for(lambda: site.call(name, "GET", "/browse/x")[0] == 200, "the daemon with a log reader serves calls")
+        process.stdout.close()
+        # Refused calls are logged.
+        statuses = [site.call(name, "GET", "/nothing/x")[0] for _ in range(20)]
+        statuses += [site.call(name, "GET", "/browse/x")[0]]
+        exit_code = process.poll()
+        process.kill()
+    daemon.start()
+    wait_for(lambda: site.call(name, "GET", "/browse/x")[0] == 200, "the restarted daemon serves calls")
+    return (expect(exit_code is None, f"the daemon ended with {exit_code} after its log reader, expected it to go on")
+            + expect(statuses == [404] * 20 + [200], f"the calls got {statuses}, expected 404 for 20 and 200"))
+
+
 def failures_are_explained(site):
     """The walkthroughs of docs/OPERATIONS.md work: coltsfootctl explain finds the cause of a failed request by its id and
     the log files alone. SHOW_WALKS=1 prints its output."""
@@ -447,7 +466,7 @@
 CHECKS = (answers_come_from_backend_server, large_bodies_arrive_unchanged, home_regions_are_respected, pipelined_answers_keep_order,
           requests_with_lost_answers_run_once, shed_requests_report_not_run, idempotent_calls_are_retried,
           unknown_routes_are_refused, configurations_come_into_force, evacuated_data_centres_get_no_requests,
-          calls_are_served_during_store_outage, failures_are_explained, draining_servers_get_no_requests,
+          calls_are_served_during_store_outage, closed_log_reader_ends_no_daemon, failures_are_explained, draining_servers_get_no_requests,
           planned_stops_interrupt_no_calls)
 
 
