A heartbeat of an unknown service does not take the place of the backend server

What callers saw: one heartbeat of another writer, with a service that no configuration names and a later start, took the registered server out of service: its own heartbeats counted as older, and all calls were refused.

Cause: BackendRegistration accepted any service. Ruled out: to compare with the service of the settings, which may change without a signal while the daemon runs.

Change: BackendTracker passes such a heartbeat over while the server of a known service is registered, and lets any heartbeat of a known service replace a foreign one. A service that is removed from the configuration and added again keeps its server. Tests: ForeignHeartbeat (3 cases).

--- a/src/decisions/BackendRegistration.cpp
+++ b/src/decisions/BackendRegistration.cpp
@@ -34,6 +34,14 @@
                                                        : RegistrationChange::Replaced;
 }
 
+void BackendRegistration::forgetCurrent()
+{
+    m_current.reset();
+    m_unconfirmedSince.reset();
+    m_leavingSince.reset();
+    m_deregistered = false;
+}
+
 RegistrationChange BackendRegistration::processLeft(const std::string &instance, TimePoint now,
                                                     std::int64_t unixMs)
 {
--- a/src/decisions/BackendRegistration.h
+++ b/src/decisions/BackendRegistration.h
@@ -77,6 +77,9 @@
     RegistrationChange heartbeatReceived(const BackendHeartbeat &heartbeat, TimePoint now,
                                          std::int64_t unixMs);
 
+    /// \brief Forgets the current process, so that the next heartbeat registers its process.
+    void forgetCurrent();
+
     /// \brief Records that a server process has deregistered, also if it is not the current one.
     /// \param instance identifier of the process.
     /// \param unixMs current Unix time in milliseconds.
--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -171,8 +171,7 @@
     {
         const BackendHeartbeat &heartbeat = message.heartbeat;
         const bool wasConfirmed = m_tracker.registration.isConfirmed();
-        const RegistrationChange change
-            = m_tracker.registration.heartbeatReceived(heartbeat, now(), unixMs());
+        const RegistrationChange change = m_tracker.heartbeatReceived(heartbeat, now(), unixMs());
         if (change == RegistrationChange::Replaced) {
             adoptInstance(heartbeat);
         } else if (change == RegistrationChange::Renewed
--- a/src/services/BackendTracker.cpp
+++ b/src/services/BackendTracker.cpp
@@ -19,6 +19,25 @@
     return wasOutOfService && m_configuration && m_configuration->inService(m_locality.dataCentre);
 }
 
+RegistrationChange BackendTracker::heartbeatReceived(const BackendHeartbeat &heartbeat,
+                                                     TimePoint now, std::int64_t unixMs)
+{
+    const bool isKnown = isKnownService(heartbeat.service);
+    const auto &current = registration.current();
+    if (current && isKnown != isKnownService(current->service)) {
+        if (!isKnown) {
+            return RegistrationChange::Outdated;
+        }
+        registration.forgetCurrent();
+    }
+    return registration.heartbeatReceived(heartbeat, now, unixMs);
+}
+
+bool BackendTracker::isKnownService(const std::string &name) const
+{
+    return !m_configuration || m_configuration->services.contains(name);
+}
+
 void BackendTracker::instanceReplaced(TimePoint now)
 {
     health.reset();
--- a/src/services/BackendTracker.h
+++ b/src/services/BackendTracker.h
@@ -34,6 +34,13 @@
     /// \return true if it returns the data centre of this daemon to service.
     bool configurationChanged(ConfigurationPtr configuration);
 
+    /// \brief Applies a heartbeat to the registration. One that names a service which the
+    /// configuration does not have comes from another writer, or from a server that nobody calls:
+    /// it does not replace a server of a known service, and gives way to one. \param heartbeat a
+    /// valid heartbeat. \param unixMs current Unix time in milliseconds.
+    RegistrationChange heartbeatReceived(const BackendHeartbeat &heartbeat, TimePoint now,
+                                         std::int64_t unixMs);
+
     /// \brief Resets the estimates after another process of the backend server has registered.
     void instanceReplaced(TimePoint now);
 
@@ -60,6 +67,7 @@
     const Configuration *configuration() const { return m_configuration.get(); }
 
 private:
+    bool isKnownService(const std::string &name) const;
     void applyRules();
 
     Locality m_locality;
