--- a/src/programs/Daemon.cpp
+++ b/src/programs/Daemon.cpp
@@ -38,6 +38,17 @@
 /// process may be killed.
 constexpr milliseconds StopMargin {400};
 
+/// Maximum memory of the bodies that callers have sent, and of those that other daemons have sent,
+/// as fractions of DaemonSettings::memoryMegabytes. The rest is for answers, buffers and everything
+/// else.
+constexpr double CallerBodyFraction = 0.3;
+constexpr double PeerBodyFraction = 0.25;
+
+std::size_t memoryFraction(const DaemonSettings &settings, double fraction)
+{
+    return static_cast<std::size_t>(static_cast<double>(settings.memoryMegabytes << 20) * fraction);
+}
+
 milliseconds fractionOf(milliseconds duration, double fraction)
 {
     return milliseconds(
@@ -110,7 +121,8 @@
         kernel.add(makeControlListener(kernel, context, {"ready", *settings.ready}));
     }
     kernel.add(makeMembership(kernel, context, membership));
-    kernel.add(makeLinks(kernel, context, {settings.peers, id}));
+    kernel.add(makeLinks(kernel, context,
+                         {settings.peers, id, memoryFraction(settings, PeerBodyFraction)}));
     kernel.add(makeConfigurationFollower(kernel, store(),
                                          {interface.format, settings.dataCentres,
                                           settings.configurationFile,
@@ -132,7 +144,8 @@
         makeCalls(kernel, {locality, settings.service, settings.retries, strategies.guards}));
     kernel.add(makeDaemonList(kernel, locality));
     kernel.add(makeCallers(kernel, context,
-                           {settings.listen, id, interface.dialect, interface.servesControl}));
+                           {settings.listen, id, interface.dialect, interface.servesControl,
+                            memoryFraction(settings, CallerBodyFraction)}));
 }
 
 } // namespace Coltsfootwell
--- a/src/programs/DaemonSettings.h
+++ b/src/programs/DaemonSettings.h
@@ -54,6 +54,8 @@
     /// Calls per second that a cold backend server tolerates above the cold-start rate of its
     /// service.
     double coldSlack = 0;
+    /// Memory of the process, from which the limits of bodies under way are derived.
+    std::size_t memoryMegabytes = 256;
     /// Limits of the retry budget that all daemons share.
     RetryLimits retries;
 };
--- a/src/services/BackendRuns.cpp
+++ b/src/services/BackendRuns.cpp
@@ -351,8 +351,13 @@
             startRun(it->second);
             return;
         case SlotAction::FetchBody:
-            it->second.attempt.requestBody();
-            return;
+            if (it->second.attempt.requestBody()) {
+                return;
+            }
+            // Another server may have memory for the body.
+            m_slots.withdraw(decision.attempt);
+            reason = Reason::Overloaded;
+            break;
         case SlotAction::Refuse:
             break;
         }
--- a/src/services/CallMessages.h
+++ b/src/services/CallMessages.h
@@ -86,8 +86,9 @@
     bool repeat = false;
     Reply<AttemptResult> reply;
     /// Requests the body shortly before the run starts, over a link by a ProceedFrame. BodyArrived
-    /// delivers it. Used only if `pendingBodyBytes` is not 0.
-    Task requestBody;
+    /// delivers it. Used only if `pendingBodyBytes` is not 0. Returns false if this daemon has no
+    /// memory for the body now.
+    std::function<bool()> requestBody;
 };
 
 /// \brief To "backend": delivers the body that a run has requested.
--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -1,5 +1,6 @@
 #include "services/CallerSession.h"
 
+#include "decisions/RetryAfter.h"
 #include "services/AnswerWriter.h"
 #include "services/CallerAnswer.h"
 #include "services/ControlMessages.h"
@@ -25,6 +26,9 @@
 /// connected is about to send one, and if the connection were closed, it could not determine
 /// whether the request was processed.
 constexpr std::chrono::seconds FirstRequestTimeout {1};
+/// Maximum time for which a request waits for memory for its body. A caller that may repeat its
+/// request does so after a second without progress.
+constexpr std::chrono::milliseconds MaxMemoryWait {500};
 
 /// State of the reading side of a connection.
 enum class ReadPhase {
@@ -118,6 +122,7 @@
     asio::awaitable<void> readRequest()
     {
         Parser parser;
+        BodyReservation reservation(m_context->bodyBudget);
         parser.header_limit(static_cast<std::uint32_t>(m_context->limits.headerBytes));
         parser.body_limit(m_context->limits.bodyBytes);
         boost::system::error_code ec;
@@ -138,11 +143,7 @@
         }
         if (!ec && !parser.is_done()) {
             armTimer(m_context->limits.idleTimeout);
-            m_continueExpected = beast::iequals(parser.get()[http::field::expect], "100-continue");
-            writeCompletedAnswers();
-            co_await http::async_read(m_socket, m_buffer, parser,
-                                      asio::redirect_error(asio::use_awaitable, ec));
-            m_continueExpected = false;
+            ec = co_await readBody(parser, reservation);
         }
         m_context->executor.cancel(m_timer);
         if (ec) {
@@ -150,7 +151,55 @@
             co_return;
         }
         m_phase = ReadPhase::Idle;
-        requestReceived(parser.release());
+        requestReceived(parser.release(), std::move(reservation));
+    }
+
+    /// Reads the body of a request. While there is no memory for it, nothing is read, so that the
+    /// caller sends no more.
+    asio::awaitable<boost::system::error_code> readBody(Parser &parser,
+                                                        BodyReservation &reservation)
+    {
+        boost::system::error_code ec;
+        const auto length = parser.content_length();
+        if (!co_await reserve(reservation, length ? std::size_t(*length) : 0)) {
+            refuseForMemory(parser.get());
+            co_return asio::error::no_memory;
+        }
+        m_continueExpected = beast::iequals(parser.get()[http::field::expect], "100-continue");
+        writeCompletedAnswers();
+        while (!ec && !parser.is_done()) {
+            co_await http::async_read_some(m_socket, m_buffer, parser,
+                                           asio::redirect_error(asio::use_awaitable, ec));
+            // A body without a length grows by doubling, which copies it.
+            const std::size_t bytes = parser.get().body().size();
+            if (!ec && !length && !co_await reserve(reservation, 2 * bytes)) {
+                refuseForMemory(parser.get());
+                ec = asio::error::no_memory;
+            }
+        }
+        m_continueExpected = false;
+        co_return ec;
+    }
+
+    /// Reserves memory for a body, and waits for it up to MaxMemoryWait.
+    /// \return false if there is none.
+    asio::awaitable<bool> reserve(BodyReservation &reservation, std::size_t bytes)
+    {
+        const TimePoint waitUntil = m_context->executor.now() + MaxMemoryWait;
+        while (!reservation.grow(bytes)) {
+            if (m_context->executor.now() >= waitUntil || !m_socket.is_open()) {
+                co_return false;
+            }
+            m_context->bodyBudget->waitForRelease([weak = weak_from_this()] {
+                if (const auto self = weak.lock()) {
+                    self->m_readerWakeup.cancel();
+                }
+            });
+            boost::system::error_code ec;
+            m_readerWakeup.expires_at(waitUntil);
+            co_await m_readerWakeup.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        }
+        co_return true;
     }
 
     void armTimer(Duration timeout)
@@ -183,7 +232,9 @@
     void readFailed(boost::system::error_code ec)
     {
         m_readEnded = true;
-        if (m_phase == ReadPhase::Idle && (m_timedOut || m_closing) && !isAnswering()) {
+        if (ec == asio::error::no_memory) {
+            // readBody() has refused the request.
+        } else if (m_phase == ReadPhase::Idle && (m_timedOut || m_closing) && !isAnswering()) {
             closeGracefully();
         } else if (m_timedOut) {
             addRefusal(Reason::RequestTimeout);
@@ -215,6 +266,25 @@
         m_readerWakeup.cancel();
     }
 
+    /// Refuses a request whose body is not read.
+    void refuseForMemory(const http::fields &fields)
+    {
+        std::vector<HeaderField> headers = endToEndHeaders(fields);
+        HeaderFault fault;
+        std::error_code ec;
+        const CallEnvelope call = m_context->dialect.decodeCall(headers, fault, ec);
+        CallRefused refused {Outcome::NotRun, Reason::Overloaded, {}};
+        if (call.deadline) {
+            refused.retryAfter = retryAfter(*call.deadline, m_context->random);
+        }
+        m_context->telemetry.send(LogEvent {"call.refused", call.requestId, "reason=body-memory"});
+        auto exchange = std::make_shared<Exchange>();
+        exchange->requestId = call.requestId;
+        exchange->keepAlive = false;
+        m_pending.add(exchange);
+        completeCall(exchange, refused);
+    }
+
     void addRefusal(Reason reason)
     {
         auto exchange = std::make_shared<Exchange>();
@@ -223,7 +293,7 @@
         completeCall(exchange, CallRefused {Outcome::NotRun, reason, {}});
     }
 
-    void requestReceived(http::request<http::string_body> message)
+    void requestReceived(http::request<http::string_body> message, BodyReservation reservation)
     {
         const bool draining = m_closing || m_context->draining;
         if (m_closeAfterWrite || (draining && !m_pending.empty())) {
@@ -241,11 +311,12 @@
         if (m_context->servesControl && stdView(message.target()).starts_with(ControlPrefix)) {
             forwardToControl(exchange, std::move(message));
         } else {
-            submit(exchange, std::move(message));
+            submit(exchange, std::move(message), std::move(reservation));
         }
     }
 
-    void submit(const std::shared_ptr<Exchange> &exchange, http::request<http::string_body> message)
+    void submit(const std::shared_ptr<Exchange> &exchange, http::request<http::string_body> message,
+                BodyReservation reservation)
     {
         SubmitCall call;
         call.received = m_context->executor.now();
@@ -266,7 +337,7 @@
         exchange->number = ++m_context->lastCallNumber;
         call.number = exchange->number;
         call.head = std::move(head);
-        call.body = std::make_shared<const std::string>(std::move(message.body()));
+        call.body = BodyReservation::makeBody(std::move(message.body()), std::move(reservation));
         call.reply = Reply<CallResult>(
             m_context->executor,
             [self = shared_from_this(), exchange](std::optional<CallResult> result) {
--- a/src/services/CallerSession.h
+++ b/src/services/CallerSession.h
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "decisions/Configuration.h"
-#include "kernel/Directory.h"
-#include "kernel/Random.h"
+#include "kernel/Kernel.h"
+#include "services/BodyReservation.h"
 #include "services/CallMessages.h"
 #include "services/TelemetryMessages.h"
 
@@ -28,17 +28,21 @@
 /// \brief State that all sessions of the service share.
 struct SessionContext
 {
-    SessionContext(Executor &taskExecutor, Directory &serviceDirectory,
-                   const HttpDialect &httpDialect, DaemonId daemon)
-        : executor(taskExecutor), directory(serviceDirectory), dialect(httpDialect),
-          self(std::move(daemon))
+    SessionContext(Kernel &kernel, const HttpDialect &httpDialect, DaemonId daemon,
+                   std::size_t maxBodyBytes)
+        : executor(kernel.executor()), directory(kernel.directory()), random(kernel.random()),
+          dialect(httpDialect), self(std::move(daemon)),
+          bodyBudget(std::make_shared<SharedBodyBudget>(executor, maxBodyBytes))
     {
     }
 
     Executor &executor;
     Directory &directory;
+    Random &random;
     const HttpDialect &dialect;
     DaemonId self;
+    /// Memory for bodies of requests that are under way.
+    std::shared_ptr<SharedBodyBudget> bodyBudget;
     /// True if the daemon itself answers paths below "/coltsfootwell/".
     bool servesControl = true;
     RequestLimits limits;
--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <array>
+
 namespace Coltsfootwell {
 
 using namespace Internal;
@@ -15,6 +17,8 @@
 
 using std::chrono::seconds;
 
+/// Maximum length of a body that is written together with the head of its request, in one buffer.
+constexpr std::size_t MaxCopiedBodyBytes = 16 * 1024;
 /// Maximum length of the header of an answer.
 constexpr std::uint32_t MaxAnswerHeaderBytes = 64 * 1024;
 /// Maximum number of answers that are read for one request, including interim answers and answers
@@ -83,6 +87,13 @@
             });
     }
 
+    /// \return true if the body is written from its own buffer, since a copy would take memory.
+    bool hasLongBody() const
+    {
+        return self.m_request.body && self.m_request.body->size() > MaxCopiedBodyBytes;
+    }
+
+    /// \return the bytes of the request, without a long body.
     std::string requestBytes() const
     {
         http::request<http::span_body<const char>> message;
@@ -93,7 +104,9 @@
             message.insert(field.name, field.value);
         }
         const BodyPtr &body = self.m_request.body;
-        if (body && !body->empty()) {
+        if (hasLongBody()) {
+            message.content_length(body->size());
+        } else if (body && !body->empty()) {
             message.body() = beast::span<const char>(body->data(), body->size());
             message.content_length(body->size());
         } else if (message.method() != http::verb::get && message.method() != http::verb::head) {
@@ -108,8 +121,12 @@
     {
         self.m_connection->writing = true;
         auto bytes = std::make_shared<std::string>(requestBytes());
+        std::array<asio::const_buffer, 2> buffers {asio::buffer(*bytes), {}};
+        if (hasLongBody()) {
+            buffers[1] = asio::buffer(*self.m_request.body);
+        }
         asio::async_write(
-            self.m_connection->socket, asio::buffer(*bytes),
+            self.m_connection->socket, buffers,
             [exchange = self.shared_from_this(), bytes](boost::system::error_code, std::size_t) {
                 if (exchange->m_connection) {
                     exchange->m_connection->writing = false;
--- a/src/services/LinkClient.cpp
+++ b/src/services/LinkClient.cpp
@@ -37,6 +37,9 @@
 constexpr std::size_t MaxInlineBodyBytes = 16 * 1024;
 /// Maximum length in bytes of one part of a body that is sent on request.
 constexpr std::size_t MaxBodyPartBytes = 32 * 1024;
+/// Number of bytes waiting in a connection from which no further parts of bodies are added. Other
+/// frames, such as pings, wait behind them.
+constexpr std::size_t MaxQueuedBytes = 64 * 1024;
 
 microseconds timeUntil(TimePoint at, TimePoint now)
 {
@@ -191,6 +194,11 @@
                                  if (const PeerPtr peer = weak.lock()) {
                                      connectionBroken(peer);
                                  }
+                             },
+                             [this, weak] {
+                                 if (const PeerPtr peer = weak.lock()) {
+                                     sendBodyParts(*peer);
+                                 }
                              }});
     peer->connection->send({{}, {}, HelloFrame {m_dependencies.self}});
     m_dependencies.sendTelemetry(IncrementCounter {"link_connections_total", "made"});
@@ -225,6 +233,7 @@
 void LinkClient::connectionBroken(const PeerPtr &peer)
 {
     peer->connection.reset();
+    peer->outgoingBodies.clear();
     peer->pingedAt.reset();
     m_dependencies.sendTelemetry(IncrementCounter {"link_connections_total", "broken"});
     m_dependencies.sendTelemetry(LogEvent {"link.broken", "",
@@ -277,7 +286,7 @@
     } else if (std::holds_alternative<PongFrame>(frame.body)) {
         peer->pingedAt.reset();
     } else if (std::holds_alternative<ProceedFrame>(frame.body)) {
-        sendBody(*peer, frame.attempt);
+        startBody(*peer, frame.attempt);
     } else if (auto *exchange = std::get_if<ExchangeFrame>(&frame.body)) {
         if (const auto it = peer->peerRequests.find(exchange->nonce);
             it != peer->peerRequests.end()) {
@@ -336,18 +345,39 @@
     peer.connection->send({attempt.attempt, {}, std::move(run)});
 }
 
-void LinkClient::sendBody(Peer &peer, const AttemptId &attempt)
+void LinkClient::startBody(Peer &peer, const AttemptId &attempt)
 {
-    const auto it = peer.openAttempts.find(attempt);
-    if (it == peer.openAttempts.end() || !peer.connection) {
-        return;
+    // The serving daemon asks again for the whole body after it has lost a part.
+    std::erase_if(peer.outgoingBodies,
+                  [&attempt](const OutgoingBody &body) { return body.attempt == attempt; });
+    peer.outgoingBodies.push_back({attempt, 0});
+    sendBodyParts(peer);
+}
+
+void LinkClient::sendBodyParts(Peer &peer)
+{
+    while (peer.connection && !peer.outgoingBodies.empty()
+           && peer.connection->queuedBytes() < MaxQueuedBytes) {
+        OutgoingBody body = peer.outgoingBodies.front();
+        peer.outgoingBodies.pop_front();
+        if (sendBodyPart(peer, body)) {
+            peer.outgoingBodies.push_back(body);
+        }
     }
-    const std::string_view body = *it->second.attempt.body;
-    for (std::size_t begin = 0; begin < body.size(); begin += MaxBodyPartBytes) {
-        const bool last = begin + MaxBodyPartBytes >= body.size();
-        peer.connection->send(
-            {attempt, {}, BodyPartFrame {std::string(body.substr(begin, MaxBodyPartBytes)), last}});
+}
+
+bool LinkClient::sendBodyPart(Peer &peer, OutgoingBody &body)
+{
+    const auto it = peer.openAttempts.find(body.attempt);
+    if (it == peer.openAttempts.end()) {
+        return false;
     }
+    const std::string_view bytes = *it->second.attempt.body;
+    const std::string_view part = bytes.substr(body.sent, MaxBodyPartBytes);
+    body.sent += part.size();
+    const bool last = body.sent == bytes.size();
+    peer.connection->send({body.attempt, {}, BodyPartFrame {std::string(part), last}});
+    return !last;
 }
 
 void LinkClient::writePeerRequest(Peer &peer, std::uint64_t nonce,
--- a/src/services/LinkClient.h
+++ b/src/services/LinkClient.h
@@ -11,6 +11,7 @@
 #include "services/LinkConnection.h"
 #include "services/TelemetryMessages.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -68,6 +69,14 @@
         Incarnation sentTo = 0;
     };
 
+    /// A body that is being sent.
+    struct OutgoingBody
+    {
+        AttemptId attempt;
+        /// Number of bytes that have been handed to the connection.
+        std::size_t sent = 0;
+    };
+
     struct PendingPeerRequest
     {
         SendPeerRequest message;
@@ -87,6 +96,8 @@
         TimerId connectTimer = 0;
         std::unordered_map<AttemptId, OpenAttempt> openAttempts;
         std::map<std::uint64_t, PendingPeerRequest> peerRequests;
+        /// Bodies that are being sent over the current connection, in turns.
+        std::deque<OutgoingBody> outgoingBodies;
         /// Time of the last ping without an answer.
         std::optional<TimePoint> pingedAt;
         TimePoint lastUsed {};
@@ -107,7 +118,11 @@
     void frameReceived(const PeerPtr &peer, LinkFrame frame);
     void resultReceived(const PeerPtr &peer, LinkFrame &frame);
     void sendRun(Peer &peer, OpenAttempt &openAttempt);
-    void sendBody(Peer &peer, const AttemptId &attempt);
+    void startBody(Peer &peer, const AttemptId &attempt);
+    /// Sends parts of bodies until enough bytes wait in the connection.
+    void sendBodyParts(Peer &peer);
+    /// \return true if the body has further parts.
+    bool sendBodyPart(Peer &peer, OutgoingBody &body);
     void writePeerRequest(Peer &peer, std::uint64_t nonce, const PendingPeerRequest &request);
     void completeAttempt(Peer &peer, const AttemptId &attempt, AttemptResult result);
     void checkLiveness(const PeerPtr &peer, TimePoint now);
--- a/src/services/LinkConnection.cpp
+++ b/src/services/LinkConnection.cpp
@@ -101,17 +101,23 @@
 void LinkConnection::write()
 {
     m_writeBuffer = std::exchange(m_outbound, {});
-    asio::async_write(m_socket, asio::buffer(m_writeBuffer),
-                      [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
-                          self->m_writeBuffer.clear();
-                          if (ec) {
-                              self->fail();
-                              return;
-                          }
-                          if (self->m_open && !self->m_outbound.empty()) {
-                              self->write();
-                          }
-                      });
+    asio::async_write(
+        m_socket, asio::buffer(m_writeBuffer),
+        [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
+            self->m_writeBuffer.clear();
+            if (ec) {
+                self->fail();
+                return;
+            }
+            if (self->m_open && self->m_outbound.empty() && self->m_handlers.onWritten) {
+                // The handler can close the connection, which destroys m_handlers.
+                const auto onWritten = self->m_handlers.onWritten;
+                onWritten();
+            }
+            if (self->m_open && self->m_writeBuffer.empty() && !self->m_outbound.empty()) {
+                self->write();
+            }
+        });
 }
 
 void LinkConnection::fail()
--- a/src/services/LinkConnection.h
+++ b/src/services/LinkConnection.h
@@ -21,6 +21,8 @@
     std::function<void(LinkFrame)> onFrame;
     /// Called once when the connection fails or the peer closes it; not called after close().
     std::function<void()> onClosed;
+    /// Called when everything that was enqueued has been written; may be empty.
+    std::function<void()> onWritten = {};
 };
 
 /// \brief Sends and receives frames until either side closes the connection.
@@ -42,6 +44,9 @@
     /// \brief Resets the connection and discards enqueued frames.
     void close();
 
+    /// \return number of bytes that wait to be written.
+    std::size_t queuedBytes() const { return m_outbound.size() + m_writeBuffer.size(); }
+
     /// \return time of the last received byte, or of the construction if there is none.
     TimePoint lastReceivedAt() const { return m_lastReceivedAt; }
 
--- a/src/services/LinkServer.cpp
+++ b/src/services/LinkServer.cpp
@@ -110,7 +110,7 @@
 {
     const TimePoint now = m_dependencies.executor.now();
     client->lastRunAt = now;
-    const auto [it, added] = m_served.try_emplace(attempt);
+    const auto [it, added] = m_served.try_emplace(attempt, m_dependencies.bodyBudget);
     if (!added) {
         return;
     }
@@ -139,24 +139,29 @@
             }
         });
     run.requestBody = [weak, attempt, bytes = run.pendingBodyBytes] {
-        if (const auto self = weak.lock()) {
-            self->requestBodyFor(attempt, bytes);
-        }
+        const auto self = weak.lock();
+        return self && self->requestBodyFor(attempt, bytes);
     };
     m_dependencies.toBackend(std::move(run));
 }
 
-void LinkServer::requestBodyFor(const AttemptId &attempt, std::uint64_t bytes)
+bool LinkServer::requestBodyFor(const AttemptId &attempt, std::uint64_t bytes)
 {
     const auto it = m_served.find(attempt);
     if (it == m_served.end()) {
-        return;
+        return true;
     }
-    it->second.body.clear();
-    it->second.missingBodyBytes = bytes;
-    if (const ClientPtr client = it->second.client.lock()) {
+    ServedAttempt &served = it->second;
+    if (!served.reservation.grow(bytes)) {
+        return false;
+    }
+    served.body.clear();
+    served.body.reserve(bytes);
+    served.missingBodyBytes = bytes;
+    if (const ClientPtr client = served.client.lock()) {
         client->connection->send({attempt, {}, ProceedFrame {}});
     }
+    return true;
 }
 
 void LinkServer::receiveBodyPart(const ClientPtr &client, const AttemptId &attempt,
@@ -172,9 +177,10 @@
     served.missingBodyBytes -= std::min<std::uint64_t>(served.missingBodyBytes, part.bytes.size());
     served.body += part.bytes;
     if (part.last) {
-        m_dependencies.toBackend(BodyArrived {
-            attempt,
-            std::make_shared<const std::string>(std::exchange(served.body, std::string()))});
+        m_dependencies.toBackend(
+            BodyArrived {attempt,
+                         BodyReservation::makeBody(std::exchange(served.body, std::string()),
+                                                   std::move(served.reservation))});
     }
 }
 
--- a/src/services/LinkServer.h
+++ b/src/services/LinkServer.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "kernel/Executor.h"
+#include "services/BodyReservation.h"
 #include "services/CallMessages.h"
 #include "services/LinkConnection.h"
 #include "services/TelemetryMessages.h"
@@ -21,6 +22,8 @@
     Executor &executor;
     DaemonId self;
     std::shared_ptr<LinkTraffic> traffic;
+    /// Memory for bodies that are received from other daemons.
+    std::shared_ptr<SharedBodyBudget> bodyBudget;
     std::function<void(BackendMessage)> toBackend;
     /// Forwards a request of a peer to the service of its subject.
     std::function<void(ExchangeSubject, PeerRequestReceived)> forwardPeerRequest;
@@ -58,10 +61,16 @@
 
     struct ServedAttempt
     {
+        explicit ServedAttempt(std::shared_ptr<SharedBodyBudget> budget)
+            : reservation(std::move(budget))
+        {
+        }
+
         /// Connection over which the attempt was received or last resumed.
         std::weak_ptr<Client> client;
         /// Parts of the requested body received so far.
         std::string body;
+        BodyReservation reservation;
         /// Number of bytes of the requested body that have not been received yet.
         std::uint64_t missingBodyBytes = 0;
         /// Result, retained for a short time in case the connection breaks while it is sent.
@@ -79,7 +88,8 @@
     void frameReceived(const ClientPtr &client, LinkFrame frame);
     void startAttempt(const ClientPtr &client, const AttemptId &attempt, RunFrame frame);
     void receiveBodyPart(const ClientPtr &client, const AttemptId &attempt, BodyPartFrame part);
-    void requestBodyFor(const AttemptId &attempt, std::uint64_t bytes);
+    /// \return false if there is no memory for the body.
+    bool requestBodyFor(const AttemptId &attempt, std::uint64_t bytes);
     void cancelAttempt(const AttemptId &attempt);
     void resumeAttempt(const ClientPtr &client, const AttemptId &attempt, Incarnation sentTo);
     void handlePeerRequest(const ClientPtr &client, ExchangeFrame frame);
--- a/src/services/Links.cpp
+++ b/src/services/Links.cpp
@@ -31,6 +31,7 @@
                     [this](TelemetryMessage message) { m_telemetry.send(std::move(message)); }}),
           m_server(std::make_shared<LinkServer>(LinkServerDependencies {
               kernel.executor(), m_settings.self, m_traffic,
+              std::make_shared<SharedBodyBudget>(kernel.executor(), m_settings.maxBodyBytes),
               [this](BackendMessage message) { m_backend.send(std::move(message)); },
               [this](ExchangeSubject subject, PeerRequestReceived request) {
                   forwardPeerRequest(subject, std::move(request));
--- a/src/services/Links.h
+++ b/src/services/Links.h
@@ -20,6 +20,8 @@
     /// TCP address to listen on.
     Endpoint listen;
     DaemonId self;
+    /// Maximum number of bytes of the request bodies that other daemons have sent.
+    std::size_t maxBodyBytes = 64ULL << 20;
 };
 
 /// \param kernel provides the executor and the service directory.
--- a/test/error/BodyLostOnLinkFailure.cpp
+++ b/test/error/BodyLostOnLinkFailure.cpp
@@ -17,6 +17,8 @@
 
 constexpr AttemptId Attempt {1, 2};
 constexpr std::string_view Body = "abcdefgh";
+/// Memory for bodies, more than the tests need.
+constexpr std::size_t MaxBodyBytes = 1 << 20;
 constexpr auto TestTimeout = 5s;
 constexpr auto SettlingTime = 200ms;
 
@@ -73,6 +75,7 @@
         LinkServerDependencies {executor,
                                 {"serving", 1},
                                 std::make_shared<LinkTraffic>(),
+                                std::make_shared<SharedBodyBudget>(executor, MaxBodyBytes),
                                 [this](BackendMessage message) {
                                     if (auto *run = std::get_if<RunAttempt>(&message)) {
                                         runs.push_back(std::move(*run));
--- a/test/support/CallersFixture.h
+++ b/test/support/CallersFixture.h
@@ -40,13 +40,14 @@
 class CallersFixture
 {
 public:
-    CallersFixture()
+    explicit CallersFixture(std::size_t maxBodyBytes = CallersSettings().maxBodyBytes)
         : m_kernel(m_executor, m_random),
           m_calls(m_executor,
                   [this](CallsMessage message) {
                       if (auto *call = std::get_if<SubmitCall>(&message)) {
                           ++answered;
                           held = call->reply;
+                          heldBody = call->body;
                           if (!holdAnswers) {
                               answerHeld();
                           }
@@ -68,6 +69,7 @@
         CallersSettings settings;
         settings.listen = {"127.0.0.1", m_endpoint.port()};
         settings.dialect = &ownDialect();
+        settings.maxBodyBytes = maxBodyBytes;
         m_kernel.add(makeCallers(m_kernel, m_context, std::move(settings)));
         REQUIRE_FALSE(m_kernel.start());
     }
@@ -119,6 +121,7 @@
     void answerHeld()
     {
         held(CallAnswered {200, {}, std::make_shared<const std::string>(body), DaemonId {}});
+        heldBody.reset();
     }
 
     /// Changes the limits of requests.
@@ -137,6 +140,8 @@
     /// True if calls wait for answerHeld().
     bool holdAnswers = false;
     Reply<CallResult> held;
+    /// Body of the last call until it is answered.
+    BodyPtr heldBody;
     /// Number of calls.
     unsigned answered = 0;
     unsigned cancelled = 0;
