--- a/src/programs/Daemon.cpp
+++ b/src/programs/Daemon.cpp
@@ -46,7 +46,8 @@
 
 std::size_t memoryFraction(const DaemonSettings &settings, double fraction)
 {
-    return static_cast<std::size_t>(static_cast<double>(settings.memoryMegabytes << 20) * fraction);
+    constexpr double BytesPerMegabyte = 1 << 20;
+    return static_cast<std::size_t>(settings.memoryMegabytes * BytesPerMegabyte * fraction);
 }
 
 milliseconds fractionOf(milliseconds duration, double fraction)
--- a/src/programs/DaemonSettings.cpp
+++ b/src/programs/DaemonSettings.cpp
@@ -75,7 +75,7 @@
     settings.store = readEndpoint(fields, "store");
     settings.drain = fields.seconds("drainSeconds", settings.drain);
     settings.maxStopDuration = fields.seconds("graceSeconds", settings.maxStopDuration);
-    settings.memoryMegabytes = fields.integer("memoryMegabytes", settings.memoryMegabytes);
+    settings.memoryMegabytes = fields.number("memoryMegabytes", settings.memoryMegabytes);
     settings.coldSlack = fields.number("coldSlack", settings.coldSlack);
     fields.object("retries", [&retries = settings.retries](const JsonFields &inner) {
         retries.ratio = inner.number("ratio", retries.ratio);
--- a/src/programs/DaemonSettings.h
+++ b/src/programs/DaemonSettings.h
@@ -55,7 +55,7 @@
     /// service.
     double coldSlack = 0;
     /// Memory of the process, from which the limits of bodies under way are derived.
-    std::size_t memoryMegabytes = 256;
+    double memoryMegabytes = 256;
     /// Limits of the retry budget that all daemons share.
     RetryLimits retries;
 };
--- a/src/services/BodyReservation.cpp
+++ b/src/services/BodyReservation.cpp
@@ -13,7 +13,7 @@
 }
 
 BodyReservation::BodyReservation(BodyReservation &&other) noexcept
-    : m_budget(std::move(other.m_budget)), m_bytes(std::exchange(other.m_bytes, 0))
+    : m_budget(other.m_budget), m_bytes(std::exchange(other.m_bytes, 0))
 {
 }
 
--- a/src/services/BodyReservation.h
+++ b/src/services/BodyReservation.h
@@ -45,6 +45,7 @@
     explicit BodyReservation(std::shared_ptr<SharedBodyBudget> budget) : m_budget(std::move(budget))
     {
     }
+    /// The other one keeps its budget and can grow again.
     BodyReservation(BodyReservation &&other) noexcept;
     BodyReservation &operator=(BodyReservation &&other) noexcept;
     ~BodyReservation();
--- a/src/services/LinkServer.cpp
+++ b/src/services/LinkServer.cpp
@@ -264,6 +264,9 @@
         client->connection->send(frame);
     }
     it->second.result = std::move(frame);
+    // Parts of a body that was not needed any more.
+    it->second.body = {};
+    it->second.reservation = BodyReservation(m_dependencies.bodyBudget);
     m_expiries.push_back({m_dependencies.executor.now() + ResultRetention, attempt});
 }
 
--- a/src/wire/ConfigurationSchema.cpp
+++ b/src/wire/ConfigurationSchema.cpp
@@ -148,6 +148,7 @@
     "store": {"$ref": "#/definitions/endpoint"},
     "drainSeconds": {"type": "number", "minimum": 0},
     "graceSeconds": {"type": "number", "exclusiveMinimum": 0},
+    "memoryMegabytes": {"type": "number", "exclusiveMinimum": 0},
     "coldSlack": {"type": "number", "minimum": 0},
     "retries": {
       "type": "object",
--- a/test/correctness/DeadDaemonsHideLivingOnes.cpp
+++ b/test/correctness/DeadDaemonsHideLivingOnes.cpp
@@ -5,9 +5,9 @@
 #include "services/DaemonRecordExpiry.h"
 #include "services/DaemonRecords.h"
 #include "services/MembershipMessages.h"
-#include "services/ServiceError.h"
 #include "services/ServiceNames.h"
 #include "services/TelemetryMessages.h"
+#include "support/FakeKeyedStore.h"
 
 #include <doctest/doctest.h>
 
@@ -44,64 +44,6 @@
     return simulation.runUntil([&] { return simulation.allHaveAliveCount(daemons); }, 120s);
 }
 
-/// A store with one page of records that counts calls.
-class FakeStore final : public StoreClient
-{
-public:
-    explicit FakeStore(Executor &executor) : m_executor(executor) { }
-
-    void readNewest(std::string_view, std::string_view, std::size_t,
-                    std::function<void(NewestRecords)> done) override
-    {
-        NewestRecords newest;
-        newest.records = records;
-        newest.end = end;
-        newest.ec = available ? std::error_code() : ServiceError::StoreUnavailable;
-        m_executor.post([done, newest] { done(newest); });
-    }
-
-    void read(std::string_view, std::uint64_t, std::chrono::milliseconds,
-              std::function<void(RecordsRead)>) override
-    {
-    }
-
-    void append(std::string_view, const StoreRecord &record,
-                std::optional<std::uint64_t> expectedEnd,
-                std::function<void(RecordAppended)> done) override
-    {
-        RecordAppended appended;
-        if (!available) {
-            appended.ec = ServiceError::StoreUnavailable;
-        } else if (expectedEnd && *expectedEnd != end) {
-            appended.ec = ServiceError::Conflict;
-        } else {
-            std::erase_if(records,
-                          [&record](const StoreRecord &other) { return other.key == record.key; });
-            if (record.value) {
-                records.push_back({record.key, record.value, end});
-            }
-            ++end;
-        }
-        appended.end = end;
-        m_executor.post([done, appended] { done(appended); });
-    }
-
-    bool isReceiving() const override { return false; }
-    void cancelAll() override { }
-
-    bool contains(std::string_view key) const
-    {
-        return std::ranges::find(records, key, &StoreRecord::key) != records.end();
-    }
-
-    bool available = true;
-    std::vector<StoreRecord> records;
-    std::uint64_t end = 0;
-
-private:
-    Executor &m_executor;
-};
-
 /// The service "daemon-records" of the daemon h1, alone in its data centre.
 struct RecordsFixture
 {
@@ -143,7 +85,7 @@
                 seeds = discovered->endpoints;
             }
         }};
-    std::shared_ptr<FakeStore> store = std::make_shared<FakeStore>(executor);
+    std::shared_ptr<FakeKeyedStore> store = std::make_shared<FakeKeyedStore>(executor);
     std::unique_ptr<Service> service;
 };
 
--- a/test/correctness/DrainingServerGetsCalls.cpp
+++ b/test/correctness/DrainingServerGetsCalls.cpp
@@ -1,29 +1,14 @@
 // Guards against new calls to a server that is leaving, and against late heartbeats that revert the
 // state announced by a newer one.
 #include "decisions/BackendRegistration.h"
+#include "support/Heartbeats.h"
 
 #include <doctest/doctest.h>
 
 using namespace Coltsfootwell;
+using namespace Coltsfootwell::Testing;
 using std::chrono::seconds;
 
-namespace {
-
-BackendHeartbeat heartbeatOf(std::string instance, std::int64_t processStartMs,
-                             std::uint64_t sequence, AnnouncedState state = AnnouncedState::Ready)
-{
-    BackendHeartbeat heartbeat;
-    heartbeat.instance = std::move(instance);
-    heartbeat.processStartMs = processStartMs;
-    heartbeat.sequence = sequence;
-    heartbeat.state = state;
-    heartbeat.service = "s";
-    heartbeat.slots = 9;
-    return heartbeat;
-}
-
-} // namespace
-
 TEST_CASE("a draining server stays in the state leaving when older heartbeats arrive")
 {
     BackendRegistration registration;
--- a/test/correctness/LateDeregistration.cpp
+++ b/test/correctness/LateDeregistration.cpp
@@ -1,10 +1,12 @@
 // Guards against a backend server that is locked out because a deregistration of an earlier process
 // with its id arrives late or twice, and against one that gets calls after its own deregistration.
 #include "decisions/BackendRegistration.h"
+#include "support/Heartbeats.h"
 
 #include <doctest/doctest.h>
 
 using namespace Coltsfootwell;
+using namespace Coltsfootwell::Testing;
 using std::chrono::seconds;
 
 namespace {
@@ -15,25 +17,14 @@
 /// Start of the second process with the same id.
 constexpr std::int64_t SecondStartMs = 1'065'000;
 
-BackendHeartbeat heartbeatOf(std::int64_t processStartMs, std::uint64_t sequence)
-{
-    BackendHeartbeat heartbeat;
-    heartbeat.instance = "a";
-    heartbeat.processStartMs = processStartMs;
-    heartbeat.sequence = sequence;
-    heartbeat.service = "s";
-    heartbeat.slots = 9;
-    return heartbeat;
-}
-
 /// A registration whose server has left and started again under its id.
 struct Fixture
 {
     Fixture()
     {
-        registration.heartbeatReceived(heartbeatOf(StartMs, 40), now, LeftMs);
+        registration.heartbeatReceived(heartbeatOf("a", StartMs, 40), now, LeftMs);
         registration.processLeft("a", now, LeftMs);
-        registration.heartbeatReceived(heartbeatOf(SecondStartMs, 1), now, LeftMs + 5000);
+        registration.heartbeatReceived(heartbeatOf("a", SecondStartMs, 1), now, LeftMs + 5000);
         CHECK_FALSE(registration.leavingSince());
     }
 
@@ -54,7 +45,8 @@
     CHECK_FALSE(registration.healthChecked("a", fixture.now + seconds(1)));
     CHECK_FALSE(fixture.isServing());
     const TimePoint heartbeatAt = fixture.now + seconds(2);
-    CHECK(registration.heartbeatReceived(heartbeatOf(SecondStartMs, 2), heartbeatAt, LeftMs + 8000)
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", SecondStartMs, 2), heartbeatAt,
+                                         LeftMs + 8000)
           == RegistrationChange::Renewed);
     CHECK_FALSE(fixture.isServing());
     CHECK_FALSE(registration.healthChecked("a", fixture.now + seconds(1)));
@@ -71,7 +63,7 @@
     BackendRegistration &registration = fixture.registration;
     registration.processLeft("a", fixture.now, LeftMs + 6000);
     for (unsigned i = 2; i < 6; ++i) {
-        registration.heartbeatReceived(heartbeatOf(SecondStartMs, i), fixture.now + seconds(i),
+        registration.heartbeatReceived(heartbeatOf("a", SecondStartMs, i), fixture.now + seconds(i),
                                        LeftMs + 6000);
         CHECK_FALSE(fixture.isServing());
     }
@@ -85,14 +77,14 @@
     // The deregistration of an earlier process, of which the daemon knows nothing, comes late.
     BackendRegistration registration;
     const TimePoint now {};
-    registration.heartbeatReceived(heartbeatOf(SecondStartMs, 1), now, SecondStartMs);
+    registration.heartbeatReceived(heartbeatOf("a", SecondStartMs, 1), now, SecondStartMs);
     registration.processLeft("a", now, SecondStartMs + 1000);
-    CHECK(registration.heartbeatReceived(heartbeatOf(SecondStartMs, 5),
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", SecondStartMs, 5),
                                          now + BackendRegistration::MaxHeartbeatDelay,
                                          SecondStartMs)
           == RegistrationChange::Outdated);
     CHECK(registration.leavingSince());
-    CHECK(registration.heartbeatReceived(heartbeatOf(SecondStartMs, 20),
+    CHECK(registration.heartbeatReceived(heartbeatOf("a", SecondStartMs, 20),
                                          now + BackendRegistration::MaxHeartbeatDelay + seconds(1),
                                          SecondStartMs)
           == RegistrationChange::Replaced);
--- a/test/correctness/RestartedDaemonForgetsLeaving.cpp
+++ b/test/correctness/RestartedDaemonForgetsLeaving.cpp
@@ -2,10 +2,12 @@
 // has announced its shutdown, and against one that locks out a process with the id of an earlier
 // one.
 #include "decisions/BackendRegistration.h"
+#include "support/Heartbeats.h"
 
 #include <doctest/doctest.h>
 
 using namespace Coltsfootwell;
+using namespace Coltsfootwell::Testing;
 using std::chrono::seconds;
 
 namespace {
@@ -14,19 +16,6 @@
 constexpr std::int64_t StartMs = 1'000'000;
 constexpr std::int64_t LeftMs = 1'060'000;
 
-BackendHeartbeat heartbeatOf(std::string instance, std::int64_t processStartMs,
-                             std::uint64_t sequence, AnnouncedState state = AnnouncedState::Ready)
-{
-    BackendHeartbeat heartbeat;
-    heartbeat.instance = std::move(instance);
-    heartbeat.processStartMs = processStartMs;
-    heartbeat.sequence = sequence;
-    heartbeat.state = state;
-    heartbeat.service = "s";
-    heartbeat.slots = 9;
-    return heartbeat;
-}
-
 } // namespace
 
 TEST_CASE("a late heartbeat after a deregistration does not register the process")
--- a/test/correctness/ServerClockSetBack.cpp
+++ b/test/correctness/ServerClockSetBack.cpp
@@ -1,10 +1,12 @@
 // Guards against a backend server that is locked out because the clock of its host was set back
 // before it started, so that it seems older than a process that has ended.
 #include "decisions/BackendRegistration.h"
+#include "support/Heartbeats.h"
 
 #include <doctest/doctest.h>
 
 using namespace Coltsfootwell;
+using namespace Coltsfootwell::Testing;
 using std::chrono::seconds;
 
 namespace {
@@ -12,18 +14,6 @@
 constexpr std::int64_t StartMs = 1'000'000;
 constexpr std::int64_t EarlierStartMs = 990'000;
 
-BackendHeartbeat heartbeatOf(std::string instance, std::int64_t processStartMs,
-                             std::uint64_t sequence)
-{
-    BackendHeartbeat heartbeat;
-    heartbeat.instance = std::move(instance);
-    heartbeat.processStartMs = processStartMs;
-    heartbeat.sequence = sequence;
-    heartbeat.service = "s";
-    heartbeat.slots = 9;
-    return heartbeat;
-}
-
 } // namespace
 
 TEST_CASE("a process with an earlier start is registered once the current one is silent for long")
--- a/test/error/AcknowledgementLost.cpp
+++ b/test/error/AcknowledgementLost.cpp
@@ -5,10 +5,10 @@
 #include "kernel/ManualExecutor.h"
 #include "services/BackendMessages.h"
 #include "services/LeftProcessRecords.h"
-#include "services/ServiceError.h"
 #include "services/ServiceNames.h"
 #include "services/TelemetryMessages.h"
 #include "services/UnixTime.h"
+#include "support/FakeKeyedStore.h"
 #include "wire/LeftProcessJson.h"
 
 #include <doctest/doctest.h>
@@ -16,6 +16,7 @@
 #include <algorithm>
 
 using namespace Coltsfootwell;
+using namespace Coltsfootwell::Testing;
 using namespace std::chrono_literals;
 
 namespace {
@@ -23,64 +24,9 @@
 const LeftProcess First {"i-1", 1000, 2000};
 const LeftProcess Second {"i-2", 0, 3000};
 
-/// A store that answers immediately or not at all.
-class FakeStore final : public StoreClient
-{
-public:
-    explicit FakeStore(Executor &executor) : m_executor(executor) { }
-
-    void readNewest(std::string_view, std::string_view, std::size_t,
-                    std::function<void(NewestRecords)> done) override
-    {
-        NewestRecords newest;
-        newest.end = end;
-        newest.records = records;
-        newest.ec = available ? std::error_code() : ServiceError::StoreUnavailable;
-        m_executor.post([done, newest] { done(newest); });
-    }
-
-    void read(std::string_view, std::uint64_t, std::chrono::milliseconds,
-              std::function<void(RecordsRead)>) override
-    {
-    }
-
-    void append(std::string_view, const StoreRecord &record,
-                std::optional<std::uint64_t> expectedEnd,
-                std::function<void(RecordAppended)> done) override
-    {
-        RecordAppended result;
-        if (!available) {
-            result.ec = ServiceError::StoreUnavailable;
-        } else if (expectedEnd && *expectedEnd != end) {
-            result.ec = ServiceError::Conflict;
-        } else {
-            ++appends;
-            ++end;
-            std::erase_if(records,
-                          [&record](const StoreRecord &other) { return other.key == record.key; });
-            if (record.value) {
-                records.push_back(record);
-            }
-        }
-        result.end = end;
-        m_executor.post([done, result] { done(result); });
-    }
-
-    bool isReceiving() const override { return false; }
-    void cancelAll() override { }
-
-    bool available = true;
-    std::vector<StoreRecord> records;
-    std::uint64_t end = 0;
-    unsigned appends = 0;
-
-private:
-    Executor &m_executor;
-};
-
 struct Fixture
 {
-    Fixture() : store(std::make_shared<FakeStore>(executor))
+    Fixture() : store(std::make_shared<FakeKeyedStore>(executor))
     {
         kernel.directory().publish(ServiceName::Registration, registration.address());
         kernel.directory().publish(ServiceName::Telemetry, telemetry.address());
@@ -133,7 +79,7 @@
                                                  events.emplace_back(event->event);
                                              }
                                          }};
-    std::shared_ptr<FakeStore> store;
+    std::shared_ptr<FakeKeyedStore> store;
     std::unique_ptr<Service> service;
 };
 
