A health check that was sent before a deregistration does not undo it

What callers would see: the answer of the check, which the server gave before it left, returned the server to service, and it got calls until its exit.

Cause: a check that confirms also withdraws a doubtful deregistration, and the one that was under way counted for both. Change: a deregistration ends the wait for a confirmation; only a newer heartbeat begins another. Tests: RestartedDaemonForgetsLeaving (the new case failed before), leaving.py (restart-heartbeat-deregistration).

--- a/src/decisions/BackendRegistration.cpp
+++ b/src/decisions/BackendRegistration.cpp
@@ -46,10 +46,8 @@
                                                     std::int64_t unixMs)
 {
     if (m_current && m_current->instance == instance) {
-        if (m_deregistered) {
-            // Health checks that were sent before count no more.
-            m_unconfirmedSince.reset();
-        }
+        // A health check that was sent before must not return the process to service.
+        m_unconfirmedSince.reset();
         m_deregistered = true;
         return currentProcessLeaves(now, unixMs);
     }
--- a/test/correctness/RestartedDaemonForgetsLeaving.cpp
+++ b/test/correctness/RestartedDaemonForgetsLeaving.cpp
@@ -157,6 +157,19 @@
     CHECK(registration.isConfirmed());
 }
 
+TEST_CASE("a health check sent before a deregistration does not undo it")
+{
+    // The deregistration arrives while the first registration of a daemon's process waits for it.
+    BackendRegistration registration;
+    registration.expectPredecessor();
+    const TimePoint now {};
+    registration.heartbeatReceived(heartbeatOf("a", StartMs, 6), now, LeftMs);
+    CHECK(registration.processLeft("a", now, LeftMs) == RegistrationChange::Leaving);
+    CHECK_FALSE(registration.healthChecked("a", now));
+    CHECK(registration.leavingSince() == now);
+    CHECK(registration.leftProcesses() == std::vector {LeftProcess {"a", StartMs, LeftMs}});
+}
+
 TEST_CASE("heartbeats confirm a registration whose health checks fail")
 {
     BackendRegistration registration;
--- a/test/fault/leaving.py
+++ b/test/fault/leaving.py
@@ -119,6 +119,14 @@
     return host.gets_no_calls_after(acknowledged_at + DRAIN_S)
 
 
+def announcement_before_confirmation(host):
+    """A restarted daemon gets a heartbeat and, while it waits for the health check that confirms it, the deregistration."""
+    host.beating.clear()
+    host.restart_daemon()
+    host.server.send_heartbeat("ready")
+    return host.gets_no_calls_after(host.announce("deregister") + DRAIN_S)
+
+
 def second_restart(host):
     """A shutdown that was acknowledged before the first heartbeat is known after one more restart."""
     late = host.late_heartbeat()
@@ -179,6 +187,7 @@
     "deregistration-restart-heartbeat": restart_after_announcement("deregister"),
     "draining-restart-heartbeat": restart_after_announcement("draining"),
     "restart-deregistration-heartbeat": announcement_after_restart,
+    "restart-heartbeat-deregistration": announcement_before_confirmation,
     "restart-deregistration-restart-heartbeat": second_restart,
     "deregistration-return": return_under_its_id(restarts=False),
     "deregistration-restart-return": return_under_its_id(restarts=True),
