Logs tell which bytes of the backend server an outcome rests on, and what a leaving server is sent

The logs could not tell the hypotheses of REFUSED and DRAIN apart.

Change: run.refused, run.answered and run.lost name the connection (new, kept, none), the time since the first byte, the status, whether the answer names the request, and answers that were passed over. run.sentWhileLeaving and backend.leavingAcknowledged give the age of the shutdown; runs_started_leaving_total counts. attempt.resumed named no daemon, since it was written before the other side said its name; it names the target and the process that the attempt was sent to, and attempt.resumedEnded the process that tells its result.

No decision changes. Ruled out: lines for each offer, whose number grows with the load.

--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -193,7 +193,7 @@
         }
         recordReturn();
         heartbeat.state == AnnouncedState::Draining
-            ? acknowledgeRecorded(std::move(message.acknowledged))
+            ? acknowledgeRecorded(heartbeat.instance, std::move(message.acknowledged))
             : message.acknowledged(true);
         publishLoadChanges();
         m_runs->dispatchQueue();
@@ -205,7 +205,7 @@
             = m_tracker.registration.processLeft(message.instance, now(), unixMs());
         m_telemetry.send(
             deregistrationEvent(message.instance, m_tracker.registration.current(), change));
-        acknowledgeRecorded(std::move(message.acknowledged));
+        acknowledgeRecorded(message.instance, std::move(message.acknowledged));
         publishLoadChanges();
         m_runs->dispatchQueue();
     }
@@ -229,23 +229,32 @@
     /// Acknowledges that the server leaves once the store has a record of it, so that a restarted
     /// daemon knows of it, too. Without an answer of the store, the acknowledgement is given all
     /// the same: it counts for this process, and the record is repeated.
-    void acknowledgeRecorded(Reply<bool> acknowledged)
+    void acknowledgeRecorded(const std::string &instance, Reply<bool> acknowledged)
     {
         if (!m_recordsLeft) {
-            acknowledged(true);
+            acknowledgeLeaving(instance, "none", acknowledged);
             return;
         }
         auto reply = Reply<bool>(
             m_kernel.executor(),
-            [this, acknowledged = std::move(acknowledged)](std::optional<bool> recorded) {
+            [this, instance, acknowledged = std::move(acknowledged)](std::optional<bool> recorded) {
                 if (!recorded.value_or(false)) {
                     m_telemetry.send(LogEvent {"backend.leftUnrecorded", "", ""});
                 }
-                acknowledged(true);
+                acknowledgeLeaving(instance, recorded.value_or(false) ? "yes" : "no", acknowledged);
             });
         recordLeftProcesses(std::move(reply));
     }
 
+    void acknowledgeLeaving(const std::string &instance, std::string_view recorded,
+                            const Reply<bool> &acknowledged)
+    {
+        m_telemetry.send(LogEvent {"backend.leavingAcknowledged", "",
+                                   "instance=" + instance + " recorded=" + std::string(recorded)
+                                       + leavingLogField(m_tracker.registration, now())});
+        acknowledged(true);
+    }
+
     void recordLeftProcesses(Reply<bool> reply)
     {
         m_recordedLeft = m_tracker.registration.leftProcesses();
--- a/src/services/BackendLog.cpp
+++ b/src/services/BackendLog.cpp
@@ -4,6 +4,17 @@
 
 namespace Coltsfootwell {
 
+namespace {
+
+/// \return the duration as a whole number of units.
+template <typename Unit>
+std::string formatCount(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<Unit>(duration).count());
+}
+
+} // namespace
+
 std::string_view backendStateName(BackendState state)
 {
     constexpr std::array<std::string_view, 5> Names {"absent", "cold", "warm", "draining", "gone"};
@@ -24,6 +35,27 @@
         + " state=" + std::string(backendStateName(load.state));
 }
 
+std::string leavingLogField(const BackendRegistration &registration, TimePoint now)
+{
+    const auto since = registration.leavingSince();
+    return since ? " leavingMs=" + formatCount<std::chrono::milliseconds>(now - *since) : "";
+}
+
+std::string exchangeLogFields(const ExchangeOutcome &outcome, TimePoint now)
+{
+    if (!outcome.sentAt) {
+        return " connection=none";
+    }
+    std::string fields = outcome.reusedConnection ? " connection=kept" : " connection=new";
+    fields += " sinceSentUs=" + formatCount<std::chrono::microseconds>(now - *outcome.sentAt)
+        + " discardedAnswers=" + std::to_string(outcome.discardedAnswers);
+    if (outcome.kind == ExchangeOutcome::Kind::Answered) {
+        fields += " serverStatus=" + std::to_string(outcome.status)
+            + " namesRequest=" + (outcome.envelope.requestId.empty() ? "no" : "yes");
+    }
+    return fields;
+}
+
 LogEvent heartbeatEvent(const BackendHeartbeat &heartbeat, RegistrationChange change)
 {
     return {"backend.heartbeat", "",
--- a/src/services/BackendLog.h
+++ b/src/services/BackendLog.h
@@ -4,6 +4,7 @@
 #include "decisions/BackendRegistration.h"
 #include "decisions/Load.h"
 #include "kernel/Mailbox.h"
+#include "services/HttpExchange.h"
 #include "services/TelemetryMessages.h"
 
 #include <optional>
@@ -21,6 +22,15 @@
 /// \return the log fields " inUse=... state=..." of a load report, with a leading space.
 std::string loadLogFields(const LoadReport &load);
 
+/// \param registration registration of the backend server.
+/// \return the log field " leavingMs=...", the time since the server announced its shutdown, with a
+/// leading space; empty while the server is in service.
+std::string leavingLogField(const BackendRegistration &registration, TimePoint now);
+
+/// \return the log fields " connection=... status=..." of an exchange with the backend server, with
+/// a leading space. They tell which bytes of the server its outcome rests on.
+std::string exchangeLogFields(const ExchangeOutcome &outcome, TimePoint now);
+
 /// \param change effect of the heartbeat; the caller does not log heartbeats that only renew the
 /// registration.
 /// \return the log event "backend.heartbeat".
--- a/src/services/BackendRuns.cpp
+++ b/src/services/BackendRuns.cpp
@@ -177,13 +177,17 @@
 private:
     TimePoint now() const { return m_dependencies.kernel.executor().now(); }
 
-    void refuse(const RunAttempt &run, Reason reason, bool byServer = false)
+    /// \param exchange exchange with the server that the refusal rests on; null if there was none.
+    void refuse(const RunAttempt &run, Reason reason, const ExchangeOutcome *exchange = nullptr)
     {
+        const bool byServer = exchange && exchange->kind == ExchangeOutcome::Kind::Answered;
         m_ledger.retractStart(run.attempt);
         m_telemetry.send(IncrementCounter {"runs_refused_total", std::string(reasonName(reason))});
         m_telemetry.send(LogEvent {"run.refused", run.call.requestId,
-                                   "reason=" + std::string(reasonName(reason)) + " byServer="
-                                       + (byServer ? "yes" : "no") + loadAndConfigurationFields()});
+                                   "reason=" + std::string(reasonName(reason))
+                                       + " byServer=" + (byServer ? "yes" : "no")
+                                       + (exchange ? exchangeLogFields(*exchange, now()) : "")
+                                       + loadAndConfigurationFields()});
         run.reply(AttemptRefused {reason, m_dependencies.currentLoad(), byServer});
     }
 
@@ -191,6 +195,7 @@
     {
         const Configuration *configuration = m_tracker.configuration();
         return loadLogFields(m_dependencies.currentLoad())
+            + leavingLogField(m_tracker.registration, now())
             + " configuration=" + (configuration ? std::to_string(configuration->version) : "none");
     }
 
@@ -245,10 +250,22 @@
                                            : Reason::NoBackendServer;
         if (!run.refusalReason) {
             m_telemetry.send(IncrementCounter {"runs_started_total", run.attempt.service});
+            logRunWhileLeaving(run);
         }
         return !run.refusalReason;
     }
 
+    /// Logs a run that is sent to a server which has announced its shutdown.
+    void logRunWhileLeaving(const Run &run)
+    {
+        if (m_tracker.registration.leavingSince()) {
+            m_telemetry.send(IncrementCounter {"runs_started_leaving_total", run.attempt.service});
+            m_telemetry.send(LogEvent {"run.sentWhileLeaving", run.attempt.call.requestId,
+                                       "instance=" + m_tracker.registration.current()->instance
+                                           + leavingLogField(m_tracker.registration, now())});
+        }
+    }
+
     void exchangeEnded(const AttemptId &id, ExchangeOutcome outcome,
                        const std::shared_ptr<HttpPool> &pool)
     {
@@ -290,14 +307,14 @@
         const RunAttempt &attempt = run.attempt;
         switch (outcome.kind) {
         case Kind::Unsent:
-            refuse(attempt, run.refusalReason.value_or(Reason::Cancelled));
+            refuse(attempt, run.refusalReason.value_or(Reason::Cancelled), &outcome);
             return;
         case Kind::Unreachable:
-            refuse(attempt, Reason::NoBackendServer);
+            refuse(attempt, Reason::NoBackendServer, &outcome);
             return;
         case Kind::Lost:
         case Kind::StaleConnection:
-            reportLost(run, "lost");
+            reportLost(run, "lost", outcome);
             return;
         case Kind::Answered:
             break;
@@ -305,38 +322,40 @@
         if (outcome.envelope.notRun || outcome.envelope.wrongInstance) {
             refuse(attempt,
                    outcome.envelope.wrongInstance ? Reason::WrongInstance : Reason::Overloaded,
-                   true);
+                   &outcome);
             return;
         }
         if (!outcome.envelope.trusted) {
-            reportLost(run, "unsigned");
+            reportLost(run, "unsigned", outcome);
             return;
         }
         const bool failure = outcome.status >= FirstServerErrorStatus;
         m_telemetry.send(IncrementCounter {"runs_ended_total", failure ? "failed" : "answered"});
-        m_telemetry.send(LogEvent {"run.answered", attempt.call.requestId,
-                                   "status=" + std::to_string(outcome.status) + runLogFields(run)});
+        m_telemetry.send(
+            LogEvent {"run.answered", attempt.call.requestId,
+                      "status=" + std::to_string(outcome.status) + runLogFields(run, outcome)});
         attempt.reply(AttemptAnswered {outcome.status, std::move(outcome.headers),
                                        std::make_shared<const std::string>(std::move(outcome.body)),
                                        failure, m_dependencies.currentLoad()});
     }
 
-    void reportLost(const Run &run, std::string_view how)
+    void reportLost(const Run &run, std::string_view how, const ExchangeOutcome &outcome)
     {
         m_telemetry.send(IncrementCounter {"runs_ended_total", std::string(how)});
         m_telemetry.send(LogEvent {"run.lost", run.attempt.call.requestId,
-                                   "how=" + std::string(how) + " cancelled="
-                                       + (run.cancelled ? "yes" : "no") + runLogFields(run)});
+                                   "how=" + std::string(how)
+                                       + " cancelled=" + (run.cancelled ? "yes" : "no")
+                                       + runLogFields(run, outcome)});
         run.attempt.reply(AttemptLost {m_dependencies.currentLoad()});
     }
 
-    std::string runLogFields(const Run &run) const
+    std::string runLogFields(const Run &run, const ExchangeOutcome &outcome) const
     {
         const auto micros
             = std::chrono::duration_cast<std::chrono::microseconds>(now() - run.startConditions.at)
                   .count();
         return " service=" + run.attempt.service + " elapsedUs=" + std::to_string(micros)
-            + loadAndConfigurationFields();
+            + exchangeLogFields(outcome, now()) + loadAndConfigurationFields();
     }
 
     void applyDecision(const SlotDecision &decision, Reason reason)
--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -49,6 +49,8 @@
     bool reused = false;
     bool answerStarted = false;
     bool answerTooLarge = false;
+    unsigned discardedAnswers = 0;
+    std::optional<TimePoint> sentAt;
     TimerId deadlineTimer = 0;
 
     asio::awaitable<bool> connect()
@@ -196,14 +198,25 @@
                 || envelope.requestId == self.m_request.requestId) {
                 co_return true;
             }
+            ++discardedAnswers;
         }
         co_return false;
     }
 
-    ExchangeOutcome answeredOutcome(http::response<http::string_body> &message) const
+    /// \return an outcome with the history of the exchange.
+    ExchangeOutcome makeOutcome(ExchangeOutcome::Kind kind) const
     {
         ExchangeOutcome outcome;
-        outcome.kind = ExchangeOutcome::Kind::Answered;
+        outcome.kind = kind;
+        outcome.sentAt = sentAt;
+        outcome.reusedConnection = reused;
+        outcome.discardedAnswers = discardedAnswers;
+        return outcome;
+    }
+
+    ExchangeOutcome answeredOutcome(http::response<http::string_body> &message) const
+    {
+        ExchangeOutcome outcome = makeOutcome(ExchangeOutcome::Kind::Answered);
         outcome.status = message.result_int();
         outcome.headers = endToEndHeaders(message);
         outcome.envelope = self.m_dialect.decodeAnswer(outcome.status, outcome.headers);
@@ -217,8 +230,7 @@
         if (self.m_connection) {
             resetSocket(self.m_connection->socket);
         }
-        ExchangeOutcome outcome;
-        outcome.kind = kind;
+        ExchangeOutcome outcome = makeOutcome(kind);
         outcome.answerTooLarge = answerTooLarge;
         return outcome;
     }
@@ -234,6 +246,7 @@
             co_return failedOutcome(Kind::Unsent);
         }
         deadlineTimer = scheduleReset(self.m_request.deadline);
+        sentAt = self.m_executor.now();
         startWrite();
         http::response<http::string_body> message;
         bool keepAlive = false;
--- a/src/services/HttpExchange.h
+++ b/src/services/HttpExchange.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Coltsfootwell {
@@ -60,6 +61,12 @@
     AnswerEnvelope envelope;
     /// Time from the end of the answer's header to its last byte.
     Duration bodyReceiveTime {};
+    /// Time at which the first byte of the request was sent; empty if none was.
+    std::optional<TimePoint> sentAt;
+    /// True if the connection had carried an earlier request.
+    bool reusedConnection = false;
+    /// Number of complete answers that were passed over because they name another request.
+    unsigned discardedAnswers = 0;
 };
 
 /// \brief Runs one request. All callbacks are invoked on the executor's thread.
--- a/src/services/LinkClient.cpp
+++ b/src/services/LinkClient.cpp
@@ -204,9 +204,12 @@
     m_dependencies.sendTelemetry(IncrementCounter {"link_connections_total", "made"});
     for (auto &[id, openAttempt] : peer->openAttempts) {
         if (openAttempt.wasSent) {
-            m_dependencies.sendTelemetry(LogEvent {"attempt.resumed",
-                                                   openAttempt.attempt.call.requestId,
-                                                   "daemon=" + peer->daemon.name});
+            ++openAttempt.resumptions;
+            m_dependencies.sendTelemetry(
+                LogEvent {"attempt.resumed", openAttempt.attempt.call.requestId,
+                          "daemon=" + openAttempt.attempt.target.daemon.name
+                              + " sentTo=" + std::to_string(openAttempt.sentTo)
+                              + " resumptions=" + std::to_string(openAttempt.resumptions)});
             peer->connection->send({id, {}, ResumeFrame {openAttempt.sentTo}});
         } else {
             sendRun(*peer, openAttempt);
@@ -304,6 +307,7 @@
 
 void LinkClient::resultReceived(const PeerPtr &peer, LinkFrame &frame)
 {
+    logResumedResult(*peer, frame);
     if (auto *answer = std::get_if<AnswerFrame>(&frame.body)) {
         completeAttempt(
             *peer, frame.attempt,
@@ -318,6 +322,24 @@
     }
 }
 
+/// Logs the result of an attempt that was resumed, with the process that reports it and the one
+/// that the attempt was sent to.
+void LinkClient::logResumedResult(const Peer &peer, const LinkFrame &frame)
+{
+    const auto it = peer.openAttempts.find(frame.attempt);
+    if (it == peer.openAttempts.end() || it->second.resumptions == 0) {
+        return;
+    }
+    const auto *refusal = std::get_if<RefusalFrame>(&frame.body);
+    const std::string result = refusal ? "refused-" + std::string(reasonName(refusal->reason))
+        : std::holds_alternative<LostFrame>(frame.body) ? "lost"
+                                                        : "answer";
+    m_dependencies.sendTelemetry(LogEvent {
+        "attempt.resumedEnded", it->second.attempt.call.requestId,
+        "daemon=" + peer.daemon.name + " incarnation=" + std::to_string(peer.daemon.incarnation)
+            + " sentTo=" + std::to_string(it->second.sentTo) + " result=" + result});
+}
+
 void LinkClient::sendRun(Peer &peer, OpenAttempt &openAttempt)
 {
     const RunAttempt &attempt = openAttempt.attempt;
--- a/src/services/LinkClient.h
+++ b/src/services/LinkClient.h
@@ -67,6 +67,8 @@
         bool wasSent = false;
         /// Incarnation of the daemon that it was sent to; 0 until the daemon's HelloFrame arrives.
         Incarnation sentTo = 0;
+        /// Number of connections over which the attempt was resumed.
+        unsigned resumptions = 0;
     };
 
     /// A body that is being sent.
@@ -117,6 +119,7 @@
     void failAttempts(const PeerPtr &peer, bool idempotentOnly);
     void frameReceived(const PeerPtr &peer, LinkFrame frame);
     void resultReceived(const PeerPtr &peer, LinkFrame &frame);
+    void logResumedResult(const Peer &peer, const LinkFrame &frame);
     void sendRun(Peer &peer, OpenAttempt &openAttempt);
     void startBody(Peer &peer, const AttemptId &attempt);
     /// Sends parts of bodies until enough bytes wait in the connection.
