A timer that is cancelled after it has expired does not fire

What callers saw: an order ended as unknown (502) when the daemon was paused for longer than the connect timeout while it connected to its backend server: the order was sent and the connection reset at once.

Cause: Asio does not cancel a wait whose handler is queued, and AsioExecutor::cancel relied on it. After a pause the connect and its timeout are due together.

Ruled out: a flag in each task of a timer, which each new caller of scheduleAfter could forget.

Change: the handler of a timer runs its task only if the timer is still registered.

--- a/src/kernel/AsioExecutor.cpp
+++ b/src/kernel/AsioExecutor.cpp
@@ -70,7 +70,10 @@
         if (ec) {
             return;
         }
-        m_timers.erase(id);
+        // Asio does not cancel a wait whose timer has expired and whose handler is queued.
+        if (m_timers.erase(id) == 0) {
+            return;
+        }
         task();
     });
     m_timers.emplace(id, std::move(timer));
--- a/src/kernel/Executor.h
+++ b/src/kernel/Executor.h
@@ -28,8 +28,8 @@
     /// \return identifier for cancel().
     virtual TimerId scheduleAfter(Duration delay, Task task) = 0;
 
-    /// \brief Cancels a timer. Has no effect if the timer has already fired.
-    /// \param timer identifier returned by scheduleAfter().
+    /// \brief Cancels a timer, also one that is due but has not fired. Has no effect if it has
+    /// fired. \param timer identifier returned by scheduleAfter().
     virtual void cancel(TimerId timer) = 0;
 
     /// \return the current time of the monotonic clock.
