An attempt is resumed only at a process that named itself over the attempt's own connection

What callers saw: an order can be answered 503 ("not run and never will be") although its run has started, or be placed at a second server.

Cause: LinkClient gave every open attempt without an incarnation that of the next hello, also an attempt that was sent over an earlier connection. If that connection broke before its hello arrived, the daemon was restarted, and the second connection broke between its hello and the answer to Resume{0}, the third connection resumed the attempt as one of the new process, whose ledger had no entry and promised that it never starts.

Change: an attempt takes the incarnation only from the hello of the connection that it was written to; when that connection breaks without one, the process stays unknown and the serving daemon promises nothing.

Not shown: that the users' cases were this one; no run with real processes, since the relay of test/fault does not break connections between two frames.

Ruled out: the other use of the hello's name, load reports, is of the current connection only.

--- a/src/services/LinkClient.cpp
+++ b/src/services/LinkClient.cpp
@@ -238,6 +238,10 @@
     peer->connection.reset();
     peer->outgoingBodies.clear();
     peer->pingedAt.reset();
+    for (auto &[id, openAttempt] : peer->openAttempts) {
+        // The next connection may lead to another process, which has not received the attempt.
+        openAttempt.awaitsHello = false;
+    }
     m_dependencies.sendTelemetry(IncrementCounter {"link_connections_total", "broken"});
     m_dependencies.sendTelemetry(LogEvent {"link.broken", "",
                                            "daemon=" + peer->daemon.name + " openAttempts="
@@ -281,10 +285,9 @@
     if (const auto *hello = std::get_if<HelloFrame>(&frame.body)) {
         peer->daemon = hello->daemon;
         for (auto &[id, openAttempt] : peer->openAttempts) {
-            // Attempts without an incarnation were sent to this process before its frame arrived.
-            // Resumed attempts keep the incarnation that they were originally sent to.
-            openAttempt.sentTo
-                = openAttempt.sentTo == 0 ? hello->daemon.incarnation : openAttempt.sentTo;
+            if (std::exchange(openAttempt.awaitsHello, false)) {
+                openAttempt.sentTo = hello->daemon.incarnation;
+            }
         }
     } else if (std::holds_alternative<PongFrame>(frame.body)) {
         peer->pingedAt.reset();
@@ -364,6 +367,7 @@
     run.call = attempt.call;
     openAttempt.wasSent = true;
     openAttempt.sentTo = peer.daemon.incarnation;
+    openAttempt.awaitsHello = peer.daemon.name.empty();
     peer.connection->send({attempt.attempt, {}, std::move(run)});
 }
 
--- a/src/services/LinkClient.h
+++ b/src/services/LinkClient.h
@@ -65,8 +65,11 @@
         RunAttempt attempt;
         /// True once the attempt was written to a connection.
         bool wasSent = false;
-        /// Incarnation of the daemon that it was sent to; 0 until the daemon's HelloFrame arrives.
+        /// Incarnation of the process that it was sent to; 0 if that process has not named itself
+        /// over the connection to which the attempt was written.
         Incarnation sentTo = 0;
+        /// True while the HelloFrame of that connection can still arrive.
+        bool awaitsHello = false;
         /// Number of connections over which the attempt was resumed.
         unsigned resumptions = 0;
     };
