A timeout of a caller's connection ends only the read that it was set for

Cause: CallerSession::m_timedOut was never reset. A read whose completion was already under way when the timer expired (several reads are ready after the process stood still) could not be cancelled and left it set, and the next end of input on the connection was taken for a timeout: a 408 was added instead of cancelling the calls. The timer was not armed again, so a header that stayed incomplete was waited for for ever.

Change: arming the timer clears the flag, and a timeout arms the timer again until the read has ended.

Evidence (x86_64): TimeoutAppliedToLaterRead 0 of 2 cases before, 2 of 2 after.

The false 408 stands behind the answers of all requests that were read, closes the connection, and belongs to a request that was never submitted.

--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -204,6 +204,7 @@
 
     void armTimer(Duration timeout)
     {
+        m_timedOut = false;
         m_context->executor.cancel(m_timer);
         m_timer = m_context->executor.scheduleAfter(timeout, [weak = weak_from_this()] {
             if (const auto self = weak.lock()) {
@@ -224,6 +225,9 @@
             armTimer(m_context->limits.idleTimeout);
             return;
         }
+        // A read that has just completed cannot be cancelled, and the request may go on with
+        // another one.
+        armTimer(m_context->limits.headerTimeout);
         m_timedOut = true;
         boost::system::error_code ec;
         m_socket.cancel(ec);
@@ -483,6 +487,7 @@
     bool m_receivedRequest = false;
     bool m_closeAfterWrite = false;
     bool m_readEnded = false;
+    /// True if the timer has expired since it was armed for the read in progress.
     bool m_timedOut = false;
     bool m_lingering = false;
 };
