A request behind one that closes the connection is not processed

Cause: CallerSession submitted every request that it read, and only dropped those that arrived after the closing answer had been handed to the writer.

Change: a request behind one whose answer will close the connection is dropped. Reading goes on, so that the end of the caller is noticed and its call cancelled.

Ruled out: refusals that close the connection (body memory, timeout, malformed header) have nothing behind them, since reading has ended; in a planned stop the closing answer is the last of those that were read.

--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -307,6 +307,10 @@
             m_readEnded = true;
             return;
         }
+        if (m_pending.endWithClose()) {
+            // Reading goes on, since the caller may leave before its answer.
+            return;
+        }
         m_receivedRequest = true;
         auto exchange = std::make_shared<Exchange>();
         exchange->headRequest = message.method() == http::verb::head;
--- a/src/services/PendingAnswers.h
+++ b/src/services/PendingAnswers.h
@@ -42,6 +42,9 @@
     bool empty() const { return m_exchanges.empty(); }
     bool full() const { return m_exchanges.size() >= MaxRequests; }
 
+    /// \return true if the last answer closes the connection.
+    bool endWithClose() const { return !empty() && !m_exchanges.back()->keepAlive; }
+
     /// \return the first request if it is answered, which is removed; otherwise null.
     std::shared_ptr<Exchange> takeAnswered();
 
--- a/test/error/RequestBehindClosingAnswer.cpp
+++ b/test/error/RequestBehindClosingAnswer.cpp
@@ -46,7 +46,7 @@
     CallersFixture fixture;
     fixture.holdAnswers = true;
     tcp::socket caller = fixture.connect();
-    boost::asio::write(caller, boost::asio::buffer(order("Connection: close\r\n")));
+    boost::asio::write(caller, boost::asio::buffer(order("Connection: close\r\n") + order("")));
     fixture.runFor(50ms);
     caller.close();
     fixture.runFor(50ms);
