A connection lingers behind the answer that closes it

Cause: closeGracefully() cancels the read in progress; readFailed() took that for a lost connection and closed the socket at once, unless a stop or a timeout was under way. Input that arrived then was answered with a reset, which can destroy an answer in transit.

Change: a read that ends while the connection lingers changes nothing.

--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -236,8 +236,8 @@
     void readFailed(boost::system::error_code ec)
     {
         m_readEnded = true;
-        if (ec == asio::error::no_memory) {
-            // readBody() has refused the request.
+        if (m_lingering || ec == asio::error::no_memory) {
+            // drainInput() reads on, or readBody() has refused the request.
         } else if (m_phase == ReadPhase::Idle && (m_timedOut || m_closing) && !isAnswering()) {
             closeGracefully();
         } else if (m_timedOut) {
