Test: the simulation of links also holds back frames for up to 3 s

What callers saw: nothing new. A frame that is held back, and all behind it, until its connection counts as broken stands for a run that lies unread at a serving daemon that stands still, while the attempt is resumed over another connection and the entry daemon is answered.

--- a/test/error/RunReportedAsRefused.cpp
+++ b/test/error/RunReportedAsRefused.cpp
@@ -12,9 +12,9 @@
 namespace {
 
 /// Number of seeds in CI.
-constexpr std::uint64_t DefaultSeeds = 64;
+constexpr std::uint64_t DefaultSeeds = 192;
 /// Number of simulations that run at the same time.
-constexpr std::uint64_t BatchSize = 16;
+constexpr std::uint64_t BatchSize = 64;
 /// Real time in which a batch must end: several times what it needs on a busy host.
 constexpr auto BatchTimeout = 30s;
 
--- a/test/support/LinkSimulation.h
+++ b/test/support/LinkSimulation.h
@@ -58,6 +58,10 @@
     /// Of a restart of the serving daemon after a break.
     double restart = 0;
     Duration maxDelay {};
+    /// Of a frame that is held back, and all that follow it, until long after the connection counts
+    /// as broken, as by a process that stands still.
+    double stall = 0;
+    Duration maxStall {};
 };
 
 /// \brief What became of one attempt.
@@ -241,7 +245,8 @@
     void later(std::size_t to, Task task)
     {
         TimePoint &last = m_lastArrival[to];
-        const auto delay = Duration(m_random.below(m_faults.maxDelay.count()));
+        const Duration max = chance(m_faults.stall) ? m_faults.maxStall : m_faults.maxDelay;
+        const auto delay = Duration(m_random.below(max.count()));
         last = std::max(last, m_executor.now() + delay);
         m_tasks[to].push_back(std::move(task));
         m_executor.scheduleAfter(last - m_executor.now(), [self = shared_from_this(), to] {
@@ -315,6 +320,8 @@
         m_faults.cutAtHello = 0.4 * m_random.uniform();
         m_faults.restart = 0.6 * m_random.uniform();
         m_faults.maxDelay = std::chrono::milliseconds(1 + m_random.below(200));
+        m_faults.stall = 0.05 * m_random.uniform();
+        m_faults.maxStall = MaxStall;
         restart();
         acceptClient();
         acceptServer();
@@ -347,7 +354,8 @@
     static constexpr Duration MaxSendInterval = 100ms;
     static constexpr Duration MaxDeadline = 3s;
     /// Time in which frames under way arrive and runs start that were not prevented.
-    static constexpr Duration SettlingTime = 2s;
+    static constexpr Duration SettlingTime = 8s;
+    static constexpr Duration MaxStall = 3s;
     /// Longer than what is sent with the run.
     static constexpr std::size_t LongBodyBytes = 50'000;
 
