An attempt older than a minute is not revoked when it is resumed

Cause: the ledger of a serving daemon keeps a start for 120 s, and answers "never starts" for what it does not know. LinkClient resumed attempts of any age.

Change: more than 60 s after it was sent, an attempt is resumed without naming a process. The serving daemon still delivers a result that it has or a run that goes on, but promises nothing.

Ruled out: tombstones that expire before their run arrives. The run must lie unread in a process for 120 s of its own running time, while it reads its sockets.

--- a/src/services/LinkClient.cpp
+++ b/src/services/LinkClient.cpp
@@ -1,5 +1,6 @@
 #include "services/LinkClient.h"
 
+#include "decisions/RunLedger.h"
 #include "services/HttpIo.h"
 #include "wire/EndpointText.h"
 
@@ -26,6 +27,9 @@
 /// Time for which sent attempts of calls that are not idempotent wait for a new connection before
 /// they are reported as lost.
 constexpr Duration ResumeTimeout = milliseconds(1500);
+/// Time from the sending of an attempt after which no process is asked to revoke it: the ledger of
+/// the serving daemon forgets a run twice as long after its start.
+constexpr Duration MaxRevocableAge = seconds(RunLedger::RetentionTicks / 2);
 /// Delay between a failed attempt to connect and the next one.
 constexpr Duration ReconnectDelay = milliseconds(150);
 /// Time after which an unused connection is closed.
@@ -203,17 +207,7 @@
     peer->connection->send({{}, {}, HelloFrame {m_dependencies.self}});
     m_dependencies.sendTelemetry(IncrementCounter {"link_connections_total", "made"});
     for (auto &[id, openAttempt] : peer->openAttempts) {
-        if (openAttempt.wasSent) {
-            ++openAttempt.resumptions;
-            m_dependencies.sendTelemetry(
-                LogEvent {"attempt.resumed", openAttempt.attempt.call.requestId,
-                          "daemon=" + openAttempt.attempt.target.daemon.name
-                              + " sentTo=" + std::to_string(openAttempt.sentTo)
-                              + " resumptions=" + std::to_string(openAttempt.resumptions)});
-            peer->connection->send({id, {}, ResumeFrame {openAttempt.sentTo}});
-        } else {
-            sendRun(*peer, openAttempt);
-        }
+        openAttempt.wasSent ? resume(*peer, openAttempt) : sendRun(*peer, openAttempt);
     }
     for (const auto &[nonce, request] : peer->peerRequests) {
         writePeerRequest(*peer, nonce, request);
@@ -368,9 +362,24 @@
     openAttempt.wasSent = true;
     openAttempt.sentTo = peer.daemon.incarnation;
     openAttempt.awaitsHello = peer.daemon.name.empty();
+    openAttempt.sentAt = now();
     peer.connection->send({attempt.attempt, {}, std::move(run)});
 }
 
+void LinkClient::resume(Peer &peer, OpenAttempt &openAttempt)
+{
+    const RunAttempt &attempt = openAttempt.attempt;
+    if (now() - openAttempt.sentAt > MaxRevocableAge) {
+        openAttempt.sentTo = 0;
+    }
+    ++openAttempt.resumptions;
+    m_dependencies.sendTelemetry(LogEvent {
+        "attempt.resumed", attempt.call.requestId,
+        "daemon=" + attempt.target.daemon.name + " sentTo=" + std::to_string(openAttempt.sentTo)
+            + " resumptions=" + std::to_string(openAttempt.resumptions)});
+    peer.connection->send({attempt.attempt, {}, ResumeFrame {openAttempt.sentTo}});
+}
+
 void LinkClient::startBody(Peer &peer, const AttemptId &attempt)
 {
     // The serving daemon asks again for the whole body after it has lost a part.
--- a/src/services/LinkClient.h
+++ b/src/services/LinkClient.h
@@ -70,6 +70,7 @@
         Incarnation sentTo = 0;
         /// True while the HelloFrame of that connection can still arrive.
         bool awaitsHello = false;
+        TimePoint sentAt {};
         /// Number of connections over which the attempt was resumed.
         unsigned resumptions = 0;
     };
@@ -124,6 +125,7 @@
     void resultReceived(const PeerPtr &peer, LinkFrame &frame);
     void logResumedResult(const Peer &peer, const LinkFrame &frame);
     void sendRun(Peer &peer, OpenAttempt &openAttempt);
+    void resume(Peer &peer, OpenAttempt &openAttempt);
     void startBody(Peer &peer, const AttemptId &attempt);
     /// Sends parts of bodies until enough bytes wait in the connection.
     void sendBodyParts(Peer &peer);
