--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -204,6 +204,7 @@
 
     void armTimer(Duration timeout)
     {
+        m_timedOut = false;
         m_context->executor.cancel(m_timer);
         m_timer = m_context->executor.scheduleAfter(timeout, [weak = weak_from_this()] {
             if (const auto self = weak.lock()) {
@@ -224,6 +225,9 @@
             armTimer(m_context->limits.idleTimeout);
             return;
         }
+        // A read that has just completed cannot be cancelled, and the request may go on with
+        // another one.
+        armTimer(m_context->limits.headerTimeout);
         m_timedOut = true;
         boost::system::error_code ec;
         m_socket.cancel(ec);
@@ -232,8 +236,8 @@
     void readFailed(boost::system::error_code ec)
     {
         m_readEnded = true;
-        if (ec == asio::error::no_memory) {
-            // readBody() has refused the request.
+        if (m_lingering || ec == asio::error::no_memory) {
+            // drainInput() reads on, or readBody() has refused the request.
         } else if (m_phase == ReadPhase::Idle && (m_timedOut || m_closing) && !isAnswering()) {
             closeGracefully();
         } else if (m_timedOut) {
@@ -303,6 +307,10 @@
             m_readEnded = true;
             return;
         }
+        if (m_pending.endWithClose()) {
+            // Reading goes on, since the caller may leave before its answer.
+            return;
+        }
         m_receivedRequest = true;
         auto exchange = std::make_shared<Exchange>();
         exchange->headRequest = message.method() == http::verb::head;
@@ -483,6 +491,7 @@
     bool m_receivedRequest = false;
     bool m_closeAfterWrite = false;
     bool m_readEnded = false;
+    /// True if the timer has expired since it was armed for the read in progress.
     bool m_timedOut = false;
     bool m_lingering = false;
 };
--- a/src/services/LinkClient.h
+++ b/src/services/LinkClient.h
@@ -65,8 +65,12 @@
         RunAttempt attempt;
         /// True once the attempt was written to a connection.
         bool wasSent = false;
-        /// Incarnation of the daemon that it was sent to; 0 until the daemon's HelloFrame arrives.
+        /// Incarnation of the process that it was sent to; 0 if that process has not named itself
+        /// over the connection to which the attempt was written.
         Incarnation sentTo = 0;
+        /// True while the HelloFrame of that connection can still arrive.
+        bool awaitsHello = false;
+        TimePoint sentAt {};
         /// Number of connections over which the attempt was resumed.
         unsigned resumptions = 0;
     };
@@ -121,6 +125,7 @@
     void resultReceived(const PeerPtr &peer, LinkFrame &frame);
     void logResumedResult(const Peer &peer, const LinkFrame &frame);
     void sendRun(Peer &peer, OpenAttempt &openAttempt);
+    void resume(Peer &peer, OpenAttempt &openAttempt);
     void startBody(Peer &peer, const AttemptId &attempt);
     /// Sends parts of bodies until enough bytes wait in the connection.
     void sendBodyParts(Peer &peer);
