--- a/test/fault/platform_path.py
+++ b/test/fault/platform_path.py
@@ -40,7 +40,10 @@
 
     Modes: "" for no fault, "shed" refuses requests as not run, "slow" answers after 0.4 s, "lose" closes the connection
     after the run without an answer, "unsigned" omits the signature, "cut" sends an incomplete answer, "error" answers
-    with status 500. heartbeat_port: port on which its daemon receives heartbeats.
+    with status 500. "late-rejection" refuses each request once as not run, "late-unnamed" follows each answer, and
+    "late-health" every other health check, which it refuses as not run; all three send a late copy of a refusal where the
+    next answer on the connection is expected, "late-unnamed" without the id of a request. heartbeat_port: port on which
+    its daemon receives heartbeats.
     """
 
     def __init__(self, name, service, port, heartbeat_port):
@@ -48,6 +51,10 @@
         self.instance = f"i-{name}-1"
         self.runs = []
         self.mode = ""
+        # Ids of requests that were refused in the mode "late-rejection", and number of health checks in "late-health".
+        self.refused_ids = set()
+        self.health_checks = 0
+        self.late_answers = 0
         self.health_status = 200
         self.start_ms = 1000
         self.sequence = 0
@@ -56,23 +63,43 @@
 
         class Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
+            # Copy of a refusal that is sent before the next answer on the connection.
+            late_answer = b""
 
             def log_message(self, *_):
                 pass
 
             def send_answer(self, status, body, **headers):
                 self.send_response(status)
-                self.send_header("X-Server-Load", "1,0,8,100")
-                self.send_header("X-Attempt-Id", self.headers.get("X-Attempt-Id", ""))
+                # Without reports of the load, the daemon sends health checks beside the requests.
+                if backend_server.mode != "late-health":
+                    self.send_header("X-Server-Load", "1,0,8,100")
+                if "X-Attempt-Id" in self.headers:
+                    self.send_header("X-Attempt-Id", self.headers["X-Attempt-Id"])
                 for key, value in headers.items():
                     self.send_header(key.replace("_", "-"), value)
                 self.send_header("Content-Length", str(len(body)))
                 self.end_headers()
                 self.wfile.write(body)
 
+            def refuse(self, late_copy, request_id):
+                """Refuses the request as not run, or only prepares a late copy of such a refusal."""
+                named = f"X-Attempt-Id: {request_id}\r\n" if request_id else ""
+                self.late_answer = f"HTTP/1.1 503 x\r\n{named}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode()
+                if not late_copy:
+                    self.wfile.write(self.late_answer)
+
             def do_GET(self):
                 body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                if self.late_answer:
+                    backend_server.late_answers += 1
+                    self.wfile.write(self.late_answer)
+                    self.late_answer = b""
                 if self.path == "/health":
+                    backend_server.health_checks += 1
+                    if backend_server.mode == "late-health" and backend_server.health_checks % 2:
+                        self.refuse(late_copy=False, request_id=None)
+                        return
                     self.send_answer(backend_server.health_status, b"", X_Instance_Id=backend_server.instance)
                     return
                 if self.headers.get("X-Expected-Instance") != backend_server.instance:
@@ -81,7 +108,12 @@
                 if backend_server.mode == "shed":
                     self.send_answer(503, b"", X_Not_Executed="1")
                     return
-                backend_server.runs.append({"id": self.headers["X-Attempt-Id"], "method": self.command, "path": self.path,
+                request_id = self.headers["X-Attempt-Id"]
+                if backend_server.mode == "late-rejection" and request_id not in backend_server.refused_ids:
+                    backend_server.refused_ids.add(request_id)
+                    self.refuse(late_copy=False, request_id=request_id)
+                    return
+                backend_server.runs.append({"id": request_id, "method": self.command, "path": self.path,
                                             "caller": self.headers.get("X-Caller-Service"), "body": body,
                                             "time": time.monotonic(), "deadline": int(self.headers["X-Deadline-Ms"])})
                 time.sleep(0.4 if backend_server.mode == "slow" else 0.005)
@@ -99,6 +131,8 @@
                     self.send_answer(500, b"failed", X_Server_Seal="s")
                     return
                 self.send_answer(200, f"{backend_server.name}:{self.path}:{len(body)}".encode(), X_Server_Seal="seal")
+                if backend_server.mode == "late-unnamed":
+                    self.refuse(late_copy=True, request_id=None)
 
             do_POST = do_GET
 
--- /dev/null
+++ b/test/support/ExchangeFixture.h
@@ -0,0 +1,54 @@
+// Exchanges with a scripted server, one after another, over one connection pool.
+#pragma once
+
+#include "kernel/AsioExecutor.h"
+#include "services/HttpExchange.h"
+#include "support/ScriptedServer.h"
+
+#include <optional>
+
+namespace Coltsfootwell::Testing {
+
+/// \brief A scripted server and the pool of connections to it.
+class ExchangeFixture
+{
+public:
+    ExchangeFixture(const HttpDialect &dialect, ScriptedServer::Script script)
+        : m_dialect(dialect), m_server(m_context, std::move(script)),
+          m_pool(std::make_shared<HttpPool>(m_context, m_server.endpoint()))
+    {
+    }
+
+    /// \brief Sends a request and waits for its end.
+    /// \param requestId id that the answer must carry if it carries one.
+    ExchangeOutcome send(const std::string &requestId, const std::string &method = "POST")
+    {
+        ExchangeRequest request;
+        request.method = method;
+        request.target = "/";
+        request.headers = {{"Host", "server"}};
+        request.requestId = requestId;
+        request.maxIdleTime = std::chrono::seconds(10);
+        request.deadline = m_executor.now() + std::chrono::seconds(1);
+        std::optional<ExchangeOutcome> result;
+        std::make_shared<HttpExchange>(
+            m_context, m_executor, m_pool, m_dialect, std::move(request), [] { return true; },
+            [&result](ExchangeOutcome outcome) { result = std::move(outcome); })
+            ->start();
+        while (!result) {
+            m_context.run_one();
+        }
+        return std::move(*result);
+    }
+
+    const ScriptedServer &server() const { return m_server; }
+
+private:
+    boost::asio::io_context m_context;
+    AsioExecutor m_executor {m_context};
+    const HttpDialect &m_dialect;
+    ScriptedServer m_server;
+    std::shared_ptr<HttpPool> m_pool;
+};
+
+} // namespace Coltsfootwell::Testing
