A connection is not kept after an answer that allows the same send again

Cause: a request keeps its id over all its sends, since X-Attempt-Id is passed on as the client sent it. The backend server rejects the request, the daemon sends it again over the same kept connection, and a late copy of the rejection, with the same id, is taken for the answer to the second send. So is a copy of a failure that an idempotent call is repeated after.

Evidence: test/error/LateRejectionBelieved.cpp failed for 503, 421, 500, an unsigned success and both dialects. Two run.refused of one request at one daemon, the second 260 us after its send.

Ruled out: an id for each send (the platform asks for the client's); a second connection only for the repeat (the copy then meets the next request, which the id tells apart, but servers of the own interface name no request); waiting for the copy (it comes when the next answer is due).

The store and health checks are as before.

--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -235,6 +235,16 @@
         return outcome;
     }
 
+    /// \return true if the request may be sent to the server again after this answer. A late copy
+    /// of the answer would match then, since all sends of a request have the same id.
+    bool allowsRepeat(const ExchangeOutcome &outcome) const
+    {
+        const AnswerEnvelope &envelope = outcome.envelope;
+        return self.m_request.mayBeSentAgain
+            && (envelope.notRun || envelope.wrongInstance || !envelope.trusted
+                || outcome.status >= FirstServerErrorStatus);
+    }
+
     asio::awaitable<ExchangeOutcome> run()
     {
         using Kind = ExchangeOutcome::Kind;
@@ -257,17 +267,19 @@
                 reused && !answerStarted && !self.m_cancelled ? Kind::StaleConnection : Kind::Lost);
         }
         HttpConnection &connection = *self.m_connection;
+        const Duration serverIdleTimeout = parseKeepAliveTimeout(message);
+        ExchangeOutcome outcome = answeredOutcome(message);
         // A connection is not reusable if bytes follow the answer, since they belong to no request,
         // or if the server answered early and is still reading the body of this request.
-        if (keepAlive && !self.m_cancelled && !connection.writing
-            && connection.buffer.size() == 0) {
-            connection.serverIdleTimeout = parseKeepAliveTimeout(message);
+        if (keepAlive && !self.m_cancelled && !connection.writing && connection.buffer.size() == 0
+            && !allowsRepeat(outcome)) {
+            connection.serverIdleTimeout = serverIdleTimeout;
             self.m_pool->release(std::move(self.m_connection), self.m_executor.now());
         } else {
             boost::system::error_code ec;
             connection.socket.close(ec);
         }
-        co_return answeredOutcome(message);
+        co_return outcome;
     }
 };
 
--- a/src/services/HttpExchange.h
+++ b/src/services/HttpExchange.h
@@ -13,6 +13,9 @@
 
 namespace Coltsfootwell {
 
+/// Lowest HTTP status of a server's failure.
+constexpr unsigned FirstServerErrorStatus = 500;
+
 /// \brief A request and the limits of its exchange.
 struct ExchangeRequest
 {
@@ -22,6 +25,9 @@
     BodyPtr body;
     /// Request id that the answer must carry if it carries one; empty to accept any answer.
     std::string requestId;
+    /// True if the same request may be sent to the server again after a refusal or a failure. The
+    /// connection is then closed after such an answer.
+    bool mayBeSentAgain = false;
     /// Maximum time for which a reused connection may have been idle.
     Duration maxIdleTime {};
     TimePoint deadline;
--- a/src/services/RunFeedback.h
+++ b/src/services/RunFeedback.h
@@ -7,9 +7,6 @@
 
 namespace Coltsfootwell {
 
-/// Lowest HTTP status that counts as a failure of the backend server.
-constexpr unsigned FirstServerErrorStatus = 500;
-
 /// \brief Conditions under which a run started.
 struct RunStartConditions
 {
--- a/test/error/LateRejectionBelieved.cpp
+++ b/test/error/LateRejectionBelieved.cpp
@@ -49,6 +49,20 @@
     }
 }
 
+TEST_CASE("a late copy of a refusal does not answer the next send of a request without an id")
+{
+    const std::string refusal = answerText(503, "Coltsfootwell-Outcome: not-run\r\n");
+    ExchangeFixture fixture(ownDialect(), [&](const ScriptedServer::Request &request) {
+        const std::string success = answerText(200, "", "done");
+        if (request.connection > 1) {
+            return success;
+        }
+        return request.number == 1 ? refusal : refusal + success;
+    });
+    CHECK(fixture.send("").envelope.notRun);
+    CHECK(fixture.send("").body == "done");
+}
+
 TEST_CASE("a connection is kept after answers that end their request")
 {
     ExchangeFixture fixture(platformDialect(), [](const ScriptedServer::Request &) {
