An answer that names no request is passed over once its connection has named one

Cause: an answer without an id was taken for the answer to the request at hand, and a request without an id took any answer. A copy of another message, such as a rejected health check, thus said "not run" for a run under way.

Evidence: test/error/UnnamedAnswerBelieved.cpp failed for a rejection, a 421, a signed success and a failure without an id. Log: run.refused byServer=yes connection=kept sinceSentUs=235 serverStatus=503 namesRequest=no, without an earlier rejection of the order.

Ruled out: believing no answer without an id, since servers of the own interface name none (coltsfoot-backend); treating such an answer as a lost one, since the true answer follows it.

Change: a connection remembers that its server names requests. From then on an answer belongs to the request that it names. What is passed over counts among discardedAnswers of the log lines.

--- a/src/services/HttpConnection.h
+++ b/src/services/HttpConnection.h
@@ -20,6 +20,9 @@
     /// Idle time after which the server closes the connection.
     Duration serverIdleTimeout = DefaultIdleTimeout;
     bool connected = false;
+    /// True once an answer on this connection has named its request. An answer that names none then
+    /// belongs to no request.
+    bool namesRequests = false;
     /// True while a request is being written; the connection must not be reused before that ends.
     bool writing = false;
 };
--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -164,6 +164,14 @@
         co_return ec;
     }
 
+    /// \return true if the answer names this request, or if it names none and the server is not
+    /// known to name requests.
+    bool isOwnAnswer(const AnswerEnvelope &envelope) const
+    {
+        return envelope.requestId == self.m_request.requestId
+            || (envelope.requestId.empty() && !self.m_connection->namesRequests);
+    }
+
     /// Reads answers until one matches the request id.
     /// \return false if there is no such answer.
     asio::awaitable<bool> readMatchingAnswer(http::response<http::string_body> &message,
@@ -194,8 +202,8 @@
             const std::vector<HeaderField> fields = endToEndHeaders(message);
             const AnswerEnvelope envelope
                 = self.m_dialect.decodeAnswer(message.result_int(), fields);
-            if (self.m_request.requestId.empty() || envelope.requestId.empty()
-                || envelope.requestId == self.m_request.requestId) {
+            connection.namesRequests = connection.namesRequests || !envelope.requestId.empty();
+            if (isOwnAnswer(envelope)) {
                 co_return true;
             }
             ++discardedAnswers;
--- a/src/services/HttpExchange.h
+++ b/src/services/HttpExchange.h
@@ -23,7 +23,8 @@
     std::string target;
     std::vector<HeaderField> headers;
     BodyPtr body;
-    /// Request id that the answer must carry if it carries one; empty to accept any answer.
+    /// Request id that the answer must carry if the server names requests; empty if the request has
+    /// none, so that an answer which names a request belongs to another one.
     std::string requestId;
     /// True if the same request may be sent to the server again after a refusal or a failure. The
     /// connection is then closed after such an answer.
@@ -71,7 +72,7 @@
     std::optional<TimePoint> sentAt;
     /// True if the connection had carried an earlier request.
     bool reusedConnection = false;
-    /// Number of complete answers that were passed over because they name another request.
+    /// Number of complete answers that were passed over because they belong to other requests.
     unsigned discardedAnswers = 0;
 };
 
--- a/test/error/UnnamedAnswerBelieved.cpp
+++ b/test/error/UnnamedAnswerBelieved.cpp
@@ -46,3 +46,15 @@
     CHECK(fixture.send("b").envelope.notRun);
     CHECK(fixture.server().connections() == 1);
 }
+
+TEST_CASE("an answer that names another request does not answer a request without an id")
+{
+    ExchangeFixture fixture(platformDialect(), [](const ScriptedServer::Request &request) {
+        return request.number == 1 ? successNaming("a")
+                                   : successNaming("a") + answerText(503, "X-Not-Executed: 1\r\n");
+    });
+    CHECK(fixture.send("a").body == "a");
+    const ExchangeOutcome outcome = fixture.send("");
+    CHECK(outcome.status == 503);
+    CHECK(outcome.discardedAnswers == 1);
+}
