Health checks have connections of their own

Cause: health checks and runs shared a pool. The answer to a health check names no request, so that a late copy of it was taken for the answer to the next run on the connection, and the other way round.

--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -275,11 +275,10 @@
         if (!endpoint) {
             return;
         }
-        const auto pool = std::make_shared<HttpPool>(m_context, *endpoint);
         m_hasInstance = true;
         m_tracker.instanceReplaced(now());
-        m_runs->instanceReplaced(pool);
-        m_probe.instanceReplaced(pool);
+        m_runs->instanceReplaced(std::make_shared<HttpPool>(m_context, *endpoint));
+        m_probe.instanceReplaced(std::make_shared<HttpPool>(m_context, *endpoint));
         applyRules();
         if (!m_tracker.registration.isConfirmed()) {
             m_probe.sendIfDue(false);
--- a/src/services/BackendProbe.cpp
+++ b/src/services/BackendProbe.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds ActiveCheckInterval {20};
 /// Interval at which the probe schedule is checked otherwise.
 constexpr milliseconds IdleCheckInterval {100};
+/// Maximum length of the body of a health check's answer.
+constexpr std::uint64_t MaxProbeAnswerBytes = 64 * 1024;
 /// Lowest HTTP status of a health check that counts as a failure.
 constexpr unsigned FirstRedirectStatus = 300;
 
@@ -42,7 +44,11 @@
 void BackendProbe::sendIfDue(bool busy)
 {
     const BackendTracker &tracker = m_dependencies.tracker;
-    if (!m_pool || m_inFlight || !tracker.configuration()) {
+    if (!m_pool) {
+        return;
+    }
+    m_pool->closeExpired(now());
+    if (m_inFlight || !tracker.configuration()) {
         return;
     }
     ProbeConditions conditions;
@@ -70,6 +76,7 @@
     request.headers.push_back({"Host", formatEndpoint(m_pool->endpoint())});
     request.maxIdleTime = IdempotentMaxIdleTime;
     request.deadline = now() + ProbeTimeout;
+    request.maxAnswerBytes = MaxProbeAnswerBytes;
     std::make_shared<HttpExchange>(
         m_dependencies.context, m_dependencies.kernel.executor(), m_pool, m_dependencies.dialect,
         std::move(request), [] { return true; },
--- a/src/services/BackendProbe.h
+++ b/src/services/BackendProbe.h
@@ -33,7 +33,8 @@
     }
 
     /// \brief Switches to another process of the backend server and probes it at the next check.
-    /// \param pool connections to the new process.
+    /// \param pool connections to the new process that only health checks use, since the answers to
+    /// health checks name no request.
     void instanceReplaced(std::shared_ptr<HttpPool> pool);
 
     /// \brief Makes the next sendIfDue() send a probe regardless of the schedule.
