A health check that must confirm a registration uses a new connection

Cause: after a deregistration of an id that was used before, a health check tells whether the process is still in service. Over a kept connection, a late copy of an older answer ("well") was taken for its answer and returned the leaving server to service.

Evidence: test/error/LateHealthAnswerConfirms.cpp failed: the run was sent to the server after its drain time.

Ruled out: new connections for all health checks, which cost a connection each; the older answers say nothing that another check does not put right.

Change: BackendProbe gives up its connections before a health check whose answer can confirm a registration.

--- a/src/services/BackendProbe.cpp
+++ b/src/services/BackendProbe.cpp
@@ -69,6 +69,10 @@
     m_inFlight = true;
     m_schedule.probeSent(now());
     countResult("sent");
+    if (!m_dependencies.tracker.registration.isConfirmed()) {
+        // A late copy of an older answer must not return a server to service that has left since.
+        m_pool = std::make_shared<HttpPool>(m_dependencies.context, m_pool->endpoint());
+    }
     const ServiceRules *rules = m_dependencies.tracker.rules();
     ExchangeRequest request;
     request.method = "GET";
