A run that was sent before is lost, not refused, when its second send fails

Cause: an idempotent run whose kept connection fails before an answer is sent again over a new one. When that one could not be made, the run was cancelled or refused before its first byte, or the server rejected it, the run ended as "not run", although the server may have run what was sent first.

Ruled out: orders; they are not sent again after a connection has failed.

Change: a run remembers that it was sent before, and then no proof of its last exchange counts.

--- a/src/services/BackendRuns.cpp
+++ b/src/services/BackendRuns.cpp
@@ -32,6 +32,8 @@
     RunStartConditions startConditions;
     bool hasSlot = false;
     bool cancelled = false;
+    /// True if the run was sent over a connection that failed before an answer, and is sent again.
+    bool sentBefore = false;
     /// Set if the run was refused right before its first byte was sent.
     std::optional<Reason> refusalReason;
 };
@@ -277,6 +279,7 @@
         Run &run = it->second;
         if (outcome.kind == ExchangeOutcome::Kind::StaleConnection && run.attempt.idempotent
             && !run.cancelled && pool == m_pool && now() < run.attempt.deadline) {
+            run.sentBefore = true;
             startExchange(run, NewConnectionOnly);
             return;
         }
@@ -302,10 +305,23 @@
                               health.inTransientSlowdown(now())});
     }
 
+    /// \return true if the request has not run in this exchange.
+    static bool provesNotRun(const ExchangeOutcome &outcome)
+    {
+        using Kind = ExchangeOutcome::Kind;
+        return outcome.kind == Kind::Unsent || outcome.kind == Kind::Unreachable
+            || outcome.envelope.notRun || outcome.envelope.wrongInstance;
+    }
+
     void replyTo(const Run &run, ExchangeOutcome outcome)
     {
         using Kind = ExchangeOutcome::Kind;
         const RunAttempt &attempt = run.attempt;
+        if (run.sentBefore && provesNotRun(outcome)) {
+            // The server may have run the request when it was sent before.
+            reportLost(run, "lost", outcome);
+            return;
+        }
         switch (outcome.kind) {
         case Kind::Unsent:
             refuse(attempt, run.refusalReason.value_or(Reason::Cancelled), &outcome);
