A HEAD request shares its connection with no other request

Cause: the length of a late answer depends on the method of the request that it belongs to. Read for a HEAD request, the body of a late answer to a GET was taken for the next answer, and a body may hold any text; read for a GET, a late answer to a HEAD request swallowed the next answer as its body.

Change: HEAD requests use a new connection, which is closed after the answer. The conditions for keeping a connection stand in one function.

--- a/src/services/BackendRuns.cpp
+++ b/src/services/BackendRuns.cpp
@@ -18,8 +18,6 @@
 /// not idempotent. A server may drop an idle connection without closing it, and a request sent over
 /// it is then lost.
 constexpr Duration NonIdempotentMaxIdleTime = milliseconds(150);
-/// Maximum idle time that excludes every pooled connection.
-constexpr Duration NewConnectionOnly {};
 /// Maximum slowness that is passed to the queue, in percent. Above it, queued runs are refused
 /// early in any case.
 constexpr std::uint32_t MaxQueueSlownessPercent = 1000;
--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -53,6 +53,10 @@
     std::optional<TimePoint> sentAt;
     TimerId deadlineTimer = 0;
 
+    /// \return true if the answer has no body whatever its header says. A late answer on a
+    /// connection with such a request and others could not be told from its body.
+    bool isHeadRequest() const { return self.m_request.method == "HEAD"; }
+
     asio::awaitable<bool> connect()
     {
         boost::system::error_code ec;
@@ -182,7 +186,7 @@
             http::response_parser<http::string_body> parser;
             parser.body_limit(self.m_request.maxAnswerBytes);
             parser.header_limit(MaxAnswerHeaderBytes);
-            parser.skip(self.m_request.method == "HEAD");
+            parser.skip(isHeadRequest());
             boost::system::error_code ec;
             co_await http::async_read_header(connection.socket, connection.buffer, parser,
                                              asio::redirect_error(asio::use_awaitable, ec));
@@ -253,10 +257,22 @@
                 || outcome.status >= FirstServerErrorStatus);
     }
 
+    /// \return true if the connection may carry other requests after this answer.
+    bool isReusableAfter(const ExchangeOutcome &outcome) const
+    {
+        // Bytes behind the answer belong to no request. A server that has answered early is still
+        // reading the body of this request.
+        const HttpConnection &connection = *self.m_connection;
+        const bool isIdle = !connection.writing && connection.buffer.size() == 0;
+        return isIdle && !self.m_cancelled && !isHeadRequest() && !allowsRepeat(outcome);
+    }
+
     asio::awaitable<ExchangeOutcome> run()
     {
         using Kind = ExchangeOutcome::Kind;
-        self.m_connection = self.m_pool->acquire(self.m_request.maxIdleTime, self.m_executor.now());
+        self.m_connection
+            = self.m_pool->acquire(isHeadRequest() ? NewConnectionOnly : self.m_request.maxIdleTime,
+                                   self.m_executor.now());
         if (!co_await connect()) {
             co_return failedOutcome(self.m_cancelled ? Kind::Unsent : Kind::Unreachable);
         }
@@ -277,10 +293,7 @@
         HttpConnection &connection = *self.m_connection;
         const Duration serverIdleTimeout = parseKeepAliveTimeout(message);
         ExchangeOutcome outcome = answeredOutcome(message);
-        // A connection is not reusable if bytes follow the answer, since they belong to no request,
-        // or if the server answered early and is still reading the body of this request.
-        if (keepAlive && !self.m_cancelled && !connection.writing && connection.buffer.size() == 0
-            && !allowsRepeat(outcome)) {
+        if (keepAlive && isReusableAfter(outcome)) {
             connection.serverIdleTimeout = serverIdleTimeout;
             self.m_pool->release(std::move(self.m_connection), self.m_executor.now());
         } else {
--- a/src/services/HttpExchange.h
+++ b/src/services/HttpExchange.h
@@ -15,6 +15,8 @@
 
 /// Lowest HTTP status of a server's failure.
 constexpr unsigned FirstServerErrorStatus = 500;
+/// Maximum idle time that excludes every pooled connection.
+constexpr Duration NewConnectionOnly {};
 
 /// \brief A request and the limits of its exchange.
 struct ExchangeRequest
