Failures close a connection only for calls that are repeated after them

A failure of an order is final, so that no second send can meet a copy of it. Refusals close the connection whatever the call.

--- a/src/services/BackendRuns.cpp
+++ b/src/services/BackendRuns.cpp
@@ -221,7 +221,7 @@
         request.headers = attempt.head->headers;
         request.body = attempt.body;
         request.requestId = attempt.call.requestId;
-        request.mayBeSentAgain = true;
+        request.repeatedAfterFailure = attempt.idempotent;
         request.maxIdleTime = maxIdleTime;
         request.deadline = attempt.deadline;
         RunEnvelope envelope;
--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -252,9 +252,9 @@
     bool allowsRepeat(const ExchangeOutcome &outcome) const
     {
         const AnswerEnvelope &envelope = outcome.envelope;
-        return self.m_request.mayBeSentAgain
-            && (envelope.notRun || envelope.wrongInstance || !envelope.trusted
-                || outcome.status >= FirstServerErrorStatus);
+        const bool isFailure = !envelope.trusted || outcome.status >= FirstServerErrorStatus;
+        return envelope.notRun || envelope.wrongInstance
+            || (self.m_request.repeatedAfterFailure && isFailure);
     }
 
     /// \return true if the connection may carry other requests after this answer.
--- a/src/services/HttpExchange.h
+++ b/src/services/HttpExchange.h
@@ -28,9 +28,9 @@
     /// Request id that the answer must carry if the server names requests; empty if the request has
     /// none, so that an answer which names a request belongs to another one.
     std::string requestId;
-    /// True if the same request may be sent to the server again after a refusal or a failure. The
-    /// connection is then closed after such an answer.
-    bool mayBeSentAgain = false;
+    /// True if the same request may be sent to the server again after a failure, and not only after
+    /// a refusal. The connection is then closed after a failure.
+    bool repeatedAfterFailure = false;
     /// Maximum time for which a reused connection may have been idle.
     Duration maxIdleTime {};
     TimePoint deadline;
