--- a/src/services/BackendProbe.cpp
+++ b/src/services/BackendProbe.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds ActiveCheckInterval {20};
 /// Interval at which the probe schedule is checked otherwise.
 constexpr milliseconds IdleCheckInterval {100};
+/// Maximum length of the body of a health check's answer.
+constexpr std::uint64_t MaxProbeAnswerBytes = 64 * 1024;
 /// Lowest HTTP status of a health check that counts as a failure.
 constexpr unsigned FirstRedirectStatus = 300;
 
@@ -42,7 +44,11 @@
 void BackendProbe::sendIfDue(bool busy)
 {
     const BackendTracker &tracker = m_dependencies.tracker;
-    if (!m_pool || m_inFlight || !tracker.configuration()) {
+    if (!m_pool) {
+        return;
+    }
+    m_pool->closeExpired(now());
+    if (m_inFlight || !tracker.configuration()) {
         return;
     }
     ProbeConditions conditions;
@@ -63,6 +69,10 @@
     m_inFlight = true;
     m_schedule.probeSent(now());
     countResult("sent");
+    if (!m_dependencies.tracker.registration.isConfirmed()) {
+        // A late copy of an older answer must not return a server to service that has left since.
+        m_pool = std::make_shared<HttpPool>(m_dependencies.context, m_pool->endpoint());
+    }
     const ServiceRules *rules = m_dependencies.tracker.rules();
     ExchangeRequest request;
     request.method = "GET";
@@ -70,6 +80,7 @@
     request.headers.push_back({"Host", formatEndpoint(m_pool->endpoint())});
     request.maxIdleTime = IdempotentMaxIdleTime;
     request.deadline = now() + ProbeTimeout;
+    request.maxAnswerBytes = MaxProbeAnswerBytes;
     std::make_shared<HttpExchange>(
         m_dependencies.context, m_dependencies.kernel.executor(), m_pool, m_dependencies.dialect,
         std::move(request), [] { return true; },
--- a/src/services/BackendRuns.cpp
+++ b/src/services/BackendRuns.cpp
@@ -18,8 +18,6 @@
 /// not idempotent. A server may drop an idle connection without closing it, and a request sent over
 /// it is then lost.
 constexpr Duration NonIdempotentMaxIdleTime = milliseconds(150);
-/// Maximum idle time that excludes every pooled connection.
-constexpr Duration NewConnectionOnly {};
 /// Maximum slowness that is passed to the queue, in percent. Above it, queued runs are refused
 /// early in any case.
 constexpr std::uint32_t MaxQueueSlownessPercent = 1000;
@@ -32,6 +30,8 @@
     RunStartConditions startConditions;
     bool hasSlot = false;
     bool cancelled = false;
+    /// True if the run was sent over a connection that failed before an answer, and is sent again.
+    bool sentBefore = false;
     /// Set if the run was refused right before its first byte was sent.
     std::optional<Reason> refusalReason;
 };
@@ -221,6 +221,7 @@
         request.headers = attempt.head->headers;
         request.body = attempt.body;
         request.requestId = attempt.call.requestId;
+        request.repeatedAfterFailure = attempt.idempotent;
         request.maxIdleTime = maxIdleTime;
         request.deadline = attempt.deadline;
         RunEnvelope envelope;
@@ -276,6 +277,7 @@
         Run &run = it->second;
         if (outcome.kind == ExchangeOutcome::Kind::StaleConnection && run.attempt.idempotent
             && !run.cancelled && pool == m_pool && now() < run.attempt.deadline) {
+            run.sentBefore = true;
             startExchange(run, NewConnectionOnly);
             return;
         }
@@ -301,10 +303,23 @@
                               health.inTransientSlowdown(now())});
     }
 
+    /// \return true if the request has not run in this exchange.
+    static bool provesNotRun(const ExchangeOutcome &outcome)
+    {
+        using Kind = ExchangeOutcome::Kind;
+        return outcome.kind == Kind::Unsent || outcome.kind == Kind::Unreachable
+            || outcome.envelope.notRun || outcome.envelope.wrongInstance;
+    }
+
     void replyTo(const Run &run, ExchangeOutcome outcome)
     {
         using Kind = ExchangeOutcome::Kind;
         const RunAttempt &attempt = run.attempt;
+        if (run.sentBefore && provesNotRun(outcome)) {
+            // The server may have run the request when it was sent before.
+            reportLost(run, "lost", outcome);
+            return;
+        }
         switch (outcome.kind) {
         case Kind::Unsent:
             refuse(attempt, run.refusalReason.value_or(Reason::Cancelled), &outcome);
--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -53,6 +53,10 @@
     std::optional<TimePoint> sentAt;
     TimerId deadlineTimer = 0;
 
+    /// \return true if the answer has no body whatever its header says. A late answer on a
+    /// connection with such a request and others could not be told from its body.
+    bool isHeadRequest() const { return self.m_request.method == "HEAD"; }
+
     asio::awaitable<bool> connect()
     {
         boost::system::error_code ec;
@@ -164,6 +168,14 @@
         co_return ec;
     }
 
+    /// \return true if the answer names this request, or if it names none and the server is not
+    /// known to name requests.
+    bool isOwnAnswer(const AnswerEnvelope &envelope) const
+    {
+        return envelope.requestId == self.m_request.requestId
+            || (envelope.requestId.empty() && !self.m_connection->namesRequests);
+    }
+
     /// Reads answers until one matches the request id.
     /// \return false if there is no such answer.
     asio::awaitable<bool> readMatchingAnswer(http::response<http::string_body> &message,
@@ -174,7 +186,7 @@
             http::response_parser<http::string_body> parser;
             parser.body_limit(self.m_request.maxAnswerBytes);
             parser.header_limit(MaxAnswerHeaderBytes);
-            parser.skip(self.m_request.method == "HEAD");
+            parser.skip(isHeadRequest());
             boost::system::error_code ec;
             co_await http::async_read_header(connection.socket, connection.buffer, parser,
                                              asio::redirect_error(asio::use_awaitable, ec));
@@ -194,8 +206,8 @@
             const std::vector<HeaderField> fields = endToEndHeaders(message);
             const AnswerEnvelope envelope
                 = self.m_dialect.decodeAnswer(message.result_int(), fields);
-            if (self.m_request.requestId.empty() || envelope.requestId.empty()
-                || envelope.requestId == self.m_request.requestId) {
+            connection.namesRequests = connection.namesRequests || !envelope.requestId.empty();
+            if (isOwnAnswer(envelope)) {
                 co_return true;
             }
             ++discardedAnswers;
@@ -235,10 +247,32 @@
         return outcome;
     }
 
+    /// \return true if the request may be sent to the server again after this answer. A late copy
+    /// of the answer would match then, since all sends of a request have the same id.
+    bool allowsRepeat(const ExchangeOutcome &outcome) const
+    {
+        const AnswerEnvelope &envelope = outcome.envelope;
+        const bool isFailure = !envelope.trusted || outcome.status >= FirstServerErrorStatus;
+        return envelope.notRun || envelope.wrongInstance
+            || (self.m_request.repeatedAfterFailure && isFailure);
+    }
+
+    /// \return true if the connection may carry other requests after this answer.
+    bool isReusableAfter(const ExchangeOutcome &outcome) const
+    {
+        // Bytes behind the answer belong to no request. A server that has answered early is still
+        // reading the body of this request.
+        const HttpConnection &connection = *self.m_connection;
+        const bool isIdle = !connection.writing && connection.buffer.size() == 0;
+        return isIdle && !self.m_cancelled && !isHeadRequest() && !allowsRepeat(outcome);
+    }
+
     asio::awaitable<ExchangeOutcome> run()
     {
         using Kind = ExchangeOutcome::Kind;
-        self.m_connection = self.m_pool->acquire(self.m_request.maxIdleTime, self.m_executor.now());
+        self.m_connection
+            = self.m_pool->acquire(isHeadRequest() ? NewConnectionOnly : self.m_request.maxIdleTime,
+                                   self.m_executor.now());
         if (!co_await connect()) {
             co_return failedOutcome(self.m_cancelled ? Kind::Unsent : Kind::Unreachable);
         }
@@ -257,17 +291,16 @@
                 reused && !answerStarted && !self.m_cancelled ? Kind::StaleConnection : Kind::Lost);
         }
         HttpConnection &connection = *self.m_connection;
-        // A connection is not reusable if bytes follow the answer, since they belong to no request,
-        // or if the server answered early and is still reading the body of this request.
-        if (keepAlive && !self.m_cancelled && !connection.writing
-            && connection.buffer.size() == 0) {
-            connection.serverIdleTimeout = parseKeepAliveTimeout(message);
+        const Duration serverIdleTimeout = parseKeepAliveTimeout(message);
+        ExchangeOutcome outcome = answeredOutcome(message);
+        if (keepAlive && isReusableAfter(outcome)) {
+            connection.serverIdleTimeout = serverIdleTimeout;
             self.m_pool->release(std::move(self.m_connection), self.m_executor.now());
         } else {
             boost::system::error_code ec;
             connection.socket.close(ec);
         }
-        co_return answeredOutcome(message);
+        co_return outcome;
     }
 };
 
--- a/src/services/HttpExchange.h
+++ b/src/services/HttpExchange.h
@@ -13,6 +13,11 @@
 
 namespace Coltsfootwell {
 
+/// Lowest HTTP status of a server's failure.
+constexpr unsigned FirstServerErrorStatus = 500;
+/// Maximum idle time that excludes every pooled connection.
+constexpr Duration NewConnectionOnly {};
+
 /// \brief A request and the limits of its exchange.
 struct ExchangeRequest
 {
@@ -20,8 +25,12 @@
     std::string target;
     std::vector<HeaderField> headers;
     BodyPtr body;
-    /// Request id that the answer must carry if it carries one; empty to accept any answer.
+    /// Request id that the answer must carry if the server names requests; empty if the request has
+    /// none, so that an answer which names a request belongs to another one.
     std::string requestId;
+    /// True if the same request may be sent to the server again after a failure, and not only after
+    /// a refusal. The connection is then closed after a failure.
+    bool repeatedAfterFailure = false;
     /// Maximum time for which a reused connection may have been idle.
     Duration maxIdleTime {};
     TimePoint deadline;
@@ -65,7 +74,7 @@
     std::optional<TimePoint> sentAt;
     /// True if the connection had carried an earlier request.
     bool reusedConnection = false;
-    /// Number of complete answers that were passed over because they name another request.
+    /// Number of complete answers that were passed over because they belong to other requests.
     unsigned discardedAnswers = 0;
 };
 
