--- a/test/error/RunReportedAsRefused.cpp
+++ b/test/error/RunReportedAsRefused.cpp
@@ -40,13 +40,15 @@
     CHECK_MESSAGE(simulation.finished(), "seed " << seed);
     CHECK_MESSAGE(simulation.spoiltBodies() == 0, "seed " << seed);
     for (const auto &[id, attempt] : simulation.attempts()) {
+        // A structured binding cannot be captured by the closures of doctest.
+        const std::uint64_t number = id.low;
         ++findings.attempts;
         findings.started += attempt.starts > 0 ? 1 : 0;
         findings.refused += attempt.refused ? 1 : 0;
-        CHECK_MESSAGE(attempt.results == 1, "seed " << seed << " attempt " << id.low);
-        CHECK_MESSAGE(attempt.starts <= 1, "seed " << seed << " attempt " << id.low);
+        CHECK_MESSAGE(attempt.results == 1, "seed " << seed << " attempt " << number);
+        CHECK_MESSAGE(attempt.starts <= 1, "seed " << seed << " attempt " << number);
         CHECK_MESSAGE(!(attempt.refused && attempt.starts > 0),
-                      "seed " << seed << " attempt " << id.low);
+                      "seed " << seed << " attempt " << number);
     }
 }
 
