--- a/test/support/LinkClientFixture.h
+++ b/test/support/LinkClientFixture.h
@@ -95,6 +95,7 @@
         while (!done() && std::chrono::steady_clock::now() < end) {
             context.restart();
             context.run_one_for(50ms);
+            client.tick();
         }
         return done();
     }
