A connection that breaks before its hello is repeated after a pause

Cause: LinkClient connects again at once when a connection breaks; only a connect that fails is followed by a pause.

Change: after a connection that broke before the other side named itself, the next one follows after 150 ms, as after a failed connect. A new attempt still connects at once.

Ruled out: ending the order sooner. It may have run, and its serving daemon may still answer; it waits until its deadline as before.

--- a/src/services/LinkClient.cpp
+++ b/src/services/LinkClient.cpp
@@ -242,7 +242,12 @@
                                                + std::to_string(peer->openAttempts.size())});
     if (!peer->openAttempts.empty() || !peer->peerRequests.empty()) {
         peer->brokenSince = now();
-        connect(peer);
+        if (peer->daemon.name.empty()) {
+            // Something that accepts connections and resets them; tick() connects again.
+            peer->nextConnectAt = now() + ReconnectDelay;
+        } else {
+            connect(peer);
+        }
     }
 }
 
