--- a/test/fault/platform_path.py
+++ b/test/fault/platform_path.py
@@ -35,7 +35,44 @@
     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000000, "headerTimeoutS": 3, "idleTimeoutS": 15}}
 
 
-class BackendServer:
+class HeartbeatSender:
+    """Announces a backend server to its daemon: a ready heartbeat each half second until `stopped` is set,
+    and those that a test sends.
+
+    heartbeat_port: port on which the daemon receives heartbeats.
+    """
+
+    def __init__(self, name, service, port, heartbeat_port):
+        self.name, self.service, self.port, self.heartbeat_port = name, service, port, heartbeat_port
+        self.instance = f"i-{name}-1"
+        self.start_ms = 1000
+        self.sequence = 0
+        self.stopped = threading.Event()
+
+    def start_heartbeats(self):
+        threading.Thread(target=self.send_heartbeats, daemon=True).start()
+
+    def send_heartbeats(self):
+        while not self.stopped.is_set():
+            self.send_heartbeat("ready")
+            self.stopped.wait(0.5)
+
+    def heartbeat(self, state):
+        """Returns the body of the next heartbeat."""
+        self.sequence += 1
+        return json.dumps({"address": f"127.0.0.1:{self.port}", "born": self.start_ms,
+                           "info": {"service": self.service, "version": "v1", "zone": "z", "slots": 8},
+                           "status": {"state": state, "sequence": self.sequence, "coldRemainingS": 0}}).encode()
+
+    def send_heartbeat(self, state, body=None):
+        """Sends a heartbeat, by default the next one; returns the status of the answer."""
+        return send_request(self.heartbeat_port, "PUT", f"/instances/{self.instance}", body or self.heartbeat(state))[0]
+
+    def deregister(self):
+        return send_request(self.heartbeat_port, "DELETE", f"/instances/{self.instance}")[0]
+
+
+class BackendServer(HeartbeatSender):
     """One backend server, which records its runs and injects a fault according to its mode.
 
     Modes: "" for no fault, "shed" refuses requests as not run, "slow" answers after 0.4 s, "lose" closes the connection
@@ -44,14 +81,10 @@
     """
 
     def __init__(self, name, service, port, heartbeat_port):
-        self.name, self.service, self.port, self.heartbeat_port = name, service, port, heartbeat_port
-        self.instance = f"i-{name}-1"
+        super().__init__(name, service, port, heartbeat_port)
         self.runs = []
         self.mode = ""
         self.health_status = 200
-        self.start_ms = 1000
-        self.sequence = 0
-        self.stopped = threading.Event()
         backend_server = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -104,32 +137,14 @@
 
         class Server(http.server.ThreadingHTTPServer):
             daemon_threads = True
+            request_queue_size = 128
 
             def handle_error(self, *_):
                 pass
 
         self.server = Server(("127.0.0.1", port), Handler)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
-        threading.Thread(target=self.send_heartbeats, daemon=True).start()
-
-    def send_heartbeats(self):
-        while not self.stopped.is_set():
-            self.send_heartbeat("ready")
-            self.stopped.wait(0.5)
-
-    def heartbeat(self, state):
-        """Returns the body of the next heartbeat."""
-        self.sequence += 1
-        return json.dumps({"address": f"127.0.0.1:{self.port}", "born": self.start_ms,
-                           "info": {"service": self.service, "version": "v1", "zone": "z", "slots": 8},
-                           "status": {"state": state, "sequence": self.sequence, "coldRemainingS": 0}}).encode()
-
-    def send_heartbeat(self, state, body=None):
-        """Sends a heartbeat, by default the next one; returns the status of the answer."""
-        return send_request(self.heartbeat_port, "PUT", f"/instances/{self.instance}", body or self.heartbeat(state))[0]
-
-    def deregister(self):
-        return send_request(self.heartbeat_port, "DELETE", f"/instances/{self.instance}")[0]
+        self.start_heartbeats()
 
     def stop(self):
         self.stopped.set()
@@ -158,6 +173,7 @@
 
     def __init__(self, hosts=None, base_port=BASE_PORT, configuration=CONFIGURATION):
         self.configuration = configuration
+        self.make_backend_server = BackendServer
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="coltsfootwell-platform-"))
         self.store_port = base_port
         self.store = fleet.Process([fleet.BUILD / "coltsfoot-store", "--listen", f"127.0.0.1:{self.store_port}"],
@@ -187,7 +203,7 @@
             daemon.start()
         wait_for(lambda: self.publish("config", json.dumps(self.configuration).encode()), "the store accepts records")
         for name, port in self.ports.items():
-            self.backend_servers[name] = BackendServer(name, self.services[name], port + 5, port + 3)
+            self.backend_servers[name] = self.make_backend_server(name, self.services[name], port + 5, port + 3)
         wait_for(lambda: all(send_request(port + 2, "GET", "/ready")[0] == 200 for port in self.ports.values()),
                  "all daemons are ready")
         wait_for(lambda: all(self.call(name, "POST", f"{route['pathPrefix']}x", b"x")[0] == 200
