--- a/src/programs/Daemon.cpp
+++ b/src/programs/Daemon.cpp
@@ -27,8 +27,6 @@
 /// An incarnation is the start time in milliseconds times this number, plus a random number below
 /// it.
 constexpr std::uint64_t IncarnationsPerMillisecond = 65'536;
-/// Fraction of DaemonSettings::drain during which a draining backend server still gets calls.
-constexpr double DrainFraction = 0.6;
 /// Maximum of StopCoordinatorSettings::leaveTime, the first phase of a planned stop: callers and
 /// peers are notified of the stop while the daemon still accepts calls.
 constexpr milliseconds MaxLeaveTime {3000};
@@ -135,8 +133,7 @@
         kernel.add(makeLeftProcessRecords(kernel, store(), id.name));
     }
     kernel.add(makeBackend(kernel, context,
-                           {locality, interface.dialect, fractionOf(settings.drain, DrainFraction),
-                            settings.coldSlack, strategies.guards}));
+                           {locality, interface.dialect, settings.coldSlack, strategies.guards}));
     interface.addRegistration(kernel, settings);
     if (settings.registration) {
         kernel.add(makeControlListener(kernel, context, {"registration", *settings.registration}));
--- a/src/programs/DaemonSettings.cpp
+++ b/src/programs/DaemonSettings.cpp
@@ -73,7 +73,6 @@
     settings.seeds = readEndpoints(fields, "seeds");
     settings.configurationFile = fields.text("configurationFile");
     settings.store = readEndpoint(fields, "store");
-    settings.drain = fields.seconds("drainSeconds", settings.drain);
     settings.maxStopDuration = fields.seconds("graceSeconds", settings.maxStopDuration);
     settings.memoryMegabytes = fields.number("memoryMegabytes", settings.memoryMegabytes);
     settings.coldSlack = fields.number("coldSlack", settings.coldSlack);
--- a/src/programs/DaemonSettings.h
+++ b/src/programs/DaemonSettings.h
@@ -46,8 +46,6 @@
     std::string configurationFile;
     /// Address of the store; std::nullopt without a store.
     std::optional<Endpoint> store;
-    /// Maximum time for which a draining backend server gets calls.
-    std::chrono::milliseconds drain {3000};
     /// Maximum duration of a planned stop, after which the process may be killed; the member
     /// "graceSeconds" in JSON.
     std::chrono::milliseconds maxStopDuration {30'000};
--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -33,7 +33,7 @@
 public:
     Backend(Kernel &kernel, boost::asio::io_context &context, BackendSettings settings)
         : m_kernel(kernel), m_context(context), m_settings(std::move(settings)),
-          m_tracker(m_settings.locality, m_settings.drainTime, m_settings.coldSlack),
+          m_tracker(m_settings.locality, m_settings.coldSlack),
           m_runs(
               makeBackendRuns({kernel, context, m_settings, m_tracker, m_telemetry, m_calls,
                                [this] { return loadReport(); }, [this] { publishLoadChanges(); }})),
@@ -291,8 +291,7 @@
     LoadReport loadReport() const
     {
         const TimePoint at = now();
-        const bool open = !m_tracker.unavailableReason(at) && m_phase == StopPhase::Running
-            && !m_tracker.registration.leavingSince();
+        const bool open = !m_tracker.unavailableReason() && m_phase == StopPhase::Running;
         LoadReport load;
         load.inUse = m_runs->slots().inUse();
         load.waiting = static_cast<std::uint32_t>(m_runs->slots().waiting());
--- a/src/services/Backend.h
+++ b/src/services/Backend.h
@@ -23,9 +23,6 @@
     Locality locality;
     /// Header dialect of requests to the backend server; must outlive the service.
     const HttpDialect *dialect = nullptr;
-    /// Time after a server has announced its shutdown during which it still accepts calls, for
-    /// calls that no other server can take.
-    std::chrono::milliseconds drainTime {1500};
     /// Calls per second that a cold server tolerates above the cold-start rate of its service.
     double coldSlack = 0;
     const Guards *guards = &FullGuards;
--- a/src/services/BackendRuns.cpp
+++ b/src/services/BackendRuns.cpp
@@ -162,7 +162,7 @@
         bool again = true;
         while (again) {
             again = false;
-            const auto unavailableReason = m_tracker.unavailableReason(now());
+            const auto unavailableReason = m_tracker.unavailableReason();
             const SlotQueue::Decisions decisions = unavailableReason
                 ? m_slots.refuseAll()
                 : m_slots.decide(now(), m_tracker.coldRateLimiter.mayStart(now()));
--- a/src/services/BackendTracker.cpp
+++ b/src/services/BackendTracker.cpp
@@ -4,9 +4,8 @@
 
 namespace Coltsfootwell {
 
-BackendTracker::BackendTracker(Locality locality, std::chrono::milliseconds drainTime,
-                               double coldSlack)
-    : m_locality(std::move(locality)), m_drainTime(drainTime), m_coldSlack(coldSlack)
+BackendTracker::BackendTracker(Locality locality, double coldSlack)
+    : m_locality(std::move(locality)), m_coldSlack(coldSlack)
 {
 }
 
@@ -51,12 +50,14 @@
     coldRateLimiter.setColdUntil(now + coldRemaining);
 }
 
-std::optional<Reason> BackendTracker::unavailableReason(TimePoint now) const
+std::optional<Reason> BackendTracker::unavailableReason() const
 {
     if (!registration.current() || !registration.isConfirmed() || health.isDown()) {
         return Reason::NoBackendServer;
     }
-    if (const auto since = registration.leavingSince(); since && now - *since > m_drainTime) {
+    // From the announcement on, however long the server still serves: a request waits in the
+    // server's buffers while the server stands still, so no time is known by which it is read.
+    if (registration.leavingSince()) {
         return Reason::Draining;
     }
     if (!m_configuration) {
@@ -78,7 +79,7 @@
         && std::ranges::find(homeRegions, m_locality.region) == homeRegions.end()) {
         return Reason::OutsideHomeRegions;
     }
-    if (const auto reason = unavailableReason(now)) {
+    if (const auto reason = unavailableReason()) {
         return reason;
     }
     if (run.service != registration.current()->service) {
--- a/src/services/BackendTracker.h
+++ b/src/services/BackendTracker.h
@@ -21,9 +21,8 @@
 {
 public:
     /// \param locality identity, region and data centre of this daemon.
-    /// \param drainTime see BackendSettings::drainTime.
     /// \param coldSlack see BackendSettings::coldSlack.
-    BackendTracker(Locality locality, std::chrono::milliseconds drainTime, double coldSlack = 0);
+    explicit BackendTracker(Locality locality, double coldSlack = 0);
 
     BackendRegistration registration;
     BackendHealth health;
@@ -49,7 +48,7 @@
     void coldRemainingReported(std::chrono::milliseconds coldRemaining, TimePoint now);
 
     /// \return the reason why the server accepts no calls at all; std::nullopt if it accepts calls.
-    std::optional<Reason> unavailableReason(TimePoint now) const;
+    std::optional<Reason> unavailableReason() const;
 
     /// \return the reason why the run must not start on this server, regardless of free slots;
     /// std::nullopt if it may start.
@@ -71,7 +70,6 @@
     void applyRules();
 
     Locality m_locality;
-    std::chrono::milliseconds m_drainTime;
     double m_coldSlack;
     ConfigurationPtr m_configuration;
 };
--- a/src/wire/ConfigurationSchema.cpp
+++ b/src/wire/ConfigurationSchema.cpp
@@ -146,7 +146,7 @@
     "seeds": {"type": "array", "items": {"$ref": "#/definitions/endpoint"}},
     "configurationFile": {"type": "string"},
     "store": {"$ref": "#/definitions/endpoint"},
-    "drainSeconds": {"type": "number", "minimum": 0},
+    "drainSeconds": {"type": "number", "minimum": 0, "description": "accepted, without effect"},
     "graceSeconds": {"type": "number", "exclusiveMinimum": 0},
     "memoryMegabytes": {"type": "number", "exclusiveMinimum": 0},
     "coldSlack": {"type": "number", "minimum": 0},
--- a/test/correctness/ForbiddenRunAccepted.cpp
+++ b/test/correctness/ForbiddenRunAccepted.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 const Locality ThisDaemon {{"a1-s-0", 1}, "a", "a1"};
-constexpr milliseconds DrainTime {1500};
 
 struct Fixture
 {
@@ -41,7 +40,7 @@
 
     std::shared_ptr<Configuration> configuration;
     BackendHeartbeat heartbeat;
-    BackendTracker tracker {ThisDaemon, DrainTime};
+    BackendTracker tracker {ThisDaemon};
     RunAttempt run;
     TimePoint now {};
 };
@@ -83,13 +82,26 @@
     CHECK_FALSE(fixture.refusal());
 }
 
-TEST_CASE("a deregistered server accepts calls only during the drain time")
+TEST_CASE("a deregistered server accepts no calls")
 {
     Fixture fixture;
     fixture.tracker.registration.processLeft("i", fixture.now, 0);
-    CHECK_FALSE(fixture.refusal());
+    CHECK(fixture.refusal() == Reason::Draining);
+    CHECK(fixture.tracker.unavailableReason() == Reason::Draining);
     CHECK(fixture.tracker.state(fixture.now) == BackendState::Draining);
-    fixture.now += DrainTime + milliseconds(1);
+}
+
+TEST_CASE("a draining server accepts no calls, also after a late heartbeat")
+{
+    Fixture fixture;
+    BackendHeartbeat draining = fixture.heartbeat;
+    draining.sequence = 3;
+    draining.state = AnnouncedState::Draining;
+    fixture.tracker.heartbeatReceived(draining, fixture.now, 0);
+    CHECK(fixture.refusal() == Reason::Draining);
+    BackendHeartbeat late = fixture.heartbeat;
+    late.sequence = 2;
+    fixture.tracker.heartbeatReceived(late, fixture.now, 0);
     CHECK(fixture.refusal() == Reason::Draining);
 }
 
@@ -103,10 +115,10 @@
 TEST_CASE("no call runs before the first heartbeat or without a configuration")
 {
     Fixture fixture;
-    BackendTracker unregistered {ThisDaemon, DrainTime};
+    BackendTracker unregistered {ThisDaemon};
     unregistered.configurationChanged(fixture.configuration);
     CHECK(unregistered.refusalReason(fixture.run, fixture.now) == Reason::NoBackendServer);
-    BackendTracker unconfigured {ThisDaemon, DrainTime};
+    BackendTracker unconfigured {ThisDaemon};
     unconfigured.registration.heartbeatReceived(fixture.heartbeat, fixture.now, 0);
     CHECK(unconfigured.refusalReason(fixture.run, fixture.now) == Reason::StaleConfiguration);
 }
--- a/test/error/ForeignHeartbeat.cpp
+++ b/test/error/ForeignHeartbeat.cpp
@@ -7,7 +7,6 @@
 
 using namespace Coltsfootwell;
 using namespace Coltsfootwell::Testing;
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace {
@@ -44,7 +43,7 @@
     }
 
     ConfigurationPtr configuration;
-    BackendTracker tracker {{{"a1-s-0", 1}, "a", "a1"}, milliseconds(1500)};
+    BackendTracker tracker {{{"a1-s-0", 1}, "a", "a1"}};
     TimePoint now {};
 };
 
@@ -82,5 +81,5 @@
     CHECK(fixture.receive(heartbeatOf("a", "s", StartMs, 2)) == RegistrationChange::Renewed);
     fixture.configure();
     CHECK(fixture.receive(heartbeatOf("a", "s", StartMs, 3)) == RegistrationChange::Renewed);
-    CHECK_FALSE(fixture.tracker.unavailableReason(fixture.now));
+    CHECK_FALSE(fixture.tracker.unavailableReason());
 }
