A report that a daemon accepts no runs keeps calls away from it

What callers saw: after a server had announced that it leaves, daemons went on sending calls to it until the membership told them. Each such call costs a round trip more.

Cause: Placement took a report with limit 0 for no report and counted with the slots of the member record.

Change: a daemon whose last report has limit 0 gets no calls for a second (ClosedReportLifetime), or until it reports slots. The time is bounded because reports go only to daemons that have sent a call in the last two seconds, and a new process of the server may register meanwhile. A daemon in a planned stop reports limit 0, too; the members already place nothing at it once its record says that it leaves, and its own calls never ran there, so nothing else changes.

--- a/src/decisions/Placement.cpp
+++ b/src/decisions/Placement.cpp
@@ -108,7 +108,7 @@
     for (const Candidate &candidate : subset) {
         const bool available
             = std::ranges::find(excluded, candidate.target.daemon) == excluded.end();
-        if (!available || now < candidate.tracked->avoidUntil) {
+        if (!available || candidate.tracked->isClosed(now)) {
             continue;
         }
         const Estimate result = estimate(candidate, attributes, now);
@@ -166,6 +166,13 @@
     m_trackedDaemons[daemon].avoidUntil = now + UnreachableAvoidTime;
 }
 
+bool Placement::TrackedDaemon::isClosed(TimePoint now) const
+{
+    const bool reported = reportedAt != TimePoint();
+    return now < avoidUntil
+        || (reported && report.limit == 0 && now - reportedAt < ClosedReportLifetime);
+}
+
 const Placement::Subset &Placement::subsetFor(const CallAttributes &attributes)
 {
     SubsetKey key {attributes.service, attributes.homeRegions};
--- a/src/decisions/Placement.h
+++ b/src/decisions/Placement.h
@@ -42,6 +42,9 @@
     static constexpr std::chrono::milliseconds DefaultAnswerTime {50};
     /// Time for which a daemon is avoided after it could not be reached.
     static constexpr std::chrono::milliseconds UnreachableAvoidTime {500};
+    /// Time for which a daemon is avoided after it has reported that it accepts no runs. It tells
+    /// only recent senders when it accepts runs again.
+    static constexpr std::chrono::seconds ClosedReportLifetime {1};
 
     /// \param locality location of this daemon.
     /// \param random breaks ties between equal targets; must outlive the object.
@@ -81,6 +84,9 @@
         /// Attempts sent since the last report, less the attempts that have ended since then.
         int sentSinceReport = 0;
         TimePoint avoidUntil {};
+
+        /// \return true if the daemon is known to accept no runs, or to be unreachable.
+        bool isClosed(TimePoint now) const;
     };
 
     struct Candidate
