A request that may have run over a stale connection is not reported as not run

What callers saw: an idempotent request was answered 503, which says that it has not run, though a server had run it.

Cause: an idempotent run whose kept connection ends before the first byte of an answer is sent again over a new connection. When that one is refused before its first byte, cannot be made, or answers "not run", the daemon reported the run as refused and took back its start in the ledger. The proof holds for the second exchange only.

Change: a run that was sent over such a connection ends as lost (run.lost how=stale) in these cases. Runs that are not idempotent are not repeated, and were not affected.

Evidence, x86-64: requests_that_may_have_run_are_not_refused of platform_path.py failed before with requests that ran and got 503, and passes now; 16 checks passed.

--- a/src/services/BackendRuns.cpp
+++ b/src/services/BackendRuns.cpp
@@ -32,6 +32,8 @@
     RunStartConditions startConditions;
     bool hasSlot = false;
     bool cancelled = false;
+    /// True once the request was sent over a kept connection that ended without an answer.
+    bool mayHaveRun = false;
     /// Set if the run was refused right before its first byte was sent.
     std::optional<Reason> refusalReason;
 };
@@ -276,6 +278,7 @@
         Run &run = it->second;
         if (outcome.kind == ExchangeOutcome::Kind::StaleConnection && run.attempt.idempotent
             && !run.cancelled && pool == m_pool && now() < run.attempt.deadline) {
+            run.mayHaveRun = true;
             startExchange(run, NewConnectionOnly);
             return;
         }
@@ -301,10 +304,24 @@
                               health.inTransientSlowdown(now())});
     }
 
+    /// \return true if the server has not run the request that was sent in this exchange.
+    static bool provesNotRun(const ExchangeOutcome &outcome)
+    {
+        using Kind = ExchangeOutcome::Kind;
+        const bool declined = outcome.kind == Kind::Answered
+            && (outcome.envelope.notRun || outcome.envelope.wrongInstance);
+        return declined || outcome.kind == Kind::Unsent || outcome.kind == Kind::Unreachable;
+    }
+
     void replyTo(const Run &run, ExchangeOutcome outcome)
     {
         using Kind = ExchangeOutcome::Kind;
         const RunAttempt &attempt = run.attempt;
+        if (run.mayHaveRun && provesNotRun(outcome)) {
+            // The proof holds for the last exchange only.
+            reportLost(run, "stale", outcome);
+            return;
+        }
         switch (outcome.kind) {
         case Kind::Unsent:
             refuse(attempt, run.refusalReason.value_or(Reason::Cancelled), &outcome);
@@ -319,7 +336,7 @@
         case Kind::Answered:
             break;
         }
-        if (outcome.envelope.notRun || outcome.envelope.wrongInstance) {
+        if (provesNotRun(outcome)) {
             refuse(attempt,
                    outcome.envelope.wrongInstance ? Reason::WrongInstance : Reason::Overloaded,
                    &outcome);
--- a/test/fault/platform_path.py
+++ b/test/fault/platform_path.py
@@ -77,7 +77,8 @@
 
     Modes: "" for no fault, "shed" refuses requests as not run, "slow" answers after 0.4 s, "lose" closes the connection
     after the run without an answer, "unsigned" omits the signature, "cut" sends an incomplete answer, "error" answers
-    with status 500. heartbeat_port: port on which its daemon receives heartbeats.
+    with status 500, "stale" closes a kept connection after the run without an answer and refuses requests over a new one as
+    not run. heartbeat_port: port on which its daemon receives heartbeats.
     """
 
     def __init__(self, name, service, port, heartbeat_port):
@@ -89,6 +90,8 @@
 
         class Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
+            # True once the connection has carried a request.
+            kept = False
 
             def log_message(self, *_):
                 pass
@@ -111,14 +114,15 @@
                 if self.headers.get("X-Expected-Instance") != backend_server.instance:
                     self.send_answer(421, b"", X_Instance_Id=backend_server.instance)
                     return
-                if backend_server.mode == "shed":
+                kept, self.kept = self.kept, True
+                if backend_server.mode == "shed" or backend_server.mode == "stale" and not kept:
                     self.send_answer(503, b"", X_Not_Executed="1")
                     return
                 backend_server.runs.append({"id": self.headers["X-Attempt-Id"], "method": self.command, "path": self.path,
                                             "caller": self.headers.get("X-Caller-Service"), "body": body,
                                             "time": time.monotonic(), "deadline": int(self.headers["X-Deadline-Ms"])})
                 time.sleep(0.4 if backend_server.mode == "slow" else 0.005)
-                if backend_server.mode == "lose":
+                if backend_server.mode in ("lose", "stale"):
                     self.close_connection = True
                     return
                 if backend_server.mode == "unsigned":
@@ -331,6 +335,23 @@
             + expect(len(site.runs("bookings")) == initial_run_count, "the request ran"))
 
 
+def requests_that_may_have_run_are_not_refused(site):
+    """An idempotent request whose kept connection was closed after it had run is not reported as not run, though its repeat
+    over a new connection is refused."""
+    violations, ran = [], 0
+    for i in range(20):
+        site.set_mode("catalogue", "")
+        for name in site.ports:
+            site.call(name, "GET", "/browse/warm")
+        site.set_mode("catalogue", "stale")
+        status, _, _ = site.call("klang-a-catalogue", "GET", f"/browse/stale{i}")
+        has_run = any(run["path"] == f"/browse/stale{i}" for run in site.runs("catalogue"))
+        ran += has_run
+        violations += expect(not (has_run and status == 503), f"request {i} ran and got 503, which says that it did not run")
+    site.set_mode("catalogue", "")
+    return violations + expect(ran > 0, "no request was sent over a kept connection")
+
+
 def idempotent_calls_are_retried(site):
     """Idempotent requests succeed although one backend server answers all its calls with an error."""
     site.backend_servers["klang-a-catalogue"].mode = "error"
@@ -480,7 +501,7 @@
 
 
 CHECKS = (answers_come_from_backend_server, large_bodies_arrive_unchanged, home_regions_are_respected, pipelined_answers_keep_order,
-          requests_with_lost_answers_run_once, shed_requests_report_not_run, idempotent_calls_are_retried,
+          requests_with_lost_answers_run_once, shed_requests_report_not_run, requests_that_may_have_run_are_not_refused, idempotent_calls_are_retried,
           unknown_routes_are_refused, configurations_come_into_force, evacuated_data_centres_get_no_requests,
           calls_are_served_during_store_outage, closed_log_reader_ends_no_daemon, failures_are_explained, draining_servers_get_no_requests,
           planned_stops_interrupt_no_calls)
