--- a/test/fault/platform_path.py
+++ b/test/fault/platform_path.py
@@ -35,20 +35,57 @@
     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000000, "headerTimeoutS": 3, "idleTimeoutS": 15}}
 
 
-class BackendServer:
+class HeartbeatSender:
+    """Announces a backend server to its daemon: a ready heartbeat each half second until `stopped` is set,
+    and those that a test sends.
+
+    heartbeat_port: port on which the daemon receives heartbeats.
+    """
+
+    def __init__(self, name, service, port, heartbeat_port):
+        self.name, self.service, self.port, self.heartbeat_port = name, service, port, heartbeat_port
+        self.instance = f"i-{name}-1"
+        self.start_ms = 1000
+        self.sequence = 0
+        self.stopped = threading.Event()
+
+    def start_heartbeats(self):
+        threading.Thread(target=self.send_heartbeats, daemon=True).start()
+
+    def send_heartbeats(self):
+        while not self.stopped.is_set():
+            self.send_heartbeat("ready")
+            self.stopped.wait(0.5)
+
+    def heartbeat(self, state):
+        """Returns the body of the next heartbeat."""
+        self.sequence += 1
+        return json.dumps({"address": f"127.0.0.1:{self.port}", "born": self.start_ms,
+                           "info": {"service": self.service, "version": "v1", "zone": "z", "slots": 8},
+                           "status": {"state": state, "sequence": self.sequence, "coldRemainingS": 0}}).encode()
+
+    def send_heartbeat(self, state, body=None):
+        """Sends a heartbeat, by default the next one; returns the status of the answer."""
+        return send_request(self.heartbeat_port, "PUT", f"/instances/{self.instance}", body or self.heartbeat(state))[0]
+
+    def deregister(self):
+        return send_request(self.heartbeat_port, "DELETE", f"/instances/{self.instance}")[0]
+
+
+class BackendServer(HeartbeatSender):
     """One backend server, which records its runs and injects a fault according to its mode.
 
     Modes: "" for no fault, "shed" refuses requests as not run, "slow" answers after 0.4 s, "lose" closes the connection
     after the run without an answer, "unsigned" omits the signature, "cut" sends an incomplete answer, "error" answers
-    with status 500. "late-rejection" refuses each request once as not run, "late-unnamed" follows each answer, and
-    "late-health" every other health check, which it refuses as not run; all three send a late copy of a refusal where the
-    next answer on the connection is expected, "late-unnamed" without the id of a request. heartbeat_port: port on which
-    its daemon receives heartbeats.
+    with status 500, "stale" closes a kept connection after the run without an answer and refuses requests over a new one as
+    not run. "late-rejection" refuses each request once as not run, "late-unnamed" follows each answer, and "late-health"
+    every other health check, which it refuses as not run; all three send a late copy of a refusal where the next answer on
+    the connection is expected, "late-unnamed" without the id of a request. heartbeat_port: port on which its daemon receives
+    heartbeats.
     """
 
     def __init__(self, name, service, port, heartbeat_port):
-        self.name, self.service, self.port, self.heartbeat_port = name, service, port, heartbeat_port
-        self.instance = f"i-{name}-1"
+        super().__init__(name, service, port, heartbeat_port)
         self.runs = []
         self.mode = ""
         # Ids of requests that were refused in the mode "late-rejection", and number of health checks in "late-health".
@@ -56,15 +93,14 @@
         self.health_checks = 0
         self.late_answers = 0
         self.health_status = 200
-        self.start_ms = 1000
-        self.sequence = 0
-        self.stopped = threading.Event()
         backend_server = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
             # Copy of a refusal that is sent before the next answer on the connection.
             late_answer = b""
+            # True once the connection has carried a request.
+            kept = False
 
             def log_message(self, *_):
                 pass
@@ -105,7 +141,8 @@
                 if self.headers.get("X-Expected-Instance") != backend_server.instance:
                     self.send_answer(421, b"", X_Instance_Id=backend_server.instance)
                     return
-                if backend_server.mode == "shed":
+                kept, self.kept = self.kept, True
+                if backend_server.mode == "shed" or backend_server.mode == "stale" and not kept:
                     self.send_answer(503, b"", X_Not_Executed="1")
                     return
                 request_id = self.headers["X-Attempt-Id"]
@@ -117,7 +154,7 @@
                                             "caller": self.headers.get("X-Caller-Service"), "body": body,
                                             "time": time.monotonic(), "deadline": int(self.headers["X-Deadline-Ms"])})
                 time.sleep(0.4 if backend_server.mode == "slow" else 0.005)
-                if backend_server.mode == "lose":
+                if backend_server.mode in ("lose", "stale"):
                     self.close_connection = True
                     return
                 if backend_server.mode == "unsigned":
@@ -138,32 +175,14 @@
 
         class Server(http.server.ThreadingHTTPServer):
             daemon_threads = True
+            request_queue_size = 128
 
             def handle_error(self, *_):
                 pass
 
         self.server = Server(("127.0.0.1", port), Handler)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
-        threading.Thread(target=self.send_heartbeats, daemon=True).start()
-
-    def send_heartbeats(self):
-        while not self.stopped.is_set():
-            self.send_heartbeat("ready")
-            self.stopped.wait(0.5)
-
-    def heartbeat(self, state):
-        """Returns the body of the next heartbeat."""
-        self.sequence += 1
-        return json.dumps({"address": f"127.0.0.1:{self.port}", "born": self.start_ms,
-                           "info": {"service": self.service, "version": "v1", "zone": "z", "slots": 8},
-                           "status": {"state": state, "sequence": self.sequence, "coldRemainingS": 0}}).encode()
-
-    def send_heartbeat(self, state, body=None):
-        """Sends a heartbeat, by default the next one; returns the status of the answer."""
-        return send_request(self.heartbeat_port, "PUT", f"/instances/{self.instance}", body or self.heartbeat(state))[0]
-
-    def deregister(self):
-        return send_request(self.heartbeat_port, "DELETE", f"/instances/{self.instance}")[0]
+        self.start_heartbeats()
 
     def stop(self):
         self.stopped.set()
@@ -192,6 +211,7 @@
 
     def __init__(self, hosts=None, base_port=BASE_PORT, configuration=CONFIGURATION):
         self.configuration = configuration
+        self.make_backend_server = BackendServer
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="coltsfootwell-platform-"))
         self.store_port = base_port
         self.store = fleet.Process([fleet.BUILD / "coltsfoot-store", "--listen", f"127.0.0.1:{self.store_port}"],
@@ -221,7 +241,7 @@
             daemon.start()
         wait_for(lambda: self.publish("config", json.dumps(self.configuration).encode()), "the store accepts records")
         for name, port in self.ports.items():
-            self.backend_servers[name] = BackendServer(name, self.services[name], port + 5, port + 3)
+            self.backend_servers[name] = self.make_backend_server(name, self.services[name], port + 5, port + 3)
         wait_for(lambda: all(send_request(port + 2, "GET", "/ready")[0] == 200 for port in self.ports.values()),
                  "all daemons are ready")
         wait_for(lambda: all(self.call(name, "POST", f"{route['pathPrefix']}x", b"x")[0] == 200
@@ -349,6 +369,23 @@
             + expect(len(site.runs("bookings")) == initial_run_count, "the request ran"))
 
 
+def requests_that_may_have_run_are_not_refused(site):
+    """An idempotent request whose kept connection was closed after it had run is not reported as not run, though its repeat
+    over a new connection is refused."""
+    violations, ran = [], 0
+    for i in range(20):
+        site.set_mode("catalogue", "")
+        for name in site.ports:
+            site.call(name, "GET", "/browse/warm")
+        site.set_mode("catalogue", "stale")
+        status, _, _ = site.call("klang-a-catalogue", "GET", f"/browse/stale{i}")
+        has_run = any(run["path"] == f"/browse/stale{i}" for run in site.runs("catalogue"))
+        ran += has_run
+        violations += expect(not (has_run and status == 503), f"request {i} ran and got 503, which says that it did not run")
+    site.set_mode("catalogue", "")
+    return violations + expect(ran > 0, "no request was sent over a kept connection")
+
+
 def idempotent_calls_are_retried(site):
     """Idempotent requests succeed although one backend server answers all its calls with an error."""
     site.backend_servers["klang-a-catalogue"].mode = "error"
@@ -498,7 +535,7 @@
 
 
 CHECKS = (answers_come_from_backend_server, large_bodies_arrive_unchanged, home_regions_are_respected, pipelined_answers_keep_order,
-          requests_with_lost_answers_run_once, shed_requests_report_not_run, idempotent_calls_are_retried,
+          requests_with_lost_answers_run_once, shed_requests_report_not_run, requests_that_may_have_run_are_not_refused, idempotent_calls_are_retried,
           unknown_routes_are_refused, configurations_come_into_force, evacuated_data_centres_get_no_requests,
           calls_are_served_during_store_outage, closed_log_reader_ends_no_daemon, failures_are_explained, draining_servers_get_no_requests,
           planned_stops_interrupt_no_calls)
