--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -308,7 +308,7 @@
             return;
         }
         if (m_pending.endWithClose()) {
-            // Reading goes on, since the caller may leave before its answer.
+            // Callers treat it as not processed, too. Reading goes on, since the caller may leave.
             return;
         }
         m_receivedRequest = true;
--- a/test/error/RunReportedAsRefused.cpp
+++ b/test/error/RunReportedAsRefused.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <cstdlib>
 
 using namespace Coltsfootwell;
--- a/test/support/LinkSimulation.h
+++ b/test/support/LinkSimulation.h
@@ -11,6 +11,9 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <array>
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
