leaving.py restarts daemons while the store is down

Four scenarios: the daemon acknowledges a deregistration or `draining` while the store is down, is killed or stopped, and gets heartbeats that were sent before. Nothing is recorded, so that only the confirmation of the first registration keeps the server out of service.

No logic changes.

--- a/test/fault/leaving.py
+++ b/test/fault/leaving.py
@@ -1,10 +1,12 @@
 """Tests with real processes that a backend server that leaves gets no calls after its drain time, whatever the order of its
 announcement, its late or repeated messages and restarts of its daemon, and that a live one is never locked out.
 
-Each scenario has a host of its own, whose backend server is the only one of its service, and all run at the same time.
+Each scenario has a host of its own, whose backend server is the only one of its service. All run at the same time, except
+those in which the store is down, which come last.
 """
 
 import json
+import signal
 import sys
 import threading
 import time
@@ -62,8 +64,9 @@
             raise RuntimeError(f"{self.name}: the announcement got {status}, expected 200")
         return time.monotonic()
 
-    def restart_daemon(self):
-        self.daemon.kill()
+    def restart_daemon(self, signal_number=signal.SIGKILL):
+        self.daemon.send_signal(signal_number)
+        self.daemon.child.wait()
         self.daemon.start()
         ready_port = self.site.ports[self.name] + 2
         wait_for(lambda: send_request(ready_port, "GET", "/ready")[0] == 200, f"{self.name} is ready")
@@ -109,6 +112,20 @@
     return scenario
 
 
+def restart_without_record(how, signal_number):
+    """As above, but the store is down, so that nothing is recorded. The health checks of the leaving server say so."""
+    def scenario(host):
+        late = host.late_heartbeat()
+        host.server.health_status = 503
+        acknowledged_at = host.announce(how)
+        host.restart_daemon(signal_number)
+        for _ in range(3):
+            host.server.send_heartbeat("ready", late)
+            time.sleep(HEARTBEAT_INTERVAL_S)
+        return host.gets_no_calls_after(acknowledged_at + DRAIN_S)
+    return scenario
+
+
 def announcement_after_restart(host):
     """A restarted daemon hears of the shutdown before any heartbeat; one arrives late (review/2)."""
     late = host.late_heartbeat()
@@ -198,19 +215,30 @@
 }
 
 
+STORE_DOWN_SCENARIOS = {
+    "store-down-deregistration-kill-heartbeat": restart_without_record("deregister", signal.SIGKILL),
+    "store-down-deregistration-stop-heartbeat": restart_without_record("deregister", signal.SIGTERM),
+    "store-down-draining-kill-heartbeat": restart_without_record("draining", signal.SIGKILL),
+    "store-down-draining-stop-heartbeat": restart_without_record("draining", signal.SIGTERM),
+}
+ALL_SCENARIOS = SCENARIOS | STORE_DOWN_SCENARIOS
+
+
 def configuration():
     """One service and one route for each scenario."""
     return {"version": "00000003", "limits": platform_path.CONFIGURATION["limits"],
             "routes": [{"name": name, "host": "a.example", "pathPrefix": f"/{name}/", "kind": "non_idempotent", "timeoutS": 1.0,
                         "targetLatencyS": 0.4, "priority": 1, "service": name, "maxAttempts": 2, "allowedRegions": []}
-                       for name in SCENARIOS],
+                       for name in ALL_SCENARIOS],
             "services": [{"name": name, "healthPath": "/health", "maxConnections": 60, "coldStartS": 1.0, "coldPerS": 100}
-                         for name in SCENARIOS]}
+                         for name in ALL_SCENARIOS]}
 
 
-def run_all(site):
-    """Runs all scenarios at the same time; returns the violations of each."""
+def run_all(site, scenarios):
+    """Runs the scenarios at the same time; returns the violations of each."""
     results = {}
+    for name in scenarios:
+        site.backend_servers[name].stopped.set()
 
     def run(name, scenario):
         host = Host(site, name)
@@ -222,7 +250,7 @@
         finally:
             host.stop()
 
-    threads = [threading.Thread(target=run, args=item) for item in SCENARIOS.items()]
+    threads = [threading.Thread(target=run, args=item) for item in scenarios.items()]
     for thread in threads:
         thread.start()
     for thread in threads:
@@ -231,12 +259,12 @@
 
 
 def main():
-    site = Site([(name, "klang-a", name) for name in SCENARIOS], BASE_PORT, configuration())
+    site = Site([(name, "klang-a", name) for name in ALL_SCENARIOS], BASE_PORT, configuration())
     try:
         site.start()
-        for name in SCENARIOS:
-            site.backend_servers[name].stopped.set()
-        results = run_all(site)
+        results = run_all(site, SCENARIOS)
+        send_request(site.store_port, "POST", "/fault", b'{"down":"busy"}')
+        results |= run_all(site, STORE_DOWN_SCENARIOS)
     finally:
         site.stop()
     for name, violations in results.items():
