run.sentWhileLeaving is gone, since no run is sent to a leaving server

The check before the first byte refuses each run of a server that has announced its shutdown, so that the line and its counter could never come. backend.leavingAcknowledged and the field leavingMs of run.answered, run.refused and run.lost stay.

--- a/src/services/BackendRuns.cpp
+++ b/src/services/BackendRuns.cpp
@@ -252,22 +252,10 @@
                                            : Reason::NoBackendServer;
         if (!run.refusalReason) {
             m_telemetry.send(IncrementCounter {"runs_started_total", run.attempt.service});
-            logRunWhileLeaving(run);
         }
         return !run.refusalReason;
     }
 
-    /// Logs a run that is sent to a server which has announced its shutdown.
-    void logRunWhileLeaving(const Run &run)
-    {
-        if (m_tracker.registration.leavingSince()) {
-            m_telemetry.send(IncrementCounter {"runs_started_leaving_total", run.attempt.service});
-            m_telemetry.send(LogEvent {"run.sentWhileLeaving", run.attempt.call.requestId,
-                                       "instance=" + m_tracker.registration.current()->instance
-                                           + leavingLogField(m_tracker.registration, now())});
-        }
-    }
-
     void exchangeEnded(const AttemptId &id, ExchangeOutcome outcome,
                        const std::shared_ptr<HttpPool> &pool)
     {
