--- a/test/fault/platform_path.py
+++ b/test/fault/platform_path.py
@@ -153,10 +153,11 @@
 class Site:
     """Daemons, each with a backend server.
 
-    hosts: tuples of name, data centre and service; by default two in each data centre, one per service.
+    hosts: tuples of name, data centre and service; by default two in each data centre, one per service. regions: region
+    of each data centre.
     """
 
-    def __init__(self, hosts=None, base_port=BASE_PORT, configuration=CONFIGURATION):
+    def __init__(self, hosts=None, base_port=BASE_PORT, configuration=CONFIGURATION, regions=REGIONS):
         self.configuration = configuration
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="coltsfootwell-platform-"))
         self.store_port = base_port
@@ -169,7 +170,7 @@
         for i, (name, data_centre, service) in enumerate(hosts):
             port = base_port + 10 * (i + 1)
             self.services[name] = service
-            settings = {"id": name, "region": REGIONS[data_centre], "dataCentre": data_centre, "dataCentres": REGIONS,
+            settings = {"id": name, "region": regions[data_centre], "dataCentre": data_centre, "dataCentres": regions,
                         "interface": "platform", "service": service, "listen": f"127.0.0.1:{port}",
                         "peers": f"127.0.0.1:{port + 1}", "ready": f"127.0.0.1:{port + 2}",
                         "registration": f"127.0.0.1:{port + 3}", "admin": f"127.0.0.1:{port + 4}",
