A connection is kept after a refusal, but does not carry the refused request again

A new connection may hold a slot, so that closing one after each rejection brings further rejections.

Change: a connection remembers the ids of the requests that were refused or failed on it, and the pool does not give it to one of them. A connection whose server names no request is closed after such an answer, as before.

Evidence: LateRejectionBelieved, UnnamedAnswerBelieved and the other 114 cases of test-error pass.

--- a/src/services/BackendRuns.cpp
+++ b/src/services/BackendRuns.cpp
@@ -221,7 +221,6 @@
         request.headers = attempt.head->headers;
         request.body = attempt.body;
         request.requestId = attempt.call.requestId;
-        request.repeatedAfterFailure = attempt.idempotent;
         request.maxIdleTime = maxIdleTime;
         request.deadline = attempt.deadline;
         RunEnvelope envelope;
--- a/src/services/HttpConnection.h
+++ b/src/services/HttpConnection.h
@@ -4,6 +4,9 @@
 
 #include "services/HttpIo.h"
 
+#include <string>
+#include <vector>
+
 namespace Coltsfootwell::Internal {
 
 /// Idle timeout that is assumed for servers that do not announce one in the header "Keep-Alive".
@@ -23,6 +26,9 @@
     /// True once an answer on this connection has named its request. An answer that names none then
     /// belongs to no request.
     bool namesRequests = false;
+    /// Ids of requests that were answered here and may be sent again. They are not sent over this
+    /// connection, where a late copy of that answer would match.
+    std::vector<std::string> answeredIds;
     /// True while a request is being written; the connection must not be reused before that ends.
     bool writing = false;
 };
--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -24,6 +24,8 @@
 /// Maximum number of answers that are read for one request, including interim answers and answers
 /// to other requests.
 constexpr unsigned MaxAnswersPerRequest = 4;
+/// Number of requests that are excluded from a connection after which it is closed.
+constexpr std::size_t MaxAnsweredIds = 64;
 /// Lowest HTTP status that is not an interim (1xx) answer.
 constexpr unsigned FirstFinalStatus = 200;
 
@@ -249,22 +251,34 @@
 
     /// \return true if the request may be sent to the server again after this answer. A late copy
     /// of the answer would match then, since all sends of a request have the same id.
-    bool allowsRepeat(const ExchangeOutcome &outcome) const
+    static bool allowsRepeat(const ExchangeOutcome &outcome)
     {
         const AnswerEnvelope &envelope = outcome.envelope;
-        const bool isFailure = !envelope.trusted || outcome.status >= FirstServerErrorStatus;
-        return envelope.notRun || envelope.wrongInstance
-            || (self.m_request.repeatedAfterFailure && isFailure);
+        return envelope.notRun || envelope.wrongInstance || !envelope.trusted
+            || outcome.status >= FirstServerErrorStatus;
+    }
+
+    /// Excludes the request from this connection if it may be sent again after this answer.
+    /// \return false if the connection must not be reused, since a late copy of the answer could
+    /// not be told from the answer to any other request.
+    bool excludeRepeat(const ExchangeOutcome &outcome)
+    {
+        std::vector<std::string> &ids = self.m_connection->answeredIds;
+        if (!allowsRepeat(outcome)) {
+            return true;
+        }
+        ids.push_back(outcome.envelope.requestId);
+        return !outcome.envelope.requestId.empty() && ids.size() < MaxAnsweredIds;
     }
 
     /// \return true if the connection may carry other requests after this answer.
-    bool isReusableAfter(const ExchangeOutcome &outcome) const
+    bool isReusableAfter(const ExchangeOutcome &outcome)
     {
         // Bytes behind the answer belong to no request. A server that has answered early is still
         // reading the body of this request.
         const HttpConnection &connection = *self.m_connection;
         const bool isIdle = !connection.writing && connection.buffer.size() == 0;
-        return isIdle && !self.m_cancelled && !isHeadRequest() && !allowsRepeat(outcome);
+        return isIdle && !self.m_cancelled && !isHeadRequest() && excludeRepeat(outcome);
     }
 
     asio::awaitable<ExchangeOutcome> run()
@@ -272,7 +286,7 @@
         using Kind = ExchangeOutcome::Kind;
         self.m_connection
             = self.m_pool->acquire(isHeadRequest() ? NewConnectionOnly : self.m_request.maxIdleTime,
-                                   self.m_executor.now());
+                                   self.m_request.requestId, self.m_executor.now());
         if (!co_await connect()) {
             co_return failedOutcome(self.m_cancelled ? Kind::Unsent : Kind::Unreachable);
         }
--- a/src/services/HttpExchange.h
+++ b/src/services/HttpExchange.h
@@ -28,9 +28,6 @@
     /// Request id that the answer must carry if the server names requests; empty if the request has
     /// none, so that an answer which names a request belongs to another one.
     std::string requestId;
-    /// True if the same request may be sent to the server again after a failure, and not only after
-    /// a refusal. The connection is then closed after a failure.
-    bool repeatedAfterFailure = false;
     /// Maximum time for which a reused connection may have been idle.
     Duration maxIdleTime {};
     TimePoint deadline;
--- a/src/services/HttpPool.cpp
+++ b/src/services/HttpPool.cpp
@@ -3,6 +3,9 @@
 #include "services/HttpConnection.h"
 #include "services/HttpExchange.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace Coltsfootwell {
 
 using namespace Internal;
@@ -22,11 +25,17 @@
 
 HttpPool::~HttpPool() = default;
 
-std::unique_ptr<HttpConnection> HttpPool::acquire(Duration maxIdleTime, TimePoint now)
+std::unique_ptr<HttpConnection> HttpPool::acquire(Duration maxIdleTime, std::string_view requestId,
+                                                  TimePoint now)
 {
-    while (!m_idle.empty() && now - m_idle.back()->lastUsed <= maxIdleTime) {
-        std::unique_ptr<HttpConnection> connection = std::move(m_idle.back());
-        m_idle.pop_back();
+    for (auto it = m_idle.end();
+         it != m_idle.begin() && now - (*std::prev(it))->lastUsed <= maxIdleTime;) {
+        --it;
+        if (std::ranges::find((*it)->answeredIds, requestId) != (*it)->answeredIds.end()) {
+            continue;
+        }
+        std::unique_ptr<HttpConnection> connection = std::move(*it);
+        it = m_idle.erase(it);
         if (now - connection->lastUsed < connection->serverIdleTimeout - IdleTimeoutMargin
             && connection->buffer.size() == 0 && isOpenAndIdle(connection->socket)) {
             return connection;
--- a/src/services/HttpPool.h
+++ b/src/services/HttpPool.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <string_view>
 
 namespace boost::asio {
 class io_context;
@@ -35,8 +36,11 @@
     const Endpoint &endpoint() const { return m_endpoint; }
 
     /// \param maxIdleTime maximum time for which a reused connection may have been idle.
-    /// \return the most recently used connection, or a new one that is not yet open.
-    std::unique_ptr<Internal::HttpConnection> acquire(Duration maxIdleTime, TimePoint now);
+    /// \param requestId id of the request; empty if it has none.
+    /// \return the most recently used connection on which an answer to this request is not to be
+    /// expected twice, or a new one that is not yet open.
+    std::unique_ptr<Internal::HttpConnection> acquire(Duration maxIdleTime,
+                                                      std::string_view requestId, TimePoint now);
 
     /// \brief Returns a connection to the pool after a complete answer.
     void release(std::unique_ptr<Internal::HttpConnection> connection, TimePoint now);
--- a/test/support/ExchangeFixture.h
+++ b/test/support/ExchangeFixture.h
@@ -28,7 +28,6 @@
         request.target = "/";
         request.headers = {{"Host", "server"}};
         request.requestId = requestId;
-        request.repeatedAfterFailure = true;
         request.maxIdleTime = std::chrono::seconds(10);
         request.deadline = m_executor.now() + std::chrono::seconds(1);
         std::optional<ExchangeOutcome> result;
