A shutdown that is acknowledged counts, also if its heartbeat seems older than the registered process

What callers saw: a server that starts again under its id with a clock that was set back announces that it leaves, gets its acknowledgement, and gets calls until it exits.

Cause: the heartbeat seemed older than the registered process and was passed over, but every announcement is acknowledged.

Change: an announcement of the registered id that is not known to be of an earlier process counts like a deregistration of that id. A live server with the same id returns with its next heartbeat and a health check.

Ruled out: no acknowledgement, which leaves the server with calls until its exit.

LateHeartbeatOfUsedId stays red: one late heartbeat and a false health check return a leaving server whose id was used before.

--- a/src/decisions/BackendRegistration.cpp
+++ b/src/decisions/BackendRegistration.cpp
@@ -6,6 +6,22 @@
 
 RegistrationChange BackendRegistration::heartbeatReceived(const BackendHeartbeat &heartbeat,
                                                           TimePoint now, std::int64_t unixMs)
+{
+    const RegistrationChange change = applyHeartbeat(heartbeat, now, unixMs);
+    const bool isAcknowledgedInVain = change == RegistrationChange::Outdated
+        && heartbeat.state == AnnouncedState::Draining && m_current && !m_leavingSince
+        && m_current->instance == heartbeat.instance && !isKnownDeparture(heartbeat);
+    if (!isAcknowledgedInVain) {
+        return change;
+    }
+    // The process that announces its shutdown may be the one that serves: its start or its count
+    // may be behind those of an earlier process. Like a deregistration, it names only an id.
+    m_idReused = true;
+    return processLeft(heartbeat.instance, now, unixMs);
+}
+
+RegistrationChange BackendRegistration::applyHeartbeat(const BackendHeartbeat &heartbeat,
+                                                       TimePoint now, std::int64_t unixMs)
 {
     if (isCurrentProcess(heartbeat) && !countsAnew(heartbeat, now)) {
         return currentProcessReported(heartbeat, now, unixMs);
@@ -195,6 +211,15 @@
            });
 }
 
+bool BackendRegistration::isKnownDeparture(const BackendHeartbeat &heartbeat) const
+{
+    return std::ranges::any_of(m_departures, [&heartbeat](const Departure &departure) {
+        return departure.process.instance == heartbeat.instance
+            && departure.process.processStartMs == heartbeat.processStartMs
+            && heartbeat.processStartMs != 0;
+    });
+}
+
 bool BackendRegistration::hasLeft(const BackendHeartbeat &heartbeat, TimePoint now) const
 {
     return std::ranges::any_of(m_departures, [&heartbeat, now](const Departure &departure) {
--- a/src/decisions/BackendRegistration.h
+++ b/src/decisions/BackendRegistration.h
@@ -123,6 +123,9 @@
         TimePoint announcedAt {};
     };
 
+    /// Applies a heartbeat in the order of the processes' starts and of their counts.
+    RegistrationChange applyHeartbeat(const BackendHeartbeat &heartbeat, TimePoint now,
+                                      std::int64_t unixMs);
     RegistrationChange currentProcessReported(const BackendHeartbeat &heartbeat, TimePoint now,
                                               std::int64_t unixMs);
     /// Handles a ready heartbeat of the current process after a deregistration of its id.
@@ -137,6 +140,8 @@
     LeftProcess currentProcess() const;
     /// \return true if a process with this id is known.
     bool isUsedId(std::string_view instance) const;
+    /// \return true if the heartbeat is of a process that is known to have left, by its start time.
+    bool isKnownDeparture(const BackendHeartbeat &heartbeat) const;
     bool hasLeft(const BackendHeartbeat &heartbeat, TimePoint now) const;
     /// \return true if the heartbeat is of a later process that cannot be told from the current one
     /// by its start time.
--- a/src/services/BackendRuns.cpp
+++ b/src/services/BackendRuns.cpp
@@ -263,7 +263,7 @@
         }
         Run &run = it->second;
         if (outcome.kind == ExchangeOutcome::Kind::StaleConnection && run.attempt.idempotent
-            && !run.cancelled && pool == m_pool && now() < run.attempt.deadline) {
+            && !run.cancelled && pool == m_pool && !m_tracker.refusalReason(run.attempt, now())) {
             run.sentBefore = true;
             startExchange(run, NewConnectionOnly);
             return;
--- a/src/services/LinkClient.cpp
+++ b/src/services/LinkClient.cpp
@@ -245,6 +245,7 @@
         if (peer->daemon.name.empty()) {
             // Something that accepts connections and resets them; tick() connects again.
             peer->nextConnectAt = now() + ReconnectDelay;
+            failAttempts(peer, true);
         } else {
             connect(peer);
         }
--- a/test/fault/leaving.py
+++ b/test/fault/leaving.py
@@ -200,7 +200,17 @@
     return host.gets_no_calls_after(acknowledged_at + DRAIN_S)
 
 
+def draining_after_clock_set_back(host):
+    """The backend server starts again under its id after the clock of its host was set back, and leaves soon after."""
+    host.beating.clear()
+    host.server.start_ms -= 500
+    host.server.sequence = 0
+    host.server.send_heartbeat("ready")
+    return host.gets_no_calls_after(host.announce("draining") + DRAIN_S)
+
+
 SCENARIOS = {
+    "clock-set-back-draining": draining_after_clock_set_back,
     "deregistration-restart-heartbeat": restart_after_announcement("deregister"),
     "draining-restart-heartbeat": restart_after_announcement("draining"),
     "restart-deregistration-heartbeat": announcement_after_restart,
--- a/test/support/BackendFixture.h
+++ b/test/support/BackendFixture.h
@@ -64,6 +64,27 @@
         runFor(std::chrono::milliseconds(5));
     }
 
+    /// \brief Applies a heartbeat that announces the shutdown of the server.
+    /// \return true if it was acknowledged.
+    bool announceLeaving(std::int64_t processStartMs, std::uint64_t sequence)
+    {
+        BackendHeartbeat heartbeat;
+        heartbeat.instance = Instance;
+        heartbeat.processStartMs = processStartMs;
+        heartbeat.sequence = sequence;
+        heartbeat.state = AnnouncedState::Draining;
+        heartbeat.service = "s";
+        heartbeat.address = formatEndpoint(m_server.endpoint());
+        heartbeat.slots = 8;
+        bool acknowledged = false;
+        registration().send(HeartbeatReceived {
+            heartbeat, Reply<bool>(m_executor, [&](std::optional<bool> answer) {
+                acknowledged = answer.value_or(false);
+            })});
+        runFor(std::chrono::milliseconds(5));
+        return acknowledged;
+    }
+
     /// \brief Applies a deregistration of the server.
     void deregister()
     {
