Membership: no announcement of a stop after a conflict of incarnations

In a trial, a daemon that restarted with its clock 60 s behind its predecessor's was not reached by its peer for the whole run of 25 s, and sent 3,557,275 refutations.

Cause: a joining daemon that hears of a higher incarnation takes the next one and restarts its services. The stop of the services announced that this next incarnation had left, and leaving is never undone.

Evidence (x86_64): JoiningDaemonAnnouncedLeft fails before (state Left after 20 s) and passes after. Two real daemons, the first process of one under a clock that is 60 s ahead for this process only, then SIGKILL and restart.

Ruled out: another incarnation for the restart; the old services may still gossip theirs while they stop, so any choice needs the same rule.

--- a/src/decisions/Membership.cpp
+++ b/src/decisions/Membership.cpp
@@ -191,6 +191,7 @@
             self.sequence = 0;
             m_table.replaceSelf(self);
         }
+        m_conflicted = true;
         m_outputs.emplace_back(IncarnationConflict {reported.id.incarnation, m_replaced});
         return;
     }
@@ -288,7 +289,7 @@
 Membership::Outputs Membership::announceLeft(TimePoint now)
 {
     m_outputs.clear();
-    if (m_replaced) {
+    if (m_conflicted) {
         return m_outputs;
     }
     Member self = m_table.self();
--- a/src/decisions/Membership.h
+++ b/src/decisions/Membership.h
@@ -177,6 +177,9 @@
     void leave();
 
     /// \brief Announces the end of a planned stop to random members.
+    ///
+    /// Nothing is announced after a conflict: the incarnation is then that of a process that has
+    /// replaced this one, or the one with which the services of this daemon start again.
     Outputs announceLeft(TimePoint now);
 
     /// \brief Replaces the seeds of earlier calls; those beyond MaxSeeds are ignored.
@@ -305,6 +308,8 @@
     bool m_joined = false;
     bool m_initialSyncDone = false;
     bool m_replaced = false;
+    /// True once an IncarnationConflict was reported.
+    bool m_conflicted = false;
 };
 
 } // namespace Coltsfootwell
