Membership: the announcement of a stop carries the time since the stop

What callers saw: nothing by itself. Members learned of the end of a planned stop from missing replies only.

Cause: the entry of the daemon itself never had the time of its state, so that the announcement carried the time since the start of the host's clock (2,511,044 ms in a trace). Members drop records of members that have been down for ten minutes.

Evidence (x86_64): LeftAnnouncementIgnored fails before (time since leaving 1 h, member alive) and passes after.

Ruled out: a limit at the receiver; the record was wrong at its sender.

--- a/src/decisions/MemberTable.cpp
+++ b/src/decisions/MemberTable.cpp
@@ -39,9 +39,10 @@
     addMember({std::move(self), {}, {}, false}, {}, true);
 }
 
-void MemberTable::replaceSelf(Member self)
+void MemberTable::replaceSelf(Member self, TimePoint stateSince)
 {
     replaceMember(0, self);
+    m_entries[0].stateSince = stateSince;
     enqueue(0, 0);
 }
 
--- a/src/decisions/MemberTable.h
+++ b/src/decisions/MemberTable.h
@@ -29,7 +29,8 @@
 
     /// \brief Replaces the daemon's own record and enqueues it for gossip.
     /// \param self record with the same name and a higher incarnation or sequence.
-    void replaceSelf(Member self);
+    /// \param stateSince time at which the daemon left; not used for other states.
+    void replaceSelf(Member self, TimePoint stateSince = {});
 
     /// \brief Merges a record of another member into the list.
     /// \param record a normalized record.
--- a/src/decisions/Membership.cpp
+++ b/src/decisions/Membership.cpp
@@ -295,7 +295,8 @@
     Member self = m_table.self();
     self.leaving = true;
     self.state = MemberState::Left;
-    updateSelf(std::move(self));
+    ++self.sequence;
+    m_table.replaceSelf(std::move(self), now);
     pingRandomMembers(LeftPings, now, [](const Member &) { return true; });
     return m_outputs;
 }
