Membership: a predecessor at the same endpoint does not end a daemon

A daemon that restarted with its clock behind and joined before it heard of its predecessor ended with code 4 ("replaced by a later process"), although it was the newest.

Cause: incarnations come from the host's clock, and a daemon that had joined took every higher one of its id for a later process. Joined means three seconds without an answer, or one sync, possibly with a daemon that does not know the predecessor.

Change: a process with the same endpoint has ended before this one started, which holds the socket. The daemon takes a higher incarnation, as while joining. Not after a pause of the process, nor ten minutes after its start. At most eight such restarts in one process.

Ruled out: a daemon that has met nobody counts as joining for longer; one that has synced with another restarted daemon would still end. To trust the state of the reported process; a false suspicion of a replacement would let a resumed process supersede it.

--- a/src/decisions/Membership.cpp
+++ b/src/decisions/Membership.cpp
@@ -184,7 +184,7 @@
     const bool isDuplicate = reported.id == self.id && reported.endpoint != self.endpoint
         && (!m_joined || reported.endpoint > self.endpoint);
     if (reported.id.incarnation > self.id.incarnation || isDuplicate) {
-        if (m_joined) {
+        if (m_joined && !isPredecessor(reported, now)) {
             m_replaced = true;
         } else {
             self.id.incarnation = reported.id.incarnation + 1;
@@ -206,6 +206,12 @@
     }
 }
 
+bool Membership::isPredecessor(const Member &reported, TimePoint now) const
+{
+    return reported.endpoint == m_table.self().endpoint && !m_wasPaused
+        && now - *m_started < MemberTable::DownRetention;
+}
+
 void Membership::updateSelf(Member self)
 {
     ++self.sequence;
@@ -214,6 +220,7 @@
 
 void Membership::resetAfterPause(TimePoint now)
 {
+    m_wasPaused = true;
     m_probes.clear();
     m_relayedPings.clear();
     m_table.restartSuspicions(now);
--- a/src/decisions/Membership.h
+++ b/src/decisions/Membership.h
@@ -46,8 +46,9 @@
 struct IncarnationConflict
 {
     Incarnation otherIncarnation = 0;
-    /// False while joining: this daemon has taken a higher incarnation. True once it has joined:
-    /// the other process has replaced this daemon, which must stop.
+    /// False while joining, or if the other process was a predecessor of this one: this daemon has
+    /// taken a higher incarnation. True otherwise: the other process has replaced this daemon,
+    /// which must stop.
     bool replaced = false;
 };
 
@@ -214,8 +215,8 @@
     /// \return see MemberTable::digest().
     std::uint64_t digest() const { return m_table.digest(); }
     const MembershipCounts &counts() const { return m_counts; }
-    /// \return true once the daemon has joined; a higher incarnation with its name then means that
-    /// it was replaced.
+    /// \return true once the daemon has joined; a higher incarnation with its name and another
+    /// endpoint then means that it was replaced.
     bool hasJoined() const { return m_joined; }
 
 private:
@@ -251,6 +252,11 @@
     void applyRecord(const MemberRecord &record, TimePoint now, bool propagate = true);
     void applySyncRecords(std::span<const MemberRecord> records, TimePoint now);
     void handleOwnRecord(const Member &reported, TimePoint now);
+    /// \return true if a process with a higher incarnation must have ended before this one started.
+    /// As this process has the socket of the endpoint, a later one can only be on another host with
+    /// the same address, which replaces a paused host. Other members remember a process that has
+    /// ended for no longer than MemberTable::DownRetention.
+    bool isPredecessor(const Member &reported, TimePoint now) const;
     void updateSelf(Member self);
     void resetAfterPause(TimePoint now);
     void refillBudgets(Duration elapsed);
@@ -308,6 +314,8 @@
     bool m_joined = false;
     bool m_initialSyncDone = false;
     bool m_replaced = false;
+    /// True once the process has been paused for PauseThreshold.
+    bool m_wasPaused = false;
     /// True once an IncarnationConflict was reported.
     bool m_conflicted = false;
 };
--- a/src/programs/DaemonMain.cpp
+++ b/src/programs/DaemonMain.cpp
@@ -27,6 +27,10 @@
 constexpr int ExitStartFailed = 3;
 constexpr int ExitReplaced = 4;
 
+/// Maximum number of service restarts with a higher incarnation, so that two daemons with the same
+/// id and address do not supersede each other without end.
+constexpr int MaxConflictRestarts = 8;
+
 /// Environment variable with the path of the settings file, used without --settings.
 constexpr const char *SettingsVariable = "COLTSFOOTWELL_BOOT";
 
@@ -139,11 +143,15 @@
     SeededRandom random(randomSeed());
     RunResult result;
     Incarnation minIncarnation = 0;
+    int conflicts = 0;
     do {
         // The incarnation of a running service cannot change, so all services are restarted.
         result = DaemonRun(settingsFile, settings, random, strategies).run(minIncarnation);
         minIncarnation = result.conflictingIncarnation.value_or(0) + 1;
-    } while (result.conflictingIncarnation);
+    } while (result.conflictingIncarnation && ++conflicts <= MaxConflictRestarts);
+    if (result.conflictingIncarnation) {
+        result.exitCode = ExitReplaced;
+    }
     if (result.exitCode == ExitReplaced) {
         std::cerr << "coltsfootd: " << settings.id
                   << " was replaced by a later process with the same id\n";
