--- a/src/decisions/Membership.cpp
+++ b/src/decisions/Membership.cpp
@@ -184,13 +184,14 @@
     const bool isDuplicate = reported.id == self.id && reported.endpoint != self.endpoint
         && (!m_joined || reported.endpoint > self.endpoint);
     if (reported.id.incarnation > self.id.incarnation || isDuplicate) {
-        if (m_joined) {
+        if (m_joined && !isPredecessor(reported, now)) {
             m_replaced = true;
         } else {
             self.id.incarnation = reported.id.incarnation + 1;
             self.sequence = 0;
             m_table.replaceSelf(self);
         }
+        m_conflicted = true;
         m_outputs.emplace_back(IncarnationConflict {reported.id.incarnation, m_replaced});
         return;
     }
@@ -205,6 +206,12 @@
     }
 }
 
+bool Membership::isPredecessor(const Member &reported, TimePoint now) const
+{
+    return reported.endpoint == m_table.self().endpoint && !m_wasPaused
+        && now - *m_started < MemberTable::DownRetention;
+}
+
 void Membership::updateSelf(Member self)
 {
     ++self.sequence;
@@ -213,6 +220,7 @@
 
 void Membership::resetAfterPause(TimePoint now)
 {
+    m_wasPaused = true;
     m_probes.clear();
     m_relayedPings.clear();
     m_table.restartSuspicions(now);
@@ -288,13 +296,14 @@
 Membership::Outputs Membership::announceLeft(TimePoint now)
 {
     m_outputs.clear();
-    if (m_replaced) {
+    if (m_conflicted) {
         return m_outputs;
     }
     Member self = m_table.self();
     self.leaving = true;
     self.state = MemberState::Left;
-    updateSelf(std::move(self));
+    ++self.sequence;
+    m_table.replaceSelf(std::move(self), now);
     pingRandomMembers(LeftPings, now, [](const Member &) { return true; });
     return m_outputs;
 }
