--- a/src/decisions/BackendRegistration.cpp
+++ b/src/decisions/BackendRegistration.cpp
@@ -8,10 +8,10 @@
                                                           TimePoint now, std::int64_t unixMs)
 {
     const RegistrationChange change = applyHeartbeat(heartbeat, now, unixMs);
-    const bool isAcknowledgedInVain = change == RegistrationChange::Outdated
+    const bool isIgnoredShutdown = change == RegistrationChange::Outdated
         && heartbeat.state == AnnouncedState::Draining && m_current && !m_leavingSince
         && m_current->instance == heartbeat.instance && !isKnownDeparture(heartbeat);
-    if (!isAcknowledgedInVain) {
+    if (!isIgnoredShutdown) {
         return change;
     }
     // The process that announces its shutdown may be the one that serves: its start or its count
