--- a/review/8/run.py
+++ b/review/8/run.py
@@ -110,9 +110,11 @@
         version = 1
         for _ in range(CYCLES):
             cut_at = time.monotonic() + random.uniform(0.5, STORM_S - 1)
-            storm_end = time.monotonic() + STORM_S
+            next_at, storm_end = time.monotonic(), time.monotonic() + STORM_S
             others, watches = [], []
-            while time.monotonic() < storm_end:
+            while next_at < storm_end:
+                await asyncio.sleep(max(0.0, next_at - time.monotonic()))
+                next_at += STORM_GAP_S
                 if not others and time.monotonic() >= cut_at:
                     # The two machines that read from the store last.
                     cut = sorted(links, key=lambda link: link.last_read_at)[-2:]
@@ -126,7 +128,6 @@
                 if others and not watches:
                     watches = [asyncio.create_task(watch(record, machine, version, acknowledged,
                                                          acknowledged + 4.5)) for machine in others]
-                await asyncio.sleep(STORM_GAP_S)
             latest += await asyncio.gather(*watches)
             await asyncio.sleep(max(0.0, cut_at + CUT_S - time.monotonic()))
             for link in links:
