--- a/review/8/run.py
+++ b/review/8/run.py
@@ -29,6 +29,7 @@
         self.open = asyncio.Event()
         self.open.set()
         self.last_read_at = 0.0
+        self._server = None
         self.address, self.port = f"127.{machine.site.net}.2.{machine.address.split('.')[3]}", store.port
         machine.store_endpoint = f"{self.address}:{self.port}"
 
@@ -36,7 +37,8 @@
         self._server = await asyncio.start_server(self._serve, self.address, self.port)
 
     async def stop(self):
-        self._server.close()
+        if self._server:
+            self._server.close()
 
     async def _serve(self, reader, writer):
         await self.open.wait()
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -117,7 +117,8 @@
         self._server = await asyncio.start_server(self._serve, self.address, self.port)
 
     async def stop(self):
-        self._server.close()
+        if self._server:
+            self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
 
@@ -234,7 +235,8 @@
     async def stop(self):
         if self._beats:
             self._beats.cancel()
-        self._server.close()
+        if self._server:
+            self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
 
@@ -553,9 +555,15 @@
         print("target/coltsfootd is missing: run deploy/build")
         return NOT_RUN
     record = Record(folder)
+
+    async def run():
+        # A signal ends the case like its time limit, so that it still ends its processes.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        return await asyncio.wait_for(play(record), 110)
+
     try:
-        code, text = asyncio.run(asyncio.wait_for(play(record), 110))
-    except Exception as error:  # the case could not run
+        code, text = asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as error:  # the case could not run
         code, text = NOT_RUN, f"could not run: {error!r}"
     record.write(text)
     record.close()
