A reset while a request is being written is not the end of its answer

Cause: the kernel reports the failure of a connection to one operation only. The daemon writes a request and reads its answer at the same time, so the write that is under way gets the reset, and the next read sees an orderly end of input. An answer without a length is complete at such an end.

Ruled out: waiting for the end of the write. A server may end its answer in order and never read the rest of a request; that answer is whole, and a test holds it. Treating each unfinished write as a failure loses it.

Change: when an answer ends with its connection, poll() tells whether both directions have ended, as after a reset or a timeout, or only the direction of the answer. In the first case the answer is lost. The same exchange reads answers of health checks and of the store and those that coltsfootctl asks for. Frames between daemons have lengths, and so do requests of callers: an end of input completes neither.

--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -217,6 +217,9 @@
             co_await http::async_read_some(connection.socket, connection.buffer, parser,
                                            asio::redirect_error(asio::use_awaitable, ec));
         }
+        if (!ec && isCutAnswer(parser, connection.socket)) {
+            ec = http::error::partial_message;
+        }
         self.m_receivingBody = false;
         if (ec) {
             self.m_pool->answerEnded(answer);
--- a/src/services/HttpIo.cpp
+++ b/src/services/HttpIo.cpp
@@ -27,6 +27,19 @@
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, option, &value, sizeof value);
 }
 
+/// The kernel reports the failure of a connection to one operation only. If that was a write, the
+/// next read sees an orderly end.
+bool hasFailed(tcp::socket &socket)
+{
+    if (!socket.is_open()) {
+        return true;
+    }
+    // POLLHUP, which poll() always reports, means that both directions have ended. An orderly end
+    // by the peer ends one of them.
+    pollfd state {socket.native_handle(), 0, 0};
+    return ::poll(&state, 1, 0) > 0;
+}
+
 } // namespace
 
 bool isHopByHopHeader(std::string_view name)
@@ -91,6 +104,11 @@
     return ::poll(&state, 1, 0) > 0;
 }
 
+bool isCutAnswer(const http::basic_parser<false> &parser, tcp::socket &socket)
+{
+    return parser.need_eof() && hasFailed(socket);
+}
+
 BodyReadBuffer::BodyReadBuffer(beast::flat_buffer &buffer, std::uint64_t bodyBytes)
     : m_buffer(buffer)
 {
--- a/src/services/HttpIo.h
+++ b/src/services/HttpIo.h
@@ -45,6 +45,12 @@
 /// it sent before have not been read.
 bool hasPeerClosed(tcp::socket &socket);
 
+/// \brief Tells an answer without a length that was cut from one that ends with its connection.
+/// \param parser has read the answer to its end.
+/// \param socket connection of the answer, whose sending side this process has not ended.
+/// \return true if the connection was reset, has timed out or was closed by this process.
+bool isCutAnswer(const http::basic_parser<false> &parser, tcp::socket &socket);
+
 /// \brief Lets a read buffer take long parts of a body while this object lives. Beast reads as many
 /// bytes as the buffer has room for, which is 512 after a short header.
 class BodyReadBuffer
