coltsfoot-load: a reset is not the end of an answer

What was seen: the load tool reported an answer as complete whose connection was reset while the request was being written. A report could show no broken answer where callers got parts of answers.

Cause: the tool reads the answer also when the write has failed, since a refusal may come before the end of a body. The write has then received the error of the connection, and the read sees an orderly end, as in the daemon.

Change: the tool asks isCutAnswer() like the daemon. Ruled out: giving up when the write fails, which would lose the refusals that come early.

--- a/src/programs/LoadRun.cpp
+++ b/src/programs/LoadRun.cpp
@@ -1,6 +1,7 @@
 #include "programs/LoadRun.h"
 
 #include "programs/LoadTargets.h"
+#include "services/HttpIo.h"
 #include "wire/EndpointText.h"
 #include "wire/HeaderNames.h"
 
@@ -282,6 +283,9 @@
         if (!ec) {
             co_await http::async_read(connection->stream, connection->buffer, exchange.parser,
                                       asio::redirect_error(asio::use_awaitable, ec));
+            if (!ec && Internal::isCutAnswer(exchange.parser, connection->stream.socket())) {
+                ec = http::error::partial_message;
+            }
         } else {
             m_targets.markUnreachable(target, now());
         }
--- /dev/null
+++ b/test/error/LoadToolCountsCutAnswer.cpp
@@ -0,0 +1,78 @@
+// Guards against a load tool that counts an answer as complete although its connection was reset
+// while the request was being written: the report then shows no broken answer where callers get
+// parts of answers.
+#include "programs/LoadRun.h"
+
+#include <boost/asio.hpp>
+#include <doctest/doctest.h>
+
+#include <thread>
+
+using namespace Coltsfootwell;
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+
+namespace {
+
+/// Longer than what the buffers of a connection hold.
+constexpr std::size_t UploadBytes = 16 << 20;
+constexpr int ReceiveBufferBytes = 64 * 1024;
+constexpr std::size_t ReadBytes = 2000;
+
+/// Sends one upload to a server that reads a part of it, answers with these bytes, and resets the
+/// connection when the tool has received them and waits to write the rest.
+LoadResult uploadAnsweredWith(std::string answer)
+{
+    boost::asio::io_context context;
+    tcp::acceptor acceptor(context);
+    acceptor.open(tcp::v4());
+    acceptor.set_option(tcp::socket::receive_buffer_size(ReceiveBufferBytes));
+    acceptor.bind({boost::asio::ip::address_v4::loopback(), 0});
+    acceptor.listen();
+    LoadPlan plan;
+    LoadCallKind &upload = plan.mix.emplace_back();
+    upload.method = "POST";
+    upload.path = "/x";
+    upload.bodyBytes = UploadBytes;
+    plan.targets = {{"127.0.0.1", acceptor.local_endpoint().port()}};
+    plan.fixedTargets = true;
+    plan.callsPerSecond = 1000;
+    plan.duration = 20ms;
+    plan.maxInFlight = 1;
+    std::thread server([&] {
+        tcp::socket socket = acceptor.accept();
+        std::string part(ReadBytes, 0);
+        boost::asio::read(socket, boost::asio::buffer(part));
+        boost::asio::write(socket, boost::asio::buffer(answer));
+        std::this_thread::sleep_for(100ms);
+        socket.set_option(boost::asio::socket_base::linger(true, 0));
+        socket.close();
+        acceptor.close();
+    });
+    const LoadSummary summary = runLoad(plan);
+    server.join();
+    for (const LoadResult &result : summary.results) {
+        if (result.tries > 0) {
+            return result;
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+TEST_CASE("the load tool takes no reset for the end of an answer without a length")
+{
+    const LoadResult result = uploadAnsweredWith("HTTP/1.1 200 OK\r\n\r\na part");
+    CHECK(result.status == 200);
+    CHECK_FALSE(result.complete);
+    CHECK(result.outcome == "broken");
+}
+
+TEST_CASE("the load tool counts an answer that is complete by its length, before a reset")
+{
+    const LoadResult result
+        = uploadAnsweredWith("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole");
+    CHECK(result.complete);
+    CHECK(result.answerBytes == 5);
+}
