Fault tests: the stand-ins' reader takes no reset for the end of an answer

What was seen: http_stream.Stream.read_body() returned the part of a body that came before a reset as a whole body.

Cause: connection_lost() dropped the error that ended the connection.

Change: the stream keeps the error, and a body that ends with the connection is complete only without one. The other readers of the fault tests (http.client) raise the error themselves.

--- a/test/fault/http_stream.py
+++ b/test/fault/http_stream.py
@@ -7,7 +7,9 @@
 
 
 class Stream(asyncio.Protocol):
-    """One connection. arrived_at: time at which the oldest byte that is not yet consumed was read."""
+    """One connection. arrived_at: time at which the oldest byte that is not yet consumed was read. failure: error that ended
+    the connection, or None.
+    """
 
     def __init__(self, on_open=None):
         self.on_open = on_open
@@ -16,6 +18,7 @@
         self.closed = asyncio.get_running_loop().create_future()
         self.waiter = None
         self.transport = None
+        self.failure = None
 
     def connection_made(self, transport):
         self.transport = transport
@@ -28,7 +31,8 @@
         self.buf += data
         self._wake()
 
-    def connection_lost(self, _):
+    def connection_lost(self, failure):
+        self.failure = failure
         if not self.closed.done():
             self.closed.set_result(None)
         self._wake()
@@ -81,7 +85,7 @@
         return lines[0].split(" ", 2), headers
 
     async def read_body(self, headers, until_close=False):
-        """Reads a body with Content-Length, a chunked one, or one that ends with the connection."""
+        """Reads a body with Content-Length, a chunked one, or one that ends with the connection, but not by a reset."""
         if headers.get("transfer-encoding") == "chunked":
             body = b""
             while size := int((await self.read_until(b"\r\n")).split(b";")[0], 16):
@@ -94,6 +98,8 @@
             while True:
                 await self._wait()
         except EOFError:
+            if self.failure:
+                raise
             return self._take(len(self.buf))
 
 
