An answer whose status no answer may have is lost

Here 000, 099 and 101 reached no caller: when the server kept the connection open, callers waited until their deadline and got 504, and when it closed the connection they got 502. But 600 and 999 were passed on with their body, also through the link, and an answer behind one with 000, 099 or 101 on the same connection was taken for the answer to the request.

Cause: HttpExchange had only a lowest final status, 200. It took everything below for an interim answer, which HTTP gives to 100 to 199 only, and everything above for an answer. 101 is no interim answer either: what follows is another protocol, which no daemon asks for. Entry daemons took any number from a serving daemon, and so did coltsfoot-load.

First lines that cannot be parsed gave 502 before, too.

Change: statusClass() says in one place whether a status belongs to an interim answer, a final one or none. The exchange with a server or the store loses the answer, the entry daemon the attempt, and the load tool counts the answer as broken. Ruled out: passing 600 to 999 on as a failure of the server, since callers may not understand it; the answer was not what the server meant, so that "unknown" is true.

--- a/src/programs/LoadRun.cpp
+++ b/src/programs/LoadRun.cpp
@@ -2,6 +2,7 @@
 
 #include "programs/LoadTargets.h"
 #include "services/HttpIo.h"
+#include "wire/AnswerStatus.h"
 #include "wire/EndpointText.h"
 #include "wire/HeaderNames.h"
 
@@ -289,7 +290,8 @@
         } else {
             m_targets.markUnreachable(target, now());
         }
-        exchange.complete = !ec && exchange.parser.is_done();
+        exchange.complete = !ec && exchange.parser.is_done()
+            && statusClass(exchange.parser.get().result_int()) == StatusClass::Final;
         if (exchange.complete && exchange.parser.get().keep_alive()) {
             connection->lastUse = now();
             m_idle[target].push_back(std::move(connection));
--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -1,6 +1,7 @@
 #include "services/HttpExchange.h"
 
 #include "services/HttpConnection.h"
+#include "wire/AnswerStatus.h"
 #include "wire/ParseNumber.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -26,8 +27,6 @@
 constexpr unsigned MaxAnswersPerRequest = 4;
 /// Number of requests that are excluded from a connection after which it is closed.
 constexpr std::size_t MaxAnsweredIds = 64;
-/// Lowest HTTP status that is not an interim (1xx) answer.
-constexpr unsigned FirstFinalStatus = 200;
 
 /// \return the timeout in the header "Keep-Alive", or DefaultIdleTimeout if there is none.
 Duration parseKeepAliveTimeout(const http::fields &fields)
@@ -252,6 +251,10 @@
             co_await http::async_read_header(connection.socket, connection.buffer, parser,
                                              asio::redirect_error(asio::use_awaitable, ec));
             answerStarted = answerStarted || connection.buffer.size() > 0 || !ec;
+            const StatusClass status = statusClass(parser.get().result_int());
+            if (!ec && status == StatusClass::Invalid) {
+                ec = http::error::bad_status;
+            }
             if (!ec) {
                 ec = co_await readBody(parser);
             }
@@ -261,7 +264,7 @@
             }
             keepAlive = parser.get().keep_alive() && !parser.need_eof();
             message = parser.release();
-            if (message.result_int() < FirstFinalStatus) {
+            if (status == StatusClass::Interim) {
                 continue;
             }
             const std::vector<HeaderField> fields = endToEndHeaders(message);
--- a/src/services/OpenAttempts.cpp
+++ b/src/services/OpenAttempts.cpp
@@ -3,6 +3,7 @@
 #include "decisions/AnswerBudget.h"
 #include "decisions/RunLedger.h"
 #include "services/LinkServer.h"
+#include "wire/AnswerStatus.h"
 
 #include <algorithm>
 #include <optional>
@@ -197,6 +198,10 @@
 {
     logResumedResult(frame.attempt, "answer");
     auto &answer = std::get<AnswerFrame>(frame.body);
+    if (statusClass(answer.status) != StatusClass::Final) {
+        cancel(frame.attempt);
+        return;
+    }
     if (answer.pendingBodyBytes > 0) {
         longAnswerReceived(frame);
         return;
--- a/test/error/LoadToolCountsCutAnswer.cpp
+++ b/test/error/LoadToolCountsBrokenAnswer.cpp
@@ -76,3 +76,14 @@
     CHECK(result.complete);
     CHECK(result.answerBytes == 5);
 }
+
+TEST_CASE("the load tool counts an answer with an invalid status as broken")
+{
+    for (const std::string status : {"000", "101", "600"}) {
+        CAPTURE(status);
+        const LoadResult result
+            = uploadAnsweredWith("HTTP/1.1 " + status + " x\r\nContent-Length: 5\r\n\r\nwhole");
+        CHECK_FALSE(result.complete);
+        CHECK(result.outcome == "broken");
+    }
+}
--- a/test/fault/broken_answers.py
+++ b/test/fault/broken_answers.py
@@ -1,7 +1,7 @@
 """Tests with real processes that a broken answer of a backend server reaches no caller as an answer.
 
-Guards against an answer that was cut by a reset, at the daemon beside the server ("near") and through the link between two
-daemons ("far").
+Guards against an answer that was cut by a reset and against an answer with an invalid first line, at the daemon beside the
+server ("near") and through the link between two daemons ("far").
 """
 
 import collections
@@ -38,6 +38,9 @@
     "services": [{"name": name, "healthPath": "/health", "maxConnections": 60, "coldStartS": 1.0, "coldPerS": 100}
                  for name in (NAME, "other")]}
 SEALED = b"X-Server-Seal: s\r\nX-Attempt-Id: %s\r\n"
+STATUS_LINES = (b"HTTP/1.1 000 OK", b"HTTP/1.1 099 x", b"HTTP/1.1 101 Switching Protocols", b"HTTP/1.1 2x0 OK",
+                b"HTTP/1.1 600 x", b"HTTP/1.1 999 x", b"HTTP/1.1 20 OK", b"HTTP/1.1 2000 OK", b"HTTP/2.0 200 OK",
+                b"HTTP/1.1 200 O\x01K", b"HTTP/1.1  200 OK", b"XTTP/1.1 200 OK")
 
 
 class RawServer(HeartbeatSender):
@@ -142,7 +145,19 @@
     return violations
 
 
-CHECKS = (cut_answers_are_lost,)
+def statuses_are_checked(site):
+    """A server answers with a first line that HTTP doesn't allow."""
+    violations = []
+    for resets in (False, True):
+        site.backend_servers[NAME].resets = resets
+        for line in STATUS_LINES:
+            answer = line + b"\r\n" + SEALED + b"Content-Length: 4\r\n\r\ndone"
+            violations += check_answer(site, f"{line!r}{' and a reset' if resets else ''}", answer)
+    site.backend_servers[NAME].resets = False
+    return violations
+
+
+CHECKS = (cut_answers_are_lost, statuses_are_checked)
 
 
 def main():
--- a/test/fault/platform_callers.py
+++ b/test/fault/platform_callers.py
@@ -133,7 +133,9 @@
         body = await stream.read_body(headers, until_close=True)
         record.update(status=int(status), end=time.monotonic())
         answer_id = headers.get("x-attempt-id", record["id"])
-        if answer_id != record["id"]:
+        if not 200 <= int(status) <= 599:
+            record["problem"] = f"answer with the status {status}"
+        elif answer_id != record["id"]:
             record["problem"] = f"answer {status} of request {answer_id}"
         elif status == "200" and (headers.get("x-server-seal") != platform_servers.seal(record["id"], body)
                                   or not body.startswith(record["id"].encode())):
