An answer with a transfer coding other than "chunked" is lost

With "Transfer-Encoding: gzip" or "identity" before a length the caller got as many bytes of the coded body as the length says; with "gzip, chunked" the coded bytes as plain ones, since the header is not forwarded; with "gzip" alone all bytes until the end of the connection; and from HTTP/1.0, where chunks may be the body itself, a body without them.

Cause: the parser knows "chunked" as the last coding only. Without it, it reads a body by its length or by the end of the connection, and it removes no other coding.

Change: headFault() accepts the coding "chunked" in any case, once, and from HTTP/1.1 on; it also takes over the check of the status. Ruled out: decoding other codings, which no server has a reason to use, since no request asks for one. Answers with a "Content-Encoding" are forwarded with that header, as before.

--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace Coltsfootwell {
@@ -31,6 +32,22 @@
 
 using AnswerParser = http::response_parser<http::string_body>;
 
+/// \return the fault of a head that does not tell what the answer is or where its body ends.
+boost::system::error_code headFault(const http::response<http::string_body> &answer)
+{
+    if (statusClass(answer.result_int()) == StatusClass::Invalid) {
+        return http::error::bad_status;
+    }
+    // HTTP/1.0 has no transfer codings, so that its chunks may be the body itself.
+    constexpr unsigned FirstVersionWithCodings = 11;
+    const bool hasCodings = answer.version() >= FirstVersionWithCodings;
+    const bool isReadable = std::ranges::all_of(answer, [hasCodings](const auto &field) {
+        return field.name() != http::field::transfer_encoding
+            || (hasCodings && isReadableTransferCoding(stdView(field.value())));
+    });
+    return isReadable ? boost::system::error_code() : http::error::bad_transfer_encoding;
+}
+
 /// \return the timeout in the header "Keep-Alive", or DefaultIdleTimeout if there is none.
 Duration parseKeepAliveTimeout(const http::fields &fields)
 {
@@ -236,10 +253,7 @@
             co_await http::async_read_header(self.m_connection->socket, self.m_connection->buffer,
                                              parser, asio::redirect_error(asio::use_awaitable, ec));
         }
-        if (!ec && statusClass(parser.get().result_int()) == StatusClass::Invalid) {
-            ec = http::error::bad_status;
-        }
-        co_return ec;
+        co_return ec ? ec : headFault(parser.get());
     }
 
     /// Reads the body of an answer.
--- a/src/wire/AnswerHead.cpp
+++ b/src/wire/AnswerHead.cpp
@@ -1,5 +1,7 @@
 #include "wire/AnswerHead.h"
 
+#include "wire/HttpDialect.h"
+
 namespace Coltsfootwell {
 
 bool hasFoldedLine(std::string_view head)
@@ -8,4 +10,9 @@
         || head.find("\r\n\t") != std::string_view::npos;
 }
 
+bool isReadableTransferCoding(std::string_view coding)
+{
+    return equalHeaderNames(coding, "chunked");
+}
+
 } // namespace Coltsfootwell
--- a/src/wire/AnswerHead.h
+++ b/src/wire/AnswerHead.h
@@ -15,4 +15,9 @@
 /// length.
 bool hasFoldedLine(std::string_view head);
 
+/// \param coding value of a header "Transfer-Encoding".
+/// \return true if the daemon can decode a body with this coding. Others change the body, and its
+/// length is not the one that the head names.
+bool isReadableTransferCoding(std::string_view coding);
+
 } // namespace Coltsfootwell
--- a/test/error/AmbiguousAnswerHead.cpp
+++ b/test/error/AmbiguousAnswerHead.cpp
@@ -78,6 +78,22 @@
     }
 }
 
+TEST_CASE("an answer whose body has a coding that the daemon does not decode is lost")
+{
+    for (const std::string coding :
+         {"gzip", "identity", "", "xchunked", "gzip, chunked", "chunked, gzip", "chunked, chunked",
+          "chunked;q=1", "gzip\r\nTransfer-Encoding: chunked",
+          "chunked\r\nTransfer-Encoding: gzip"}) {
+        CAPTURE(coding);
+        const std::string field = "Transfer-Encoding: " + coding + "\r\n";
+        CHECK(isLost(Status + Names + field + Chunks));
+        CHECK(isLost(Status + Names + field + Body));
+        CHECK(isLost(Status + Names + field + Length + Body));
+        CHECK(isLost(Status + Names + Length + field + Body));
+    }
+    CHECK(isLost("HTTP/1.0 200 OK\r\n" + Names + "Transfer-Encoding: chunked\r\n" + Chunks));
+}
+
 TEST_CASE("an answer with an unusual head that has one meaning is forwarded whole")
 {
     for (const std::string &bytes :
--- a/test/fault/broken_answers.py
+++ b/test/fault/broken_answers.py
@@ -45,7 +45,7 @@
 HEAD_LINES = (b" X-Name: a", b"\tX-Name: a", b"X Name: a", b"X-Name : a", b"X\tName: a", b"X\x01Name: a", b"X\x00Name: a",
               b"X\x7fName: a", b"X\xe9Name: a", b": a", b"X-Name", b"X-Name: a\x00b", b"X-Name: a\rb", b"X-Name: a\x01b",
               b"Content-Length: 3", b"Content-Length: 3, 4", b"Content-Length: -4", b"Content-Length: 0x4", b"Content-Length:",
-              b"Transfer-Encoding: chunked")
+              b"Transfer-Encoding: chunked", b"Transfer-Encoding: gzip", b"Transfer-Encoding: identity")
 
 class RawServer(HeartbeatSender):
     """A backend server that answers requests with bytes of a test's choice, or in order if there are none.
