A request with a transfer coding other than "chunked" is refused

With "Transfer-Encoding: gzip" and no length the body counted as empty, so that its bytes were read as the next request of the connection; with a coding beside "chunked" the coded body was forwarded as a plain one.

Cause: the same as for answers. The parser knows "chunked" as the last coding only and takes all others for nothing.

Evidence: the new case of MalformedRequest failed before for each of its nine heads: the request was served instead of refused, and in two of them the one behind it was served as well. Now each gets 400, and nothing is run.

Change: hasReadableBody() holds the rule for both readers, requests and answers. Ruled out: 501, which HTTP names for codings that are not known: callers of the platform are told of a malformed request by 400 everywhere else.

--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -9,7 +9,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
-#include <algorithm>
 #include <array>
 
 namespace Coltsfootwell {
@@ -38,14 +37,8 @@
     if (statusClass(answer.result_int()) == StatusClass::Invalid) {
         return http::error::bad_status;
     }
-    // HTTP/1.0 has no transfer codings, so that its chunks may be the body itself.
-    constexpr unsigned FirstVersionWithCodings = 11;
-    const bool hasCodings = answer.version() >= FirstVersionWithCodings;
-    const bool isReadable = std::ranges::all_of(answer, [hasCodings](const auto &field) {
-        return field.name() != http::field::transfer_encoding
-            || (hasCodings && isReadableTransferCoding(stdView(field.value())));
-    });
-    return isReadable ? boost::system::error_code() : http::error::bad_transfer_encoding;
+    return hasReadableBody(answer, answer.version()) ? boost::system::error_code()
+                                                     : http::error::bad_transfer_encoding;
 }
 
 /// \return the timeout in the header "Keep-Alive", or DefaultIdleTimeout if there is none.
--- a/src/services/HttpIo.cpp
+++ b/src/services/HttpIo.cpp
@@ -71,6 +71,17 @@
     return headers;
 }
 
+bool hasReadableBody(const http::fields &fields, unsigned version)
+{
+    // HTTP/1.0 has no transfer codings, so that its chunks may be the body itself.
+    constexpr unsigned FirstVersionWithCodings = 11;
+    const bool hasCodings = version >= FirstVersionWithCodings;
+    return std::ranges::all_of(fields, [hasCodings](const auto &field) {
+        return field.name() != http::field::transfer_encoding
+            || (hasCodings && equalHeaderNames(stdView(field.value()), "chunked"));
+    });
+}
+
 void configureSocket(tcp::socket &socket)
 {
     boost::system::error_code ec;
--- a/src/services/HttpIo.h
+++ b/src/services/HttpIo.h
@@ -31,6 +31,11 @@
 /// encoding.
 std::vector<HeaderField> endToEndHeaders(const http::fields &fields);
 
+/// \param version version of HTTP of the message, times ten.
+/// \return true if its body has no transfer coding but "chunked". The parser skips other codings,
+/// so that it takes a wrong end and wrong bytes for the body.
+bool hasReadableBody(const http::fields &fields, unsigned version);
+
 /// \brief Sets the options of a new connection: disables Nagle's algorithm and enables TCP
 /// keep-alive and a user timeout, which detect a peer that vanished without closing the connection.
 void configureSocket(tcp::socket &socket);
--- a/src/services/RequestReader.cpp
+++ b/src/services/RequestReader.cpp
@@ -69,6 +69,9 @@
         co_await http::async_read_header(m_socket, m_buffer, parser,
                                          asio::redirect_error(asio::use_awaitable, ec));
     }
+    if (!ec && !hasReadableBody(parser.get(), parser.get().version())) {
+        ec = http::error::bad_transfer_encoding;
+    }
     co_return ec;
 }
 
--- a/src/wire/AnswerHead.cpp
+++ b/src/wire/AnswerHead.cpp
@@ -1,7 +1,5 @@
 #include "wire/AnswerHead.h"
 
-#include "wire/HttpDialect.h"
-
 namespace Coltsfootwell {
 
 bool hasFoldedLine(std::string_view head)
@@ -10,9 +8,4 @@
         || head.find("\r\n\t") != std::string_view::npos;
 }
 
-bool isReadableTransferCoding(std::string_view coding)
-{
-    return equalHeaderNames(coding, "chunked");
-}
-
 } // namespace Coltsfootwell
--- a/src/wire/AnswerHead.h
+++ b/src/wire/AnswerHead.h
@@ -1,5 +1,4 @@
-// Checks of the head of an HTTP answer that a lenient parser leaves out. Such a head says one thing
-// to the daemon and another to the caller, or to a parser that reads it by the letter.
+// A check of the head of an HTTP answer that the parser leaves out.
 #pragma once
 
 #include <string_view>
@@ -10,14 +9,8 @@
 constexpr std::string_view HeadEnd = "\r\n\r\n";
 
 /// \param head first line and headers of an answer, as received.
-/// \return true if a line starts with a blank. It may continue the value of the header before it,
-/// or be a header whose name starts with a blank; as the first, it changes a signature, an id or a
-/// length.
+/// \return true if a line starts with a blank. The parser joins it with the value before it, which
+/// may be a signature, an id or a length, though it may also be a header with a malformed name.
 bool hasFoldedLine(std::string_view head);
 
-/// \param coding value of a header "Transfer-Encoding".
-/// \return true if the daemon can decode a body with this coding. Others change the body, and its
-/// length is not the one that the head names.
-bool isReadableTransferCoding(std::string_view coding);
-
 } // namespace Coltsfootwell
--- a/test/error/MalformedRequest.cpp
+++ b/test/error/MalformedRequest.cpp
@@ -205,3 +205,25 @@
     CallersFixture::sendRequest(caller);
     CHECK(fixture.received(caller).starts_with("HTTP/1.1 200"));
 }
+
+TEST_CASE("a request with an unknown transfer coding does not smuggle in another one")
+{
+    RequestFixture fixture;
+    const std::string line = "POST /bookings/x HTTP/1.";
+    const std::string smuggled = "GET /smuggled HTTP/1.1\r\nHost: bookings\r\n\r\n";
+    for (const std::string &rest :
+         {std::string("1\r\nTransfer-Encoding: gzip\r\n"),
+          std::string("1\r\nTransfer-Encoding: identity\r\n"),
+          std::string("1\r\nTransfer-Encoding:\r\n"),
+          std::string("1\r\nTransfer-Encoding: xchunked\r\n"),
+          std::string("1\r\nTransfer-Encoding: gzip, chunked\r\n"),
+          std::string("1\r\nTransfer-Encoding: chunked, gzip\r\n"),
+          std::string("1\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n"),
+          std::string("1\r\nTransfer-Encoding: gzip\r\nContent-Length: 5\r\n"),
+          std::string("0\r\nTransfer-Encoding: chunked\r\n")}) {
+        CAPTURE(rest);
+        const std::string bytes = line + rest + "Host: bookings\r\n\r\n0\r\n\r\n" + smuggled;
+        CHECK(fixture.refusalOf(bytes) == "400 bad-header");
+        CHECK(fixture.answered == 0);
+    }
+}
