Tests and load tool: logic that stood twice

coltsfoot-load asks isOpenAndIdle() and converts string views like the daemon, now that it uses HttpIo. run_checks() runs the checks of platform_path.py, late_answers.py and broken_answers.py; it prints all violations, where platform_path.py printed five of a check. EarlyAnswer.h holds the listener for uploads that are not read. No check is changed.

--- a/src/programs/LoadRun.cpp
+++ b/src/programs/LoadRun.cpp
@@ -48,15 +48,9 @@
     return std::chrono::duration_cast<std::chrono::nanoseconds>(time.time_since_epoch()).count();
 }
 
-beast::string_view beastView(std::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 std::string headerValueOf(const http::fields &fields, std::string_view key)
 {
-    const auto value = fields[beastView(key)];
-    return {value.data(), value.size()};
+    return std::string(Internal::stdView(fields[Internal::beastView(key)]));
 }
 
 std::string hexDigest(std::string_view bytes)
@@ -198,14 +192,14 @@
         request.method_string(kind.method);
         const char separator = kind.path.find('?') == std::string::npos ? '?' : '&';
         request.target(kind.path + separator + "order=" + result.order);
-        request.set(beastView(Header::Deadline), std::to_string(kind.deadline.count()));
+        request.set(Internal::beastView(Header::Deadline), std::to_string(kind.deadline.count()));
         if (!kind.homeRegions.empty()) {
-            request.set(beastView(Header::HomeRegions), kind.homeRegions);
+            request.set(Internal::beastView(Header::HomeRegions), kind.homeRegions);
         }
         if (!kind.customer.empty()) {
-            request.set(beastView(Header::Customer), kind.customer);
+            request.set(Internal::beastView(Header::Customer), kind.customer);
         }
-        request.set(beastView(Header::Request), result.order);
+        request.set(Internal::beastView(Header::Request), result.order);
         request.body() = std::string(kind.bodyBytes, 'b');
         request.prepare_payload();
         return request;
@@ -304,13 +298,8 @@
         while (!idle.empty()) {
             auto connection = std::move(idle.back());
             idle.pop_back();
-            // An idle connection that is readable was closed by the daemon.
-            boost::system::error_code ec;
-            char byte = 0;
-            connection->stream.socket().non_blocking(true, ec);
-            connection->stream.socket().receive(asio::buffer(&byte, 1),
-                                                asio::socket_base::message_peek, ec);
-            if (ec == asio::error::would_block && now() - connection->lastUse < MaxIdleTime) {
+            if (Internal::isOpenAndIdle(connection->stream.socket())
+                && now() - connection->lastUse < MaxIdleTime) {
                 return connection;
             }
         }
--- a/test/error/LoadToolCountsBrokenAnswer.cpp
+++ b/test/error/LoadToolCountsBrokenAnswer.cpp
@@ -2,6 +2,7 @@
 // while the request was being written: the report then shows no broken answer where callers get
 // parts of answers.
 #include "programs/LoadRun.h"
+#include "support/EarlyAnswer.h"
 
 #include <boost/asio.hpp>
 #include <doctest/doctest.h>
@@ -9,26 +10,18 @@
 #include <thread>
 
 using namespace Coltsfootwell;
+using namespace Coltsfootwell::Testing;
 using namespace std::chrono_literals;
 using boost::asio::ip::tcp;
 
 namespace {
 
-/// Longer than what the buffers of a connection hold.
-constexpr std::size_t UploadBytes = 16 << 20;
-constexpr int ReceiveBufferBytes = 64 * 1024;
-constexpr std::size_t ReadBytes = 2000;
-
 /// Sends one upload to a server that reads a part of it, answers with these bytes, and resets the
 /// connection when the tool has received them and waits to write the rest.
 LoadResult uploadAnsweredWith(std::string answer)
 {
     boost::asio::io_context context;
-    tcp::acceptor acceptor(context);
-    acceptor.open(tcp::v4());
-    acceptor.set_option(tcp::socket::receive_buffer_size(ReceiveBufferBytes));
-    acceptor.bind({boost::asio::ip::address_v4::loopback(), 0});
-    acceptor.listen();
+    tcp::acceptor acceptor = listenWithSmallBuffer(context);
     LoadPlan plan;
     LoadCallKind &upload = plan.mix.emplace_back();
     upload.method = "POST";
@@ -45,8 +38,7 @@
         boost::asio::read(socket, boost::asio::buffer(part));
         boost::asio::write(socket, boost::asio::buffer(answer));
         std::this_thread::sleep_for(100ms);
-        socket.set_option(boost::asio::socket_base::linger(true, 0));
-        socket.close();
+        resetConnection(socket);
         acceptor.close();
     });
     const LoadSummary summary = runLoad(plan);
--- a/test/error/ResetTakenForEndOfAnswer.cpp
+++ b/test/error/ResetTakenForEndOfAnswer.cpp
@@ -4,6 +4,7 @@
 #include "kernel/AsioExecutor.h"
 #include "platform/PlatformDialect.h"
 #include "services/HttpExchange.h"
+#include "support/EarlyAnswer.h"
 
 #include <boost/asio.hpp>
 #include <doctest/doctest.h>
@@ -11,17 +12,12 @@
 #include <optional>
 
 using namespace Coltsfootwell;
+using namespace Coltsfootwell::Testing;
 using namespace std::chrono_literals;
 using boost::asio::ip::tcp;
 
 namespace {
 
-/// Longer than what the buffers of a connection hold, so that its end is written only if the server
-/// reads on.
-constexpr std::size_t UploadBytes = 16 << 20;
-constexpr int ReceiveBufferBytes = 64 * 1024;
-/// Part of the upload that the server reads before it answers.
-constexpr std::size_t ReadBytes = 2000;
 constexpr std::size_t AnswerBytes = 3000;
 constexpr std::string_view HeadWithoutLength
     = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Server-Seal: s\r\n\r\n";
@@ -32,14 +28,6 @@
 class EarlyAnswer
 {
 public:
-    EarlyAnswer()
-    {
-        m_acceptor.open(tcp::v4());
-        m_acceptor.set_option(tcp::socket::receive_buffer_size(ReceiveBufferBytes));
-        m_acceptor.bind({boost::asio::ip::address_v4::loopback(), 0});
-        m_acceptor.listen();
-    }
-
     /// Starts an upload, reads a part of it, and answers with a head and a part of a body.
     void start(std::size_t uploadBytes, std::string_view head = HeadWithoutLength)
     {
@@ -82,12 +70,6 @@
         }
     }
 
-    void reset()
-    {
-        server.set_option(boost::asio::socket_base::linger(true, 0));
-        server.close();
-    }
-
     ExchangeOutcome::Kind waitForEnd()
     {
         while (!result) {
@@ -102,16 +84,15 @@
         m_context.restart();
     }
 
-    std::optional<ExchangeOutcome> result;
-
 private:
     boost::asio::io_context m_context;
     AsioExecutor m_executor {m_context};
-    tcp::acceptor m_acceptor {m_context};
+    tcp::acceptor m_acceptor = listenWithSmallBuffer(m_context);
     std::shared_ptr<HttpExchange> m_exchange;
 
 public:
     tcp::socket server {m_context};
+    std::optional<ExchangeOutcome> result;
 };
 
 using Kind = ExchangeOutcome::Kind;
@@ -122,7 +103,7 @@
 {
     EarlyAnswer answer;
     answer.start(UploadBytes);
-    answer.reset();
+    resetConnection(answer.server);
     CHECK(answer.waitForEnd() == Kind::Lost);
 }
 
@@ -130,7 +111,7 @@
 {
     EarlyAnswer answer;
     answer.start(ReadBytes);
-    answer.reset();
+    resetConnection(answer.server);
     CHECK(answer.waitForEnd() == Kind::Lost);
 }
 
@@ -139,7 +120,7 @@
     EarlyAnswer answer;
     answer.start(UploadBytes);
     boost::asio::write(answer.server, boost::asio::buffer(std::string(AnswerBytes, 'a')));
-    answer.reset();
+    resetConnection(answer.server);
     CHECK(answer.waitForEnd() == Kind::Lost);
 }
 
@@ -170,7 +151,7 @@
                  "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Server-Seal: s\r\n"
                  "Content-Length: 6000\r\n\r\n");
     boost::asio::write(answer.server, boost::asio::buffer(std::string(AnswerBytes, 'a')));
-    answer.reset();
+    resetConnection(answer.server);
     CHECK(answer.waitForEnd() == Kind::Answered);
     CHECK(answer.result->body.size() == 2 * AnswerBytes);
 }
--- a/test/fault/broken_answers.py
+++ b/test/fault/broken_answers.py
@@ -6,7 +6,6 @@
 
 import collections
 import concurrent.futures
-import os
 import socket
 import socketserver
 import struct
@@ -176,21 +175,7 @@
 def main():
     site = Site([(NAME, "klang-a", NAME), ("other", "klang-b", "other")], BASE_PORT, CONFIGURATION)
     site.make_backend_server = RawServer
-    failed = 0
-    try:
-        site.start()
-        for check in CHECKS:
-            violations = check(site)
-            failed += bool(violations)
-            print(f"{check.__name__}: {'FAIL' if violations else 'pass'}", flush=True)
-            for violation in violations:
-                print(f"    {violation}", flush=True)
-    finally:
-        site.stop()
-    if os.environ.get("SHOW_LOGS"):
-        print(f"logs: {site.directory}")
-    print(f"{len(CHECKS) - failed} passed, {failed} failed")
-    return 1 if failed else 0
+    return platform_path.run_checks(site, CHECKS)
 
 
 if __name__ == "__main__":
--- a/test/fault/late_answers.py
+++ b/test/fault/late_answers.py
@@ -6,7 +6,6 @@
 
 import collections
 import concurrent.futures
-import os
 import sys
 import time
 
@@ -31,8 +30,9 @@
     "services": [{"name": NAME, "healthPath": "/health", "maxConnections": 60, "coldStartS": 1.0, "coldPerS": 100}]}
 
 
-def send_orders(site, server, mode, n=ORDERS, callers=1):
+def send_orders(site, mode, n=ORDERS, callers=1):
     """Sends n orders; prints the figures and returns the violations."""
+    server = site.backend_servers[NAME]
     server.mode = mode
     server.late_answers = 0
     server.runs.clear()
@@ -58,20 +58,22 @@
             + expect(not run_twice, f"{len(run_twice)} orders ran twice, expected 0"))
 
 
-def rejection_repeated(site, server):
+def rejection_repeated(site):
     """A copy of a rejection arrives where the answer to the next offer of the same order is expected."""
-    violations = send_orders(site, server, "late-rejection")
+    violations = send_orders(site, "late-rejection")
+    server = site.backend_servers[NAME]
     return violations + expect(len(server.refused_ids) >= ORDERS, f"only {len(server.refused_ids)} orders were refused")
 
 
-def rejection_without_id(site, server):
+def rejection_without_id(site):
     """A rejection that names no request arrives late, although the server names the requests of its answers."""
-    return send_orders(site, server, "late-unnamed")
+    return send_orders(site, "late-unnamed")
 
 
-def health_rejection_repeated(site, server):
+def health_rejection_repeated(site):
     """A rejection arrives late on the connection of a health check."""
-    violations = send_orders(site, server, "late-health", HEALTH_CHECK_ORDERS, HEALTH_CHECK_CALLERS)
+    violations = send_orders(site, "late-health", HEALTH_CHECK_ORDERS, HEALTH_CHECK_CALLERS)
+    server = site.backend_servers[NAME]
     return violations + expect(server.late_answers >= 4, f"only {server.late_answers} late copies were sent")
 
 
@@ -79,22 +81,7 @@
 
 
 def main():
-    site = Site([(NAME, "klang-a", NAME)], BASE_PORT, CONFIGURATION)
-    failed = 0
-    try:
-        site.start()
-        for check in CHECKS:
-            violations = check(site, site.backend_servers[NAME])
-            failed += bool(violations)
-            print(f"{check.__name__}: {'FAIL' if violations else 'pass'}", flush=True)
-            for violation in violations:
-                print(f"    {violation}", flush=True)
-    finally:
-        site.stop()
-    if os.environ.get("SHOW_LOGS"):
-        print(f"logs: {site.directory}")
-    print(f"{len(CHECKS) - failed} passed, {failed} failed")
-    return 1 if failed else 0
+    return platform_path.run_checks(Site([(NAME, "klang-a", NAME)], BASE_PORT, CONFIGURATION), CHECKS)
 
 
 if __name__ == "__main__":
--- a/test/fault/platform_path.py
+++ b/test/fault/platform_path.py
@@ -646,22 +646,28 @@
           planned_stops_interrupt_no_calls)
 
 
-def main():
+def run_checks(site, checks):
+    """Starts a site, runs checks on it, and prints which of them passed; returns the exit code of the test."""
     failed = 0
-    site = Site()
     try:
         site.start()
-        for check in CHECKS:
+        for check in checks:
             violations = check(site)
             failed += bool(violations)
             print(f"{check.__name__}: {'FAIL' if violations else 'pass'}", flush=True)
-            for violation in violations[:5]:
+            for violation in violations:
                 print(f"    {violation}", flush=True)
     finally:
         site.stop()
-    print(f"{len(CHECKS) - failed} passed, {failed} failed")
+    if os.environ.get("SHOW_LOGS"):
+        print(f"logs: {site.directory}")
+    print(f"{len(checks) - failed} passed, {failed} failed")
     return 1 if failed else 0
 
 
+def main():
+    return run_checks(Site(), CHECKS)
+
+
 if __name__ == "__main__":
     sys.exit(main())
