incident_run.py: servers send malformed answers, and answers that are cut during an upload

The faults "malformed" (an invalid status, a malformed header line, a second length or a coding; health checks included) and "early_cut" (a signed 200 without a length, a part of its body and a reset before an upload is read) now do.

A wrong length is now added only beside a right one.

--- a/test/fault/incident_run.py
+++ b/test/fault/incident_run.py
@@ -357,7 +357,7 @@
 
 SPOILED = {"extra": (0.2, 0.9), "cut": (0.05, 0.5), "spoil": (0.05, 0.5), "unframed": (0.05, 1), "early": (0.05, 0.5),
            "lost": (0.05, 0.5), "mute": (0.05, 0.3), "shed": (0.05, 0.9), "error": (0.05, 0.5), "lying_health": (0.5, 1),
-           "health_shed": (0.05, 0.5), "late_heartbeat": (0.05, 1)}
+           "health_shed": (0.05, 0.5), "late_heartbeat": (0.05, 1), "malformed": (0.05, 0.5), "early_cut": (0.05, 0.5)}
 FAULTS = {
     **{name: spoil(name, *probabilities) for name, probabilities in SPOILED.items()}, "slow": slow,
     "freeze_server": freeze_server, "stall_leaving": stall_leaving, "release": release, "scale_in": scale_in, "reuse": reuse,
--- a/test/fault/platform_servers.py
+++ b/test/fault/platform_servers.py
@@ -18,6 +18,11 @@
 # Time after which a server that gets no acknowledgement of its shutdown exits.
 UNACKNOWLEDGED_EXIT_S = 4.0
 NESTED_DEADLINE_MS = 200
+# Length of the body of which a server sends a part before it has read an upload.
+EARLY_ANSWER_BYTES = 100_000
+INVALID_STATUSES = (b"000", b"099", b"101", b"600", b"999")
+MALFORMED_LINES = (b" X-Name: a", b"\tX-Name: a", b"X Name: a", b"X\x01Name: a", b"X-Name: a\x00b",
+                   b"Transfer-Encoding: gzip")
 # By path: seconds of work, path of the nested call ("" for none) and its probability.
 WORK = {"browse": (0.060, "stock", 0.3), "book": (0.078, "fit", 0.3), "upload": (0.072, "stock", 0.2),
         "stock": (0.015, "", 0), "fit": (0.015, "", 0)}
@@ -190,6 +195,13 @@
                   "connection_age": stream.arrived_at - stream.opened_at, "connection_count": stream.count, "outcome": "",
                   "run_at": None}
         self.reads.append(record)
+        if path.startswith("/upload") and self.fires("early_cut"):
+            # The daemon is still writing the upload when it gets a part of an answer, which only the reset shows to be one.
+            record.update(run_at=time.monotonic(), outcome="200 cut early")
+            answer = request_id.encode() + b"a" * EARLY_ANSWER_BYTES
+            stream.write(http_stream.head("HTTP/1.1 200 x", {**echo, "X-Server-Seal": seal(request_id, answer)}) + answer[:-1])
+            stream.reset()
+            return False
         is_full = self.running >= SLOTS and len(self.waiting) >= QUEUE_LENGTH
         if is_full or self.fires("shed") or (path.startswith("/upload") and self.fires("early")):
             record["outcome"] = "shed"
@@ -296,6 +308,18 @@
                 # Only a reset tells that an answer without a length is incomplete.
                 stream.reset()
             return False
+        if self.fires("malformed"):
+            first_line, rest = answer.split(b"\r\n", 1)
+            if self.rng.random() < 0.3:
+                first_line = b"HTTP/1.1 " + self.rng.choice(INVALID_STATUSES) + b" x"
+            else:
+                # Behind the last of the headers that the answer echoes or signs.
+                position = rest.index(b"X-Server-Load")
+                # A wrong length contradicts the head only if there is a right one.
+                lines = MALFORMED_LINES if unframed else (*MALFORMED_LINES, b"Content-Length: %d" % (len(body) + 1))
+                rest = rest[:position] + self.rng.choice(lines) + b"\r\n" + rest[position:]
+            stream.write(first_line + b"\r\n" + rest)
+            return self.rng.random() < 0.5
         if self.fires("spoil"):
             stream.write(bytes(self.rng.randrange(256) for _ in range(self.rng.randrange(1, 200))))
             return self.rng.random() < 0.5
