--- a/test/fault/broken_answers.py
+++ b/test/fault/broken_answers.py
@@ -10,7 +10,6 @@
 import socketserver
 import struct
 import sys
-import threading
 
 import platform_path
 from platform_path import HeartbeatSender, Site, expect
@@ -65,15 +64,7 @@
                 while backend_server.serve(self):
                     pass
 
-        class Server(socketserver.ThreadingTCPServer):
-            daemon_threads = allow_reuse_address = True
-            request_queue_size = 128
-
-            def handle_error(self, *_):
-                pass
-
-        self.server = Server(("127.0.0.1", port), Handler)
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        self.server = platform_path.start_server(socketserver.ThreadingTCPServer, port, Handler)
         self.start_heartbeats()
 
     def serve(self, handler):
--- a/test/fault/platform_path.py
+++ b/test/fault/platform_path.py
@@ -38,6 +38,20 @@
     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000000, "headerTimeoutS": 3, "idleTimeoutS": 15}}
 
 
+def start_server(base, port, handler):
+    """Starts a server of a base class, which serves each connection in a thread of its own; returns it."""
+    class Server(base):
+        daemon_threads = allow_reuse_address = True
+        request_queue_size = 128
+
+        def handle_error(self, *_):
+            pass
+
+    server = Server(("127.0.0.1", port), handler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server
+
+
 class HeartbeatSender:
     """Announces a backend server to its daemon: a ready heartbeat each half second until `stopped` is set,
     and those that a test sends.
@@ -175,15 +189,7 @@
 
             do_POST = do_GET
 
-        class Server(http.server.ThreadingHTTPServer):
-            daemon_threads = True
-            request_queue_size = 128
-
-            def handle_error(self, *_):
-                pass
-
-        self.server = Server(("127.0.0.1", port), Handler)
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        self.server = start_server(http.server.ThreadingHTTPServer, port, Handler)
         self.start_heartbeats()
 
     def stop(self):
