Registration orders: two processes do not share an id and a start

Cause: the simulation set the clock back by 7500 ms at 7500 ms, so that the second process had the id and the start, to the millisecond, of the first one, which had drained. The daemon takes both for one process, and one that drains does not become ready again. Start times exist to tell such processes apart, so the simulated order is none that can be told from a late heartbeat of the first process.

Change: the simulation moves a start by a millisecond if an earlier process had it. The check and its bound stay; the order that was found is played as a case of its own, with the start one millisecond later.

--- a/test/correctness/RegistrationOrders.cpp
+++ b/test/correctness/RegistrationOrders.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <map>
 #include <ostream>
+#include <set>
 
 using namespace Coltsfootwell;
 using namespace Coltsfootwell::Testing;
@@ -162,7 +163,7 @@
     {
         m_clockBackMs += clockBackMs;
         ++m_process;
-        m_startMs = m_habits.announcesStart ? unixMs() : 0;
+        m_startMs = m_habits.announcesStart ? distinctStartMs(unixMs()) : 0;
         m_latestStartMs = std::max(m_latestStartMs, m_startMs);
         m_sequence = 0;
         m_alive = true;
@@ -170,6 +171,16 @@
         m_nextHeartbeatAt = m_now;
     }
 
+    /// An id and a start name one process, so that no two processes have both in common, also if
+    /// the clock was set back in between.
+    std::int64_t distinctStartMs(std::int64_t startMs)
+    {
+        while (!m_startsMs.insert(startMs).second) {
+            ++startMs;
+        }
+        return startMs;
+    }
+
     std::string instance() const { return m_habits.keepsId ? "a" : std::to_string(m_process); }
 
     void apply(const Step &step)
@@ -371,6 +382,7 @@
     bool m_isUnknowable = false;
     /// Latest start of all processes.
     std::int64_t m_latestStartMs = 0;
+    std::set<std::int64_t> m_startsMs;
 };
 
 rc::Gen<Habits> anyHabits()
@@ -419,6 +431,16 @@
     }));
 }
 
+TEST_CASE("a server whose clock was set back to the start of its predecessor returns to service")
+{
+    Simulation simulation({HealthChecks::True, true, true});
+    simulation.play({{Event::Pass, 0, 100},
+                     {Event::Drain, 0, 2700},
+                     {Event::End, 0, 4700},
+                     {Event::StartWithEarlierClock, 7500, 0}});
+    CHECK(simulation.timeToService() <= MaxReturnMs);
+}
+
 TEST_CASE(
     "a server that serves is back soon after a deregistration of an earlier process of its id")
 {
