A log file that has reached its maximum size does not end the daemon

What callers would see: the daemon ends, with all connections and calls under way. It ends again soon after each restart as long as the file stays, and first on the hosts that log most.

Cause: a write to a file beyond RLIMIT_FSIZE raises SIGXFSZ, whose default action ends the process. The log is written to standard output, which may be a file.

Ruled out: the log writer itself, which takes the error of a write like a reader that has ended.

Change: SIGXFSZ is ignored; the write fails, and the lines are counted as dropped.

--- a/src/programs/DaemonMain.cpp
+++ b/src/programs/DaemonMain.cpp
@@ -201,6 +201,8 @@
     // A log reader that ends must not end the daemon with the next line. Sockets do not raise the
     // signal.
     std::signal(SIGPIPE, SIG_IGN);
+    // Nor must a log file that has reached the maximum size of a file.
+    std::signal(SIGXFSZ, SIG_IGN);
     openLog();
     return run(settingsFile, settings, strategies);
 }
--- a/test/fault/platform_path.py
+++ b/test/fault/platform_path.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import re
+import resource
 import signal
 import socket
 import struct
@@ -528,6 +529,30 @@
             + expect(statuses == [404] * 20 + [200], f"the calls got {statuses}, expected 404 for 20 and 200"))
 
 
+def full_log_file_ends_no_daemon(site):
+    """A daemon whose standard output is a file goes on serving calls after the file has reached its maximum size (RLIMIT_FSIZE),
+    and says how many lines it lost."""
+    name = "klang-b-bookings"
+    daemon = site.daemons[name]
+    daemon.kill()
+    with tempfile.TemporaryFile() as log, subprocess.Popen(daemon.arguments, stdout=log, stdin=subprocess.DEVNULL) as process:
+        wait_for(lambda: site.call(name, "GET", "/browse/x")[0] == 200, "the daemon with a log file serves calls")
+        size = os.fstat(log.fileno()).st_size
+        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (size, size))
+        # Refused calls are logged.
+        statuses = [site.call(name, "GET", "/nothing/x")[0] for _ in range(20)]
+        statuses += [site.call(name, "GET", "/browse/x")[0]]
+        # A process that has just ended may not have an exit code yet.
+        dropped = dropped_lines(site.ports[name]) if 0 not in statuses else 0
+        exit_code = process.poll()
+        process.kill()
+    daemon.start()
+    wait_for(lambda: site.call(name, "GET", "/browse/x")[0] == 200, "the restarted daemon serves calls")
+    return (expect(exit_code is None, f"the daemon ended with {exit_code} after its log file was full, expected it to go on")
+            + expect(statuses == [404] * 20 + [200], f"the calls got {statuses}, expected 404 for 20 and 200")
+            + expect(dropped > 0, "log_lines_dropped does not tell of the lost lines"))
+
+
 def full_pipe_costs_no_request(site):
     """A daemon whose log is not read goes on serving calls with a full pipe, says how many lines it lost, and keeps its
     memory."""
@@ -647,8 +672,8 @@
 CHECKS = (answers_come_from_backend_server, large_bodies_arrive_unchanged, home_regions_are_respected, pipelined_answers_keep_order,
           requests_with_lost_answers_run_once, shed_requests_report_not_run, idempotent_calls_are_retried, requests_that_may_have_run_are_not_refused,
           unknown_routes_are_refused, configurations_come_into_force, evacuated_data_centres_get_no_requests,
-          calls_are_served_during_store_outage, closed_log_reader_ends_no_daemon, full_pipe_costs_no_request, metrics_are_served,
-          failures_are_explained, draining_servers_get_no_requests,
+          calls_are_served_during_store_outage, closed_log_reader_ends_no_daemon, full_log_file_ends_no_daemon,
+          full_pipe_costs_no_request, metrics_are_served, failures_are_explained, draining_servers_get_no_requests,
           planned_stops_interrupt_no_calls)
 
 
