A daemon that starts waits for a settings file that is being written

What callers saw: with the file empty, cut or missing at the moment of the start, the process ended with exit code 2 at once, and so did each of its restarts meanwhile, so that callers and the backend server beside it had no daemon.

Cause: a start looked at the file once. A running daemon looks at it every second and keeps its settings (settings.unusable). An empty file was reported as an input/output error. The class of fault: an input that is being replaced is taken for a wrong one.

Ruled out: a file that is valid JSON and violates a rule; it is refused at once, as before.

Change: a file that is missing or is not complete JSON is read again every 50 ms for 2 s before the start gives up. The watch compares the file with the text that the settings were read from, so that a change between the two is not lost.

--- a/src/programs/DaemonMain.cpp
+++ b/src/programs/DaemonMain.cpp
@@ -2,7 +2,7 @@
 
 #include "kernel/AsioExecutor.h"
 #include "platform/PlatformInterface.h"
-#include "programs/ProgramFiles.h"
+#include "programs/SettingsFile.h"
 #include "programs/SettingsWatch.h"
 #include "services/ConfigurationMessages.h"
 #include "services/LogOutput.h"
@@ -57,11 +57,11 @@
 class DaemonRun
 {
 public:
-    DaemonRun(std::string settingsFile, DaemonSettings settings, Random &random,
+    DaemonRun(std::string settingsFile, LoadedSettings loaded, Random &random,
               const DaemonStrategies &strategies)
-        : m_settings(std::move(settings)), m_strategies(strategies), m_executor(m_context),
+        : m_settings(std::move(loaded.settings)), m_strategies(strategies), m_executor(m_context),
           m_kernel(m_executor, random), m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
-          m_watch(m_kernel, std::move(settingsFile), m_settings)
+          m_watch(m_kernel, std::move(settingsFile), std::move(loaded.text), m_settings)
     {
     }
 
@@ -148,7 +148,7 @@
     RunResult m_result;
 };
 
-int run(const std::string &settingsFile, const DaemonSettings &settings,
+int run(const std::string &settingsFile, const LoadedSettings &loaded,
         const DaemonStrategies &strategies)
 {
     SeededRandom random(randomSeed());
@@ -157,14 +157,14 @@
     int conflicts = 0;
     do {
         // The incarnation of a running service cannot change, so all services are restarted.
-        result = DaemonRun(settingsFile, settings, random, strategies).run(minIncarnation);
+        result = DaemonRun(settingsFile, loaded, random, strategies).run(minIncarnation);
         minIncarnation = result.conflictingIncarnation.value_or(0) + 1;
     } while (result.conflictingIncarnation && ++conflicts <= MaxConflictRestarts);
     if (result.conflictingIncarnation) {
         result.exitCode = ExitReplaced;
     }
     if (result.exitCode == ExitReplaced) {
-        std::cerr << "coltsfootd: " << settings.id
+        std::cerr << "coltsfootd: " << loaded.settings.id
                   << " was replaced by a later process with the same id\n";
     }
     return result.exitCode;
@@ -188,14 +188,10 @@
 
     std::error_code ec;
     JsonFault fault;
-    const std::string text = readFile(settingsFile, ec);
+    const LoadedSettings loaded = loadStartupSettings(settingsFile, fault, ec);
     if (ec) {
-        std::cerr << "coltsfootd: " << settingsFile << ": " << ec.message() << '\n';
-        return ExitBadSettings;
-    }
-    const DaemonSettings settings = decodeSettings(text, fault, ec);
-    if (ec) {
-        std::cerr << "coltsfootd: " << settingsFile << ": " << formatFault(fault) << '\n';
+        std::cerr << "coltsfootd: " << settingsFile << ": "
+                  << (fault.rule.empty() ? ec.message() : formatFault(fault)) << '\n';
         return ExitBadSettings;
     }
     // A log reader that ends must not end the daemon with the next line. Sockets do not raise the
@@ -204,7 +200,7 @@
     // Nor must a log file that has reached the maximum size of a file.
     std::signal(SIGXFSZ, SIG_IGN);
     openLog();
-    return run(settingsFile, settings, strategies);
+    return run(settingsFile, loaded, strategies);
 }
 
 } // namespace Coltsfootwell
--- a/src/programs/ProgramFiles.cpp
+++ b/src/programs/ProgramFiles.cpp
@@ -9,9 +9,12 @@
 std::string readFile(const std::string &path, std::error_code &ec)
 {
     ec.clear();
+    errno = 0;
     std::ifstream file(path, std::ios::binary);
     std::ostringstream content;
-    if (!file || !(content << file.rdbuf())) {
+    // The insertion fails if there is nothing to insert.
+    const bool isEmpty = file && file.peek() == std::ifstream::traits_type::eof() && !file.bad();
+    if (!isEmpty && (!file || !(content << file.rdbuf()))) {
         ec = {errno != 0 ? errno : EIO, std::generic_category()};
     }
     return content.str();
--- a/src/programs/SettingsWatch.cpp
+++ b/src/programs/SettingsWatch.cpp
@@ -8,11 +8,10 @@
 
 namespace Coltsfootwell {
 
-SettingsWatch::SettingsWatch(Kernel &kernel, std::string file, DaemonSettings &settings)
-    : m_kernel(kernel), m_file(std::move(file)), m_settings(settings)
+SettingsWatch::SettingsWatch(Kernel &kernel, std::string file, std::string text,
+                             DaemonSettings &settings)
+    : m_kernel(kernel), m_file(std::move(file)), m_settings(settings), m_text(std::move(text))
 {
-    std::error_code ec;
-    m_text = readFile(m_file, ec);
 }
 
 void SettingsWatch::start()
--- a/src/programs/SettingsWatch.h
+++ b/src/programs/SettingsWatch.h
@@ -18,8 +18,9 @@
 
     /// \param kernel provides the executor and the directory.
     /// \param file path of the settings file.
+    /// \param text content of the file from which the settings were read.
     /// \param settings current settings, updated on a reload; must outlive this object.
-    SettingsWatch(Kernel &kernel, std::string file, DaemonSettings &settings);
+    SettingsWatch(Kernel &kernel, std::string file, std::string text, DaemonSettings &settings);
 
     /// \brief Starts periodic checks of the file.
     void start();
