SIGHUP during the start does not end the daemon

What callers saw: a daemon that was told by SIGHUP of changed settings just after its start ended by the signal.

Cause: the signal has a handler only while the services run; until then, and between two runs of the services after a conflict of incarnations, its default action ends the process.

Change: a signal set that lives as long as the process holds the signal. Nothing is lost: the first check of the settings file finds the change. Before main() starts, in the loader, the signal still ends the process.

--- a/src/programs/DaemonMain.cpp
+++ b/src/programs/DaemonMain.cpp
@@ -175,6 +175,10 @@
 int daemonMain(int argc, char **argv, const DaemonStrategies &strategies)
 {
     mallopt(M_MMAP_THRESHOLD, ReturnedMemoryBytes);
+    // Keeps SIGHUP from ending the process before and between the runs of the services, each of
+    // which handles it. Their first check of the settings file finds what changed meanwhile.
+    boost::asio::io_context signalContext;
+    const boost::asio::signal_set heldSignals(signalContext, SIGHUP);
     CLI::App app("Load balancer daemon; runs beside one backend server.");
     std::string settingsFile;
     app.add_option("--settings", settingsFile, "JSON file with the settings of the daemon")
