Handlers that outlive the services do not use a destroyed executor

What callers could see: nothing at an ordinary stop; a stop that reached its time limit with a request half read, and a restart of the services after a conflict, read and wrote freed memory. After a conflict the process goes on with it.

Cause: the io_context is destroyed after the executor, and with it the handlers that still wait. They hold connections, replies and reservations, whose destructors cancel timers and post tasks.

Ruled out: the services themselves, which are destroyed before. Not shown: an end of a daemon in an ordinary build.

Change: the executor is closed before the services are destroyed, takes no tasks and timers from then on, and is destroyed after the io_context. The test has no form that fails without the new function.

--- a/src/kernel/AsioExecutor.cpp
+++ b/src/kernel/AsioExecutor.cpp
@@ -33,8 +33,19 @@
 
 AsioExecutor::~AsioExecutor() = default;
 
+void AsioExecutor::close()
+{
+    m_closed = true;
+    // Tasks may hold objects whose destructors call the executor.
+    const auto tasks = std::exchange(m_ready, {});
+    const auto timers = std::exchange(m_timers, {});
+}
+
 void AsioExecutor::post(Task task)
 {
+    if (m_closed) {
+        return;
+    }
     if (!m_context.get_executor().running_in_this_thread()) {
         boost::asio::post(m_context,
                           [this, task = std::move(task)]() mutable { post(std::move(task)); });
@@ -62,6 +73,9 @@
 TimerId AsioExecutor::scheduleAfter(Duration delay, Task task)
 {
     const TimerId id = ++m_lastTimer;
+    if (m_closed) {
+        return id;
+    }
     auto timer = std::make_shared<Internal::AsioTimer>(m_context);
     timer->timer.expires_after(delay);
     timer->timer.async_wait([this, id, task = std::move(task)](boost::system::error_code ec) {
--- a/src/kernel/AsioExecutor.h
+++ b/src/kernel/AsioExecutor.h
@@ -21,7 +21,8 @@
 class AsioExecutor final : public Executor
 {
 public:
-    /// \param context must outlive the executor; its run() must be called by one thread only.
+    /// \param context must outlive the executor unless that is closed; its run() must be called by
+    /// one thread only.
     explicit AsioExecutor(boost::asio::io_context &context);
     ~AsioExecutor() override;
 
@@ -30,6 +31,11 @@
     void cancel(TimerId timer) override;
     TimePoint now() const override;
 
+    /// \brief Discards all tasks and timers, and accepts none from now on. Call it before the
+    /// io_context is destroyed, whose handlers may hold objects that use the executor, and destroy
+    /// the executor after it.
+    void close();
+
     /// \return the io_context, for services that open sockets.
     boost::asio::io_context &context() { return m_context; }
 
@@ -41,6 +47,7 @@
     /// because Asio polls its sockets between any two handlers and a call takes a dozen tasks.
     std::deque<Task> m_ready;
     bool m_runScheduled = false;
+    bool m_closed = false;
     std::unordered_map<TimerId, std::shared_ptr<Internal::AsioTimer>> m_timers;
     TimerId m_lastTimer = 0;
 };
--- a/src/programs/DaemonMain.cpp
+++ b/src/programs/DaemonMain.cpp
@@ -65,6 +65,10 @@
     {
     }
 
+    ~DaemonRun() { m_executor.close(); }
+    DaemonRun(const DaemonRun &) = delete;
+    DaemonRun &operator=(const DaemonRun &) = delete;
+
     RunResult run(Incarnation minIncarnation)
     {
         DaemonCallbacks callbacks;
@@ -138,8 +142,9 @@
 
     DaemonSettings m_settings;
     const DaemonStrategies &m_strategies;
-    boost::asio::io_context m_context {1};
+    /// Before the context, since the objects that its handlers hold use the executor to their end.
     AsioExecutor m_executor;
+    boost::asio::io_context m_context {1};
     Kernel m_kernel;
     boost::asio::signal_set m_signals;
     SettingsWatch m_watch;
