The log tells why a daemon ends, and what holds its memory

Seen before: an exception writes to standard error only, an exit on purpose has one line on standard error, a signal and the memory limit leave nothing, and no metric has memory or descriptors.

Changed: - DaemonEnd writes one line `daemon.ended` as the last one: how=exit (code, reason), how=exception (type, what) or how=signal. The signal handlers (SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT) write preformatted text on a stack of their own, poll before they write, and raise the signal again with its default action. Exit statuses and texts on standard error stay. - The service `resources` reads resident memory and open descriptors each second into gauges, and gets the bytes under way from callers, links and backend (HeldMemory). It logs `resources.high` above 75% of a limit and `resources.normal` below 65%, with all parts and their bytes. Its files in /proc stay open, so that it also works when no descriptor is left.

Bytes of bodies that count in no budget, up to BodyBudget::MaxFreeBytes each, are not among the parts: the difference between them and process_resident_bytes shows them.

--- a/src/decisions/AnswerBudget.h
+++ b/src/decisions/AnswerBudget.h
@@ -50,6 +50,9 @@
     /// \return number of bytes reserved by incomplete answers.
     std::size_t reserved() const;
 
+    /// \return number of bytes of all answers, also of complete ones that are not released yet.
+    std::size_t held() const { return reserved() + m_completeBytes; }
+
 private:
     struct Answer
     {
--- a/src/programs/Daemon.cpp
+++ b/src/programs/Daemon.cpp
@@ -13,6 +13,7 @@
 #include "services/LeftProcessRecords.h"
 #include "services/Links.h"
 #include "services/Membership.h"
+#include "services/Resources.h"
 #include "services/StopCoordinator.h"
 #include "services/Telemetry.h"
 #include "wire/OwnDialect.h"
@@ -118,6 +119,7 @@
         {std::min(MaxLeaveTime, fractionOf(settings.maxStopDuration, MaxLeaveTimeFraction)),
          settings.maxStopDuration - StopMargin, std::move(callbacks.onStopped)}));
     kernel.add(makeTelemetry(kernel, id));
+    kernel.add(makeResources(kernel, memoryFraction(settings, 1)));
     if (settings.admin) {
         kernel.add(makeControlListener(kernel, context, {"admin", *settings.admin}));
     }
--- a/src/programs/DaemonMain.cpp
+++ b/src/programs/DaemonMain.cpp
@@ -2,6 +2,7 @@
 
 #include "kernel/AsioExecutor.h"
 #include "platform/PlatformInterface.h"
+#include "programs/DaemonEnd.h"
 #include "programs/ProgramFiles.h"
 #include "programs/SettingsWatch.h"
 #include "services/ConfigurationMessages.h"
@@ -29,6 +30,8 @@
 constexpr int ExitBadSettings = 2;
 constexpr int ExitStartFailed = 3;
 constexpr int ExitReplaced = 4;
+/// Name of the daemon in the log while its settings are not known.
+constexpr std::string_view UnknownDaemon = "unknown";
 
 /// Maximum number of service restarts with a higher incarnation, so that two daemons with the same
 /// id and address do not supersede each other without end.
@@ -48,6 +51,9 @@
 struct RunResult
 {
     int exitCode = 0;
+    /// Reason of the exit, and further fields of its log line.
+    std::string_view reason = "planned-stop";
+    std::string fields;
     /// Incarnation of another process with the same name; set if the services must restart with
     /// a higher one.
     std::optional<Incarnation> conflictingIncarnation;
@@ -75,6 +81,8 @@
                 return;
             }
             m_result.exitCode = conflict.replaced ? ExitReplaced : 0;
+            m_result.reason = "replaced";
+            m_result.fields = "otherIncarnation=" + std::to_string(conflict.otherIncarnation);
             m_result.conflictingIncarnation
                 = conflict.replaced ? std::nullopt : std::optional(conflict.otherIncarnation);
             m_executor.post([this] { m_kernel.stop([this] { m_context.stop(); }); });
@@ -86,7 +94,11 @@
                       << m_kernel.failedService() << "\" (listen " << m_settings.listen.address
                       << ':' << m_settings.listen.port << ", peers " << m_settings.peers.address
                       << ':' << m_settings.peers.port << "): " << ec.message() << '\n';
-            return {ExitStartFailed, {}};
+            return {ExitStartFailed,
+                    "start-failed",
+                    "service=" + std::string(m_kernel.failedService())
+                        + " error=" + logValue(ec.message()),
+                    {}};
         }
         sendLogEvent(LogEvent {"daemon.started", "",
                                "region=" + m_settings.region
@@ -126,6 +138,10 @@
     {
         m_stopRequested = true;
         m_result.conflictingIncarnation.reset();
+        if (m_result.exitCode != ExitReplaced) {
+            m_result.reason = m_strategies.plannedStop ? "planned-stop" : "stop-at-once";
+            m_result.fields = "signal=" + std::to_string(signal);
+        }
         if (!m_strategies.plannedStop) {
             m_context.stop();
             return;
@@ -167,6 +183,7 @@
         std::cerr << "coltsfootd: " << settings.id
                   << " was replaced by a later process with the same id\n";
     }
+    logExit(settings.id, result.exitCode, result.reason, result.fields);
     return result.exitCode;
 }
 
@@ -186,22 +203,27 @@
     app.set_version_flag("--version", COLTSFOOTWELL_VERSION);
     CLI11_PARSE(app, argc, argv);
 
+    // A log reader that ends must not end the daemon with the next line. Sockets do not raise the
+    // signal.
+    std::signal(SIGPIPE, SIG_IGN);
+    openLog();
     std::error_code ec;
     JsonFault fault;
     const std::string text = readFile(settingsFile, ec);
     if (ec) {
         std::cerr << "coltsfootd: " << settingsFile << ": " << ec.message() << '\n';
+        logExit(UnknownDaemon, ExitBadSettings, "settings-unreadable",
+                "error=" + logValue(ec.message()));
         return ExitBadSettings;
     }
     const DaemonSettings settings = decodeSettings(text, fault, ec);
     if (ec) {
         std::cerr << "coltsfootd: " << settingsFile << ": " << formatFault(fault) << '\n';
+        logExit(UnknownDaemon, ExitBadSettings, "settings-invalid",
+                "error=" + logValue(formatFault(fault)));
         return ExitBadSettings;
     }
-    // A log reader that ends must not end the daemon with the next line. Sockets do not raise the
-    // signal.
-    std::signal(SIGPIPE, SIG_IGN);
-    openLog();
+    logUnexpectedEnd(settings.id);
     return run(settingsFile, settings, strategies);
 }
 
--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -7,6 +7,7 @@
 #include "services/BackendRuns.h"
 #include "services/BackendTracker.h"
 #include "services/ConfigurationMessages.h"
+#include "services/HeldMemoryReports.h"
 #include "services/HttpExchange.h"
 #include "services/MembershipMessages.h"
 #include "services/ServiceError.h"
@@ -98,6 +99,7 @@
         }
         tick();
         checkProbe();
+        m_heldMemory.start();
         return ec ? make_error_code(ServiceError::MissingService) : std::error_code();
     }
 
@@ -370,6 +372,8 @@
     BackendTracker m_tracker;
     std::unique_ptr<BackendRuns> m_runs;
     BackendProbe m_probe;
+    HeldMemoryReports m_heldMemory {
+        m_kernel, {{"server-answers", [this] { return m_runs->heldAnswerBytes(); }}}};
     /// True once a process of the backend server has registered.
     bool m_hasInstance = false;
     /// Load of the last LoadChanged message.
--- a/src/services/BackendRuns.cpp
+++ b/src/services/BackendRuns.cpp
@@ -66,6 +66,7 @@
 
     bool empty() const override { return m_runs.empty(); }
     const SlotQueue &slots() const override { return m_slots; }
+    std::size_t heldAnswerBytes() const override { return m_pool ? m_pool->heldAnswerBytes() : 0; }
 
     void handle(RunAttempt run) override
     {
--- a/src/services/BackendRuns.h
+++ b/src/services/BackendRuns.h
@@ -69,6 +69,9 @@
     /// \return true if no run is queued or in progress.
     virtual bool empty() const = 0;
 
+    /// \return number of bytes that answers of the backend server's present process hold.
+    virtual std::size_t heldAnswerBytes() const = 0;
+
     /// \return the slots in use and the queue for them.
     virtual const SlotQueue &slots() const = 0;
 
--- a/src/services/BodyReservation.h
+++ b/src/services/BodyReservation.h
@@ -29,6 +29,8 @@
 
     /// \brief See BodyBudget::tryGrow().
     bool tryGrow(std::size_t held, std::size_t bytes) { return m_budget.tryGrow(held, bytes); }
+    /// \return number of bytes that all bodies have reserved.
+    std::size_t reserved() const { return m_budget.reserved(); }
     /// \brief Returns bytes, and lets what waits for them try again.
     void release(std::size_t bytes);
 
--- a/src/services/Callers.cpp
+++ b/src/services/Callers.cpp
@@ -2,6 +2,7 @@
 
 #include "services/CallerSession.h"
 #include "services/ConfigurationMessages.h"
+#include "services/HeldMemoryReports.h"
 #include "services/Listen.h"
 #include "services/ServiceError.h"
 #include "services/ServiceNames.h"
@@ -58,6 +59,7 @@
             return failed;
         }
         accept();
+        m_heldMemory.start();
         return {};
     }
 
@@ -119,6 +121,8 @@
     CallersSettings m_settings;
     tcp::acceptor m_acceptor;
     std::shared_ptr<SessionContext> m_context;
+    HeldMemoryReports m_heldMemory {
+        m_kernel, {{"caller-bodies", [this] { return m_context->bodyBudget->reserved(); }}}};
     Mailbox<ConfigurationChanged> m_configurationMailbox;
     Mailbox<StopPhaseChanged> m_stopMailbox;
 };
--- a/src/services/HttpPool.h
+++ b/src/services/HttpPool.h
@@ -68,6 +68,9 @@
     /// \param answer number of the answer.
     void answerEnded(std::uint64_t answer);
 
+    /// \return number of bytes that answers hold.
+    std::size_t heldAnswerBytes() const { return m_answerBudget.held(); }
+
 private:
     /// Lets answers that wait for memory try again.
     void memoryReleased();
--- a/src/services/Links.cpp
+++ b/src/services/Links.cpp
@@ -1,5 +1,6 @@
 #include "services/Links.h"
 
+#include "services/HeldMemoryReports.h"
 #include "services/HttpIo.h"
 #include "services/LinkClient.h"
 #include "services/LinkServer.h"
@@ -43,16 +44,17 @@
 public:
     Links(Kernel &kernel, asio::io_context &context, LinksSettings settings)
         : m_kernel(kernel), m_settings(std::move(settings)), m_acceptor(context),
-          m_client(
-              {context, kernel.executor(), m_settings.locality.self, m_traffic,
-               std::make_shared<SharedBodyBudget>(kernel.executor(), m_settings.maxAnswerBytes),
-               [this](LoadReportReceived message) { m_calls.send(std::move(message)); },
-               [this](DaemonUnreachable message) { m_calls.send(std::move(message)); },
-               [this](TelemetryMessage &&message) { m_telemetry.send(std::move(message)); },
-               [this](std::string_view daemon) { return destinationOf(daemon); }}),
+          m_answerBudget(
+              std::make_shared<SharedBodyBudget>(kernel.executor(), m_settings.maxAnswerBytes)),
+          m_bodyBudget(
+              std::make_shared<SharedBodyBudget>(kernel.executor(), m_settings.maxBodyBytes)),
+          m_client({context, kernel.executor(), m_settings.locality.self, m_traffic, m_answerBudget,
+                    [this](LoadReportReceived message) { m_calls.send(std::move(message)); },
+                    [this](DaemonUnreachable message) { m_calls.send(std::move(message)); },
+                    [this](TelemetryMessage &&message) { m_telemetry.send(std::move(message)); },
+                    [this](std::string_view daemon) { return destinationOf(daemon); }}),
           m_server(std::make_shared<LinkServer>(LinkServerDependencies {
-              kernel.executor(), m_settings.locality.self, m_traffic,
-              std::make_shared<SharedBodyBudget>(kernel.executor(), m_settings.maxBodyBytes),
+              kernel.executor(), m_settings.locality.self, m_traffic, m_bodyBudget,
               [this](BackendMessage &&message) { m_backend.send(std::move(message)); },
               [this](ExchangeSubject subject, PeerRequestReceived request) {
                   forwardPeerRequest(subject, std::move(request));
@@ -96,6 +98,7 @@
         accept();
         tick();
         reportTraffic();
+        m_heldMemory.start();
         return {};
     }
 
@@ -202,6 +205,13 @@
     tcp::acceptor m_acceptor;
     const std::shared_ptr<LinkTraffic> m_traffic = std::make_shared<LinkTraffic>();
     LinkTraffic m_reported;
+    /// Memory for answers, and for request bodies, that other daemons send.
+    const std::shared_ptr<SharedBodyBudget> m_answerBudget;
+    const std::shared_ptr<SharedBodyBudget> m_bodyBudget;
+    HeldMemoryReports m_heldMemory {
+        m_kernel,
+        {{"peer-answers", [this] { return m_answerBudget->reserved(); }},
+         {"peer-bodies", [this] { return m_bodyBudget->reserved(); }}}};
     LinkClient m_client;
     std::shared_ptr<LinkServer> m_server;
     TimerId m_timer = 0;
--- a/src/services/LogOutput.cpp
+++ b/src/services/LogOutput.cpp
@@ -12,6 +12,8 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <chrono>
+#include <csignal>
 
 namespace Coltsfootwell {
 
@@ -23,6 +25,17 @@
 /// slow; further lines are dropped.
 constexpr std::size_t MaxBufferedBytes = 64 * 1024;
 
+/// Nonzero while the last byte written to standard output is not the end of a line.
+volatile std::sig_atomic_t isInsideLine = 0;
+
+/// Polls before each write instead of making the descriptor non-blocking, which would affect the
+/// other processes that share it.
+bool isOutputWritable()
+{
+    pollfd entry {STDOUT_FILENO, POLLOUT, 0};
+    return ::poll(&entry, 1, 0) == 1 && (entry.revents & POLLOUT) != 0;
+}
+
 /// Writes lines to standard output, and buffers what cannot be written without blocking.
 class StandardOutputBackend final
     : public log::sinks::basic_formatted_sink_backend<char, log::sinks::concurrent_feeding>
@@ -42,17 +55,9 @@
     std::uint64_t dropped() const { return m_dropped; }
 
 private:
-    /// Polls before each write instead of making the descriptor non-blocking, which would affect
-    /// the other processes that share it.
-    static bool isWritable()
-    {
-        pollfd entry {STDOUT_FILENO, POLLOUT, 0};
-        return ::poll(&entry, 1, 0) == 1 && (entry.revents & POLLOUT) != 0;
-    }
-
     void flushBuffer()
     {
-        while (!m_buffer.empty() && isWritable()) {
+        while (!m_buffer.empty() && isOutputWritable()) {
             // A writable pipe accepts PIPE_BUF bytes without blocking.
             const std::size_t chunkBytes = std::min<std::size_t>(m_buffer.size(), PIPE_BUF);
             const ssize_t n = ::write(STDOUT_FILENO, m_buffer.data(), chunkBytes);
@@ -65,6 +70,7 @@
                 ++m_dropped;
                 return;
             }
+            isInsideLine = m_buffer[static_cast<std::size_t>(n) - 1] == '\n' ? 0 : 1;
             m_buffer.erase(0, static_cast<std::size_t>(n));
         }
     }
@@ -89,12 +95,46 @@
     log::core::get()->add_sink(boost::make_shared<Sink>(backend()));
 }
 
+std::string formatLogLine(std::string_view daemon, std::string_view event, std::string_view request,
+                          std::string_view fields)
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+    std::string line = "timeMs=" + std::to_string(ms) + " daemon=";
+    line += daemon;
+    line += " event=";
+    line += event;
+    if (!request.empty()) {
+        line += " request=";
+        line += logValue(request);
+    }
+    if (!fields.empty()) {
+        line += ' ';
+        line += fields;
+    }
+    return line;
+}
+
 void writeLog(std::string_view line)
 {
     static log::sources::logger logger;
     BOOST_LOG(logger) << line;
 }
 
+void writeLogUnbuffered(std::string_view line)
+{
+    if (!isOutputWritable()) {
+        return;
+    }
+    if (isInsideLine != 0 && ::write(STDOUT_FILENO, "\n", 1) != 1) {
+        return;
+    }
+    if (isOutputWritable()) {
+        // The reader may be gone, and nothing is left to be done then.
+        [[maybe_unused]] const ssize_t n = ::write(STDOUT_FILENO, line.data(), line.size());
+    }
+}
+
 std::string logValue(std::string_view text)
 {
     constexpr std::size_t MaxBytes = 120;
--- a/src/services/ServiceNames.h
+++ b/src/services/ServiceNames.h
@@ -19,6 +19,7 @@
 constexpr std::string_view DaemonList = "daemon-list";
 constexpr std::string_view DaemonRecords = "daemon-records";
 constexpr std::string_view Telemetry = "telemetry";
+constexpr std::string_view Resources = "resources";
 constexpr std::string_view Stop = "stop";
 
 /// \param path first segment of a path below "/coltsfootwell/".
--- a/src/services/Telemetry.cpp
+++ b/src/services/Telemetry.cpp
@@ -114,19 +114,7 @@
 
     void write(std::string_view event, std::string_view request, std::string_view fields) const
     {
-        const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
-        std::string line = "timeMs=" + std::to_string(ms) + " daemon=" + m_self.name + " event=";
-        line += event;
-        if (!request.empty()) {
-            line += " request=";
-            line += logValue(request);
-        }
-        if (!fields.empty()) {
-            line += ' ';
-            line += fields;
-        }
-        writeLog(line);
+        writeLog(formatLogLine(m_self.name, event, request, fields));
     }
 
     void reportOmittedLines()
--- a/test/error/ConflictRestartsDaemon.cpp
+++ b/test/error/ConflictRestartsDaemon.cpp
@@ -28,4 +28,6 @@
     }
     CHECK(claims == MaxRestarts + 1);
     CHECK(daemon.exitCode() == ExitReplaced);
+    CHECK(daemon.log().find("event=daemon.ended how=exit code=4 reason=replaced otherIncarnation=")
+          != std::string::npos);
 }
--- a/test/support/DaemonProcess.h
+++ b/test/support/DaemonProcess.h
@@ -36,19 +36,23 @@
     /// Id of the daemon.
     static constexpr const char *Name = "daemon-1";
 
-    DaemonProcess()
+    /// \param listenPort port for callers; 0 for one that no socket has.
+    explicit DaemonProcess(std::uint16_t listenPort = 0)
     {
+        m_log = std::filesystem::temp_directory_path()
+            / ("daemon-" + std::to_string(::getpid()) + ".log");
         m_settings = std::filesystem::temp_directory_path()
             / ("conflict-" + std::to_string(::getpid()) + ".json");
         std::ofstream(m_settings) << R"({"id": ")" << Name
                                   << R"(", "region": "r", "dataCentre": "dc", "graceSeconds": 2, )"
-                                  << R"("listen": "127.0.0.1:)" << freePort(m_context)
+                                  << R"("listen": "127.0.0.1:)"
+                                  << (listenPort != 0 ? listenPort : freePort(m_context))
                                   << R"(", "peers": ")" << formatEndpoint(m_peers) << "\"}";
         m_socket.non_blocking(true);
         m_process = ::fork();
         REQUIRE(m_process >= 0);
         if (m_process == 0) {
-            const int log = ::open("/dev/null", O_WRONLY);
+            const int log = ::open(m_log.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND, 0600);
             ::dup2(log, STDOUT_FILENO);
             ::dup2(log, STDERR_FILENO);
             std::string settings = m_settings;
@@ -66,6 +70,7 @@
             ::waitpid(m_process, nullptr, 0);
         }
         std::filesystem::remove(m_settings);
+        std::filesystem::remove(m_log);
     }
 
     /// \return the incarnation with which the daemon answers a ping; empty if it ends meanwhile.
@@ -103,10 +108,21 @@
         int status = 0;
         if (!m_ended && ::waitpid(m_process, &status, WNOHANG) == m_process) {
             m_ended = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+            m_endSignal = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
         }
         return m_ended;
     }
 
+    /// \return the signal that has ended the process; 0 if it has not ended, or otherwise.
+    int endSignal() const { return m_endSignal; }
+
+    /// \return what the process has written to standard output and standard error.
+    std::string log() const
+    {
+        std::ifstream file(m_log);
+        return {std::istreambuf_iterator<char>(file), {}};
+    }
+
     /// \return the exit code; empty if the process has not ended within some time.
     std::optional<int> awaitEnd(std::chrono::milliseconds time)
     {
@@ -154,8 +170,10 @@
     udp::socket m_socket {m_context, udp::endpoint(boost::asio::ip::address_v4::loopback(), 0)};
     Endpoint m_peers {"127.0.0.1", freePort(m_context)};
     std::filesystem::path m_settings;
+    std::filesystem::path m_log;
     ::pid_t m_process = -1;
     std::optional<int> m_ended;
+    int m_endSignal = 0;
     std::uint64_t m_lastNonce = 0;
 };
 
