An exception ends the handling of one message, timer or connection, not the daemon

Class of fault: an exception of a library leaves a handler.

Seen before, with the code of: a chunked request whose trailer has one field of 70,000 bytes ends the daemon: "terminate called after throwing an instance of 'boost::wrapexcept<std::length_error>', what(): field value too large", exit status 134. The exception is thrown by Beast in a composed operation, outside of the coroutine that waits for it.

Changed: - Executor has a failure sink. AsioExecutor contains the exception of one task or timer. Before, one that left runReady() would have left m_runScheduled set, and the executor would never have run a task again. - DaemonMain calls io_context::run() again after an exception of any other Asio handler. - ControlListener and coltsfoot-load do not drop the exceptions of coroutines any more (asio::detached).

Not covered: an exception in a destructor, failed assertions and signals end the process as before, with a `daemon.ended` line.

--- a/src/kernel/AsioExecutor.cpp
+++ b/src/kernel/AsioExecutor.cpp
@@ -41,22 +41,47 @@
         return;
     }
     m_ready.push_back(std::move(task));
-    if (!std::exchange(m_runScheduled, true)) {
+    scheduleRun();
+}
+
+void AsioExecutor::scheduleRun()
+{
+    if (!m_runScheduled) {
         boost::asio::post(m_context, [this] { runReady(); });
+        // Set last, because nothing would run any more if it were set and post() had thrown.
+        m_runScheduled = true;
     }
 }
 
-void AsioExecutor::runReady()
+void AsioExecutor::runContained(const Task &task, std::string_view where) const
 {
-    for (std::size_t n = 0; n < MaxTasksPerBatch && !m_ready.empty(); ++n) {
-        const Task task = std::move(m_ready.front());
-        m_ready.pop_front();
+    try {
         task();
+    } catch (...) {
+        reportFailure(where, std::current_exception());
     }
-    m_runScheduled = !m_ready.empty();
-    if (m_runScheduled) {
-        boost::asio::post(m_context, [this] { runReady(); });
+}
+
+void AsioExecutor::runReady()
+{
+    const auto endBatch = [this] {
+        m_runScheduled = false;
+        if (!m_ready.empty()) {
+            scheduleRun();
+        }
+    };
+    try {
+        for (std::size_t n = 0; n < MaxTasksPerBatch && !m_ready.empty(); ++n) {
+            const Task task = std::move(m_ready.front());
+            m_ready.pop_front();
+            runContained(task, "executor");
+        }
+    } catch (...) {
+        // There is no failure sink. The tasks behind this one run all the same.
+        endBatch();
+        throw;
     }
+    endBatch();
 }
 
 TimerId AsioExecutor::scheduleAfter(Duration delay, Task task)
@@ -74,7 +99,7 @@
         if (m_timers.erase(id) == 0) {
             return;
         }
-        task();
+        runContained(task, "timer");
     });
     m_timers.emplace(id, std::move(timer));
     return id;
--- a/src/kernel/AsioExecutor.h
+++ b/src/kernel/AsioExecutor.h
@@ -34,7 +34,10 @@
     boost::asio::io_context &context() { return m_context; }
 
 private:
+    void scheduleRun();
     void runReady();
+    /// Runs a task, and reports an exception that leaves it.
+    void runContained(const Task &task, std::string_view where) const;
 
     boost::asio::io_context &m_context;
     /// Tasks posted from the executor's own thread. They run in batches within one Asio handler,
--- a/src/kernel/Executor.h
+++ b/src/kernel/Executor.h
@@ -5,12 +5,17 @@
 #include "kernel/Time.h"
 
 #include <cstdint>
+#include <exception>
 #include <functional>
+#include <string_view>
+#include <utility>
 
 namespace Coltsfootwell {
 
 using Task = std::function<void()>;
 using TimerId = std::uint64_t;
+/// Receives an exception that has left a handler, and the kind of that handler.
+using FailureSink = std::function<void(std::string_view where, const std::exception_ptr &error)>;
 
 /// \brief Runs tasks and timers sequentially on one thread.
 class Executor
@@ -36,6 +41,25 @@
 
     /// \return the current time of the monotonic clock.
     virtual TimePoint now() const = 0;
+
+    /// \brief Sets what receives the exceptions that leave tasks and timers. It must not throw.
+    ///
+    /// Each of them ends the one task only. Without a sink they leave the loop that runs the
+    /// executor, so that a test fails by them.
+    void setFailureSink(FailureSink sink) { m_failureSink = std::move(sink); }
+
+    /// \brief Passes an exception to the sink, or throws it again if there is none.
+    /// \param where kind of the handler that it has left; a string literal.
+    void reportFailure(std::string_view where, const std::exception_ptr &error) const
+    {
+        if (!m_failureSink) {
+            std::rethrow_exception(error);
+        }
+        m_failureSink(where, error);
+    }
+
+private:
+    FailureSink m_failureSink;
 };
 
 } // namespace Coltsfootwell
--- a/src/programs/DaemonMain.cpp
+++ b/src/programs/DaemonMain.cpp
@@ -9,6 +9,7 @@
 #include "services/LogOutput.h"
 #include "services/ServiceNames.h"
 #include "services/StopMessages.h"
+#include "services/TaskFailureReports.h"
 #include "services/TelemetryMessages.h"
 
 #include <malloc.h>
@@ -69,6 +70,9 @@
           m_kernel(m_executor, random), m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
           m_watch(m_kernel, std::move(settingsFile), m_settings)
     {
+        m_executor.setFailureSink([this](std::string_view where, const std::exception_ptr &error) {
+            m_failures.report(where, error);
+        });
     }
 
     RunResult run(Incarnation minIncarnation)
@@ -106,11 +110,25 @@
                                    + m_settings.interface + " version=" + COLTSFOOTWELL_VERSION});
         waitForSignal();
         m_watch.start();
-        m_context.run();
+        runContext();
         return m_result;
     }
 
 private:
+    /// Runs all handlers until the context is stopped. A handler that an exception leaves is done
+    /// with, so that each turn of the loop makes progress.
+    void runContext()
+    {
+        for (bool isRunning = true; isRunning;) {
+            try {
+                m_context.run();
+                isRunning = false;
+            } catch (...) {
+                m_failures.report("handler", std::current_exception());
+            }
+        }
+    }
+
     void sendLogEvent(LogEvent event)
     {
         std::error_code ignored;
@@ -125,12 +143,12 @@
             if (ec) {
                 return;
             }
+            waitForSignal();
             if (number == SIGHUP) {
                 m_watch.reload("signal");
             } else {
                 stop(number);
             }
-            waitForSignal();
         });
     }
 
@@ -157,6 +175,7 @@
     boost::asio::io_context m_context {1};
     AsioExecutor m_executor;
     Kernel m_kernel;
+    TaskFailureReports m_failures {m_kernel};
     boost::asio::signal_set m_signals;
     SettingsWatch m_watch;
     /// True once a signal has asked the process to end.
--- a/src/programs/LoadRun.cpp
+++ b/src/programs/LoadRun.cpp
@@ -73,6 +73,14 @@
     TimePoint lastUse {};
 };
 
+/// Ends the run with the exception of a coroutine.
+void rethrow(const std::exception_ptr &error)
+{
+    if (error) {
+        std::rethrow_exception(error);
+    }
+}
+
 /// State of one request and its answer.
 struct Exchange
 {
@@ -93,9 +101,9 @@
 
     LoadSummary run()
     {
-        asio::co_spawn(m_context, sendCalls(), asio::detached);
+        asio::co_spawn(m_context, sendCalls(), rethrow);
         if (!m_plan.fixedTargets) {
-            asio::co_spawn(m_context, refreshTargets(), asio::detached);
+            asio::co_spawn(m_context, refreshTargets(), rethrow);
         }
         m_context.run();
         return std::move(m_summary);
--- a/src/programs/SettingsWatch.cpp
+++ b/src/programs/SettingsWatch.cpp
@@ -43,11 +43,11 @@
 
 void SettingsWatch::check()
 {
+    start();
     std::error_code ec;
     if (const std::string text = readFile(m_file, ec); !ec && text != m_text) {
         reload("file");
     }
-    start();
 }
 
 void SettingsWatch::apply(const DaemonSettings &next, std::string_view cause)
--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -123,11 +123,11 @@
 
     void tick()
     {
+        m_tickTimer
+            = m_kernel.executor().scheduleAfter(BackendRuns::TickInterval, [this] { tick(); });
         m_runs->tick();
         sendLoadGauges(m_telemetry, m_tracker.service(), loadReport());
         publishLoadChanges();
-        m_tickTimer
-            = m_kernel.executor().scheduleAfter(BackendRuns::TickInterval, [this] { tick(); });
     }
 
     void configurationChanged(ConfigurationChanged message)
--- a/src/services/BackendRuns.cpp
+++ b/src/services/BackendRuns.cpp
@@ -215,7 +215,20 @@
             + " configuration=" + (configuration ? std::to_string(configuration->version) : "none");
     }
 
+    /// Starts a run that has a slot. If an exception leaves it, the slot is free again.
     void startRun(Run &run)
+    {
+        const AttemptId id = run.attempt.attempt;
+        try {
+            prepareAndStart(run);
+        } catch (...) {
+            m_runs.erase(id);
+            m_slots.slotReleased();
+            throw;
+        }
+    }
+
+    void prepareAndStart(Run &run)
     {
         const RunAttempt &attempt = run.attempt;
         run.startConditions = captureStartConditions(m_tracker, m_slots, attempt.nested, now());
--- a/src/services/Calls.cpp
+++ b/src/services/Calls.cpp
@@ -116,12 +116,12 @@
     /// Reports the services that this daemon has called.
     void reportRetryBudget()
     {
+        m_budgetReportTimer = m_kernel.executor().scheduleAfter(BudgetReportInterval,
+                                                                [this] { reportRetryBudget(); });
         for (const std::string &service : m_calledServices) {
             m_telemetry.send(
                 SetGauge {"retry_budget_left", service, m_retryBudget.remaining(service, now())});
         }
-        m_budgetReportTimer = m_kernel.executor().scheduleAfter(BudgetReportInterval,
-                                                                [this] { reportRetryBudget(); });
     }
 
     void configurationChanged(ConfigurationChanged message)
@@ -169,7 +169,28 @@
                                          CallFlowDependencies {m_placement, m_kernel.random(),
                                                                m_retryBudget, *m_settings.guards});
         m_calledServices.insert(state.attributes.service);
-        performActions(number, state.flow->start(now()));
+        runStep(number, [&] { performActions(number, state.flow->start(now())); });
+    }
+
+    /// Runs a step of a call. If an exception leaves it, nothing else would end the call: it ends
+    /// here, with an unknown outcome, since an attempt may have been sent.
+    template <typename Step>
+    void runStep(std::uint64_t number, Step step)
+    {
+        try {
+            step();
+        } catch (...) {
+            removeCall(number);
+            throw;
+        }
+    }
+
+    void removeCall(std::uint64_t number)
+    {
+        if (const auto it = m_calls.find(number); it != m_calls.end()) {
+            m_kernel.executor().cancel(it->second.timer);
+            m_calls.erase(it);
+        }
     }
 
     void refuseWithoutAttempt(const SubmitCall &call, CallRefused refused)
@@ -197,7 +218,8 @@
     void handle(CancelCall cancel)
     {
         if (const auto it = m_calls.find(cancel.number); it != m_calls.end()) {
-            performActions(cancel.number, it->second.flow->callCancelled(now()));
+            runStep(cancel.number,
+                    [&] { performActions(cancel.number, it->second.flow->callCancelled(now())); });
         }
     }
 
@@ -268,7 +290,7 @@
              daemon = target.daemon](std::optional<AttemptResult> result) {
                 AttemptResult ended = result ? std::move(*result) : AttemptResult(AttemptLost {});
                 recordResult(daemon, ended);
-                attemptEnded(number, attempt, std::move(ended));
+                runStep(number, [&] { attemptEnded(number, attempt, std::move(ended)); });
             });
         const bool local = target.daemon == m_settings.locality.self;
         local ? m_backend.send(std::move(run)) : m_links.send(std::move(run));
@@ -349,7 +371,8 @@
         m_kernel.executor().cancel(state.timer);
         state.timer = m_kernel.executor().scheduleAfter(action.at - now(), [this, number] {
             if (const auto it = m_calls.find(number); it != m_calls.end()) {
-                performActions(number, it->second.flow->timerExpired(now()));
+                runStep(number,
+                        [&] { performActions(number, it->second.flow->timerExpired(now())); });
             }
         });
     }
@@ -393,8 +416,7 @@
     {
         if (const auto it = m_calls.find(number);
             it != m_calls.end() && it->second.flow->finished()) {
-            m_kernel.executor().cancel(it->second.timer);
-            m_calls.erase(it);
+            removeCall(number);
         }
     }
 
--- a/src/services/ConfigurationFollower.cpp
+++ b/src/services/ConfigurationFollower.cpp
@@ -303,9 +303,10 @@
     void fetchFromPeer()
     {
         m_fetchPending = true;
-        if (m_reader && m_reader->isReceiving()) {
+        const bool isReceiving = m_reader && m_reader->isReceiving();
+        scheduleFetch(isReceiving ? PeerFetchDelay : PeerRetryDelay);
+        if (isReceiving) {
             // A request would transfer the same bytes a second time over the same links.
-            scheduleFetch(PeerFetchDelay);
             return;
         }
         const auto endpoint = m_stateFetch.nextPeer(m_replica.position());
@@ -325,7 +326,6 @@
             logEvent("configuration.unanswered");
             m_reader->read(m_replica.position(), milliseconds(0));
         }
-        scheduleFetch(PeerRetryDelay);
     }
 
     /// Lets the schedule detect that this daemon is isolated, and requests the state from a random
--- a/src/services/ControlListener.cpp
+++ b/src/services/ControlListener.cpp
@@ -3,10 +3,10 @@
 #include "services/ControlMessages.h"
 #include "services/HttpIo.h"
 #include "services/Listen.h"
+#include "services/ReportFailure.h"
 #include "services/ServiceNames.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
 namespace Coltsfootwell {
@@ -54,7 +54,7 @@
             }
             if (!ec) {
                 asio::co_spawn(m_acceptor.get_executor(), serve(m_kernel, std::move(socket)),
-                               asio::detached);
+                               reportFailure(m_kernel.executor()));
             }
             accept();
         });
--- a/src/services/LinkConnection.cpp
+++ b/src/services/LinkConnection.cpp
@@ -78,7 +78,14 @@
                 return;
             }
             self->m_lastReceivedAt = self->m_executor.now();
-            self->processFrames();
+            try {
+                self->processFrames();
+            } catch (...) {
+                // Nothing would be read any more. The peer asks for its attempts over the next
+                // connection.
+                self->fail();
+                throw;
+            }
             if (self->m_open) {
                 self->read();
             }
--- a/src/services/Links.cpp
+++ b/src/services/Links.cpp
@@ -175,13 +175,15 @@
 
     void tick()
     {
+        m_timer = m_kernel.executor().scheduleAfter(LinkClient::TickInterval, [this] { tick(); });
         m_client.tick();
         m_server->tick();
-        m_timer = m_kernel.executor().scheduleAfter(LinkClient::TickInterval, [this] { tick(); });
     }
 
     void reportTraffic()
     {
+        m_reportTimer
+            = m_kernel.executor().scheduleAfter(ReportInterval, [this] { reportTraffic(); });
         reportBytes("link_bytes_total", "calls", m_traffic->calls, m_reported.calls);
         reportBytes("link_bytes_total", "control", m_traffic->control, m_reported.control);
         for (const auto &[kind, destination] : DestinationLabels) {
@@ -189,8 +191,6 @@
             reportBytes("link_sent_bytes_total", kind, m_traffic->sent[index],
                         m_reported.sent[index]);
         }
-        m_reportTimer
-            = m_kernel.executor().scheduleAfter(ReportInterval, [this] { reportTraffic(); });
     }
 
     void reportBytes(std::string_view metric, std::string_view kind, std::uint64_t total,
--- a/src/services/Membership.cpp
+++ b/src/services/Membership.cpp
@@ -180,9 +180,9 @@
 
     void tick()
     {
-        executeOutputs(m_membership.tick(now()));
         m_tickTimer
             = m_kernel.executor().scheduleAfter(Membership::TickInterval, [this] { tick(); });
+        executeOutputs(m_membership.tick(now()));
     }
 
     void receive()
@@ -192,8 +192,13 @@
                 if (ec == asio::error::operation_aborted || !m_socket.is_open()) {
                     return;
                 }
-                if (!ec) {
-                    handleDatagram({m_buffer.data(), n});
+                try {
+                    if (!ec) {
+                        handleDatagram({m_buffer.data(), n});
+                    }
+                } catch (...) {
+                    receive();
+                    throw;
                 }
                 receive();
             });
@@ -334,6 +339,8 @@
 
     void reportMetrics()
     {
+        m_metricsTimer
+            = m_kernel.executor().scheduleAfter(MetricsInterval, [this] { reportMetrics(); });
         reportMembers();
         const MembershipCounts &counts = m_membership.counts();
         for (const auto &[kind, counter] : EventCounters) {
@@ -345,8 +352,6 @@
                          std::exchange(m_malformedMessages, 0));
         incrementCounter("membership_bytes_total", "sent", std::exchange(m_bytesSent, 0));
         incrementCounter("membership_bytes_total", "received", std::exchange(m_bytesReceived, 0));
-        m_metricsTimer
-            = m_kernel.executor().scheduleAfter(MetricsInterval, [this] { reportMetrics(); });
     }
 
     void incrementCounter(std::string_view metric, std::string_view kind, std::uint64_t amount)
--- a/src/services/Telemetry.cpp
+++ b/src/services/Telemetry.cpp
@@ -119,6 +119,8 @@
 
     void reportOmittedLines()
     {
+        m_omittedTimer = m_kernel.executor().scheduleAfter(OmittedReportInterval,
+                                                           [this] { reportOmittedLines(); });
         for (const OmittedLines &omitted : m_rateLimiter.takeOmitted()) {
             write("log.omitted", "",
                   "of=" + omitted.event + " weight=" + (omitted.important ? "important" : "routine")
@@ -126,8 +128,6 @@
             handle(
                 IncrementCounter {"log_lines_omitted_total", omitted.event, double(omitted.lines)});
         }
-        m_omittedTimer = m_kernel.executor().scheduleAfter(OmittedReportInterval,
-                                                           [this] { reportOmittedLines(); });
     }
 
     void answerMetrics(const ControlRequest &request)
--- a/test/support/DaemonProcess.h
+++ b/test/support/DaemonProcess.h
@@ -37,17 +37,27 @@
     static constexpr const char *Name = "daemon-1";
 
     /// \param listenPort port for callers; 0 for one that no socket has.
-    explicit DaemonProcess(std::uint16_t listenPort = 0)
+    /// \param strategies rules of the daemon.
+    /// \param configuration content of its configuration file; empty for none.
+    explicit DaemonProcess(std::uint16_t listenPort = 0, const DaemonStrategies &strategies = {},
+                           std::string_view configuration = {})
     {
         m_log = std::filesystem::temp_directory_path()
             / ("daemon-" + std::to_string(::getpid()) + ".log");
         m_settings = std::filesystem::temp_directory_path()
             / ("conflict-" + std::to_string(::getpid()) + ".json");
+        m_configuration = std::filesystem::temp_directory_path()
+            / ("configuration-" + std::to_string(::getpid()) + ".json");
+        writeConfiguration(configuration);
         std::ofstream(m_settings) << R"({"id": ")" << Name
                                   << R"(", "region": "r", "dataCentre": "dc", "graceSeconds": 2, )"
                                   << R"("listen": "127.0.0.1:)"
                                   << (listenPort != 0 ? listenPort : freePort(m_context))
-                                  << R"(", "peers": ")" << formatEndpoint(m_peers) << "\"}";
+                                  << R"(", "peers": ")" << formatEndpoint(m_peers) << '"'
+                                  << (configuration.empty() ? ""
+                                                            : R"(, "configurationFile": ")"
+                                              + m_configuration.string() + '"')
+                                  << '}';
         m_socket.non_blocking(true);
         m_process = ::fork();
         REQUIRE(m_process >= 0);
@@ -59,7 +69,7 @@
             std::string program = "coltsfootd";
             std::string option = "--settings";
             char *arguments[] = {program.data(), option.data(), settings.data(), nullptr};
-            ::_exit(daemonMain(3, arguments, {}));
+            ::_exit(daemonMain(3, arguments, strategies));
         }
     }
 
@@ -71,6 +81,7 @@
         }
         std::filesystem::remove(m_settings);
         std::filesystem::remove(m_log);
+        std::filesystem::remove(m_configuration);
     }
 
     /// \return the incarnation with which the daemon answers a ping; empty if it ends meanwhile.
@@ -100,6 +111,9 @@
         send({{makeMember(Name, incarnation, m_peers), {}, {}, false}});
     }
 
+    /// \brief Replaces the configuration file, which the daemon reads again at SIGHUP.
+    void writeConfiguration(std::string_view text) const { std::ofstream(m_configuration) << text; }
+
     void sendSignal(int number) const { ::kill(m_process, number); }
 
     /// \return the exit code once the process has ended.
@@ -171,6 +185,7 @@
     Endpoint m_peers {"127.0.0.1", freePort(m_context)};
     std::filesystem::path m_settings;
     std::filesystem::path m_log;
+    std::filesystem::path m_configuration;
     ::pid_t m_process = -1;
     std::optional<int> m_ended;
     int m_endSignal = 0;
