--- a/src/programs/DaemonMain.cpp
+++ b/src/programs/DaemonMain.cpp
@@ -2,12 +2,14 @@
 
 #include "kernel/AsioExecutor.h"
 #include "platform/PlatformInterface.h"
+#include "programs/DaemonEnd.h"
 #include "programs/SettingsFile.h"
 #include "programs/SettingsWatch.h"
 #include "services/ConfigurationMessages.h"
 #include "services/LogOutput.h"
 #include "services/ServiceNames.h"
 #include "services/StopMessages.h"
+#include "services/TaskFailureReports.h"
 #include "services/TelemetryMessages.h"
 
 #include <malloc.h>
@@ -29,6 +31,8 @@
 constexpr int ExitBadSettings = 2;
 constexpr int ExitStartFailed = 3;
 constexpr int ExitReplaced = 4;
+/// Name of the daemon in the log while its settings are not known.
+constexpr std::string_view UnknownDaemon = "unknown";
 
 /// Maximum number of service restarts with a higher incarnation, so that two daemons with the same
 /// id and address do not supersede each other without end.
@@ -48,6 +52,9 @@
 struct RunResult
 {
     int exitCode = 0;
+    /// Reason of the exit, and further fields of its log line.
+    std::string_view reason = "planned-stop";
+    std::string fields;
     /// Incarnation of another process with the same name; set if the services must restart with
     /// a higher one.
     std::optional<Incarnation> conflictingIncarnation;
@@ -63,6 +70,9 @@
           m_kernel(m_executor, random), m_signals(m_context, SIGTERM, SIGINT, SIGHUP),
           m_watch(m_kernel, std::move(settingsFile), std::move(loaded.text), m_settings)
     {
+        m_executor.setFailureSink([this](std::string_view where, const std::exception_ptr &error) {
+            m_failures.report(where, error);
+        });
     }
 
     ~DaemonRun() { m_executor.close(); }
@@ -79,6 +89,8 @@
                 return;
             }
             m_result.exitCode = conflict.replaced ? ExitReplaced : 0;
+            m_result.reason = "replaced";
+            m_result.fields = "otherIncarnation=" + std::to_string(conflict.otherIncarnation);
             m_result.conflictingIncarnation
                 = conflict.replaced ? std::nullopt : std::optional(conflict.otherIncarnation);
             m_executor.post([this] { m_kernel.stop([this] { m_context.stop(); }); });
@@ -90,7 +102,11 @@
                       << m_kernel.failedService() << "\" (listen " << m_settings.listen.address
                       << ':' << m_settings.listen.port << ", peers " << m_settings.peers.address
                       << ':' << m_settings.peers.port << "): " << ec.message() << '\n';
-            return {ExitStartFailed, {}};
+            return {ExitStartFailed,
+                    "start-failed",
+                    "service=" + std::string(m_kernel.failedService())
+                        + " error=" + logValue(ec.message()),
+                    {}};
         }
         sendLogEvent(LogEvent {"daemon.started", "",
                                "region=" + m_settings.region
@@ -98,11 +114,25 @@
                                    + m_settings.interface + " version=" + COLTSFOOTWELL_VERSION});
         waitForSignal();
         m_watch.start();
-        m_context.run();
+        runContext();
         return m_result;
     }
 
 private:
+    /// Runs all handlers until the context is stopped. A handler that an exception leaves is done
+    /// with, so that each turn of the loop makes progress.
+    void runContext()
+    {
+        for (bool isRunning = true; isRunning;) {
+            try {
+                m_context.run();
+                isRunning = false;
+            } catch (...) {
+                m_failures.report("handler", std::current_exception());
+            }
+        }
+    }
+
     void sendLogEvent(LogEvent event)
     {
         std::error_code ignored;
@@ -117,12 +147,12 @@
             if (ec) {
                 return;
             }
+            waitForSignal();
             if (number == SIGHUP) {
                 m_watch.reload("signal");
             } else {
                 stop(number);
             }
-            waitForSignal();
         });
     }
 
@@ -130,6 +160,10 @@
     {
         m_stopRequested = true;
         m_result.conflictingIncarnation.reset();
+        if (m_result.exitCode != ExitReplaced) {
+            m_result.reason = m_strategies.plannedStop ? "planned-stop" : "stop-at-once";
+            m_result.fields = "signal=" + std::to_string(signal);
+        }
         if (!m_strategies.plannedStop) {
             m_context.stop();
             return;
@@ -146,6 +180,7 @@
     AsioExecutor m_executor;
     boost::asio::io_context m_context {1};
     Kernel m_kernel;
+    TaskFailureReports m_failures {m_kernel};
     boost::asio::signal_set m_signals;
     SettingsWatch m_watch;
     /// True once a signal has asked the process to end.
@@ -172,6 +207,7 @@
         std::cerr << "coltsfootd: " << loaded.settings.id
                   << " was replaced by a later process with the same id\n";
     }
+    logExit(loaded.settings.id, result.exitCode, result.reason, result.fields);
     return result.exitCode;
 }
 
@@ -195,20 +231,24 @@
     app.set_version_flag("--version", COLTSFOOTWELL_VERSION);
     CLI11_PARSE(app, argc, argv);
 
-    std::error_code ec;
-    JsonFault fault;
-    const LoadedSettings loaded = loadStartupSettings(settingsFile, fault, ec);
-    if (ec) {
-        std::cerr << "coltsfootd: " << settingsFile << ": "
-                  << (fault.rule.empty() ? ec.message() : formatFault(fault)) << '\n';
-        return ExitBadSettings;
-    }
     // A log reader that ends must not end the daemon with the next line. Sockets do not raise the
     // signal.
     std::signal(SIGPIPE, SIG_IGN);
     // Nor must a log file that has reached the maximum size of a file.
     std::signal(SIGXFSZ, SIG_IGN);
     openLog();
+    std::error_code ec;
+    JsonFault fault;
+    const LoadedSettings loaded = loadStartupSettings(settingsFile, fault, ec);
+    if (ec) {
+        const std::string error = fault.rule.empty() ? ec.message() : formatFault(fault);
+        std::cerr << "coltsfootd: " << settingsFile << ": " << error << '\n';
+        logExit(UnknownDaemon, ExitBadSettings,
+                fault.rule.empty() ? "settings-unreadable" : "settings-invalid",
+                "error=" + logValue(error));
+        return ExitBadSettings;
+    }
+    logUnexpectedEnd(loaded.settings.id);
     return run(settingsFile, loaded, strategies);
 }
 
--- a/src/services/BackendRuns.cpp
+++ b/src/services/BackendRuns.cpp
@@ -66,6 +66,7 @@
 
     bool empty() const override { return m_runs.empty(); }
     const SlotQueue &slots() const override { return m_slots; }
+    std::size_t heldAnswerBytes() const override { return m_pool ? m_pool->heldAnswerBytes() : 0; }
 
     void handle(RunAttempt run) override
     {
@@ -214,7 +215,20 @@
             + " configuration=" + (configuration ? std::to_string(configuration->version) : "none");
     }
 
+    /// Starts a run that has a slot. If an exception leaves it, the slot is free again.
     void startRun(Run &run)
+    {
+        const AttemptId id = run.attempt.attempt;
+        try {
+            prepareAndStart(run);
+        } catch (...) {
+            m_runs.erase(id);
+            m_slots.slotReleased();
+            throw;
+        }
+    }
+
+    void prepareAndStart(Run &run)
     {
         const RunAttempt &attempt = run.attempt;
         run.startConditions = captureStartConditions(m_tracker, m_slots, attempt.nested, now());
--- a/src/services/Telemetry.cpp
+++ b/src/services/Telemetry.cpp
@@ -114,23 +114,13 @@
 
     void write(std::string_view event, std::string_view request, std::string_view fields) const
     {
-        const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
-        std::string line = "timeMs=" + std::to_string(ms) + " daemon=" + m_self.name + " event=";
-        line += event;
-        if (!request.empty()) {
-            line += " request=";
-            line += logValue(request);
-        }
-        if (!fields.empty()) {
-            line += ' ';
-            line += fields;
-        }
-        writeLog(line);
+        writeLog(formatLogLine(m_self.name, event, request, fields));
     }
 
     void reportOmittedLines()
     {
+        m_omittedTimer = m_kernel.executor().scheduleAfter(OmittedReportInterval,
+                                                           [this] { reportOmittedLines(); });
         for (const OmittedLines &omitted : m_rateLimiter.takeOmitted()) {
             write("log.omitted", "",
                   "of=" + omitted.event + " weight=" + (omitted.important ? "important" : "routine")
@@ -138,8 +128,6 @@
             handle(
                 IncrementCounter {"log_lines_omitted_total", omitted.event, double(omitted.lines)});
         }
-        m_omittedTimer = m_kernel.executor().scheduleAfter(OmittedReportInterval,
-                                                           [this] { reportOmittedLines(); });
     }
 
     void answerMetrics(const ControlRequest &request)
--- a/test/support/DaemonProcess.h
+++ b/test/support/DaemonProcess.h
@@ -36,26 +36,40 @@
     /// Id of the daemon.
     static constexpr const char *Name = "daemon-1";
 
-    DaemonProcess()
+    /// \param listenPort port for callers; 0 for one that no socket has.
+    /// \param strategies rules of the daemon.
+    /// \param configuration content of its configuration file; empty for none.
+    explicit DaemonProcess(std::uint16_t listenPort = 0, const DaemonStrategies &strategies = {},
+                           std::string_view configuration = {})
     {
+        m_log = std::filesystem::temp_directory_path()
+            / ("daemon-" + std::to_string(::getpid()) + ".log");
         m_settings = std::filesystem::temp_directory_path()
             / ("conflict-" + std::to_string(::getpid()) + ".json");
+        m_configuration = std::filesystem::temp_directory_path()
+            / ("configuration-" + std::to_string(::getpid()) + ".json");
+        writeConfiguration(configuration);
         std::ofstream(m_settings) << R"({"id": ")" << Name
                                   << R"(", "region": "r", "dataCentre": "dc", "graceSeconds": 2, )"
-                                  << R"("listen": "127.0.0.1:)" << freePort(m_context)
-                                  << R"(", "peers": ")" << formatEndpoint(m_peers) << "\"}";
+                                  << R"("listen": "127.0.0.1:)"
+                                  << (listenPort != 0 ? listenPort : freePort(m_context))
+                                  << R"(", "peers": ")" << formatEndpoint(m_peers) << '"'
+                                  << (configuration.empty() ? ""
+                                                            : R"(, "configurationFile": ")"
+                                              + m_configuration.string() + '"')
+                                  << '}';
         m_socket.non_blocking(true);
         m_process = ::fork();
         REQUIRE(m_process >= 0);
         if (m_process == 0) {
-            const int log = ::open("/dev/null", O_WRONLY);
+            const int log = ::open(m_log.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND, 0600);
             ::dup2(log, STDOUT_FILENO);
             ::dup2(log, STDERR_FILENO);
             std::string settings = m_settings;
             std::string program = "coltsfootd";
             std::string option = "--settings";
             char *arguments[] = {program.data(), option.data(), settings.data(), nullptr};
-            ::_exit(daemonMain(3, arguments, {}));
+            ::_exit(daemonMain(3, arguments, strategies));
         }
     }
 
@@ -66,6 +80,8 @@
             ::waitpid(m_process, nullptr, 0);
         }
         std::filesystem::remove(m_settings);
+        std::filesystem::remove(m_log);
+        std::filesystem::remove(m_configuration);
     }
 
     /// \return the incarnation with which the daemon answers a ping; empty if it ends meanwhile.
@@ -95,6 +111,9 @@
         send({{makeMember(Name, incarnation, m_peers), {}, {}, false}});
     }
 
+    /// \brief Replaces the configuration file, which the daemon reads again at SIGHUP.
+    void writeConfiguration(std::string_view text) const { std::ofstream(m_configuration) << text; }
+
     void sendSignal(int number) const { ::kill(m_process, number); }
 
     /// \return the exit code once the process has ended.
@@ -103,10 +122,21 @@
         int status = 0;
         if (!m_ended && ::waitpid(m_process, &status, WNOHANG) == m_process) {
             m_ended = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+            m_endSignal = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
         }
         return m_ended;
     }
 
+    /// \return the signal that has ended the process; 0 if it has not ended, or otherwise.
+    int endSignal() const { return m_endSignal; }
+
+    /// \return what the process has written to standard output and standard error.
+    std::string log() const
+    {
+        std::ifstream file(m_log);
+        return {std::istreambuf_iterator<char>(file), {}};
+    }
+
     /// \return the exit code; empty if the process has not ended within some time.
     std::optional<int> awaitEnd(std::chrono::milliseconds time)
     {
@@ -154,8 +184,11 @@
     udp::socket m_socket {m_context, udp::endpoint(boost::asio::ip::address_v4::loopback(), 0)};
     Endpoint m_peers {"127.0.0.1", freePort(m_context)};
     std::filesystem::path m_settings;
+    std::filesystem::path m_log;
+    std::filesystem::path m_configuration;
     ::pid_t m_process = -1;
     std::optional<int> m_ended;
+    int m_endSignal = 0;
     std::uint64_t m_lastNonce = 0;
 };
 
