A message that the HTTP parser cannot take does not end the daemon

Seen: a chunked request whose trailer has a field with a name or value of 70,000 bytes ended the daemon, near and through the link; so did a server's chunked answer with such a trailer, and a header field of 70,000 bytes with maxHeaderBytes 131072. In builds with assertions, so did an empty chunked body, of a request or an answer, whose "0\r\n" ends one read and whose next read brings one byte.

Cause: basic_fields of Beast throws std::length_error for names and values of more than 65,533 bytes. The parser ran in a handler of Beast's composed read, so that the exception left io_context::run(). basic_parser asserts n >= 5 where n is 4; deploy/build defines NDEBUG, so the daemons of the users have this assertion compiled out and go on reading there. So the second fault ends builds of tools/build only.

Changed: HttpRead.h has the reads of all services and of coltsfoot-load. They call the parser in the coroutine and turn its exceptions into error codes (FieldTooLong, UnreadableMessage, no_memory). Such a request is refused with 431, 400 or for memory, as not run, and such an answer is lost. In a chunked body the parser is not called again before five bytes are there, which the shortest rest of a message has.

Ruled out: the limits of the parser bound a field only up to header_limit, and a trailer not at all.

--- a/src/programs/LoadRun.cpp
+++ b/src/programs/LoadRun.cpp
@@ -1,7 +1,7 @@
 #include "programs/LoadRun.h"
 
 #include "programs/LoadTargets.h"
-#include "services/HttpIo.h"
+#include "services/HttpRead.h"
 #include "wire/AnswerStatus.h"
 #include "wire/EndpointText.h"
 #include "wire/HeaderNames.h"
@@ -272,12 +272,11 @@
                                    asio::redirect_error(asio::use_awaitable, ec));
         // A refusal may arrive before the whole body is sent, so the answer is read even when the
         // write fails.
-        co_await http::async_read_header(connection->stream, connection->buffer, exchange.parser,
-                                         asio::redirect_error(asio::use_awaitable, ec));
+        ec = co_await Internal::readHeader(connection->stream, connection->buffer, exchange.parser);
         exchange.headerRead = !ec;
         if (!ec) {
-            co_await http::async_read(connection->stream, connection->buffer, exchange.parser,
-                                      asio::redirect_error(asio::use_awaitable, ec));
+            ec = co_await Internal::readMessage(connection->stream, connection->buffer,
+                                                exchange.parser);
             if (!ec && Internal::isCutAnswer(exchange.parser, connection->stream.socket())) {
                 ec = http::error::partial_message;
             }
--- a/src/services/ControlListener.cpp
+++ b/src/services/ControlListener.cpp
@@ -1,7 +1,7 @@
 #include "services/ControlListener.h"
 
 #include "services/ControlMessages.h"
-#include "services/HttpIo.h"
+#include "services/HttpRead.h"
 #include "services/Listen.h"
 #include "services/ServiceNames.h"
 
@@ -71,8 +71,7 @@
             parser.body_limit(MaxBodyBytes);
             parser.header_limit(MaxHeaderBytes);
             stream.expires_after(IdleTimeout);
-            co_await http::async_read(stream, buffer, parser,
-                                      asio::redirect_error(asio::use_awaitable, ec));
+            ec = co_await readMessage(stream, buffer, parser);
             if (ec) {
                 break;
             }
--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -1,6 +1,7 @@
 #include "services/HttpExchange.h"
 
 #include "services/HttpConnection.h"
+#include "services/HttpRead.h"
 #include "wire/AnswerHead.h"
 #include "wire/AnswerStatus.h"
 #include "wire/ParseNumber.h"
@@ -245,8 +246,7 @@
     {
         boost::system::error_code ec = co_await receiveHead();
         if (!ec) {
-            co_await http::async_read_header(self.m_connection->socket, self.m_connection->buffer,
-                                             parser, asio::redirect_error(asio::use_awaitable, ec));
+            ec = co_await readHeader(self.m_connection->socket, self.m_connection->buffer, parser);
         }
         co_return ec ? ec : headFault(parser.get());
     }
@@ -271,8 +271,7 @@
                 break;
             }
             resetBodyIdleTimer();
-            co_await http::async_read_some(connection.socket, connection.buffer, parser,
-                                           asio::redirect_error(asio::use_awaitable, ec));
+            ec = co_await readSome(connection.socket, connection.buffer, parser);
         }
         if (!ec && isCutAnswer(parser, connection.socket)) {
             ec = http::error::partial_message;
--- a/src/services/RequestReader.cpp
+++ b/src/services/RequestReader.cpp
@@ -1,5 +1,8 @@
 #include "services/RequestReader.h"
 
+#include "services/HttpRead.h"
+#include "services/ServiceError.h"
+
 #include <algorithm>
 #include <array>
 #include <limits>
@@ -66,8 +69,7 @@
     if (!ec) {
         m_phase = Phase::Request;
         armTimer(m_context.limits.headerTimeout);
-        co_await http::async_read_header(m_socket, m_buffer, parser,
-                                         asio::redirect_error(asio::use_awaitable, ec));
+        ec = co_await Internal::readHeader(m_socket, m_buffer, parser);
     }
     if (!ec && !hasReadableBody(parser.get(), parser.get().version())) {
         ec = http::error::bad_transfer_encoding;
@@ -90,8 +92,7 @@
     m_handlers.onBodyExpected();
     const BodyReadBuffer readBuffer(m_buffer, length.value_or(m_context.limits.bodyBytes));
     while (!ec && !parser.is_done()) {
-        co_await http::async_read_some(m_socket, m_buffer, parser,
-                                       asio::redirect_error(asio::use_awaitable, ec));
+        ec = co_await readSome(m_socket, m_buffer, parser);
         // A body without a length grows by doubling, which copies it.
         const std::size_t bytes = parser.get().body().size();
         if (!ec && !length) {
@@ -186,12 +187,15 @@
     if (m_timedOut) {
         return Reason::RequestTimeout;
     }
-    if (ec == http::error::header_limit) {
+    if (ec == http::error::header_limit || ec == std::error_code(ServiceError::FieldTooLong)) {
         return Reason::HeaderTooLarge;
     }
     if (ec == http::error::body_limit) {
         return Reason::BodyTooLarge;
     }
+    if (ec == std::error_code(ServiceError::UnreadableMessage)) {
+        return Reason::BadHeader;
+    }
     if (ec.category() == make_error_code(http::error::bad_method).category()
         && ec != http::error::end_of_stream && ec != http::error::partial_message) {
         return Reason::BadHeader;
--- a/src/services/ServiceError.cpp
+++ b/src/services/ServiceError.cpp
@@ -30,6 +30,10 @@
             return "the topic has changed since it was read";
         case ServiceError::AnswerTooLarge:
             return "the answer of the store is longer than was allowed";
+        case ServiceError::FieldTooLong:
+            return "a field of the message is too long for the HTTP parser";
+        case ServiceError::UnreadableMessage:
+            return "the HTTP parser cannot take the message";
         }
         return "unknown service error";
     }
--- a/src/services/ServiceError.h
+++ b/src/services/ServiceError.h
@@ -19,6 +19,10 @@
     Conflict,
     /// The answer of the store exceeds the maximum that the request has set.
     AnswerTooLarge,
+    /// A header or trailer field of a message is longer than the HTTP parser can hold.
+    FieldTooLong,
+    /// The HTTP parser cannot take the message.
+    UnreadableMessage,
 };
 
 /// \return the category of ServiceError.
--- a/test/fault/broken_answers.py
+++ b/test/fault/broken_answers.py
@@ -85,12 +85,15 @@
             handler.wfile.write(b"HTTP/1.1 200 OK\r\n" + named + b"X-Server-Load: 1,0,8,100\r\nContent-Length: 4\r\n\r\ndone")
             return True
         self.runs.append(request_id.decode())
-        handler.wfile.write(answer.replace(b"%s", request_id))
+        self.send_answer(handler, answer.replace(b"%s", request_id))
         if self.resets:
             handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             handler.connection.close()
         return not self.resets
 
+    def send_answer(self, handler, answer):
+        handler.wfile.write(answer)
+
     def stop(self):
         self.stopped.set()
         self.server.shutdown()
--- a/test/support/ExchangeFixture.h
+++ b/test/support/ExchangeFixture.h
@@ -32,7 +32,7 @@
         return send(requestId, "POST", true);
     }
 
-    const ScriptedServer &server() const { return m_server; }
+    ScriptedServer &server() { return m_server; }
 
 private:
     ExchangeOutcome send(const std::string &requestId, const std::string &method, bool cancelled)
--- a/test/support/ScriptedServer.h
+++ b/test/support/ScriptedServer.h
@@ -6,7 +6,10 @@
 
 #include <boost/asio.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <functional>
+#include <limits>
 #include <optional>
 #include <string>
 
@@ -41,6 +44,9 @@
     /// \return number of accepted connections.
     unsigned connections() const { return m_connections; }
 
+    /// \brief Sends answers in pieces of this size, with a pause behind each.
+    void setPieceBytes(std::size_t bytes) { m_pieceBytes = bytes; }
+
     /// \brief Refuses all further connections.
     void stopListening() { m_acceptor.close(); }
 
@@ -77,16 +83,35 @@
             if (!answer) {
                 co_return;
             }
+            co_await send(socket, *answer);
+        }
+    }
+
+    boost::asio::awaitable<void> send(Socket &socket, const std::string &answer)
+    {
+        boost::system::error_code ec;
+        boost::asio::steady_timer timer(m_context);
+        for (std::size_t n = 0; n < answer.size(); n += m_pieceBytes) {
+            const std::size_t bytes = std::min(answer.size() - n, m_pieceBytes);
             co_await boost::asio::async_write(
-                socket, boost::asio::buffer(*answer),
+                socket, boost::asio::buffer(answer.data() + n, bytes),
                 boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+            if (n + bytes < answer.size()) {
+                timer.expires_after(PiecePause);
+                co_await timer.async_wait(
+                    boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+            }
         }
     }
 
+    static constexpr std::chrono::milliseconds PiecePause {2};
+
     boost::asio::io_context &m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
     Endpoint m_endpoint;
     Script m_script;
+    /// Unlimited by default; half of the range, so that sums do not overflow.
+    std::size_t m_pieceBytes = std::numeric_limits<std::size_t>::max() / 2;
     unsigned m_connections = 0;
 };
 
