A task that an exception ends tells its owner

Seen (FailedTaskLeavesCallsOpen, with the former handling of the completion): an exception in the coroutine of an exchange was dropped by asio::detached and the outcome never came, so that the slot of the run stayed taken and its caller got no answer; a session whose coroutine ended that way left its connection open and its calls running.

Changed: TaskGuard, a local object of a coroutine, runs a callback if the coroutine does not reach its end, also if its frame is destroyed since an exception has left a handler. HttpExchange ends as Lost then, or as Unsent if nothing was sent, and returns the memory of its answer. Session cancels its calls and closes its socket. The exception itself leaves the completion handler, as that of any other handler does. A request whose head cannot be encoded counts as unsent, since it is encoded before the time of sending is set.

--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -5,9 +5,9 @@
 #include "services/PendingAnswers.h"
 #include "services/RequestForwarder.h"
 #include "services/RequestReader.h"
+#include "services/TaskGuard.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace Coltsfootwell::Internal {
 
@@ -38,6 +38,10 @@
     /// Serves requests until the caller sends no more or the connection is closed.
     asio::awaitable<void> run()
     {
+        TaskGuard guard(m_socket.get_executor(), [self = shared_from_this()] {
+            self->m_readEnded = true;
+            self->connectionLost();
+        });
         while (!m_readEnded) {
             co_await waitForRoom();
             if (!m_readEnded) {
@@ -47,6 +51,7 @@
         // The caller may leave while its earlier calls are at work.
         co_await m_reader.discardInput();
         inputEnded();
+        guard.finished();
     }
 
     auto executor() { return m_socket.get_executor(); }
@@ -278,7 +283,7 @@
 {
     const auto session = std::make_shared<Session>(std::move(socket), std::move(context));
     asio::co_spawn(
-        session->executor(), [session] { return session->run(); }, asio::detached);
+        session->executor(), [session] { return session->run(); }, rethrowFailure);
 }
 
 } // namespace Coltsfootwell::Internal
--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -2,12 +2,12 @@
 
 #include "services/HttpConnection.h"
 #include "services/HttpRead.h"
+#include "services/TaskGuard.h"
 #include "wire/AnswerHead.h"
 #include "wire/AnswerStatus.h"
 #include "wire/ParseNumber.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <array>
@@ -66,7 +66,6 @@
     bool answerTooLarge = false;
     bool lostInMemoryWait = false;
     unsigned discardedAnswers = 0;
-    std::optional<TimePoint> sentAt {};
     Duration memoryWaitTime {};
     /// Memory of the last complete answer.
     std::shared_ptr<void> bodyMemory {};
@@ -150,12 +149,13 @@
         }
     }
 
-    /// Starts to write the request. Reading does not wait for the end of the write, since a server
-    /// may answer before it has read a long body.
+    /// Starts to write the request. Nothing is sent if its head cannot be encoded. Reading does not
+    /// wait for the end of the write, since a server may answer before it has read a long body.
     void startWrite()
     {
-        self.m_connection->writing = true;
         auto bytes = std::make_shared<std::string>(requestBytes());
+        self.m_sentAt = self.m_executor.now();
+        self.m_connection->writing = true;
         std::array<asio::const_buffer, 2> buffers {asio::buffer(*bytes), {}};
         if (hasLongBody()) {
             buffers[1] = asio::buffer(*self.m_request.body);
@@ -256,6 +256,7 @@
     {
         HttpConnection &connection = *self.m_connection;
         const std::uint64_t answer = self.m_pool->answerStarted(self.weak_from_this());
+        self.m_receivedAnswer = answer;
         boost::system::error_code ec;
         self.m_receivingBody = true;
         self.m_headerReadAt = self.m_executor.now();
@@ -277,6 +278,7 @@
             ec = http::error::partial_message;
         }
         self.m_receivingBody = false;
+        self.m_receivedAnswer.reset();
         if (ec) {
             self.m_pool->answerEnded(answer);
         } else {
@@ -335,7 +337,7 @@
     {
         ExchangeOutcome outcome;
         outcome.kind = kind;
-        outcome.sentAt = sentAt;
+        outcome.sentAt = self.m_sentAt;
         outcome.reusedConnection = reused;
         outcome.discardedAnswers = discardedAnswers;
         outcome.memoryWaitTime = memoryWaitTime;
@@ -415,7 +417,6 @@
             co_return failedOutcome(Kind::Unsent);
         }
         deadlineTimer = scheduleReset(self.m_request.deadline);
-        sentAt = self.m_executor.now();
         addRunHeaders();
         startWrite();
         http::response<http::string_body> message;
@@ -457,13 +458,33 @@
     asio::co_spawn(
         m_context,
         [self = shared_from_this()]() -> asio::awaitable<void> {
+            TaskGuard guard(self->m_context.get_executor(), [self] { self->taskAbandoned(); });
             Task task {*self};
             ExchangeOutcome outcome = co_await task.run();
-            const auto onEnded = std::exchange(self->m_onEnded, nullptr);
-            self->m_mayStart = nullptr;
-            onEnded(std::move(outcome));
+            guard.finished();
+            self->end(std::move(outcome));
         },
-        asio::detached);
+        rethrowFailure);
+}
+
+void HttpExchange::end(ExchangeOutcome outcome)
+{
+    const auto onEnded = std::exchange(m_onEnded, nullptr);
+    m_mayStart = nullptr;
+    onEnded(std::move(outcome));
+}
+
+void HttpExchange::taskAbandoned()
+{
+    if (m_receivedAnswer) {
+        m_pool->answerEnded(*m_receivedAnswer);
+    }
+    m_receivingBody = false;
+    resetConnection();
+    ExchangeOutcome outcome;
+    outcome.kind = m_sentAt ? ExchangeOutcome::Kind::Lost : ExchangeOutcome::Kind::Unsent;
+    outcome.sentAt = m_sentAt;
+    end(std::move(outcome));
 }
 
 void HttpExchange::cancel()
--- a/src/services/HttpExchange.h
+++ b/src/services/HttpExchange.h
@@ -116,6 +116,10 @@
 
     /// Resets the connection, whether the exchange reads from it or waits for memory.
     void resetConnection();
+    /// Tells the owner the outcome.
+    void end(ExchangeOutcome outcome);
+    /// Ends the exchange after its task has ended without an outcome.
+    void taskAbandoned();
 
     boost::asio::io_context &m_context;
     Executor &m_executor;
@@ -129,6 +133,10 @@
     bool m_receivingBody = false;
     /// Never expires; cancelled when an answer that waits for memory has to look again.
     boost::asio::steady_timer m_reserveTimer;
+    /// Time at which the first byte of the request was sent; empty before that.
+    std::optional<TimePoint> m_sentAt;
+    /// Number of the answer in the pool while its body is being received.
+    std::optional<std::uint64_t> m_receivedAnswer;
     /// Time at which the header of the answer was complete.
     TimePoint m_headerReadAt {};
 };
--- a/test/support/CallersFixture.h
+++ b/test/support/CallersFixture.h
@@ -42,7 +42,9 @@
 class CallersFixture
 {
 public:
-    explicit CallersFixture(std::size_t maxBodyBytes = CallersSettings().maxBodyBytes)
+    /// \param dialect must outlive the fixture.
+    explicit CallersFixture(std::size_t maxBodyBytes = CallersSettings().maxBodyBytes,
+                            const HttpDialect &dialect = ownDialect())
         : m_kernel(m_executor, m_random),
           m_calls(m_executor,
                   [this](CallsMessage message) {
@@ -82,7 +84,7 @@
         directory.publish(ServiceName::Configuration, m_configuration.address());
         CallersSettings settings;
         settings.listen = {"127.0.0.1", m_endpoint.port()};
-        settings.dialect = &ownDialect();
+        settings.dialect = &dialect;
         settings.maxBodyBytes = maxBodyBytes;
         m_kernel.add(makeCallers(m_kernel, m_context, std::move(settings)));
         REQUIRE_FALSE(m_kernel.start());
