A daemon without descriptors does not take a whole processor

Cause: async_accept fails with EMFILE at once and was started again at once.

Changed: Acceptor is the accept loop of all listeners.

--- a/src/services/Callers.cpp
+++ b/src/services/Callers.cpp
@@ -1,8 +1,8 @@
 #include "services/Callers.h"
 
+#include "services/Acceptor.h"
 #include "services/CallerSession.h"
 #include "services/ConfigurationMessages.h"
-#include "services/Listen.h"
 #include "services/ServiceError.h"
 #include "services/ServiceNames.h"
 #include "services/StopMessages.h"
@@ -21,7 +21,9 @@
 {
 public:
     Callers(Kernel &kernel, asio::io_context &context, CallersSettings settings)
-        : m_kernel(kernel), m_settings(std::move(settings)), m_acceptor(context),
+        : m_kernel(kernel), m_settings(std::move(settings)),
+          m_acceptor(kernel, context, std::string(ServiceName::Callers),
+                     {[this](tcp::socket socket) { serve(std::move(socket)); }}),
           m_context(std::make_shared<SessionContext>(kernel, *m_settings.dialect, m_settings.self,
                                                      m_settings.maxBodyBytes)),
           m_configurationMailbox(kernel.executor(),
@@ -54,11 +56,7 @@
         if (ec) {
             return ServiceError::MissingService;
         }
-        if (const std::error_code failed = listenOn(m_acceptor, m_settings.listen)) {
-            return failed;
-        }
-        accept();
-        return {};
+        return m_acceptor.listen(m_settings.listen);
     }
 
     void stop(Task done) override
@@ -66,9 +64,8 @@
         m_context->draining = true;
         // Serves the connections in the accept queue as well: closing the listening socket would
         // reset them.
-        acceptPending();
-        boost::system::error_code ec;
-        m_acceptor.close(ec);
+        m_acceptor.acceptPending();
+        m_acceptor.close();
         for (SessionHandle *session : std::set(m_context->sessions)) {
             session->close();
         }
@@ -82,19 +79,6 @@
 private:
     void phaseChanged(StopPhase phase) { m_context->draining = phase != StopPhase::Running; }
 
-    void acceptPending()
-    {
-        boost::system::error_code ec;
-        m_acceptor.non_blocking(true, ec);
-        while (!ec) {
-            tcp::socket socket(m_acceptor.get_executor());
-            m_acceptor.accept(socket, ec);
-            if (!ec) {
-                serve(std::move(socket));
-            }
-        }
-    }
-
     void serve(tcp::socket socket)
     {
         boost::system::error_code ignored;
@@ -102,22 +86,9 @@
         startSession(std::move(socket), m_context);
     }
 
-    void accept()
-    {
-        m_acceptor.async_accept([this](boost::system::error_code ec, tcp::socket socket) {
-            if (ec == asio::error::operation_aborted) {
-                return;
-            }
-            if (!ec) {
-                serve(std::move(socket));
-            }
-            accept();
-        });
-    }
-
     Kernel &m_kernel;
     CallersSettings m_settings;
-    tcp::acceptor m_acceptor;
+    Acceptor m_acceptor;
     std::shared_ptr<SessionContext> m_context;
     Mailbox<ConfigurationChanged> m_configurationMailbox;
     Mailbox<StopPhaseChanged> m_stopMailbox;
--- a/src/services/ControlListener.cpp
+++ b/src/services/ControlListener.cpp
@@ -1,8 +1,8 @@
 #include "services/ControlListener.h"
 
+#include "services/Acceptor.h"
 #include "services/ControlMessages.h"
 #include "services/HttpRead.h"
-#include "services/Listen.h"
 #include "services/ServiceNames.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -23,41 +23,26 @@
 {
 public:
     ControlListener(Kernel &kernel, asio::io_context &context, ControlListenerSettings settings)
-        : m_kernel(kernel), m_settings(std::move(settings)), m_acceptor(context)
+        : m_kernel(kernel), m_context(context), m_settings(std::move(settings)),
+          m_acceptor(kernel, context, m_settings.name,
+                     {[this](tcp::socket socket) { startServing(std::move(socket)); }})
     {
     }
 
     std::string_view name() const override { return m_settings.name; }
 
-    std::error_code start() override
-    {
-        if (const std::error_code ec = listenOn(m_acceptor, m_settings.listen)) {
-            return ec;
-        }
-        accept();
-        return {};
-    }
+    std::error_code start() override { return m_acceptor.listen(m_settings.listen); }
 
     void stop(Task done) override
     {
-        boost::system::error_code ec;
-        m_acceptor.close(ec);
+        m_acceptor.close();
         done();
     }
 
 private:
-    void accept()
+    void startServing(tcp::socket socket)
     {
-        m_acceptor.async_accept([this](boost::system::error_code ec, tcp::socket socket) {
-            if (ec == asio::error::operation_aborted) {
-                return;
-            }
-            if (!ec) {
-                asio::co_spawn(m_acceptor.get_executor(), serve(m_kernel, std::move(socket)),
-                               asio::detached);
-            }
-            accept();
-        });
+        asio::co_spawn(m_context, serve(m_kernel, std::move(socket)), asio::detached);
     }
 
     static asio::awaitable<void> serve(Kernel &kernel, tcp::socket accepted)
@@ -124,8 +109,9 @@
     }
 
     Kernel &m_kernel;
+    asio::io_context &m_context;
     ControlListenerSettings m_settings;
-    tcp::acceptor m_acceptor;
+    Acceptor m_acceptor;
 };
 
 } // namespace
--- a/src/services/Links.cpp
+++ b/src/services/Links.cpp
@@ -1,9 +1,9 @@
 #include "services/Links.h"
 
+#include "services/Acceptor.h"
 #include "services/HttpIo.h"
 #include "services/LinkClient.h"
 #include "services/LinkServer.h"
-#include "services/Listen.h"
 #include "services/MembershipMessages.h"
 #include "services/ServiceError.h"
 #include "services/ServiceNames.h"
@@ -42,7 +42,10 @@
 {
 public:
     Links(Kernel &kernel, asio::io_context &context, LinksSettings settings)
-        : m_kernel(kernel), m_settings(std::move(settings)), m_acceptor(context),
+        : m_kernel(kernel), m_settings(std::move(settings)),
+          m_acceptor(kernel, context, std::string(ServiceName::Links), {[this](tcp::socket socket) {
+                         m_server->connectionAccepted(std::move(socket));
+                     }}),
           m_client(
               {context, kernel.executor(), m_settings.locality.self, m_traffic,
                std::make_shared<SharedBodyBudget>(kernel.executor(), m_settings.maxAnswerBytes),
@@ -90,10 +93,9 @@
         if (ec) {
             return ServiceError::MissingService;
         }
-        if (const std::error_code failed = listenOn(m_acceptor, m_settings.listen)) {
+        if (const std::error_code failed = m_acceptor.listen(m_settings.listen)) {
             return failed;
         }
-        accept();
         tick();
         reportTraffic();
         return {};
@@ -103,8 +105,7 @@
     {
         m_kernel.executor().cancel(m_timer);
         m_kernel.executor().cancel(m_reportTimer);
-        boost::system::error_code ec;
-        m_acceptor.close(ec);
+        m_acceptor.close();
         closeWhenDelivered(std::move(done));
     }
 
@@ -157,19 +158,6 @@
             : LinkDestination::OtherDataCentre;
     }
 
-    void accept()
-    {
-        m_acceptor.async_accept([this](boost::system::error_code ec, tcp::socket socket) {
-            if (ec == asio::error::operation_aborted) {
-                return;
-            }
-            if (!ec) {
-                m_server->connectionAccepted(std::move(socket));
-            }
-            accept();
-        });
-    }
-
     void tick()
     {
         m_client.tick();
@@ -199,7 +187,7 @@
 
     Kernel &m_kernel;
     LinksSettings m_settings;
-    tcp::acceptor m_acceptor;
+    Acceptor m_acceptor;
     const std::shared_ptr<LinkTraffic> m_traffic = std::make_shared<LinkTraffic>();
     LinkTraffic m_reported;
     LinkClient m_client;
