Idle connections of callers do not take all descriptors

Changed: callers' connections take at most three quarters of the descriptors (ConnectionLimit). When there is one more, the connection that has been idle longest is closed; if none is idle, accepting waits. A connection that was opened less than a second ago and has sent nothing counts as in use. With 1024 descriptors the limit is 768, with 4100 it is 3075.

--- a/src/programs/Daemon.cpp
+++ b/src/programs/Daemon.cpp
@@ -17,6 +17,8 @@
 #include "services/Telemetry.h"
 #include "wire/OwnDialect.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 
 namespace Coltsfootwell {
@@ -51,6 +53,14 @@
     return static_cast<std::size_t>(settings.memoryMegabytes * BytesPerMegabyte * fraction);
 }
 
+/// \return maximum number of descriptors that the process may have.
+std::size_t descriptorLimit()
+{
+    rlimit limit {};
+    constexpr std::size_t Unknown = 1024;
+    return ::getrlimit(RLIMIT_NOFILE, &limit) == 0 ? std::size_t(limit.rlim_cur) : Unknown;
+}
+
 milliseconds fractionOf(milliseconds duration, double fraction)
 {
     return milliseconds(
@@ -149,7 +159,8 @@
     kernel.add(makeDaemonList(kernel, locality));
     kernel.add(makeCallers(kernel, context,
                            {settings.listen, id, interface.dialect, interface.servesControl,
-                            memoryFraction(settings, CallerBodyFraction)}));
+                            memoryFraction(settings, CallerBodyFraction),
+                            ConnectionLimit::callerShare(descriptorLimit())}));
 }
 
 } // namespace Coltsfootwell
--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -71,6 +71,25 @@
         m_socket.cancel(ec);
     }
 
+    bool closeIfIdle() override
+    {
+        if (!isIdle()) {
+            return false;
+        }
+        m_readEnded = true;
+        connectionLost();
+        return true;
+    }
+
+    ConnectionState state() const override
+    {
+        // A connection that has just been opened is about to be used.
+        const bool busy = isAnswering() || m_reader.hasPartialRequest()
+            || remainingFirstRequestTime() > Duration::zero();
+        return {busy ? std::nullopt : std::optional(m_lastActiveAt),
+                m_closing || m_closeAfterWrite || m_readEnded};
+    }
+
 private:
     /// \return true if a request is in flight or an answer is being written.
     bool isAnswering() const { return !m_pending.empty() || m_writer.isWriting(); }
@@ -214,6 +233,7 @@
             return;
         }
         m_receivedRequest = true;
+        m_lastActiveAt = m_context->executor.now();
         addExchange(forwardRequest(m_context, std::move(request),
                                    [self = shared_from_this()] { self->writeCompletedAnswers(); }));
     }
@@ -247,6 +267,7 @@
 
     void answersWritten()
     {
+        m_lastActiveAt = m_context->executor.now();
         if (m_closeAfterWrite) {
             closeGracefully();
             return;
@@ -271,6 +292,8 @@
     AnswerWriter m_writer;
     LingeringClose m_lingeringClose;
     const TimePoint m_openedAt = m_context->executor.now();
+    /// Time at which a request was received or an answer was written last.
+    TimePoint m_lastActiveAt = m_openedAt;
     bool m_closing = false;
     bool m_receivedRequest = false;
     bool m_closeAfterWrite = false;
--- a/src/services/Callers.cpp
+++ b/src/services/Callers.cpp
@@ -9,6 +9,10 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
+#include <iterator>
+#include <vector>
+
 namespace Coltsfootwell {
 
 namespace {
@@ -23,7 +27,9 @@
     Callers(Kernel &kernel, asio::io_context &context, CallersSettings settings)
         : m_kernel(kernel), m_settings(std::move(settings)),
           m_acceptor(kernel, context, std::string(ServiceName::Callers),
-                     {[this](tcp::socket socket) { serve(std::move(socket)); }}),
+                     {[this](tcp::socket socket) { serve(std::move(socket)); },
+                      [this] { return makeRoom(); }}),
+          m_connectionLimit(m_settings.maxConnections),
           m_context(std::make_shared<SessionContext>(kernel, *m_settings.dialect, m_settings.self,
                                                      m_settings.maxBodyBytes)),
           m_configurationMailbox(kernel.executor(),
@@ -39,6 +45,8 @@
         kernel.directory().publish(ServiceName::stopping(name()), m_stopMailbox.address());
     }
 
+    ~Callers() override { m_context->onSessionEnded = nullptr; }
+
     std::string_view name() const override { return ServiceName::Callers; }
 
     std::error_code start() override
@@ -79,6 +87,34 @@
 private:
     void phaseChanged(StopPhase phase) { m_context->draining = phase != StopPhase::Running; }
 
+    /// Closes connections that have long been idle if there are too many of them.
+    /// \return false if there are still too many.
+    bool makeRoom()
+    {
+        if (m_connectionLimit.hasRoom(m_context->sessions.size())) {
+            return true;
+        }
+        const std::vector<SessionHandle *> sessions(m_context->sessions.begin(),
+                                                    m_context->sessions.end());
+        std::vector<ConnectionState> states;
+        std::ranges::transform(sessions, std::back_inserter(states), &SessionHandle::state);
+        for (const std::size_t n : m_connectionLimit.connectionsToClose(states)) {
+            if (sessions[n]->closeIfIdle()) {
+                logClosedForRoom(*states[n].idleSince);
+            }
+        }
+        m_context->onSessionEnded = [this] { m_acceptor.resume(); };
+        return false;
+    }
+
+    void logClosedForRoom(TimePoint idleSince) const
+    {
+        const auto idle = std::chrono::duration_cast<std::chrono::milliseconds>(
+            m_kernel.executor().now() - idleSince);
+        m_context->telemetry.send(
+            LogEvent {"connection.closedForRoom", "", "idleMs=" + std::to_string(idle.count())});
+    }
+
     void serve(tcp::socket socket)
     {
         boost::system::error_code ignored;
@@ -89,6 +125,7 @@
     Kernel &m_kernel;
     CallersSettings m_settings;
     Acceptor m_acceptor;
+    ConnectionLimit m_connectionLimit;
     std::shared_ptr<SessionContext> m_context;
     Mailbox<ConfigurationChanged> m_configurationMailbox;
     Mailbox<StopPhaseChanged> m_stopMailbox;
--- a/src/services/Callers.h
+++ b/src/services/Callers.h
@@ -2,6 +2,7 @@
 // service that answers it.
 #pragma once
 
+#include "decisions/ConnectionLimit.h"
 #include "decisions/Ids.h"
 #include "decisions/Member.h"
 #include "kernel/Kernel.h"
@@ -27,6 +28,8 @@
     bool servesControl = true;
     /// Maximum number of bytes of the request bodies that callers have sent and that are under way.
     std::size_t maxBodyBytes = 64ULL << 20;
+    /// Maximum number of open connections of callers.
+    std::size_t maxConnections = ConnectionLimit::callerShare(1024);
 };
 
 /// \param kernel provides the executor and the service directory.
--- a/src/services/SessionContext.cpp
+++ b/src/services/SessionContext.cpp
@@ -7,6 +7,9 @@
 void SessionContext::removeSession(SessionHandle *session)
 {
     sessions.erase(session);
+    if (onSessionEnded) {
+        executor.post(std::exchange(onSessionEnded, nullptr));
+    }
     if (sessions.empty() && onAllSessionsEnded) {
         executor.post(std::exchange(onAllSessionsEnded, nullptr));
     }
--- a/src/services/SessionContext.h
+++ b/src/services/SessionContext.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "decisions/Configuration.h"
+#include "decisions/ConnectionLimit.h"
 #include "kernel/Kernel.h"
 #include "services/BodyReservation.h"
 #include "services/CallMessages.h"
@@ -20,6 +21,13 @@
 
     /// \brief Closes the connection after the requests in flight have been answered.
     virtual void close() = 0;
+
+    /// \brief Closes the connection at once if it is idle.
+    /// \return false if it is not.
+    virtual bool closeIfIdle() = 0;
+
+    /// \return state of the connection, for the limit on their number.
+    virtual ConnectionState state() const = 0;
 };
 
 /// \brief State that all sessions of the service share.
@@ -52,6 +60,8 @@
     bool draining = false;
     /// Called once when the last session has ended; empty while the service runs.
     Task onAllSessionsEnded;
+    /// Called once when a session has ended; empty if nothing waits for that.
+    Task onSessionEnded;
 
     /// \brief Removes a session that has ended.
     void removeSession(SessionHandle *session);
--- a/test/support/CallersFixture.h
+++ b/test/support/CallersFixture.h
@@ -44,7 +44,8 @@
 public:
     /// \param dialect must outlive the fixture.
     explicit CallersFixture(std::size_t maxBodyBytes = CallersSettings().maxBodyBytes,
-                            const HttpDialect &dialect = ownDialect())
+                            const HttpDialect &dialect = ownDialect(),
+                            std::size_t maxConnections = CallersSettings().maxConnections)
         : m_kernel(m_executor, m_random),
           m_calls(m_executor,
                   [this](CallsMessage message) {
@@ -86,6 +87,7 @@
         settings.listen = {"127.0.0.1", m_endpoint.port()};
         settings.dialect = &dialect;
         settings.maxBodyBytes = maxBodyBytes;
+        settings.maxConnections = maxConnections;
         m_kernel.add(makeCallers(m_kernel, m_context, std::move(settings)));
         REQUIRE_FALSE(m_kernel.start());
     }
