A daemon without descriptors does not blame its backend server

Found by reading: a run that could not connect since the process had no descriptor ended as Unreachable, which counts against the backend server, and so did a health check. Such an exchange ends as Unsent now; the run is refused as overloaded and not run, and the health check is counted as "unsent".

--- a/src/services/BackendProbe.cpp
+++ b/src/services/BackendProbe.cpp
@@ -121,6 +121,8 @@
             tracker.health.probeFailed(false, now());
         }
         countResult(probe.healthy ? "healthy" : "unhealthy");
+    } else if (outcome.lackedResources) {
+        countResult("unsent");
     } else {
         const bool refused = outcome.kind == ExchangeOutcome::Kind::Unreachable;
         tracker.health.probeFailed(refused, now());
--- a/src/services/BackendRuns.cpp
+++ b/src/services/BackendRuns.cpp
@@ -338,7 +338,10 @@
         }
         switch (outcome.kind) {
         case Kind::Unsent:
-            refuse(attempt, run.refusalReason.value_or(Reason::Cancelled), &outcome);
+            refuse(attempt,
+                   outcome.lackedResources ? Reason::Overloaded
+                                           : run.refusalReason.value_or(Reason::Cancelled),
+                   &outcome);
             return;
         case Kind::Unreachable:
             refuse(attempt, Reason::NoBackendServer, &outcome);
--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -65,6 +65,7 @@
     bool answerStarted = false;
     bool answerTooLarge = false;
     bool lostInMemoryWait = false;
+    bool lackedResources = false;
     unsigned discardedAnswers = 0;
     Duration memoryWaitTime {};
     /// Memory of the last complete answer.
@@ -94,6 +95,7 @@
             self.m_executor.cancel(timer);
         }
         if (ec) {
+            lackedResources = lacksResources(ec);
             co_return false;
         }
         connection.connected = true;
@@ -364,6 +366,7 @@
         ExchangeOutcome outcome = makeOutcome(kind);
         outcome.answerTooLarge = answerTooLarge;
         outcome.lostInMemoryWait = lostInMemoryWait;
+        outcome.lackedResources = lackedResources;
         return outcome;
     }
 
@@ -411,7 +414,8 @@
             = self.m_pool->acquire(isHeadRequest() ? NewConnectionOnly : self.m_request.maxIdleTime,
                                    self.m_request.requestId, self.m_executor.now());
         if (!co_await connect()) {
-            co_return failedOutcome(self.m_cancelled ? Kind::Unsent : Kind::Unreachable);
+            co_return failedOutcome(self.m_cancelled || lackedResources ? Kind::Unsent
+                                                                        : Kind::Unreachable);
         }
         if (self.m_cancelled || !self.m_mayStart()) {
             co_return failedOutcome(Kind::Unsent);
--- a/src/services/HttpExchange.h
+++ b/src/services/HttpExchange.h
@@ -76,6 +76,9 @@
     Duration memoryWaitTime {};
     /// True if the answer was lost during such a wait, which is no fault of the server.
     bool lostInMemoryWait = false;
+    /// True if the request was not sent since this process has no descriptor or memory for a
+    /// connection.
+    bool lackedResources = false;
     /// Time at which the first byte of the request was sent; empty if none was.
     std::optional<TimePoint> sentAt;
     /// True if the connection had carried an earlier request.
--- a/src/services/HttpIo.cpp
+++ b/src/services/HttpIo.cpp
@@ -100,6 +100,13 @@
     socket.close(ec);
 }
 
+bool lacksResources(const boost::system::error_code &ec)
+{
+    namespace errc = boost::system::errc;
+    return ec == errc::too_many_files_open || ec == errc::too_many_files_open_in_system
+        || ec == errc::no_buffer_space || ec == errc::not_enough_memory;
+}
+
 bool isOpenAndIdle(tcp::socket &socket)
 {
     boost::system::error_code ec;
--- a/src/services/HttpIo.h
+++ b/src/services/HttpIo.h
@@ -43,6 +43,10 @@
 /// \brief Closes a connection with a TCP reset, which discards unsent bytes in the kernel.
 void resetSocket(tcp::socket &socket);
 
+/// \return true if an error means that this process or host has no descriptor or memory for a
+/// connection, which says nothing about the peer.
+bool lacksResources(const boost::system::error_code &ec);
+
 /// \return true if the connection is open and has no bytes to read.
 bool isOpenAndIdle(tcp::socket &socket);
 
