--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -5,9 +5,9 @@
 #include "services/PendingAnswers.h"
 #include "services/RequestForwarder.h"
 #include "services/RequestReader.h"
+#include "services/TaskGuard.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace Coltsfootwell::Internal {
 
@@ -38,6 +38,10 @@
     /// Serves requests until the caller sends no more or the connection is closed.
     asio::awaitable<void> run()
     {
+        TaskGuard guard(m_socket.get_executor(), [self = shared_from_this()] {
+            self->m_readEnded = true;
+            self->connectionLost();
+        });
         while (!m_readEnded) {
             co_await waitForRoom();
             if (!m_readEnded) {
@@ -47,6 +51,7 @@
         // The caller may leave while its earlier calls are at work.
         co_await m_reader.discardInput();
         inputEnded();
+        guard.finished();
     }
 
     auto executor() { return m_socket.get_executor(); }
@@ -66,6 +71,25 @@
         m_socket.cancel(ec);
     }
 
+    bool closeIfIdle() override
+    {
+        if (!isIdle()) {
+            return false;
+        }
+        m_readEnded = true;
+        connectionLost();
+        return true;
+    }
+
+    ConnectionState state() const override
+    {
+        // A connection that has just been opened is about to be used.
+        const bool busy = isAnswering() || m_reader.hasPartialRequest()
+            || remainingFirstRequestTime() > Duration::zero();
+        return {busy ? std::nullopt : std::optional(m_lastActiveAt),
+                m_closing || m_closeAfterWrite || m_readEnded};
+    }
+
 private:
     /// \return true if a request is in flight or an answer is being written.
     bool isAnswering() const { return !m_pending.empty() || m_writer.isWriting(); }
@@ -209,6 +233,7 @@
             return;
         }
         m_receivedRequest = true;
+        m_lastActiveAt = m_context->executor.now();
         addExchange(forwardRequest(m_context, std::move(request),
                                    [self = shared_from_this()] { self->writeCompletedAnswers(); }));
     }
@@ -242,6 +267,7 @@
 
     void answersWritten()
     {
+        m_lastActiveAt = m_context->executor.now();
         if (m_closeAfterWrite) {
             closeGracefully();
             return;
@@ -266,6 +292,8 @@
     AnswerWriter m_writer;
     LingeringClose m_lingeringClose;
     const TimePoint m_openedAt = m_context->executor.now();
+    /// Time at which a request was received or an answer was written last.
+    TimePoint m_lastActiveAt = m_openedAt;
     bool m_closing = false;
     bool m_receivedRequest = false;
     bool m_closeAfterWrite = false;
@@ -278,7 +306,7 @@
 {
     const auto session = std::make_shared<Session>(std::move(socket), std::move(context));
     asio::co_spawn(
-        session->executor(), [session] { return session->run(); }, asio::detached);
+        session->executor(), [session] { return session->run(); }, rethrowFailure);
 }
 
 } // namespace Coltsfootwell::Internal
--- a/src/services/Callers.cpp
+++ b/src/services/Callers.cpp
@@ -1,15 +1,19 @@
 #include "services/Callers.h"
 
+#include "services/Acceptor.h"
 #include "services/CallerSession.h"
 #include "services/ConfigurationMessages.h"
 #include "services/HeldMemoryReports.h"
-#include "services/Listen.h"
 #include "services/ServiceError.h"
 #include "services/ServiceNames.h"
 #include "services/StopMessages.h"
 
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
+#include <iterator>
+#include <vector>
+
 namespace Coltsfootwell {
 
 namespace {
@@ -22,7 +26,11 @@
 {
 public:
     Callers(Kernel &kernel, asio::io_context &context, CallersSettings settings)
-        : m_kernel(kernel), m_settings(std::move(settings)), m_acceptor(context),
+        : m_kernel(kernel), m_settings(std::move(settings)),
+          m_acceptor(kernel, context, std::string(ServiceName::Callers),
+                     {[this](tcp::socket socket) { serve(std::move(socket)); },
+                      [this] { return makeRoom(); }}),
+          m_connectionLimit(m_settings.maxConnections),
           m_context(std::make_shared<SessionContext>(kernel, *m_settings.dialect, m_settings.self,
                                                      m_settings.maxBodyBytes)),
           m_configurationMailbox(kernel.executor(),
@@ -38,6 +46,8 @@
         kernel.directory().publish(ServiceName::stopping(name()), m_stopMailbox.address());
     }
 
+    ~Callers() override { m_context->onSessionEnded = nullptr; }
+
     std::string_view name() const override { return ServiceName::Callers; }
 
     std::error_code start() override
@@ -55,10 +65,9 @@
         if (ec) {
             return ServiceError::MissingService;
         }
-        if (const std::error_code failed = listenOn(m_acceptor, m_settings.listen)) {
+        if (const std::error_code failed = m_acceptor.listen(m_settings.listen)) {
             return failed;
         }
-        accept();
         m_heldMemory.start();
         return {};
     }
@@ -68,9 +77,8 @@
         m_context->draining = true;
         // Serves the connections in the accept queue as well: closing the listening socket would
         // reset them.
-        acceptPending();
-        boost::system::error_code ec;
-        m_acceptor.close(ec);
+        m_acceptor.acceptPending();
+        m_acceptor.close();
         for (SessionHandle *session : std::set(m_context->sessions)) {
             session->close();
         }
@@ -84,17 +92,32 @@
 private:
     void phaseChanged(StopPhase phase) { m_context->draining = phase != StopPhase::Running; }
 
-    void acceptPending()
+    /// Closes connections that have long been idle if there are too many of them.
+    /// \return false if there are still too many.
+    bool makeRoom()
     {
-        boost::system::error_code ec;
-        m_acceptor.non_blocking(true, ec);
-        while (!ec) {
-            tcp::socket socket(m_acceptor.get_executor());
-            m_acceptor.accept(socket, ec);
-            if (!ec) {
-                serve(std::move(socket));
+        if (m_connectionLimit.hasRoom(m_context->sessions.size())) {
+            return true;
+        }
+        const std::vector<SessionHandle *> sessions(m_context->sessions.begin(),
+                                                    m_context->sessions.end());
+        std::vector<ConnectionState> states;
+        std::ranges::transform(sessions, std::back_inserter(states), &SessionHandle::state);
+        for (const std::size_t n : m_connectionLimit.connectionsToClose(states)) {
+            if (sessions[n]->closeIfIdle()) {
+                logClosedForRoom(*states[n].idleSince);
             }
         }
+        m_context->onSessionEnded = [this] { m_acceptor.resume(); };
+        return false;
+    }
+
+    void logClosedForRoom(TimePoint idleSince) const
+    {
+        const auto idle = std::chrono::duration_cast<std::chrono::milliseconds>(
+            m_kernel.executor().now() - idleSince);
+        m_context->telemetry.send(
+            LogEvent {"connection.closedForRoom", "", "idleMs=" + std::to_string(idle.count())});
     }
 
     void serve(tcp::socket socket)
@@ -104,22 +127,10 @@
         startSession(std::move(socket), m_context);
     }
 
-    void accept()
-    {
-        m_acceptor.async_accept([this](boost::system::error_code ec, tcp::socket socket) {
-            if (ec == asio::error::operation_aborted) {
-                return;
-            }
-            if (!ec) {
-                serve(std::move(socket));
-            }
-            accept();
-        });
-    }
-
     Kernel &m_kernel;
     CallersSettings m_settings;
-    tcp::acceptor m_acceptor;
+    Acceptor m_acceptor;
+    ConnectionLimit m_connectionLimit;
     std::shared_ptr<SessionContext> m_context;
     HeldMemoryReports m_heldMemory {
         m_kernel, {{"caller-bodies", [this] { return m_context->bodyBudget->reserved(); }}}};
--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -1,12 +1,13 @@
 #include "services/HttpExchange.h"
 
 #include "services/HttpConnection.h"
+#include "services/HttpRead.h"
+#include "services/TaskGuard.h"
 #include "wire/AnswerHead.h"
 #include "wire/AnswerStatus.h"
 #include "wire/ParseNumber.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <array>
@@ -64,8 +65,8 @@
     bool answerStarted = false;
     bool answerTooLarge = false;
     bool lostInMemoryWait = false;
+    bool lackedResources = false;
     unsigned discardedAnswers = 0;
-    std::optional<TimePoint> sentAt {};
     Duration memoryWaitTime {};
     /// Memory of the last complete answer.
     std::shared_ptr<void> bodyMemory {};
@@ -94,6 +95,7 @@
             self.m_executor.cancel(timer);
         }
         if (ec) {
+            lackedResources = lacksResources(ec);
             co_return false;
         }
         connection.connected = true;
@@ -149,12 +151,13 @@
         }
     }
 
-    /// Starts to write the request. Reading does not wait for the end of the write, since a server
-    /// may answer before it has read a long body.
+    /// Starts to write the request. Nothing is sent if its head cannot be encoded. Reading does not
+    /// wait for the end of the write, since a server may answer before it has read a long body.
     void startWrite()
     {
-        self.m_connection->writing = true;
         auto bytes = std::make_shared<std::string>(requestBytes());
+        self.m_sentAt = self.m_executor.now();
+        self.m_connection->writing = true;
         std::array<asio::const_buffer, 2> buffers {asio::buffer(*bytes), {}};
         if (hasLongBody()) {
             buffers[1] = asio::buffer(*self.m_request.body);
@@ -245,8 +248,7 @@
     {
         boost::system::error_code ec = co_await receiveHead();
         if (!ec) {
-            co_await http::async_read_header(self.m_connection->socket, self.m_connection->buffer,
-                                             parser, asio::redirect_error(asio::use_awaitable, ec));
+            ec = co_await readHeader(self.m_connection->socket, self.m_connection->buffer, parser);
         }
         co_return ec ? ec : headFault(parser.get());
     }
@@ -256,6 +258,7 @@
     {
         HttpConnection &connection = *self.m_connection;
         const std::uint64_t answer = self.m_pool->answerStarted(self.weak_from_this());
+        self.m_receivedAnswer = answer;
         boost::system::error_code ec;
         self.m_receivingBody = true;
         self.m_headerReadAt = self.m_executor.now();
@@ -271,13 +274,13 @@
                 break;
             }
             resetBodyIdleTimer();
-            co_await http::async_read_some(connection.socket, connection.buffer, parser,
-                                           asio::redirect_error(asio::use_awaitable, ec));
+            ec = co_await readSome(connection.socket, connection.buffer, parser);
         }
         if (!ec && isCutAnswer(parser, connection.socket)) {
             ec = http::error::partial_message;
         }
         self.m_receivingBody = false;
+        self.m_receivedAnswer.reset();
         if (ec) {
             self.m_pool->answerEnded(answer);
         } else {
@@ -336,7 +339,7 @@
     {
         ExchangeOutcome outcome;
         outcome.kind = kind;
-        outcome.sentAt = sentAt;
+        outcome.sentAt = self.m_sentAt;
         outcome.reusedConnection = reused;
         outcome.discardedAnswers = discardedAnswers;
         outcome.memoryWaitTime = memoryWaitTime;
@@ -363,6 +366,7 @@
         ExchangeOutcome outcome = makeOutcome(kind);
         outcome.answerTooLarge = answerTooLarge;
         outcome.lostInMemoryWait = lostInMemoryWait;
+        outcome.lackedResources = lackedResources;
         return outcome;
     }
 
@@ -410,13 +414,13 @@
             = self.m_pool->acquire(isHeadRequest() ? NewConnectionOnly : self.m_request.maxIdleTime,
                                    self.m_request.requestId, self.m_executor.now());
         if (!co_await connect()) {
-            co_return failedOutcome(self.m_cancelled ? Kind::Unsent : Kind::Unreachable);
+            co_return failedOutcome(self.m_cancelled || lackedResources ? Kind::Unsent
+                                                                        : Kind::Unreachable);
         }
         if (self.m_cancelled || !self.m_mayStart()) {
             co_return failedOutcome(Kind::Unsent);
         }
         deadlineTimer = scheduleReset(self.m_request.deadline);
-        sentAt = self.m_executor.now();
         addRunHeaders();
         startWrite();
         http::response<http::string_body> message;
@@ -458,13 +462,33 @@
     asio::co_spawn(
         m_context,
         [self = shared_from_this()]() -> asio::awaitable<void> {
+            TaskGuard guard(self->m_context.get_executor(), [self] { self->taskAbandoned(); });
             Task task {*self};
             ExchangeOutcome outcome = co_await task.run();
-            const auto onEnded = std::exchange(self->m_onEnded, nullptr);
-            self->m_mayStart = nullptr;
-            onEnded(std::move(outcome));
+            guard.finished();
+            self->end(std::move(outcome));
         },
-        asio::detached);
+        rethrowFailure);
+}
+
+void HttpExchange::end(ExchangeOutcome outcome)
+{
+    const auto onEnded = std::exchange(m_onEnded, nullptr);
+    m_mayStart = nullptr;
+    onEnded(std::move(outcome));
+}
+
+void HttpExchange::taskAbandoned()
+{
+    if (m_receivedAnswer) {
+        m_pool->answerEnded(*m_receivedAnswer);
+    }
+    m_receivingBody = false;
+    resetConnection();
+    ExchangeOutcome outcome;
+    outcome.kind = m_sentAt ? ExchangeOutcome::Kind::Lost : ExchangeOutcome::Kind::Unsent;
+    outcome.sentAt = m_sentAt;
+    end(std::move(outcome));
 }
 
 void HttpExchange::cancel()
