--- a/src/services/Acceptor.cpp
+++ b/src/services/Acceptor.cpp
@@ -12,20 +12,6 @@
 
 using boost::asio::ip::tcp;
 
-/// Calls a function at the end of a block, also if an exception leaves it.
-template <typename Function>
-class AtEnd
-{
-public:
-    explicit AtEnd(Function function) : m_function(std::move(function)) { }
-    ~AtEnd() { m_function(); }
-    AtEnd(const AtEnd &) = delete;
-    AtEnd &operator=(const AtEnd &) = delete;
-
-private:
-    Function m_function;
-};
-
 } // namespace
 
 Acceptor::Acceptor(Kernel &kernel, boost::asio::io_context &context, std::string listener,
@@ -105,14 +91,25 @@
             pause(ec.message());
             return;
         }
-        const AtEnd next([this] { acceptNext(); });
-        if (std::exchange(m_paused, false)) {
-            m_telemetry.send(LogEvent {"accept.resumed", "", "listener=" + m_listener});
+        try {
+            serve(std::move(socket));
+        } catch (...) {
+            // The loop must go on although the exception leaves the handler.
+            acceptNext();
+            throw;
         }
-        m_handlers.onAccepted(std::move(socket));
+        acceptNext();
     });
 }
 
+void Acceptor::serve(tcp::socket socket)
+{
+    if (std::exchange(m_paused, false)) {
+        m_telemetry.send(LogEvent {"accept.resumed", "", "listener=" + m_listener});
+    }
+    m_handlers.onAccepted(std::move(socket));
+}
+
 void Acceptor::pause(std::string_view error)
 {
     if (!std::exchange(m_paused, true)) {
--- a/src/services/Acceptor.h
+++ b/src/services/Acceptor.h
@@ -58,6 +58,7 @@
 private:
     void acceptNext();
     void accept();
+    void serve(boost::asio::ip::tcp::socket socket);
     void pause(std::string_view error);
 
     Kernel &m_kernel;
