--- a/test/fault/platform_path.py
+++ b/test/fault/platform_path.py
@@ -215,10 +215,10 @@
     """Daemons, each with a backend server.
 
     hosts: tuples of name, data centre and service; by default two in each data centre, one per service. regions: region
-    of each data centre.
+    of each data centre. extra_settings: further settings of the daemons.
     """
 
-    def __init__(self, hosts=None, base_port=BASE_PORT, configuration=CONFIGURATION, regions=REGIONS):
+    def __init__(self, hosts=None, base_port=BASE_PORT, configuration=CONFIGURATION, regions=REGIONS, extra_settings=None):
         self.configuration = configuration
         self.make_backend_server = BackendServer
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="coltsfootwell-platform-"))
@@ -237,7 +237,7 @@
                         "peers": f"127.0.0.1:{port + 1}", "ready": f"127.0.0.1:{port + 2}",
                         "registration": f"127.0.0.1:{port + 3}", "admin": f"127.0.0.1:{port + 4}",
                         "store": f"127.0.0.1:{self.store_port}", "drainSeconds": 2.5, "graceSeconds": 6,
-                        "retries": {"ratio": 0.2, "slack": 60, "windowSeconds": 10}}
+                        "retries": {"ratio": 0.2, "slack": 60, "windowSeconds": 10}, **(extra_settings or {})}
             path = self.directory / f"{name}.json"
             path.write_text(json.dumps(settings))
             self.ports[name] = port
