Parts of a body that no memory is reserved for are ignored

Cause: LinkServer appended every part to the body of its attempt. Parts that were under way when a run had ended (an early answer, a refusal by the server) came after the reservation was given back, and stayed until the result expired, counted by no budget; parts that were never requested were passed on. Evidence: UnrequestedBodyKept.cpp, linked with the libraries of: a body of parts that were not requested, or came after the end of the run, was passed to "backend" (1 body, 0 expected). Now a part counts only if its bytes are missing from a requested body. Ruled out: parts of a peer that is gone hold their reservation for 400 ms (OrphanTimeout) at most; run frames with heads and bodies up to 16 KiB are bounded by the slots and the queue of the server (SlotQueue), so that no further budget counts them.

--- a/src/services/LinkServer.cpp
+++ b/src/services/LinkServer.cpp
@@ -223,7 +223,11 @@
         return;
     }
     ServedAttempt &served = it->second;
-    served.missingBodyBytes -= std::min<std::uint64_t>(served.missingBodyBytes, part.bytes.size());
+    // Ignores what no memory is reserved for, such as parts that were under way when the run ended.
+    if (part.bytes.size() > served.missingBodyBytes) {
+        return;
+    }
+    served.missingBodyBytes -= part.bytes.size();
     served.body += part.bytes;
     if (part.last) {
         m_dependencies.toBackend(
@@ -320,6 +324,7 @@
     }
     // Parts of a body that was not needed any more.
     it->second.body = {};
+    it->second.missingBodyBytes = 0;
     it->second.reservation = BodyReservation(m_dependencies.bodyBudget);
     m_expiries.push_back({m_dependencies.executor.now() + ResultRetention, attempt});
 }
