Requests of callers are counted from their first bytes, and stalled ones are given up under pressure

Cause: bodies up to BodyBudget::MaxFreeBytes and headers were counted by nothing, a read buffer of up to 64 KiB stood beside each body, and the memory of a body was reserved for its announced length and kept until the connection ended.

Now: * RequestBudget counts header, body (capacity) and unparsed bytes of each request from its first bytes until nothing holds its body. A quarter is for requests with bodies up to 64 KiB, with room kept for small ones; each share keeps room for nested calls. A long request that is alone is always taken. * RequestAdmission: while a request waits for memory, unfinished ones that received less than 8 KiB in 250 ms are given up, the one with the least progress first, and refused as not run (503, Retry-After). Nothing is given up in calm, and no request that flows. Requests that all wait for each other: the one that has least goes. * The memory of a body is taken in steps up to 64 KiB and then at once. All connections share one read buffer.

Ways weighed: reserving the announced length with the first byte (as before: one byte keeps megabytes); every step by itself (bodies that are half there wait for each other); a deadline for the whole body (ends slow callers in calm). First in, first out among the waiting ones let a crowd go first, so long ones go by the bytes that they lack and short ones by size.

Test changed: UnreadRequestUnlogged held the memory by the announcement of a body of which no byte came. That is the fault itself, so the first body is now sent whole and held; the checks of the refusal are the same. CallersFixture keeps the bodies of all calls that it holds, as the service "calls" does.

--- a/src/programs/Daemon.cpp
+++ b/src/programs/Daemon.cpp
@@ -37,12 +37,13 @@
 /// process may be killed.
 constexpr milliseconds StopMargin {400};
 
-/// Maximum memory of the bodies that callers have sent, of those that other daemons have sent, and
-/// of the answers that other daemons have sent, as fractions of DaemonSettings::memoryMegabytes.
+/// Maximum memory of the requests that callers have sent, of the bodies that other daemons have
+/// sent, and of the answers that other daemons have sent, as fractions of
+/// DaemonSettings::memoryMegabytes.
 /// The rest is for AnswerBudget, buffers and everything else. Each budget is separate, since two
 /// daemons that send each other bodies and answers could wait for each other with a shared one.
-constexpr double CallerBodyFraction = 0.3;
-constexpr double PeerBodyFraction = 0.25;
+constexpr double CallerRequestFraction = 0.25;
+constexpr double PeerBodyFraction = 0.2;
 constexpr double PeerAnswerFraction = 0.12;
 
 std::size_t memoryFraction(const DaemonSettings &settings, double fraction)
@@ -149,7 +150,7 @@
     kernel.add(makeDaemonList(kernel, locality));
     kernel.add(makeCallers(kernel, context,
                            {settings.listen, id, interface.dialect, interface.servesControl,
-                            memoryFraction(settings, CallerBodyFraction)}));
+                            memoryFraction(settings, CallerRequestFraction)}));
 }
 
 } // namespace Coltsfootwell
--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -103,7 +103,7 @@
 
     asio::awaitable<void> readRequest()
     {
-        ReceivedRequest request {{}, BodyReservation(m_context->bodyBudget)};
+        ReceivedRequest request;
         const Duration firstByteTimeout
             = m_closing ? remainingFirstRequestTime() : Duration(m_context->limits.idleTimeout);
         const boost::system::error_code ec = co_await m_reader.read(request, firstByteTimeout);
@@ -132,7 +132,8 @@
         if (m_lingeringClose.isStarted() || m_closeAfterWrite) {
             // The answer that closes the connection has been written, or is being written.
         } else if (ec == asio::error::no_memory) {
-            addExchange(refuseForMemory(m_context, fields));
+            const std::string_view cause = m_reader.wasGivenUp() ? "stalled" : "body-memory";
+            addExchange(refuseForMemory(m_context, cause, fields));
         } else if (!m_reader.isReadingRequest() && (m_reader.timedOut() || m_closing)
                    && !isAnswering()) {
             closeGracefully();
--- a/src/services/Callers.cpp
+++ b/src/services/Callers.cpp
@@ -23,7 +23,7 @@
     Callers(Kernel &kernel, asio::io_context &context, CallersSettings settings)
         : m_kernel(kernel), m_settings(std::move(settings)), m_acceptor(context),
           m_context(std::make_shared<SessionContext>(kernel, *m_settings.dialect, m_settings.self,
-                                                     m_settings.maxBodyBytes)),
+                                                     m_settings.maxRequestBytes)),
           m_configurationMailbox(kernel.executor(),
                                  [this](const ConfigurationChanged &message) {
                                      if (message.configuration) {
--- a/src/services/Callers.h
+++ b/src/services/Callers.h
@@ -25,8 +25,8 @@
     const HttpDialect *dialect = nullptr;
     /// True if the daemon itself answers paths below "/coltsfootwell/".
     bool servesControl = true;
-    /// Maximum number of bytes of the request bodies that callers have sent and that are under way.
-    std::size_t maxBodyBytes = 64ULL << 20;
+    /// Maximum number of bytes of the requests that callers have sent and that are under way.
+    std::size_t maxRequestBytes = 64ULL << 20;
 };
 
 /// \param kernel provides the executor and the service directory.
--- a/src/services/RequestForwarder.cpp
+++ b/src/services/RequestForwarder.cpp
@@ -76,8 +76,8 @@
     exchange->number = ++context->lastCallNumber;
     call.number = exchange->number;
     call.head = std::move(head);
-    call.body = BodyReservation::makeBody(std::move(request.message.body()),
-                                          std::move(request.reservation));
+    call.body = RequestReservation::makeBody(std::move(request.message.body()),
+                                             std::move(request.reservation));
     call.reply = Reply<CallResult>(
         context->executor,
         [context, exchange, onAnswered = std::move(onAnswered)](std::optional<CallResult> result) {
@@ -166,14 +166,15 @@
 }
 
 std::shared_ptr<Exchange> refuseForMemory(const std::shared_ptr<SessionContext> &context,
-                                          const http::fields &fields)
+                                          std::string_view cause, const http::fields &fields)
 {
     const CallEnvelope call = decodeRefusedCall(*context, fields);
     CallRefused refused {Outcome::NotRun, Reason::Overloaded, {}};
     if (call.deadline) {
         refused.retryAfter = retryAfter(*call.deadline, context->random);
     }
-    reportRefusal(*context, call.requestId, refused, "call.refused", "reason=body-memory");
+    reportRefusal(*context, call.requestId, refused, "call.refused",
+                  "reason=" + std::string(cause));
     auto exchange = closingExchange();
     exchange->requestId = call.requestId;
     answerCall(context, *exchange, refused);
--- a/src/services/RequestForwarder.h
+++ b/src/services/RequestForwarder.h
@@ -37,9 +37,10 @@
                                         Reason reason, const http::fields &fields);
 
 /// \param context state shared by all sessions.
-/// \param fields headers of a request for whose body there is no memory.
+/// \param cause why there is no memory for the request; value of the log line's field "reason".
+/// \param fields headers of the request, as far as they were read.
 /// \return an answered exchange, after which the connection is closed.
 std::shared_ptr<Exchange> refuseForMemory(const std::shared_ptr<SessionContext> &context,
-                                          const http::fields &fields);
+                                          std::string_view cause, const http::fields &fields);
 
 } // namespace Coltsfootwell::Internal
--- a/src/services/RequestReader.h
+++ b/src/services/RequestReader.h
@@ -2,8 +2,9 @@
 // Include only from .cpp files, since it includes Asio and Beast.
 #pragma once
 
-#include "services/BodyReservation.h"
+#include "services/GrowingBody.h"
 #include "services/HttpIo.h"
+#include "services/RequestMemory.h"
 #include "services/SessionContext.h"
 
 #include <functional>
@@ -16,8 +17,7 @@
 struct ReceivedRequest
 {
     http::request<http::string_body> message;
-    /// Memory of the body.
-    BodyReservation reservation;
+    RequestReservation reservation;
 };
 
 /// \brief What the reader asks of the session that owns it.
@@ -46,7 +46,8 @@
     /// \param request receives the request, or as much of its header as was read.
     /// \param firstByteTimeout maximum time until its first byte.
     /// \return the error that ended the read; asio::error::no_memory if there is no memory for the
-    /// body, http::error::partial_message if the caller has left meanwhile.
+    /// request or it was given up for another one, http::error::partial_message if the caller has
+    /// left meanwhile.
     asio::awaitable<boost::system::error_code> read(ReceivedRequest &request,
                                                     Duration firstByteTimeout);
 
@@ -58,7 +59,7 @@
     asio::awaitable<void> discardInput();
 
     /// \brief Resumes a wait for a smaller number of requests or for memory.
-    void wakeUp() { m_wakeup->cancel(); }
+    void wakeUp() { m_wakeup.cancel(); }
 
     /// \brief Sets the time after which the read in progress fails, or an idle wait ends.
     void armTimer(Duration timeout);
@@ -79,12 +80,15 @@
     /// \return true if the last read failed since it took too long.
     bool timedOut() const { return m_timedOut; }
 
+    /// \return true if the last read failed since its request was given up for another one.
+    bool wasGivenUp() const { return m_wasGivenUp; }
+
     /// \param ec error of a read.
     /// \return the reason for which the request is refused; empty if the connection has ended.
     std::optional<Reason> refusalReason(boost::system::error_code ec) const;
 
 private:
-    using Parser = http::request_parser<http::string_body>;
+    using Parser = http::request_parser<GrowingBody>;
 
     /// State of the reading side of a connection.
     enum class Phase {
@@ -96,24 +100,40 @@
 
     asio::awaitable<boost::system::error_code> readHeader(Parser &parser,
                                                           Duration firstByteTimeout);
-    asio::awaitable<boost::system::error_code> readBody(Parser &parser,
-                                                        BodyReservation &reservation);
-    asio::awaitable<boost::system::error_code> reserve(BodyReservation &reservation,
-                                                       std::size_t bytes);
+    asio::awaitable<boost::system::error_code> readBody(Parser &parser);
+    asio::awaitable<boost::system::error_code> readSome(Parser &parser, std::size_t maxBytes);
+    boost::system::error_code parse(Parser &parser, beast::flat_buffer &buffer);
+    boost::system::error_code parseReceivedBytes(Parser &parser);
+    asio::awaitable<boost::system::error_code> growBody(Parser &parser);
+    asio::awaitable<boost::system::error_code> reserve(const Parser &parser);
+    RequestReservation completeRequest(Parser &parser);
+    void beginRequest();
+    std::size_t bufferBytes() const;
+    bool isNested(const Parser &parser) const;
     asio::awaitable<void> waitUntil(TimePoint at);
     void timerExpired();
 
     tcp::socket &m_socket;
     SessionContext &m_context;
     RequestReaderHandlers m_handlers;
+    /// Received bytes that are not parsed yet.
     beast::flat_buffer m_buffer;
+    /// Number of bytes in m_buffer from which they are parsed again.
+    std::size_t m_minParseBytes = 1;
+    /// Memory of the request that is being read; empty between requests.
+    std::optional<UnfinishedRequest> m_unfinished;
+    /// Memory of its header and of its body, and their total that is reserved.
+    std::size_t m_headerBytes = 0;
+    std::size_t m_bodyBytes = 0;
+    std::size_t m_reservedBytes = 0;
     /// Resumes a waiting reader when it is cancelled.
-    std::shared_ptr<asio::steady_timer> m_wakeup;
+    asio::steady_timer m_wakeup;
     TimerId m_timer = 0;
     Phase m_phase = Phase::Idle;
     bool m_continueExpected = false;
     /// True if the timer has expired since it was armed for the read in progress.
     bool m_timedOut = false;
+    bool m_wasGivenUp = false;
 };
 
 } // namespace Coltsfootwell::Internal
--- a/src/services/SessionContext.h
+++ b/src/services/SessionContext.h
@@ -1,12 +1,15 @@
 // State that all connections from callers share, in the service "callers".
+// Include only from .cpp files, since it includes Beast.
 #pragma once
 
 #include "decisions/Configuration.h"
 #include "kernel/Kernel.h"
-#include "services/BodyReservation.h"
 #include "services/CallMessages.h"
+#include "services/RequestMemory.h"
 #include "services/TelemetryMessages.h"
 
+#include <boost/beast/core/flat_buffer.hpp>
+
 #include <memory>
 #include <set>
 
@@ -26,11 +29,12 @@
 struct SessionContext
 {
     SessionContext(Kernel &kernel, const HttpDialect &httpDialect, DaemonId daemon,
-                   std::size_t maxBodyBytes)
+                   std::size_t maxRequestBytes)
         : executor(kernel.executor()), directory(kernel.directory()), random(kernel.random()),
           dialect(httpDialect), self(std::move(daemon)),
-          bodyBudget(std::make_shared<SharedBodyBudget>(executor, maxBodyBytes))
+          requestMemory(std::make_shared<RequestMemory>(executor, maxRequestBytes))
     {
+        readBuffer.reserve(MaxReadBytes);
     }
 
     Executor &executor;
@@ -38,8 +42,13 @@
     Random &random;
     const HttpDialect &dialect;
     DaemonId self;
-    /// Memory for bodies of requests that are under way.
-    std::shared_ptr<SharedBodyBudget> bodyBudget;
+    /// Memory for requests that are being read or under way.
+    std::shared_ptr<RequestMemory> requestMemory;
+    /// Maximum number of bytes per read.
+    static constexpr std::size_t MaxReadBytes = 64 * 1024;
+    /// Room for the bytes of one read. Each session parses or copies them before it waits, so that
+    /// connections need no buffers of that size.
+    boost::beast::flat_buffer readBuffer;
     /// True if the daemon itself answers paths below "/coltsfootwell/".
     bool servesControl = true;
     RequestLimits limits;
--- a/test/error/LeavingCallerUnnoticed.cpp
+++ b/test/error/LeavingCallerUnnoticed.cpp
@@ -15,7 +15,7 @@
 /// A service whose calls are not answered, and one caller.
 struct LeavingCaller
 {
-    explicit LeavingCaller(std::size_t maxBodyBytes = CallersSettings().maxBodyBytes)
+    explicit LeavingCaller(std::size_t maxBodyBytes = CallersSettings().maxRequestBytes)
         : fixture(maxBodyBytes)
     {
         fixture.holdAnswers = true;
--- a/test/error/UnreadRequestUnlogged.cpp
+++ b/test/error/UnreadRequestUnlogged.cpp
@@ -1,7 +1,7 @@
 // Guards against refusals that neither the log nor the metrics show: a request whose header or body
 // was too long, malformed or late got 431, 413, 400 or 408 without any line, so that its caller's
 // complaint could not be followed; and requests that were dropped without an answer.
-#include "support/CallersFixture.h"
+#include "support/SlowCaller.h"
 
 #include <algorithm>
 #include <variant>
@@ -78,9 +78,10 @@
     constexpr std::size_t BodyBytes = 1 << 20;
     CallersFixture fixture(BodyBytes + BodyBytes / 2);
     const std::string upload = Head + "Content-Length: " + std::to_string(BodyBytes) + "\r\n\r\n";
-    tcp::socket first = fixture.connect();
-    boost::asio::write(first, boost::asio::buffer(upload));
-    fixture.runFor(50ms);
+    fixture.holdAnswers = true;
+    SlowCaller first(fixture);
+    first.sendAll(upload + std::string(BodyBytes, 'b'));
+    REQUIRE(fixture.answered == 1);
     tcp::socket second = fixture.connect();
     boost::asio::write(second, boost::asio::buffer(upload));
     fixture.runFor(700ms);
--- a/test/support/CallersFixture.h
+++ b/test/support/CallersFixture.h
@@ -42,7 +42,7 @@
 class CallersFixture
 {
 public:
-    explicit CallersFixture(std::size_t maxBodyBytes = CallersSettings().maxBodyBytes)
+    explicit CallersFixture(std::size_t maxRequestBytes = CallersSettings().maxRequestBytes)
         : m_kernel(m_executor, m_random),
           m_calls(m_executor,
                   [this](CallsMessage message) {
@@ -50,7 +50,7 @@
                           ++answered;
                           if (holdAnswers) {
                               // A reply that is destroyed would answer its call.
-                              m_unanswered.push_back(held);
+                              m_unanswered.emplace_back(held, heldBody);
                           }
                           held = call->reply;
                           heldBody = call->body;
@@ -83,7 +83,7 @@
         CallersSettings settings;
         settings.listen = {"127.0.0.1", m_endpoint.port()};
         settings.dialect = &ownDialect();
-        settings.maxBodyBytes = maxBodyBytes;
+        settings.maxRequestBytes = maxRequestBytes;
         m_kernel.add(makeCallers(m_kernel, m_context, std::move(settings)));
         REQUIRE_FALSE(m_kernel.start());
     }
@@ -191,7 +191,8 @@
     Mailbox<TelemetryMessage> m_telemetry;
     Mailbox<ConfigurationMessage> m_configuration;
     Address<ConfigurationChanged> m_subscriber;
-    std::vector<Reply<CallResult>> m_unanswered;
+    /// Calls before the last one, and their bodies.
+    std::vector<std::pair<Reply<CallResult>, BodyPtr>> m_unanswered;
 };
 
 } // namespace Coltsfootwell::Testing
--- a/test/support/SlowCaller.h
+++ b/test/support/SlowCaller.h
@@ -28,6 +28,18 @@
         fixture.runFor(50ms);
     }
 
+    /// Sends a text while the daemon reads it, for some time at most.
+    void sendAll(std::string_view text, Duration time = 5s)
+    {
+        boost::system::error_code ec;
+        const auto end = std::chrono::steady_clock::now() + time;
+        while (!text.empty() && (!ec || ec == boost::asio::error::would_block)
+               && std::chrono::steady_clock::now() < end) {
+            text.remove_prefix(socket.write_some(boost::asio::buffer(text), ec));
+            fixture.runFor(1ms);
+        }
+    }
+
     /// Reads until the time is over, the connection has ended or the received bytes end with a
     /// text.
     void readFor(Duration time, std::string_view last = "\n\n")
