Trailers and chunk extensions without end are refused

Cause: what the parser cannot take yet stays in the buffer of the connection, which had no maximum, and the limit of headers does not apply behind the header. Now unparsed bytes behind the header are limited to 64 KiB, or to the limit of headers if that is more.

--- a/src/services/RequestReader.cpp
+++ b/src/services/RequestReader.cpp
@@ -23,6 +23,9 @@
 constexpr std::size_t FirstBodyBytes = 16 * 1024;
 /// Memory of a request and its call beside header and body.
 constexpr std::size_t RequestOverheadBytes = 2 * 1024;
+/// Maximum length of the extensions of a chunk, and of the last chunk with all trailers, if the
+/// limit of headers is lower.
+constexpr std::uint64_t MaxTrailerBytes = 64 * 1024;
 /// Interval between checks whether the caller has left, while nothing is read from its connection.
 /// Its calls must be cancelled within half a second.
 constexpr std::chrono::milliseconds LeaveCheckInterval {100};
@@ -151,6 +154,9 @@
             ec = co_await readSome(parser,
                                    std::clamp(room, minBytes, SessionContext::MaxReadBytes));
         }
+        if (ec == http::error::need_more && m_buffer.size() > trailerLimit()) {
+            ec = http::error::header_limit;
+        }
     }
     m_continueExpected = false;
     co_return ec;
@@ -316,6 +322,11 @@
     return m_buffer.capacity() > MaxUncountedBytes ? m_buffer.capacity() : 0;
 }
 
+std::uint64_t RequestReader::trailerLimit() const
+{
+    return std::max(m_context.limits.headerBytes, MaxTrailerBytes);
+}
+
 bool RequestReader::isNested(const Parser &parser) const
 {
     HeaderFault fault;
--- a/src/services/RequestReader.h
+++ b/src/services/RequestReader.h
@@ -109,6 +109,7 @@
     RequestReservation completeRequest(Parser &parser);
     void beginRequest();
     std::size_t bufferBytes() const;
+    std::uint64_t trailerLimit() const;
     bool isNested(const Parser &parser) const;
     asio::awaitable<void> waitUntil(TimePoint at);
     void timerExpired();
