--- a/src/services/Callers.cpp
+++ b/src/services/Callers.cpp
@@ -32,7 +32,7 @@
                       [this] { return makeRoom(); }}),
           m_connectionLimit(m_settings.maxConnections),
           m_context(std::make_shared<SessionContext>(kernel, *m_settings.dialect, m_settings.self,
-                                                     m_settings.maxBodyBytes)),
+                                                     m_settings.maxRequestBytes)),
           m_configurationMailbox(kernel.executor(),
                                  [this](const ConfigurationChanged &message) {
                                      if (message.configuration) {
--- a/test/error/FailedTaskLeavesCallsOpen.cpp
+++ b/test/error/FailedTaskLeavesCallsOpen.cpp
@@ -83,7 +83,7 @@
 TEST_CASE("A connection whose task fails is closed and its calls are cancelled")
 {
     const ThrowingDialect dialect;
-    CallersFixture fixture(CallersSettings().maxBodyBytes, dialect);
+    CallersFixture fixture(CallersSettings().maxRequestBytes, dialect);
     fixture.holdAnswers = true;
     tcp::socket caller = fixture.connect();
     CallersFixture::sendRequest(caller);
--- a/test/error/IdleConnectionsShutOutCallers.cpp
+++ b/test/error/IdleConnectionsShutOutCallers.cpp
@@ -50,7 +50,7 @@
 
 TEST_CASE("A caller is served while others leave their connections alone")
 {
-    CallersFixture fixture(CallersSettings().maxBodyBytes, ownDialect(), MaxConnections);
+    CallersFixture fixture(CallersSettings().maxRequestBytes, ownDialect(), MaxConnections);
     fixture.holdAnswers = true;
     tcp::socket busy = fixture.connect();
     CallersFixture::sendRequest(busy);
@@ -74,7 +74,7 @@
 
 TEST_CASE("A connection waits while all others are busy")
 {
-    CallersFixture fixture(CallersSettings().maxBodyBytes, ownDialect(), 1);
+    CallersFixture fixture(CallersSettings().maxRequestBytes, ownDialect(), 1);
     fixture.holdAnswers = true;
     tcp::socket first = fixture.connect();
     CallersFixture::sendRequest(first);
--- a/test/support/CallersFixture.h
+++ b/test/support/CallersFixture.h
@@ -43,7 +43,7 @@
 {
 public:
     /// \param dialect must outlive the fixture.
-    explicit CallersFixture(std::size_t maxBodyBytes = CallersSettings().maxBodyBytes,
+    explicit CallersFixture(std::size_t maxRequestBytes = CallersSettings().maxRequestBytes,
                             const HttpDialect &dialect = ownDialect(),
                             std::size_t maxConnections = CallersSettings().maxConnections)
         : m_kernel(m_executor, m_random),
@@ -53,7 +53,7 @@
                           ++answered;
                           if (holdAnswers) {
                               // A reply that is destroyed would answer its call.
-                              m_unanswered.push_back(held);
+                              m_unanswered.emplace_back(held, heldBody);
                           }
                           held = call->reply;
                           heldBody = call->body;
@@ -86,7 +86,7 @@
         CallersSettings settings;
         settings.listen = {"127.0.0.1", m_endpoint.port()};
         settings.dialect = &dialect;
-        settings.maxBodyBytes = maxBodyBytes;
+        settings.maxRequestBytes = maxRequestBytes;
         settings.maxConnections = maxConnections;
         m_kernel.add(makeCallers(m_kernel, m_context, std::move(settings)));
         REQUIRE_FALSE(m_kernel.start());
@@ -195,7 +195,8 @@
     Mailbox<TelemetryMessage> m_telemetry;
     Mailbox<ConfigurationMessage> m_configuration;
     Address<ConfigurationChanged> m_subscriber;
-    std::vector<Reply<CallResult>> m_unanswered;
+    /// Calls before the last one, and their bodies.
+    std::vector<std::pair<Reply<CallResult>, BodyPtr>> m_unanswered;
 };
 
 } // namespace Coltsfootwell::Testing
