--- a/src/services/Callers.cpp
+++ b/src/services/Callers.cpp
@@ -133,7 +133,7 @@
     ConnectionLimit m_connectionLimit;
     std::shared_ptr<SessionContext> m_context;
     HeldMemoryReports m_heldMemory {
-        m_kernel, {{"caller-bodies", [this] { return m_context->bodyBudget->reserved(); }}}};
+        m_kernel, {{"caller-bodies", [this] { return m_context->requestMemory->reserved(); }}}};
     Mailbox<ConfigurationChanged> m_configurationMailbox;
     Mailbox<StopPhaseChanged> m_stopMailbox;
 };
--- a/src/services/RequestMemory.h
+++ b/src/services/RequestMemory.h
@@ -29,6 +29,13 @@
     /// \brief Returns memory, and lets the requests that wait for it go on.
     void release(const ReservedRequest &reserved);
 
+    /// \return number of bytes that all requests have reserved.
+    std::size_t reserved() const
+    {
+        const RequestBudget &budget = m_admission.budget();
+        return budget.reserved(RequestShare::Short) + budget.reserved(RequestShare::Long);
+    }
+
     /// \return true if only a nested call might get the memory now.
     bool isScarce(const RequestNeed &need) const { return !m_admission.budget().hasRoom(need); }
 
