An answer with a trailer or a chunk extension without end is lost

Cause: what the parser cannot take yet stays in the read buffer of the connection, which had no maximum size. The header of an answer was limited, its trailers were not.

Change: the buffer of a connection to a server holds at most 128 KiB of unparsed bytes; beyond them the answer is lost. Ruled out: bodies, which are parsed as they arrive.

AnswerTrailerWithoutEnd was not run without the limit; the process cases show the fault.

--- a/src/services/HttpConnection.h
+++ b/src/services/HttpConnection.h
@@ -12,13 +12,17 @@
 /// Idle timeout that is assumed for servers that do not announce one in the header "Keep-Alive".
 constexpr Duration DefaultIdleTimeout = std::chrono::seconds(8);
 
+/// Maximum number of received bytes that are not parsed yet: a header, a trailer or an extension of
+/// a chunk. Bodies are parsed as they arrive.
+constexpr std::size_t MaxBufferedBytes = 128 * 1024;
+
 /// \brief A connection with its read buffer.
 struct HttpConnection
 {
     explicit HttpConnection(asio::io_context &context) : socket(context) { }
 
     tcp::socket socket;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer {MaxBufferedBytes};
     TimePoint lastUsed {};
     /// Idle time after which the server closes the connection.
     Duration serverIdleTimeout = DefaultIdleTimeout;
