Answers that callers do not take no longer exhaust the memory

Causes: AnswerBudget had absolute limits of 40 and 64 MB, whatever the memory of the daemon; answers of up to 64 KiB counted nowhere, neither while they waited for their callers, nor in the queue of a slow link, nor in the two seconds for which results are kept; and a caller that read nothing or a byte now and then held its answers.

Now: - AnswerMemory counts all answers, of the backend server and of other daemons separately, in a share for long and one for short ones, as parts of memoryMegabytes (0.15 + 0.05 and 0.1 + 0.05). Nothing is read while its share is used up. An answer that is alone is taken. - A body of unknown length grows by a quarter, which is reserved before. - SlowReaders: when answers wait, the connections of callers that have taken less than 16 KiB in a second are reset, those that have taken the least first, as many as are needed. In calm none is. - The socket of a caller holds at most 64 KiB that are not sent. - A short answer is announced, and sent on request, when over 256 KiB wait on the link. Results that were sent are kept within a limit. An entry daemon without memory drops a short answer of over 4 KiB and has it sent again once there is memory.

AnswersExceedMemory checked that a short answer counts nothing; it now checks that it counts in the share of the short ones.

--- a/src/decisions/AnswerBudget.h
+++ b/src/decisions/AnswerBudget.h
@@ -1,8 +1,8 @@
-// Limits the memory used by answers from one backend server, while they are received and until they
-// have been passed on.
+// Limits the memory used by answers, while they are received and until they have been passed on.
 //
-// Guards against a server that sends bytes without end, and against several long answers at once:
-// an answer for which there is no memory waits until others have ended, so that none is given up.
+// Guards against a server that sends bytes without end, against several long answers at once, and
+// against callers that do not take their answers: an answer for which there is no memory waits
+// until others have ended, so that none is given up.
 #pragma once
 
 #include <cstddef>
@@ -11,24 +11,49 @@
 
 namespace Coltsfootwell {
 
+/// \brief Shares of the memory for answers. Each has its own limit, so that short answers go on
+/// beside long ones.
+enum class AnswerSize : std::uint8_t {
+    /// Up to BodyBudget::MaxFreeBytes.
+    Short,
+    Long,
+};
+
+/// \return the share to which an answer belongs.
+AnswerSize answerSize(std::size_t bytes);
+
+/// \brief Limits of an AnswerBudget in bytes.
+struct AnswerLimits
+{
+    /// Long answers that are incomplete, each with its maximum length. Beside an answer of unknown
+    /// length, which may grow to AnswerBudget::MaxBytes, newer ones have the rest.
+    std::size_t incompleteLongBytes = 0;
+    /// Long answers, also complete ones that a slow caller or link has not taken yet.
+    std::size_t longBytes = 0;
+    /// Short answers, incomplete or complete.
+    std::size_t shortBytes = 0;
+};
+
 /// \brief Decides which of the incomplete answers may be read further.
 ///
-/// An answer is admitted only if each older one can still grow to its maximum length beside it. The
-/// oldest answer can therefore always go on unless it waits for complete ones to be passed on, and
-/// all incomplete answers together never exceed MaxTotalBytes.
+/// A long answer is admitted only if each older one can still grow to its maximum length beside it.
+/// The oldest answer can therefore always go on unless it waits for complete ones to be passed on,
+/// and all incomplete answers together never exceed their limit. A short answer reserves all that
+/// it may need at once, so that none waits for another incomplete one. An answer that exceeds its
+/// share is admitted while the share holds no other.
 class AnswerBudget
 {
 public:
     /// Maximum number of bytes of one answer.
     static constexpr std::size_t MaxBytes = 32ULL << 20;
-    /// Maximum number of bytes of all answers that are longer than BodyBudget::MaxFreeBytes. Beside
-    /// an answer of unknown length, which may grow to MaxBytes, newer ones have the rest.
-    static constexpr std::size_t MaxTotalBytes = MaxBytes + (8ULL << 20);
-    /// Maximum number of bytes of all answers, also complete ones that a slow caller or link has
-    /// not taken yet. Two answers of MaxBytes fit, so that one slow caller does not hold up others.
-    static constexpr std::size_t MaxHeldBytes = 2 * MaxBytes;
-
-    /// \brief Reserves memory for an answer. One of up to BodyBudget::MaxFreeBytes needs none.
+    /// Limits for a process whose memory is not limited otherwise. Two answers of MaxBytes fit, so
+    /// that one slow caller does not hold up others.
+    static constexpr AnswerLimits DefaultLimits {MaxBytes + (8ULL << 20), 2 * MaxBytes,
+                                                 16ULL << 20};
+
+    explicit AnswerBudget(const AnswerLimits &limits = DefaultLimits) : m_limits(limits) { }
+
+    /// \brief Reserves memory for an answer.
     /// \param answer identifier of the answer.
     /// \param bytes number of bytes that the answer needs now: its length if that is known, else
     /// the number of bytes received so far.
@@ -40,18 +65,20 @@
     void answerEnded(std::uint64_t answer);
 
     /// \brief Removes an answer that has completed, and counts its bytes until release().
-    /// \return number of bytes to release once the answer has been passed on; 0 if it needs no
-    /// memory of the budget.
-    std::size_t answerCompleted(std::uint64_t answer, std::size_t bytes);
+    /// \param answer identifier of the answer; may be unknown, for one that was not reserved.
+    void answerCompleted(std::uint64_t answer, std::size_t bytes);
 
     /// \brief Returns the bytes of a complete answer.
-    void release(std::size_t bytes) { m_completeBytes -= bytes; }
+    void release(std::size_t bytes);
 
-    /// \return number of bytes reserved by incomplete answers.
+    /// \return number of bytes reserved by incomplete long answers.
     std::size_t reserved() const;
 
     /// \return number of bytes of all answers, also of complete ones that are not released yet.
-    std::size_t held() const { return reserved() + m_completeBytes; }
+    std::size_t held() const { return reserved() + m_completeLongBytes + shortHeld(); }
+
+    /// \return number of bytes that short answers take.
+    std::size_t shortHeld() const;
 
 private:
     struct Answer
@@ -61,9 +88,15 @@
         std::size_t maxBytes = 0;
     };
 
-    /// In the order in which they exceeded BodyBudget::MaxFreeBytes.
-    std::vector<Answer> m_answers;
-    std::size_t m_completeBytes = 0;
+    bool tryReserveShort(std::uint64_t answer, std::size_t bytes);
+    bool tryGrowLong(std::uint64_t answer, std::size_t bytes, std::size_t maxBytes);
+
+    AnswerLimits m_limits;
+    /// Long answers in the order in which they exceeded BodyBudget::MaxFreeBytes.
+    std::vector<Answer> m_longAnswers;
+    std::vector<Answer> m_shortAnswers;
+    std::size_t m_completeLongBytes = 0;
+    std::size_t m_completeShortBytes = 0;
 };
 
 } // namespace Coltsfootwell
--- a/src/programs/Daemon.cpp
+++ b/src/programs/Daemon.cpp
@@ -41,13 +41,19 @@
 constexpr milliseconds StopMargin {400};
 
 /// Maximum memory of the requests that callers have sent, of the bodies that other daemons have
-/// sent, and of the answers that other daemons have sent, as fractions of
-/// DaemonSettings::memoryMegabytes.
-/// The rest is for AnswerBudget, buffers and everything else. Each budget is separate, since two
-/// daemons that send each other bodies and answers could wait for each other with a shared one.
+/// sent, of the answers of the backend server and of those that other daemons have sent, as
+/// fractions of DaemonSettings::memoryMegabytes. The rest is for buffers and everything else. Each
+/// budget is separate, since two daemons that send each other bodies and answers could wait for
+/// each other with a shared one.
 constexpr double CallerRequestFraction = 0.25;
 constexpr double PeerBodyFraction = 0.2;
-constexpr double PeerAnswerFraction = 0.12;
+constexpr double ServerLongAnswerFraction = 0.15;
+constexpr double ServerShortAnswerFraction = 0.05;
+constexpr double PeerLongAnswerFraction = 0.1;
+constexpr double PeerShortAnswerFraction = 0.05;
+/// Part of the memory for the server's short answers that may be taken by those that have been sent
+/// to other daemons.
+constexpr double KeptAnswerFraction = 0.5;
 
 std::size_t memoryFraction(const DaemonSettings &settings, double fraction)
 {
@@ -63,6 +69,12 @@
     return ::getrlimit(RLIMIT_NOFILE, &limit) == 0 ? std::size_t(limit.rlim_cur) : Unknown;
 }
 
+AnswerLimits answerLimits(const DaemonSettings &settings, double longFraction, double shortFraction)
+{
+    const std::size_t longBytes = memoryFraction(settings, longFraction);
+    return {longBytes, longBytes, memoryFraction(settings, shortFraction)};
+}
+
 milliseconds fractionOf(milliseconds duration, double fraction)
 {
     return milliseconds(
@@ -138,9 +150,11 @@
         kernel.add(makeControlListener(kernel, context, {"ready", *settings.ready}));
     }
     kernel.add(makeMembership(kernel, context, membership));
-    kernel.add(makeLinks(kernel, context,
-                         {settings.peers, locality, memoryFraction(settings, PeerBodyFraction),
-                          memoryFraction(settings, PeerAnswerFraction)}));
+    kernel.add(
+        makeLinks(kernel, context,
+                  {settings.peers, locality, memoryFraction(settings, PeerBodyFraction),
+                   answerLimits(settings, PeerLongAnswerFraction, PeerShortAnswerFraction),
+                   memoryFraction(settings, ServerShortAnswerFraction * KeptAnswerFraction)}));
     kernel.add(makeConfigurationFollower(kernel, store(),
                                          {interface.format, settings.dataCentres,
                                           settings.configurationFile,
@@ -151,8 +165,10 @@
     if (settings.store && interface.lastingInstanceIds) {
         kernel.add(makeLeftProcessRecords(kernel, store(), id.name));
     }
-    kernel.add(makeBackend(kernel, context,
-                           {locality, interface.dialect, settings.coldSlack, strategies.guards}));
+    kernel.add(
+        makeBackend(kernel, context,
+                    {locality, interface.dialect, settings.coldSlack, strategies.guards,
+                     answerLimits(settings, ServerLongAnswerFraction, ServerShortAnswerFraction)}));
     interface.addRegistration(kernel, settings);
     if (settings.registration) {
         kernel.add(makeControlListener(kernel, context, {"registration", *settings.registration}));
--- a/src/services/AnswerWriter.cpp
+++ b/src/services/AnswerWriter.cpp
@@ -15,8 +15,9 @@
 {
 }
 
-void AnswerWriter::add(std::string bytes, BodyPtr body)
+void AnswerWriter::add(std::string bytes, BodyPtr body, const HeldAnswer &held, BodyPtr copiedBody)
 {
+    m_addedBytes += bytes.size() + (body ? body->size() : 0);
     // Short answers become one part, which is written in one call. A part that is being written
     // must not change.
     const bool extend = m_parts.size() > (m_writing ? 1U : 0U) && m_parts.back().body == nullptr;
@@ -24,7 +25,13 @@
         m_parts.back().bytes += bytes;
         m_parts.back().body = std::move(body);
     } else {
-        m_parts.push_back({std::move(bytes), std::move(body)});
+        m_parts.push_back({std::move(bytes), std::move(body), {}, {}});
+    }
+    if (held.bytes > 0) {
+        m_parts.back().held.push_back(held);
+    }
+    if (copiedBody) {
+        m_parts.back().copiedBodies.push_back(std::move(copiedBody));
     }
 }
 
@@ -37,6 +44,12 @@
 }
 
 bool AnswerWriter::takeProgress()
+{
+    const std::uint64_t received = receivedBytes();
+    return std::exchange(m_received, received) != received;
+}
+
+std::uint64_t AnswerWriter::receivedBytes() const
 {
     // The socket takes more only after much of its buffer is free, which can take a slow caller
     // longer than a timeout; so the bytes in the buffer count as well.
@@ -44,8 +57,16 @@
     if (::ioctl(m_socket.native_handle(), SIOCOUTQ, &unsent) != 0) {
         unsent = 0;
     }
-    const std::uint64_t received = m_totalWritten - static_cast<std::uint64_t>(unsent);
-    return std::exchange(m_received, received) != received;
+    return m_totalWritten - static_cast<std::uint64_t>(unsent);
+}
+
+void AnswerWriter::forEachHeld(const std::function<void(const HeldAnswer &)> &visit) const
+{
+    for (const Part &part : m_parts) {
+        for (const HeldAnswer &held : part.held) {
+            visit(held);
+        }
+    }
 }
 
 std::array<boost::asio::const_buffer, 2> AnswerWriter::unwritten() const
--- a/src/services/Backend.cpp
+++ b/src/services/Backend.cpp
@@ -1,5 +1,6 @@
 #include "services/Backend.h"
 
+#include "services/AnswerMessages.h"
 #include "services/BackendLimits.h"
 #include "services/BackendLog.h"
 #include "services/BackendMessages.h"
@@ -97,6 +98,12 @@
         if (m_recordsLeft) {
             m_tracker.registration.expectPredecessor();
         }
+        std::error_code withoutCallers;
+        m_answerMemory->reportShortage(
+            [readers = directory.find<AnswerMemoryShort>(
+                 ServiceName::AnswerReaders, withoutCallers)](AnswerSize size, std::size_t bytes) {
+                readers.send({AnswerSource::Server, size, bytes});
+            });
         tick();
         checkProbe();
         m_heldMemory.start();
@@ -279,7 +286,7 @@
         }
         m_hasInstance = true;
         m_tracker.instanceReplaced(now());
-        m_runs->instanceReplaced(std::make_shared<HttpPool>(m_context, *endpoint));
+        m_runs->instanceReplaced(std::make_shared<HttpPool>(m_context, *endpoint, m_answerMemory));
         m_probe.instanceReplaced(std::make_shared<HttpPool>(m_context, *endpoint));
         applyRules();
         if (!m_tracker.registration.isConfirmed()) {
@@ -370,6 +377,9 @@
     boost::asio::io_context &m_context;
     BackendSettings m_settings;
     BackendTracker m_tracker;
+    /// Shared by the connections to all processes of the backend server.
+    const std::shared_ptr<AnswerMemory> m_answerMemory
+        = std::make_shared<AnswerMemory>(m_context, m_settings.answerLimits);
     std::unique_ptr<BackendRuns> m_runs;
     BackendProbe m_probe;
     HeldMemoryReports m_heldMemory {
--- a/src/services/Backend.h
+++ b/src/services/Backend.h
@@ -2,6 +2,7 @@
 // beside this daemon.
 #pragma once
 
+#include "decisions/AnswerBudget.h"
 #include "decisions/Guards.h"
 #include "decisions/Locality.h"
 #include "kernel/Kernel.h"
@@ -26,6 +27,8 @@
     /// Calls per second that a cold server tolerates above the cold-start rate of its service.
     double coldSlack = 0;
     const Guards *guards = &FullGuards;
+    /// Memory for the answers of the backend server.
+    AnswerLimits answerLimits = AnswerBudget::DefaultLimits;
 };
 
 /// \param kernel provides the executor and the service directory.
--- a/src/services/BackendRuns.cpp
+++ b/src/services/BackendRuns.cpp
@@ -384,21 +384,10 @@
             "run.answered", attempt.call.requestId,
             "status=" + std::to_string(outcome.status) + runLogFields(run, outcome),
             failure || now() > attempt.objective ? LogWeight::Important : LogWeight::Routine});
-        attempt.reply(AttemptAnswered {outcome.status, std::move(outcome.headers),
-                                       makeBody(outcome), failure, m_dependencies.currentLoad()});
-    }
-
-    /// \return the body of an answer, which holds its memory as long as anything uses it.
-    static BodyPtr makeBody(ExchangeOutcome &outcome)
-    {
-        struct HeldBody
-        {
-            std::string bytes;
-            std::shared_ptr<void> memory;
-        };
-        const auto body = std::make_shared<HeldBody>(
-            HeldBody {std::move(outcome.body), std::move(outcome.bodyMemory)});
-        return BodyPtr(body, &body->bytes);
+        attempt.reply(
+            AttemptAnswered {outcome.status, std::move(outcome.headers),
+                             makeHeldBody(std::move(outcome.body), std::move(outcome.bodyMemory)),
+                             failure, m_dependencies.currentLoad()});
     }
 
     void reportLost(const Run &run, std::string_view how, const ExchangeOutcome &outcome)
--- a/src/services/CallerAnswer.cpp
+++ b/src/services/CallerAnswer.cpp
@@ -48,7 +48,8 @@
     const std::string_view body
         = answered.body ? std::string_view(*answered.body) : std::string_view();
     if (framing.headRequest || body.size() <= MaxCopiedBodyBytes) {
-        return {serialize(answered.status, headers, body.size(), body, framing), nullptr};
+        return {serialize(answered.status, headers, body.size(), body, framing), nullptr,
+                answered.body};
     }
     return {serialize(answered.status, headers, body.size(), {}, framing), answered.body};
 }
--- a/src/services/CallerAnswer.h
+++ b/src/services/CallerAnswer.h
@@ -24,6 +24,9 @@
     std::string bytes;
     /// A long body, which follows the bytes; null if they contain the whole message.
     BodyPtr body;
+    /// A short body, which was copied to the bytes; null if there is none. It keeps the memory that
+    /// was reserved for the answer.
+    BodyPtr copiedBody = nullptr;
 };
 
 /// \param dialect header dialect.
--- a/src/services/CallerSession.cpp
+++ b/src/services/CallerSession.cpp
@@ -1,5 +1,6 @@
 #include "services/CallerSession.h"
 
+#include "services/AnswerReaders.h"
 #include "services/AnswerWriter.h"
 #include "services/LingeringClose.h"
 #include "services/PendingAnswers.h"
@@ -205,6 +206,14 @@
         m_reader.wakeUp();
     }
 
+    /// Ends the session at once; the caller gets no more answers.
+    void reset()
+    {
+        m_readEnded = true;
+        resetSocket(m_socket);
+        connectionLost();
+    }
+
     void addExchange(std::shared_ptr<Exchange> exchange)
     {
         const bool answered = exchange->isAnswered();
@@ -248,13 +257,14 @@
         }
         bool close = false;
         while (const std::shared_ptr<Exchange> exchange
-               = close ? nullptr : m_pending.takeAnswered()) {
+               = close || m_writer.isFull() ? nullptr : m_pending.takeAnswered()) {
             // Callers treat requests after a closing answer as not processed, so only the last
             // answer may close the connection.
             const bool last = m_pending.empty() && (m_readEnded || !m_reader.hasBufferedBytes());
             close = !exchange->keepAlive || (last && (m_closing || m_context->draining));
             SerializedAnswer answer = exchange->makeAnswer({exchange->headRequest, !close});
-            m_writer.add(std::move(answer.bytes), std::move(answer.body));
+            m_writer.add(std::move(answer.bytes), std::move(answer.body), exchange->held,
+                         std::move(answer.copiedBody));
         }
         m_reader.wakeUp();
         m_closeAfterWrite = m_closeAfterWrite || close;
@@ -292,6 +302,8 @@
     RequestReader m_reader;
     AnswerWriter m_writer;
     LingeringClose m_lingeringClose;
+    const AnswerReaderHandle m_readerHandle {m_context->answerReaders, m_pending, m_writer,
+                                             [this] { reset(); }};
     const TimePoint m_openedAt = m_context->executor.now();
     /// Time at which a request was received or an answer was written last.
     TimePoint m_lastActiveAt = m_openedAt;
--- a/src/services/Callers.cpp
+++ b/src/services/Callers.cpp
@@ -4,6 +4,7 @@
 #include "services/CallerSession.h"
 #include "services/ConfigurationMessages.h"
 #include "services/HeldMemoryReports.h"
+#include "services/HttpIo.h"
 #include "services/ServiceError.h"
 #include "services/ServiceNames.h"
 #include "services/StopMessages.h"
@@ -40,8 +41,12 @@
                                      }
                                  }),
           m_stopMailbox(kernel.executor(),
-                        [this](StopPhaseChanged message) { phaseChanged(message.phase); })
+                        [this](StopPhaseChanged message) { phaseChanged(message.phase); }),
+          m_answerReadersMailbox(kernel.executor(), [this](const AnswerMemoryShort &message) {
+              m_context->answerReaders.memoryShort(message, m_context->telemetry);
+          })
     {
+        kernel.directory().publish(ServiceName::AnswerReaders, m_answerReadersMailbox.address());
         m_context->servesControl = m_settings.servesControl;
         kernel.directory().publish(ServiceName::stopping(name()), m_stopMailbox.address());
     }
@@ -124,6 +129,7 @@
     {
         boost::system::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
+        limitUnsentBytes(socket);
         startSession(std::move(socket), m_context);
     }
 
@@ -136,6 +142,7 @@
         m_kernel, {{"caller-bodies", [this] { return m_context->requestMemory->reserved(); }}}};
     Mailbox<ConfigurationChanged> m_configurationMailbox;
     Mailbox<StopPhaseChanged> m_stopMailbox;
+    Mailbox<AnswerMemoryShort> m_answerReadersMailbox;
 };
 
 } // namespace
--- a/src/services/HttpExchange.cpp
+++ b/src/services/HttpExchange.cpp
@@ -30,6 +30,9 @@
 /// Number of requests that are excluded from a connection after which it is closed.
 constexpr std::size_t MaxAnsweredIds = 64;
 
+/// Minimum room for a body of unknown length before a read, which brings no more at a time.
+constexpr std::size_t MinBodyRoomBytes = 64 * 1024;
+
 using AnswerParser = http::response_parser<http::string_body>;
 
 /// \return the fault of a head that does not tell what the answer is or where its body ends.
@@ -56,6 +59,22 @@
     return n ? Duration(seconds(*n)) : DefaultIdleTimeout;
 }
 
+/// \return the number of bytes that the buffer of a body of unknown length has to take before the
+/// next read. It grows by a quarter; a string would double, which the budget does not see.
+std::size_t nextCapacity(const std::string &body, std::size_t maxBytes)
+{
+    constexpr std::size_t GrowthDivisor = 4;
+    if (answerSize(body.size()) == AnswerSize::Short) {
+        return body.size();
+    }
+    if (body.capacity() - body.size() >= MinBodyRoomBytes) {
+        return body.capacity();
+    }
+    const std::size_t wanted
+        = body.size() + std::max(MinBodyRoomBytes, body.size() / GrowthDivisor);
+    return std::max(body.size(), std::min(wanted, maxBytes));
+}
+
 } // namespace
 
 struct HttpExchange::Task
@@ -184,8 +203,8 @@
     asio::awaitable<bool> reserveMemory(std::uint64_t answer, std::size_t bytes,
                                         std::size_t maxBytes)
     {
-        if (self.m_pool->tryReserve(answer, bytes, maxBytes)
-            || !self.m_connection->socket.is_open()) {
+        AnswerMemory &memory = self.m_pool->answerMemory();
+        if (memory.tryReserve(answer, bytes, maxBytes) || !self.m_connection->socket.is_open()) {
             // A connection that was reset when a read had just ended fails at the next one. Nothing
             // would end a wait.
             co_return true;
@@ -198,12 +217,17 @@
                 std::max(self.m_request.deadline, start + self.m_request.bodyIdleTimeout));
         }
         do {
+            memory.waitForRelease(bytes, [weak = self.weak_from_this()] {
+                if (const auto exchange = weak.lock()) {
+                    exchange->m_reserveTimer.cancel();
+                }
+            });
             boost::system::error_code ignored;
             self.m_reserveTimer.expires_at(asio::steady_timer::time_point::max());
             co_await self.m_reserveTimer.async_wait(
                 asio::redirect_error(asio::use_awaitable, ignored));
         } while (self.m_connection->socket.is_open()
-                 && !self.m_pool->tryReserve(answer, bytes, maxBytes));
+                 && !memory.tryReserve(answer, bytes, maxBytes));
         memoryWaitTime += self.m_executor.now() - start;
         co_return self.m_connection->socket.is_open();
     }
@@ -257,7 +281,8 @@
     asio::awaitable<boost::system::error_code> readBody(AnswerParser &parser)
     {
         HttpConnection &connection = *self.m_connection;
-        const std::uint64_t answer = self.m_pool->answerStarted(self.weak_from_this());
+        AnswerMemory &memory = self.m_pool->answerMemory();
+        const std::uint64_t answer = memory.answerStarted();
         self.m_receivedAnswer = answer;
         boost::system::error_code ec;
         self.m_receivingBody = true;
@@ -267,12 +292,16 @@
                                        std::uint64_t(AnswerBudget::MaxBytes));
         const BodyReadBuffer readBuffer(connection.buffer, parser.is_done() ? 0 : maxBytes);
         while (!ec && !parser.is_done()) {
-            if (!co_await reserveMemory(answer, length ? maxBytes : parser.get().body().size(),
-                                        maxBytes)) {
+            std::string &body = parser.get().body();
+            const std::size_t bytes = length ? maxBytes : nextCapacity(body, maxBytes);
+            if (!co_await reserveMemory(answer, bytes, maxBytes)) {
                 lostInMemoryWait = true;
                 ec = asio::error::operation_aborted;
                 break;
             }
+            if (!length && answerSize(bytes) == AnswerSize::Long) {
+                body.reserve(bytes);
+            }
             resetBodyIdleTimer();
             ec = co_await readSome(connection.socket, connection.buffer, parser);
         }
@@ -282,9 +311,11 @@
         self.m_receivingBody = false;
         self.m_receivedAnswer.reset();
         if (ec) {
-            self.m_pool->answerEnded(answer);
+            memory.answerEnded(answer);
         } else {
-            bodyMemory = self.m_pool->answerCompleted(answer, parser.get().body().size());
+            const std::string &body = parser.get().body();
+            const bool isLong = answerSize(body.size()) == AnswerSize::Long;
+            bodyMemory = memory.answerCompleted(answer, isLong ? body.capacity() : body.size());
         }
         co_return ec;
     }
@@ -481,7 +512,7 @@
 void HttpExchange::taskAbandoned()
 {
     if (m_receivedAnswer) {
-        m_pool->answerEnded(*m_receivedAnswer);
+        m_pool->answerMemory().answerEnded(*m_receivedAnswer);
     }
     m_receivingBody = false;
     resetConnection();
--- a/src/services/HttpExchange.h
+++ b/src/services/HttpExchange.h
@@ -108,9 +108,6 @@
     /// \brief Resets the connection; the exchange ends as Unsent or Lost.
     void cancel();
 
-    /// \brief Lets an answer that waits for memory try again to reserve it.
-    void retryReserve() { m_reserveTimer.cancel(); }
-
     /// \return true while the body of the answer is being received.
     bool isReceivingBody() const { return m_receivingBody; }
 
--- a/src/services/HttpIo.cpp
+++ b/src/services/HttpIo.cpp
@@ -19,6 +19,9 @@
 /// Number of unanswered TCP keep-alive probes after which the connection fails.
 constexpr int KeepAliveProbeCount = 3;
 
+/// See limitUnsentBytes().
+constexpr int MaxUnsentBytes = 64 * 1024;
+
 /// Room for the body in a read buffer; Beast reads no more at a time.
 constexpr std::size_t BodyReadBytes = 64 * 1024;
 
@@ -93,6 +96,11 @@
     setTcpOption(socket, TCP_KEEPCNT, KeepAliveProbeCount);
 }
 
+void limitUnsentBytes(tcp::socket &socket)
+{
+    setTcpOption(socket, TCP_NOTSENT_LOWAT, MaxUnsentBytes);
+}
+
 void resetSocket(tcp::socket &socket)
 {
     boost::system::error_code ec;
--- a/src/services/HttpIo.h
+++ b/src/services/HttpIo.h
@@ -40,6 +40,10 @@
 /// keep-alive and a user timeout, which detect a peer that vanished without closing the connection.
 void configureSocket(tcp::socket &socket);
 
+/// \brief Limits the bytes that the kernel holds without having sent them. Its buffer grows to
+/// several megabytes otherwise, which no budget of this process counts.
+void limitUnsentBytes(tcp::socket &socket);
+
 /// \brief Closes a connection with a TCP reset, which discards unsent bytes in the kernel.
 void resetSocket(tcp::socket &socket);
 
--- a/src/services/HttpPool.cpp
+++ b/src/services/HttpPool.cpp
@@ -1,7 +1,6 @@
 #include "services/HttpPool.h"
 
 #include "services/HttpConnection.h"
-#include "services/HttpExchange.h"
 
 #include <algorithm>
 #include <iterator>
@@ -18,8 +17,10 @@
 
 } // namespace
 
-HttpPool::HttpPool(asio::io_context &context, Endpoint endpoint)
-    : m_context(context), m_endpoint(std::move(endpoint))
+HttpPool::HttpPool(asio::io_context &context, Endpoint endpoint,
+                   std::shared_ptr<AnswerMemory> memory)
+    : m_context(context), m_endpoint(std::move(endpoint)),
+      m_answerMemory(memory ? std::move(memory) : std::make_shared<AnswerMemory>(context))
 {
 }
 
@@ -62,39 +63,4 @@
     }
 }
 
-std::uint64_t HttpPool::answerStarted(std::weak_ptr<HttpExchange> exchange)
-{
-    m_receivingExchanges[++m_lastAnswerNumber] = std::move(exchange);
-    return m_lastAnswerNumber;
-}
-
-void HttpPool::answerEnded(std::uint64_t answer)
-{
-    m_answerBudget.answerEnded(answer);
-    m_receivingExchanges.erase(answer);
-    memoryReleased();
-}
-
-std::shared_ptr<void> HttpPool::answerCompleted(std::uint64_t answer, std::size_t bytes)
-{
-    const std::size_t held = m_answerBudget.answerCompleted(answer, bytes);
-    m_receivingExchanges.erase(answer);
-    memoryReleased();
-    return {nullptr, [weak = weak_from_this(), held](void *) {
-                if (const auto pool = weak.lock()) {
-                    pool->m_answerBudget.release(held);
-                    pool->memoryReleased();
-                }
-            }};
-}
-
-void HttpPool::memoryReleased()
-{
-    for (const auto &[number, weak] : m_receivingExchanges) {
-        if (const auto exchange = weak.lock()) {
-            exchange->retryReserve();
-        }
-    }
-}
-
 } // namespace Coltsfootwell
--- a/src/services/IncomingAnswer.cpp
+++ b/src/services/IncomingAnswer.cpp
@@ -6,16 +6,15 @@
 
 bool IncomingAnswer::reserve()
 {
-    if (!m_isReserved && m_reservation.grow(m_head.pendingBodyBytes)) {
-        m_isReserved = true;
-        m_body.reserve(m_head.pendingBodyBytes);
+    if (!isReserved() && (m_reservation = m_memory->tryTake(bytes()))) {
+        m_body.reserve(bytes());
     }
-    return m_isReserved;
+    return isReserved();
 }
 
 bool IncomingAnswer::append(std::string_view part)
 {
-    if (!m_isReserved || part.size() > m_head.pendingBodyBytes - m_body.size()) {
+    if (!isReserved() || part.size() > bytes() - m_body.size()) {
         return false;
     }
     m_body += part;
@@ -25,7 +24,7 @@
 AttemptAnswered IncomingAnswer::take()
 {
     return {m_head.status, std::move(m_head.fields),
-            BodyReservation::makeBody(std::move(m_body), std::move(m_reservation)), m_head.failure,
+            makeHeldBody(std::move(m_body), std::move(m_reservation)), m_head.failure,
             std::nullopt};
 }
 
--- a/src/services/LinkClientDependencies.h
+++ b/src/services/LinkClientDependencies.h
@@ -3,7 +3,7 @@
 
 #include "decisions/Ids.h"
 #include "kernel/Executor.h"
-#include "services/BodyReservation.h"
+#include "services/AnswerMemory.h"
 #include "services/CallMessages.h"
 #include "services/LinkTraffic.h"
 #include "services/TelemetryMessages.h"
@@ -26,7 +26,7 @@
     DaemonId self;
     std::shared_ptr<LinkTraffic> traffic;
     /// Memory for answers that are received from other daemons.
-    std::shared_ptr<SharedBodyBudget> answerBudget;
+    std::shared_ptr<AnswerMemory> answerMemory;
     std::function<void(LoadReportReceived)> onLoadReport;
     std::function<void(DaemonUnreachable)> onDaemonUnreachable;
     std::function<void(TelemetryMessage)> sendTelemetry;
--- a/src/services/LinkConnection.cpp
+++ b/src/services/LinkConnection.cpp
@@ -3,8 +3,6 @@
 #include "services/HttpIo.h"
 #include "wire/LinkCodec.h"
 
-#include <netinet/tcp.h>
-
 #include <utility>
 
 namespace Coltsfootwell::Internal {
@@ -13,16 +11,6 @@
 
 /// Maximum number of bytes per read.
 constexpr std::size_t MaxReadBytes = 16 * 1024;
-/// Maximum number of bytes that the kernel holds without having sent them. Its buffer grows to
-/// several megabytes otherwise, and small frames wait behind the parts of long bodies in it.
-constexpr int MaxUnsentBytes = 64 * 1024;
-
-void limitUnsentBytes(tcp::socket &socket)
-{
-    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &MaxUnsentBytes,
-                 sizeof MaxUnsentBytes);
-}
-
 } // namespace
 
 LinkConnection::LinkConnection(tcp::socket socket, Executor &executor,
@@ -34,6 +22,7 @@
     const auto peer = m_socket.remote_endpoint(ec);
     m_peerAddress = ec ? std::string() : peer.address().to_string();
     configureSocket(m_socket);
+    // Small frames would wait behind the parts of long bodies in the kernel.
     limitUnsentBytes(m_socket);
 }
 
--- a/src/services/LinkServer.cpp
+++ b/src/services/LinkServer.cpp
@@ -15,6 +15,11 @@
 constexpr Duration ResultRetention = seconds(2);
 /// Time after its last attempt for which a daemon receives load updates.
 constexpr Duration LoadUpdateWindow = seconds(2);
+/// Number of bytes waiting in a connection from which the bodies of further answers follow when the
+/// entry daemon requests them. Otherwise a slow link would collect any number of short answers.
+constexpr std::size_t MaxQueuedAnswerBytes = 256 * 1024;
+/// Length in bytes up to which an answer is sent whole all the same.
+constexpr std::size_t MaxAlwaysSentBytes = 4 * 1024;
 
 } // namespace
 
@@ -123,6 +128,7 @@
 {
     // The ledger of the runs still knows that the attempt has run.
     if (const auto node = m_served.extract(attempt)) {
+        m_keptBytes -= node.mapped().keptBytes;
         if (const ClientPtr client = node.mapped().client.lock()) {
             client->outgoingBodies.remove(attempt);
         }
@@ -258,7 +264,7 @@
         it->second.client = client;
         it->second.disconnectedSince.reset();
         if (it->second.result) {
-            sendResult(*client, it->second);
+            sendResult(*client, attempt, it->second);
         } else if (it->second.missingBodyBytes > 0) {
             requestBodyFor(attempt, it->second.body.size() + it->second.missingBodyBytes);
         }
@@ -319,30 +325,52 @@
         frame.body = LostFrame {};
     }
     it->second.result = std::move(frame);
-    if (const ClientPtr client = it->second.client.lock()) {
-        sendResult(*client, it->second);
-    }
     // Parts of a body that was not needed any more.
     it->second.body = {};
     it->second.missingBodyBytes = 0;
     it->second.reservation = BodyReservation(m_dependencies.bodyBudget);
     m_expiries.push_back({m_dependencies.executor.now() + ResultRetention, attempt});
+    if (const ClientPtr client = it->second.client.lock()) {
+        sendResult(*client, attempt, it->second);
+    }
 }
 
-void LinkServer::sendResult(Client &client, ServedAttempt &served)
+void LinkServer::sendResult(Client &client, const AttemptId &attempt, ServedAttempt &served)
 {
     LinkFrame frame = *served.result;
     served.bodyFollows = false;
     if (auto *answer = std::get_if<AnswerFrame>(&frame.body); answer && served.answerBody) {
-        served.bodyFollows
-            = client.acceptsAnswerParts && served.answerBody->size() > BodyBudget::MaxFreeBytes;
+        const std::size_t bytes = served.answerBody->size();
+        const bool isQueueLong = client.connection->queuedBytes() > MaxQueuedAnswerBytes;
+        served.bodyFollows = client.acceptsAnswerParts
+            && (bytes > BodyBudget::MaxFreeBytes || (isQueueLong && bytes > MaxAlwaysSentBytes));
         if (served.bodyFollows) {
-            answer->pendingBodyBytes = served.answerBody->size();
+            answer->pendingBodyBytes = bytes;
         } else {
             answer->body = *served.answerBody;
         }
     }
     client.connection->send(frame);
+    if (!served.bodyFollows && served.answerBody) {
+        keepSent(attempt, served);
+    }
+}
+
+void LinkServer::keepSent(const AttemptId &attempt, ServedAttempt &served)
+{
+    if (served.keptBytes > 0 || served.answerBody->empty()) {
+        return;
+    }
+    served.keptBytes = served.answerBody->size();
+    m_keptBytes += served.keptBytes;
+    m_kept.push_back(attempt);
+    while (!m_kept.empty()
+           && (m_keptBytes > m_dependencies.maxKeptAnswerBytes
+               || !m_served.contains(m_kept.front()))) {
+        const AttemptId oldest = m_kept.front();
+        m_kept.pop_front();
+        dropResult(oldest);
+    }
 }
 
 void LinkServer::sendAnswerBody(const ClientPtr &client, LinkFrame &frame)
--- a/src/services/LinkServer.h
+++ b/src/services/LinkServer.h
@@ -32,6 +32,8 @@
     /// Tells where a daemon is, by its name.
     std::function<LinkDestination(std::string_view)> destinationOf
         = [](std::string_view) { return LinkDestination::Unknown; };
+    /// Maximum number of bytes of sent answers that are kept in case their connection breaks.
+    std::size_t maxKeptAnswerBytes = 8ULL << 20;
 };
 
 /// \brief Server side of all links.
@@ -97,6 +99,8 @@
         BodyPtr answerBody;
         /// True if the result was last sent without the body, which the entry daemon requests.
         bool bodyFollows = false;
+        /// Number of bytes of a sent body that is kept, see maxKeptAnswerBytes.
+        std::size_t keptBytes = 0;
         /// Time at which the connection of the attempt broke; empty while it is connected.
         std::optional<TimePoint> disconnectedSince;
     };
@@ -123,7 +127,9 @@
     bool requestBodyFor(const AttemptId &attempt, std::uint64_t bytes);
     void cancelAttempt(const AttemptId &attempt);
     void attemptFinished(const AttemptId &attempt, AttemptResult result);
-    void sendResult(Client &client, ServedAttempt &served);
+    void sendResult(Client &client, const AttemptId &attempt, ServedAttempt &served);
+    /// Keeps the body of an answer that was sent whole, and drops older ones beyond the limit.
+    void keepSent(const AttemptId &attempt, ServedAttempt &served);
     /// \return true if the entry daemon may still request the body of the answer.
     static bool isAwaited(const ServedAttempt &served, TimePoint now);
     void connectionClosed(const ClientPtr &client);
@@ -134,6 +140,9 @@
     std::vector<ClientPtr> m_clients;
     std::unordered_map<AttemptId, ServedAttempt> m_served;
     std::deque<Expiry> m_expiries;
+    /// Attempts whose sent bodies are kept, in the order of sending; some may have been dropped.
+    std::deque<AttemptId> m_kept;
+    std::size_t m_keptBytes = 0;
 };
 
 } // namespace Coltsfootwell::Internal
--- a/src/services/Links.cpp
+++ b/src/services/Links.cpp
@@ -1,6 +1,7 @@
 #include "services/Links.h"
 
 #include "services/Acceptor.h"
+#include "services/AnswerMessages.h"
 #include "services/HeldMemoryReports.h"
 #include "services/HttpIo.h"
 #include "services/LinkClient.h"
@@ -47,11 +48,10 @@
           m_acceptor(kernel, context, std::string(ServiceName::Links), {[this](tcp::socket socket) {
                          m_server->connectionAccepted(std::move(socket));
                      }}),
-          m_answerBudget(
-              std::make_shared<SharedBodyBudget>(kernel.executor(), m_settings.maxAnswerBytes)),
+          m_answerMemory(std::make_shared<AnswerMemory>(context, m_settings.answerLimits)),
           m_bodyBudget(
               std::make_shared<SharedBodyBudget>(kernel.executor(), m_settings.maxBodyBytes)),
-          m_client({context, kernel.executor(), m_settings.locality.self, m_traffic, m_answerBudget,
+          m_client({context, kernel.executor(), m_settings.locality.self, m_traffic, m_answerMemory,
                     [this](LoadReportReceived message) { m_calls.send(std::move(message)); },
                     [this](DaemonUnreachable message) { m_calls.send(std::move(message)); },
                     [this](TelemetryMessage &&message) { m_telemetry.send(std::move(message)); },
@@ -62,7 +62,8 @@
               [this](ExchangeSubject subject, PeerRequestReceived request) {
                   forwardPeerRequest(subject, std::move(request));
               },
-              [this](std::string_view daemon) { return destinationOf(daemon); }})),
+              [this](std::string_view daemon) { return destinationOf(daemon); },
+              m_settings.maxKeptAnswerBytes})),
           m_mailbox(kernel.executor(),
                     [this](LinksMessage &&message) {
                         std::visit([this](auto &&body) { handle(std::move(body)); },
@@ -98,6 +99,12 @@
         if (const std::error_code failed = m_acceptor.listen(m_settings.listen)) {
             return failed;
         }
+        std::error_code withoutCallers;
+        m_answerMemory->reportShortage(
+            [readers = directory.find<AnswerMemoryShort>(
+                 ServiceName::AnswerReaders, withoutCallers)](AnswerSize size, std::size_t bytes) {
+                readers.send({AnswerSource::Peer, size, bytes});
+            });
         tick();
         reportTraffic();
         m_heldMemory.start();
@@ -194,12 +201,11 @@
     const std::shared_ptr<LinkTraffic> m_traffic = std::make_shared<LinkTraffic>();
     LinkTraffic m_reported;
     /// Memory for answers, and for request bodies, that other daemons send.
-    const std::shared_ptr<SharedBodyBudget> m_answerBudget;
+    const std::shared_ptr<AnswerMemory> m_answerMemory;
     const std::shared_ptr<SharedBodyBudget> m_bodyBudget;
-    HeldMemoryReports m_heldMemory {
-        m_kernel,
-        {{"peer-answers", [this] { return m_answerBudget->reserved(); }},
-         {"peer-bodies", [this] { return m_bodyBudget->reserved(); }}}};
+    HeldMemoryReports m_heldMemory {m_kernel,
+                                    {{"peer-answers", [this] { return m_answerMemory->held(); }},
+                                     {"peer-bodies", [this] { return m_bodyBudget->reserved(); }}}};
     LinkClient m_client;
     std::shared_ptr<LinkServer> m_server;
     TimerId m_timer = 0;
--- a/src/services/Links.h
+++ b/src/services/Links.h
@@ -2,6 +2,7 @@
 // daemons.
 #pragma once
 
+#include "decisions/AnswerBudget.h"
 #include "decisions/Locality.h"
 #include "decisions/Member.h"
 #include "kernel/Kernel.h"
@@ -23,8 +24,10 @@
     Locality locality;
     /// Maximum number of bytes of the request bodies that other daemons have sent.
     std::size_t maxBodyBytes = 64ULL << 20;
-    /// Maximum number of bytes of the answers that other daemons have sent.
-    std::size_t maxAnswerBytes = 40ULL << 20;
+    /// Memory for the answers that other daemons have sent.
+    AnswerLimits answerLimits = AnswerBudget::DefaultLimits;
+    /// Maximum number of bytes of sent answers that are kept in case their connection breaks.
+    std::size_t maxKeptAnswerBytes = 8ULL << 20;
 };
 
 /// \param kernel provides the executor and the service directory.
--- a/src/services/LongAnswers.cpp
+++ b/src/services/LongAnswers.cpp
@@ -9,7 +9,7 @@
     m_answers.insert_or_assign(attempt.attempt,
                                LongAnswer {attempt.call.requestId,
                                            attempt.target.daemon.name,
-                                           {std::move(head), m_dependencies.answerBudget}});
+                                           {std::move(head), m_dependencies.answerMemory}});
     requestBody(attempt.attempt);
 }
 
@@ -28,7 +28,7 @@
     if (!answer.waitsSince) {
         answer.waitsSince = m_dependencies.executor.now();
     }
-    m_dependencies.answerBudget->waitForRelease([weak = weak_from_this(), attempt] {
+    m_dependencies.answerMemory->waitForRelease(answer.bytes(), [weak = weak_from_this(), attempt] {
         if (const auto self = weak.lock()) {
             self->requestBody(attempt);
         }
--- a/src/services/OpenAttempts.cpp
+++ b/src/services/OpenAttempts.cpp
@@ -22,6 +22,9 @@
 /// Maximum length in bytes of a body that is sent with the run. Longer bodies are sent when the
 /// serving daemon requests them, shortly before it starts the run.
 constexpr std::size_t MaxInlineBodyBytes = 16 * 1024;
+/// Maximum length in bytes of an answer that is taken when the memory for answers is used up, so
+/// that small calls go on. Longer ones are dropped and sent again.
+constexpr std::size_t MaxAlwaysTakenBytes = 4 * 1024;
 
 microseconds timeUntil(TimePoint at, TimePoint now)
 {
@@ -206,10 +209,47 @@
         longAnswerReceived(frame);
         return;
     }
+    const auto it = m_attempts.find(frame.attempt);
+    if (it == m_attempts.end()) {
+        return;
+    }
+    const std::size_t bytes = answer.body.size();
+    AnswerMemory &memory = *m_dependencies.answerMemory;
+    std::shared_ptr<void> held = std::exchange(it->second.answerMemory, nullptr);
+    if (!held) {
+        held = bytes <= MaxAlwaysTakenBytes ? memory.take(bytes) : memory.tryTake(bytes);
+    }
+    if (!held) {
+        it->second.isAnswered = true;
+        requestAgain(frame.attempt, bytes);
+        return;
+    }
     complete(frame.attempt,
              AttemptAnswered {answer.status, std::move(answer.fields),
-                              std::make_shared<const std::string>(std::move(answer.body)),
-                              answer.failure, frame.load});
+                              makeHeldBody(std::move(answer.body), std::move(held)), answer.failure,
+                              frame.load});
+}
+
+void OpenAttempts::requestAgain(const AttemptId &attempt, std::size_t bytes)
+{
+    m_dependencies.answerMemory->waitForRelease(
+        bytes, [weak = std::weak_ptr(m_self), attempt, bytes] {
+            const auto self = weak.lock();
+            if (!self) {
+                return;
+            }
+            OpenAttempts &attempts = **self;
+            const auto it = attempts.m_attempts.find(attempt);
+            if (it == attempts.m_attempts.end() || it->second.answerMemory) {
+                return;
+            }
+            it->second.answerMemory = attempts.m_dependencies.answerMemory->tryTake(bytes);
+            if (!it->second.answerMemory) {
+                attempts.requestAgain(attempt, bytes);
+            } else if (attempts.m_session.connection) {
+                attempts.m_session.connection->send({attempt, {}, ResumeFrame {it->second.sentTo}});
+            }
+        });
 }
 
 void OpenAttempts::longAnswerReceived(LinkFrame &frame)
--- a/src/services/OpenAttempts.h
+++ b/src/services/OpenAttempts.h
@@ -81,8 +81,11 @@
         TimePoint sentAt {};
         /// Number of connections over which the attempt was resumed.
         unsigned resumptions = 0;
-        /// True once a long answer has been announced over any connection: the attempt has run.
+        /// True once an answer has been announced, or dropped for want of memory, over any
+        /// connection: the attempt has run.
         bool isAnswered = false;
+        /// Memory for an answer that was dropped and is sent again; null if there is none.
+        std::shared_ptr<void> answerMemory;
     };
 
     /// A cancellation that waits for a connection.
@@ -98,6 +101,8 @@
 
     void bodyRequested(LinkFrame &frame);
     void answerReceived(LinkFrame &frame);
+    /// Has an answer sent again once there is memory for it.
+    void requestAgain(const AttemptId &attempt, std::size_t bytes);
     void longAnswerReceived(LinkFrame &frame);
     void answerPartReceived(LinkFrame &frame);
     void refusalReceived(LinkFrame &frame);
@@ -118,6 +123,8 @@
     std::deque<PendingCancel> m_pendingCancels;
     OutgoingBodies m_outgoingBodies;
     const std::shared_ptr<LongAnswers> m_longAnswers;
+    /// Exists as long as this object, for tasks that may run after its end.
+    const std::shared_ptr<OpenAttempts *> m_self = std::make_shared<OpenAttempts *>(this);
 };
 
 } // namespace Coltsfootwell::Internal
--- a/src/services/PendingAnswers.cpp
+++ b/src/services/PendingAnswers.cpp
@@ -15,6 +15,15 @@
     return exchange;
 }
 
+void PendingAnswers::forEachHeld(const std::function<void(const HeldAnswer &)> &visit) const
+{
+    for (const auto &exchange : m_exchanges) {
+        if (exchange->held.bytes > 0) {
+            visit(exchange->held);
+        }
+    }
+}
+
 void PendingAnswers::cancelAll(const Address<CallsMessage> &calls)
 {
     cancelUnanswered(calls);
--- a/src/services/PendingAnswers.h
+++ b/src/services/PendingAnswers.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "decisions/Outcome.h"
+#include "services/AnswerMessages.h"
 #include "services/CallMessages.h"
 #include "services/CallerAnswer.h"
 
@@ -25,6 +26,8 @@
     bool keepAlive = true;
     /// Serializes the answer; empty until there is one.
     std::function<SerializedAnswer(const AnswerFraming &)> makeAnswer;
+    /// Body that `makeAnswer` holds.
+    HeldAnswer held {};
 
     bool isAnswered() const { return static_cast<bool>(makeAnswer); }
 };
@@ -45,6 +48,9 @@
     /// \return true if the last answer closes the connection.
     bool endWithClose() const { return !empty() && !m_exchanges.back()->keepAlive; }
 
+    /// \brief Calls a function with each answer that is held.
+    void forEachHeld(const std::function<void(const HeldAnswer &)> &visit) const;
+
     /// \return the first request if it is answered, which is removed; otherwise null.
     std::shared_ptr<Exchange> takeAnswered();
 
--- a/src/services/RequestForwarder.cpp
+++ b/src/services/RequestForwarder.cpp
@@ -16,6 +16,11 @@
 void answerCall(const std::shared_ptr<SessionContext> &context, Exchange &exchange,
                 CallResult result)
 {
+    if (const auto *answered = std::get_if<CallAnswered>(&result)) {
+        const bool isOwn = answered->servedBy == context->self;
+        exchange.held = {isOwn ? AnswerSource::Server : AnswerSource::Peer,
+                         answered->body ? answered->body->size() : 0};
+    }
     exchange.makeAnswer = [context, result = std::move(result),
                            requestId = exchange.requestId](const AnswerFraming &framing) {
         return std::holds_alternative<CallAnswered>(result)
--- a/src/services/ServiceNames.h
+++ b/src/services/ServiceNames.h
@@ -12,6 +12,7 @@
 constexpr std::string_view Configuration = "configuration";
 constexpr std::string_view Callers = "callers";
 constexpr std::string_view Calls = "calls";
+constexpr std::string_view AnswerReaders = "answer-readers";
 constexpr std::string_view Links = "links";
 constexpr std::string_view Backend = "backend";
 constexpr std::string_view Registration = "registration";
--- a/src/services/SessionContext.h
+++ b/src/services/SessionContext.h
@@ -5,6 +5,7 @@
 #include "decisions/Configuration.h"
 #include "decisions/ConnectionLimit.h"
 #include "kernel/Kernel.h"
+#include "services/AnswerReaders.h"
 #include "services/CallMessages.h"
 #include "services/RequestMemory.h"
 #include "services/TelemetryMessages.h"
@@ -62,6 +63,7 @@
     RequestLimits limits;
     Address<CallsMessage> calls;
     Address<TelemetryMessage> telemetry;
+    AnswerReaders answerReaders {executor};
     std::set<SessionHandle *> sessions;
     /// Number of the last call that was submitted by any session.
     std::uint64_t lastCallNumber = 0;
--- a/test/error/AnswersExceedMemory.cpp
+++ b/test/error/AnswersExceedMemory.cpp
@@ -194,7 +194,7 @@
         }
         replay.play();
         CHECK(replay.allEnded());
-        CHECK(replay.maxReserved <= AnswerBudget::MaxTotalBytes);
+        CHECK(replay.maxReserved <= AnswerBudget::DefaultLimits.incompleteLongBytes);
         CHECK(replay.budget.reserved() == 0);
     }
 }
@@ -246,12 +246,15 @@
     AnswerBudget budget;
     for (std::uint64_t id = 0; id < 2; ++id) {
         REQUIRE(budget.tryGrow(id, LongBytes, LongBytes));
-        REQUIRE(budget.answerCompleted(id, LongBytes) == LongBytes);
+        budget.answerCompleted(id, LongBytes);
     }
     CHECK_FALSE(budget.tryGrow(2, LongBytes, LongBytes));
     CHECK(budget.tryGrow(3, MediumBytes, Unknown));
-    CHECK(budget.answerCompleted(3, MediumBytes) == MediumBytes);
-    CHECK(budget.answerCompleted(4, BodyBudget::MaxFreeBytes) == 0);
+    budget.answerCompleted(3, MediumBytes);
+    REQUIRE(budget.tryGrow(4, BodyBudget::MaxFreeBytes, BodyBudget::MaxFreeBytes));
+    budget.answerCompleted(4, BodyBudget::MaxFreeBytes);
+    CHECK(budget.shortHeld() == BodyBudget::MaxFreeBytes);
+    CHECK_FALSE(budget.tryGrow(2, LongBytes, LongBytes));
     budget.release(LongBytes);
     CHECK(budget.tryGrow(2, LongBytes, LongBytes));
 }
--- a/test/error/CancelledAnswerWaitsForMemory.cpp
+++ b/test/error/CancelledAnswerWaitsForMemory.cpp
@@ -27,9 +27,8 @@
     WaitingExchange()
     {
         for (std::shared_ptr<void> &memory : taken) {
-            const std::uint64_t answer = pool->answerStarted({});
-            REQUIRE(pool->tryReserve(answer, AnswerBudget::MaxBytes, AnswerBudget::MaxBytes));
-            memory = pool->answerCompleted(answer, AnswerBudget::MaxBytes);
+            memory = pool->answerMemory().tryTake(AnswerBudget::MaxBytes);
+            REQUIRE(memory);
         }
         ExchangeRequest request;
         request.method = "GET";
--- a/test/support/LinkClientFixture.h
+++ b/test/support/LinkClientFixture.h
@@ -56,8 +56,8 @@
     std::optional<AttemptResult> result;
     /// Number of connections that resetConnections() has accepted.
     unsigned resetCount = 0;
-    std::shared_ptr<SharedBodyBudget> answerBudget
-        = std::make_shared<SharedBodyBudget>(executor, MaxAnswerBytes);
+    std::shared_ptr<AnswerMemory> answerMemory = std::make_shared<AnswerMemory>(
+        context, AnswerLimits {MaxAnswerBytes, MaxAnswerBytes, MaxAnswerBytes});
     /// Log lines and metrics of the client.
     std::vector<TelemetryMessage> telemetry;
     LinkClient client {LinkClientDependencies {
@@ -65,7 +65,7 @@
         executor,
         {"entry", 1},
         std::make_shared<LinkTraffic>(),
-        answerBudget,
+        answerMemory,
         [](const LoadReportReceived &) {},
         [](const DaemonUnreachable &) {},
         [this](TelemetryMessage message) { telemetry.push_back(std::move(message)); }}};
--- a/test/support/LinkSimulation.h
+++ b/test/support/LinkSimulation.h
@@ -326,7 +326,8 @@
                     m_executor,
                     {"entry", 1},
                     std::make_shared<LinkTraffic>(),
-                    std::make_shared<SharedBodyBudget>(m_executor, MaxAnswerBytes),
+                    std::make_shared<AnswerMemory>(
+                        context, AnswerLimits {MaxAnswerBytes, MaxAnswerBytes, MaxAnswerBytes}),
                     [](const LoadReportReceived &) {},
                     [](const DaemonUnreachable &) {},
                     [](const TelemetryMessage &) {}})
