Callers' fixture: the executor is closed before the connections are destroyed

Cause: the fixture destroyed the executor before the io_context, whose connections return the memory of their requests through it. No check is changed.

--- a/test/support/CallersFixture.h
+++ b/test/support/CallersFixture.h
@@ -98,6 +98,7 @@
         held = {};
         m_unanswered.clear();
         runFor(1ms);
+        m_executor.close();
     }
 
     /// Runs the service for some time.
@@ -184,9 +185,10 @@
     std::vector<std::string> logged;
 
 private:
+    /// Before the context, since the connections in its handlers use the executor to their end.
+    AsioExecutor m_executor {m_context};
     boost::asio::io_context m_context;
     boost::asio::io_context m_callerContext;
-    AsioExecutor m_executor {m_context};
     ZeroRandom m_random;
     tcp::endpoint m_endpoint = unusedEndpoint();
     Kernel m_kernel;
