Daemons report the versions that they hold, and the epoch of the store is logged

- Pings and their replies carry the version of the configuration besides the position (ControlStateSummary). configuration.newerAtPeer tells, once for each version, that another daemon holds a higher one, both positions, and whether its state is fetched.

Decisions are unchanged: a state is still fetched by its position alone.

--- a/src/decisions/Datagram.h
+++ b/src/decisions/Datagram.h
@@ -1,7 +1,7 @@
 // Datagrams of the membership protocol, independent of their encoding.
 #pragma once
 
-#include "decisions/Configuration.h"
+#include "decisions/ControlStateSummary.h"
 #include "decisions/MemberRecord.h"
 
 #include <cstdint>
@@ -17,8 +17,8 @@
     std::uint64_t nonce = 0;
     /// True if the Ack must include the digest of the member list.
     bool digestRequested = false;
-    /// Position of the sender's control state; see ControlState::position().
-    std::uint64_t position = 0;
+    /// Control state of the sender.
+    ControlStateSummary state;
 
     bool operator==(const Ping &) const = default;
 };
@@ -27,8 +27,8 @@
 struct Ack
 {
     std::uint64_t nonce = 0;
-    /// Position of the sender's control state; see ControlState::position().
-    std::uint64_t position = 0;
+    /// Control state of the sender.
+    ControlStateSummary state;
     /// Digest of the sender's member list; only when the Ping requested it.
     std::optional<std::uint64_t> digest;
 
--- a/src/decisions/Membership.cpp
+++ b/src/decisions/Membership.cpp
@@ -90,13 +90,13 @@
     if (datagram.from.member.state == MemberState::Left) {
         return; // The sender has left and needs no reply.
     }
-    Ack ack {ping.nonce, m_position, {}};
+    Ack ack {ping.nonce, m_state, {}};
     if (ping.digestRequested) {
         ack.digest = m_table.digest();
     }
-    if (ping.position > m_position) {
-        m_outputs.emplace_back(PositionReported {datagram.from.member.id,
-                                                 datagram.from.member.endpoint, ping.position});
+    if (ping.state.position > m_state.position || ping.state.version > m_state.version) {
+        m_outputs.emplace_back(ControlStateReported {datagram.from.member.id,
+                                                     datagram.from.member.endpoint, ping.state});
     }
     // If the list has a newer record of the sender, the sender is suspected or was replaced. The
     // reply then includes that record.
@@ -125,7 +125,7 @@
     }
     ++m_counts.acks;
     m_probes.erase(it);
-    m_outputs.emplace_back(PositionReported {from.id, from.endpoint, ack.position});
+    m_outputs.emplace_back(ControlStateReported {from.id, from.endpoint, ack.state});
     if (ack.digest) {
         compareDigest(*ack.digest, from.endpoint, now);
     }
@@ -142,7 +142,7 @@
     m_relayedPings.push_back({nonce, ping.target, sender, ping.nonce, now});
     ++m_counts.pings;
     sendDatagram(target ? m_table.members()[*target].endpoint : ping.endpoint,
-                 Ping {nonce, false, m_position}, target, now);
+                 Ping {nonce, false, m_state}, target, now);
 }
 
 void Membership::receive(const Datagram &datagram, const IndirectAck &ack, const Endpoint &sender,
@@ -279,7 +279,7 @@
     updateSelf(std::move(self));
     for (const Member *candidate : storeReaderCandidates(dataCentre, members())) {
         if (candidate->id.name != m_table.self().id.name) {
-            sendDatagram(candidate->endpoint, Ping {m_random.next(), false, m_position}, {}, now);
+            sendDatagram(candidate->endpoint, Ping {m_random.next(), false, m_state}, {}, now);
         }
     }
     return m_outputs;
@@ -308,13 +308,13 @@
     return m_outputs;
 }
 
-Membership::Outputs Membership::advancePosition(std::uint64_t position, TimePoint now)
+Membership::Outputs Membership::setControlState(const ControlStateSummary &state, TimePoint now)
 {
     m_outputs.clear();
-    if (position <= m_position || m_replaced) {
+    if (state == m_state || m_replaced) {
         return m_outputs;
     }
-    m_position = position;
+    m_state = state;
     const std::string dataCentre = m_table.self().dataCentre;
     pingRandomMembers(LocalUpdatePings, now, [&dataCentre](const Member &member) {
         return member.dataCentre == dataCentre;
@@ -325,8 +325,8 @@
     return m_outputs;
 }
 
-/// Pings up to n random members to send them this daemon's record and position; their replies are
-/// ignored.
+/// Pings up to n random members to send them this daemon's record and control state; their replies
+/// are ignored.
 void Membership::pingRandomMembers(std::size_t n, TimePoint now,
                                    const std::function<bool(const Member &)> &accepts)
 {
@@ -340,8 +340,8 @@
             return;
         }
         pinged.push_back(*next);
-        sendDatagram(m_table.members()[*next].endpoint, Ping {m_random.next(), false, m_position},
-                     {}, now);
+        sendDatagram(m_table.members()[*next].endpoint, Ping {m_random.next(), false, m_state}, {},
+                     now);
     }
 }
 
--- a/src/decisions/Membership.h
+++ b/src/decisions/Membership.h
@@ -32,14 +32,13 @@
     Endpoint peer;
 };
 
-/// \brief Output: another daemon has reported the position of its control state, in an Ack, or in a
-/// Ping when the position is ahead of this daemon's.
-struct PositionReported
+/// \brief Output: another daemon has reported its control state, in an Ack, or in a Ping when its
+/// position is ahead of this daemon's or its version is higher.
+struct ControlStateReported
 {
     DaemonId peer;
     Endpoint endpoint;
-    /// Position of the peer's control state; see ControlState::position().
-    std::uint64_t position = 0;
+    ControlStateSummary state;
 };
 
 /// \brief Output: another process with this daemon's name has the same or a higher incarnation.
@@ -53,7 +52,7 @@
 };
 
 using MembershipOutput
-    = std::variant<SendDatagram, StartSync, PositionReported, IncarnationConflict>;
+    = std::variant<SendDatagram, StartSync, ControlStateReported, IncarnationConflict>;
 
 /// \brief Counters of protocol events since the start.
 struct MembershipCounts
@@ -187,10 +186,10 @@
     /// \param seeds endpoints of daemons, those that are most likely to be alive first.
     void seedsDiscovered(std::span<const Endpoint> seeds);
 
-    /// \brief Sets the position of this daemon's control state. Some random members are notified
-    /// immediately, the others with further pings and Acks.
-    /// \param position the new position; ignored unless it is higher than before.
-    Outputs advancePosition(std::uint64_t position, TimePoint now);
+    /// \brief Sets the summary of this daemon's control state. If it has changed, some random
+    /// members are notified immediately, the others with further pings and Acks. \param state the
+    /// control state, which never goes back.
+    Outputs setControlState(const ControlStateSummary &state, TimePoint now);
 
     /// \brief Starts a full sync.
     /// \return the request to send.
@@ -295,7 +294,7 @@
     std::vector<MembershipOutput> m_outputs;
     MembershipCounts m_counts;
 
-    std::uint64_t m_position = 0;
+    ControlStateSummary m_state;
 
     std::optional<TimePoint> m_started;
     TimePoint m_lastTick {};
--- a/src/decisions/MembershipProbes.cpp
+++ b/src/decisions/MembershipProbes.cpp
@@ -84,7 +84,7 @@
 {
     m_probes.push_back({m_random.next(), {}, now, false});
     ++m_counts.pings;
-    sendDatagram(seed, Ping {m_probes.back().nonce, false, m_position}, {}, now);
+    sendDatagram(seed, Ping {m_probes.back().nonce, false, m_state}, {}, now);
 }
 
 void Membership::expireProbes(TimePoint now)
@@ -147,7 +147,7 @@
     const Endpoint endpoint = record.member.endpoint;
     m_table.merge(normalized(std::move(record)), now);
     // A live member refutes earlier when it is notified directly instead of by gossip.
-    sendDatagram(endpoint, Ping {m_random.next(), false, m_position}, index, now);
+    sendDatagram(endpoint, Ping {m_random.next(), false, m_state}, index, now);
 }
 
 void Membership::confirmSuspicions(TimePoint now)
@@ -177,7 +177,7 @@
     ++m_counts.pings;
     // Includes the suspicion in the ping so that the target can refute it.
     const bool isSuspected = target.state != MemberState::Alive;
-    sendDatagram(target.endpoint, Ping {nonce, digestRequested, m_position},
+    sendDatagram(target.endpoint, Ping {nonce, digestRequested, m_state},
                  isSuspected ? std::optional(index) : std::nullopt, now);
 }
 
--- a/src/services/ConfigurationFollower.cpp
+++ b/src/services/ConfigurationFollower.cpp
@@ -42,6 +42,11 @@
 /// Interval of the periodic check, and of state requests to peers before the first configuration.
 constexpr milliseconds CheckInterval {300};
 
+std::string numberText(std::optional<std::uint64_t> number)
+{
+    return number ? std::to_string(*number) : "unknown";
+}
+
 class ConfigurationFollower final : public Service
 {
 public:
@@ -148,7 +153,7 @@
         if (!m_stateFetch.isBehind(m_replica.position())) {
             m_behindSince.reset();
         }
-        m_membership.send(ConfigurationPositionChanged {m_replica.position()});
+        m_membership.send(ControlStateChanged {m_replica.summary()});
     }
 
     // Configuration file.
@@ -190,6 +195,7 @@
 
     void handleNewest(const NewestRecords &newest)
     {
+        noteEpoch(newest.epoch, newest.end);
         m_schedule.callAnswered();
         reportStoreAccess();
         if (newest.ec == ServiceError::AnswerTooLarge) {
@@ -204,10 +210,11 @@
 
     void handleRecords(const RecordsRead &read)
     {
+        noteEpoch(read.epoch, read.end);
         m_schedule.callAnswered();
         reportStoreAccess();
         if (read.ec == ServiceError::HistoryLost) {
-            logEvent("store.historyLost");
+            logHistoryLost(read);
             m_schedule.historyLost();
             startStoreCall();
             return;
@@ -249,10 +256,43 @@
         }
     }
 
-    /// Logs an event with the current position.
-    void logEvent(std::string_view event)
+    /// Logs an event with the current position and further fields.
+    void logEvent(std::string_view event, const std::string &fields = "")
+    {
+        m_telemetry.send(
+            LogEvent {event, "", "position=" + std::to_string(m_replica.position()) + fields});
+    }
+
+    void logHistoryLost(const RecordsRead &read)
     {
-        m_telemetry.send(LogEvent {event, "", "position=" + std::to_string(m_replica.position())});
+        logEvent("store.historyLost",
+                 " firstRetained=" + numberText(read.firstRetained)
+                     + " epoch=" + numberText(read.epoch)
+                     + " version=" + std::to_string(m_replica.state().version()));
+    }
+
+    /// Notes the epoch that an answer of the store names, and logs its changes.
+    /// \param end end offset that the answer names.
+    void noteEpoch(std::optional<StoreEpoch> epoch, std::uint64_t end)
+    {
+        if (epoch && std::exchange(m_storeEpoch, epoch) != epoch) {
+            logEvent("store.epoch", " epoch=" + numberText(epoch) + " end=" + std::to_string(end));
+        }
+    }
+
+    /// Logs that a peer holds a higher version than this daemon, once for each version.
+    void logNewerAtPeer(const PeerStateReported &report)
+    {
+        if (report.state.version <= std::max(m_replica.state().version(), m_loggedPeerVersion)) {
+            return;
+        }
+        m_loggedPeerVersion = report.state.version;
+        const bool isAhead = report.state.position > m_replica.position();
+        logEvent("configuration.newerAtPeer",
+                 " version=" + std::to_string(m_replica.state().version()) + " peer="
+                     + report.peer.name + " peerVersion=" + std::to_string(report.state.version)
+                     + " peerPosition=" + std::to_string(report.state.position)
+                     + " fetched=" + (isAhead ? "yes" : "no"));
     }
 
     // Peers.
@@ -269,10 +309,11 @@
         startStoreCall();
     }
 
-    void handle(const PeerPositionReported &report)
+    void handle(const PeerStateReported &report)
     {
         m_schedule.peerReported(now());
-        if (report.position <= m_replica.position()) {
+        logNewerAtPeer(report);
+        if (report.state.position <= m_replica.position()) {
             return;
         }
         if (!m_behindSince) {
@@ -280,7 +321,7 @@
             m_fallbackDelay = MinFallbackDelay
                 + milliseconds(m_kernel.random().below(MinFallbackDelay.count() / 2));
         }
-        m_stateFetch.positionReported(report.endpoint, report.position);
+        m_stateFetch.positionReported(report.endpoint, report.state.position);
         if (!std::exchange(m_fetchPending, true)) {
             // A store reader usually gets the same records from the store shortly afterwards.
             scheduleFetch(m_reader && m_schedule.readsStore(now()) ? Duration(PeerFetchDelay)
@@ -421,6 +462,10 @@
     Duration m_fallbackDelay {};
     /// Value of the last StoreAccessChanged message.
     bool m_reportedStoreLost = false;
+    /// Epoch that the store has named last; std::nullopt if it has named none.
+    std::optional<StoreEpoch> m_storeEpoch;
+    /// Highest version of a peer that was logged.
+    ConfigurationVersion m_loggedPeerVersion = 0;
     /// Role that was logged last: true for a store reader.
     bool m_loggedReadsStore = false;
     /// A fetch from a peer is scheduled.
--- a/src/services/ConfigurationMessages.h
+++ b/src/services/ConfigurationMessages.h
@@ -1,7 +1,7 @@
 // Messages of the service "configuration".
 #pragma once
 
-#include "decisions/Configuration.h"
+#include "decisions/ControlStateSummary.h"
 #include "decisions/Ids.h"
 #include "decisions/Member.h"
 #include "kernel/Mailbox.h"
@@ -27,13 +27,12 @@
     Address<ConfigurationChanged> subscriber;
 };
 
-/// \brief From "membership": another daemon has reported the position of its control state.
-struct PeerPositionReported
+/// \brief From "membership": another daemon has reported its control state.
+struct PeerStateReported
 {
     DaemonId peer;
     Endpoint endpoint;
-    /// Offset up to which the peer has applied the operators' records; see ControlState.
-    std::uint64_t position = 0;
+    ControlStateSummary state;
 };
 
 /// \brief From the program: reloads the configuration file.
@@ -42,6 +41,6 @@
 };
 
 using ConfigurationMessage
-    = std::variant<SubscribeConfiguration, PeerPositionReported, ReloadConfiguration>;
+    = std::variant<SubscribeConfiguration, PeerStateReported, ReloadConfiguration>;
 
 } // namespace Coltsfootwell
--- a/src/services/ControlStateReplica.h
+++ b/src/services/ControlStateReplica.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "decisions/ControlState.h"
+#include "decisions/ControlStateSummary.h"
 #include "kernel/Mailbox.h"
 #include "services/StoreClient.h"
 #include "services/TelemetryMessages.h"
@@ -69,6 +70,9 @@
     const ControlState &state() const { return m_state; }
     std::uint64_t position() const { return m_state.position(); }
 
+    /// \return what other daemons are told of this state.
+    ControlStateSummary summary() const { return {m_state.position(), m_state.version()}; }
+
 private:
     bool apply(std::string_view key, const std::optional<std::string> &value,
                std::string_view source);
--- a/src/services/Membership.cpp
+++ b/src/services/Membership.cpp
@@ -168,9 +168,9 @@
     }
 
     void handle(const SeedsDiscovered &seeds) { m_membership.seedsDiscovered(seeds.endpoints); }
-    void handle(ConfigurationPositionChanged changed)
+    void handle(const ControlStateChanged &changed)
     {
-        executeOutputs(m_membership.advancePosition(changed.position, now()));
+        executeOutputs(m_membership.setControlState(changed.state, now()));
     }
     void handle(StoreAccessChanged changed)
     {
@@ -237,9 +237,9 @@
         m_bytesSent += ec ? 0 : bytes.size() + DatagramHeaderBytes;
     }
 
-    void execute(const PositionReported &report)
+    void execute(const ControlStateReported &report)
     {
-        m_configuration.send(PeerPositionReported {report.peer, report.endpoint, report.position});
+        m_configuration.send(PeerStateReported {report.peer, report.endpoint, report.state});
     }
 
     void execute(const StartSync &sync)
--- a/src/services/MembershipMessages.h
+++ b/src/services/MembershipMessages.h
@@ -1,7 +1,7 @@
 // Messages of the service "membership".
 #pragma once
 
-#include "decisions/Configuration.h"
+#include "decisions/ControlStateSummary.h"
 #include "decisions/Member.h"
 #include "kernel/Mailbox.h"
 
@@ -40,11 +40,10 @@
 {
 };
 
-/// \brief The position of this daemon's control state has changed; it is reported to other daemons.
-struct ConfigurationPositionChanged
+/// \brief The control state of this daemon has changed; its summary is reported to other daemons.
+struct ControlStateChanged
 {
-    /// Offset up to which the operators' records are applied; see ControlState.
-    std::uint64_t position = 0;
+    ControlStateSummary state;
 };
 
 /// \brief This daemon has lost or regained access to the store.
@@ -61,8 +60,7 @@
     std::vector<Endpoint> endpoints;
 };
 
-using MembershipMessage
-    = std::variant<SubscribeMembers, BackendStateChanged, AnnounceLeaving,
-                   ConfigurationPositionChanged, StoreAccessChanged, SeedsDiscovered>;
+using MembershipMessage = std::variant<SubscribeMembers, BackendStateChanged, AnnounceLeaving,
+                                       ControlStateChanged, StoreAccessChanged, SeedsDiscovered>;
 
 } // namespace Coltsfootwell
--- a/src/services/StoreClient.h
+++ b/src/services/StoreClient.h
@@ -15,6 +15,11 @@
 
 namespace Coltsfootwell {
 
+/// Number of times that the store has come back from an older copy of its content. Offsets of
+/// different epochs cannot be compared: what was appended since the copy is lost, and its offsets
+/// are given out again.
+using StoreEpoch = std::uint64_t;
+
 /// \brief Record of a topic.
 struct StoreRecord
 {
@@ -43,6 +48,8 @@
     bool hasMore = false;
     /// End offset of the topic: the offset of the next record to be appended.
     std::uint64_t end = 0;
+    /// Epoch of the store; std::nullopt if the answer does not name it.
+    std::optional<StoreEpoch> epoch;
     TransferStats transfer;
 };
 
@@ -56,6 +63,10 @@
     std::uint64_t next = 0;
     /// End offset of the topic; higher than `next` if further records can be read.
     std::uint64_t end = 0;
+    /// Offset of the first record that the store retains, if it has told it with HistoryLost.
+    std::optional<std::uint64_t> firstRetained;
+    /// Epoch of the store; std::nullopt if the answer does not name it.
+    std::optional<StoreEpoch> epoch;
     TransferStats transfer;
 };
 
@@ -66,6 +77,8 @@
     std::error_code ec;
     /// End offset of the topic.
     std::uint64_t end = 0;
+    /// Epoch of the store; std::nullopt if the answer does not name it.
+    std::optional<StoreEpoch> epoch;
 };
 
 /// \brief Asynchronous access to the store. Each handler is called at most once, on the executor of
--- a/src/wire/MembershipCodec.cpp
+++ b/src/wire/MembershipCodec.cpp
@@ -110,18 +110,30 @@
     return normalized(std::move(record));
 }
 
+/// \param body a Ping or Ack.
+void encodeState(const ControlStateSummary &state, auto &body)
+{
+    body.set_version(state.position);
+    body.set_configuration(state.version);
+}
+
+ControlStateSummary decodeState(const auto &body)
+{
+    return {body.version(), body.configuration()};
+}
+
 void encodeBody(const Ping &ping, Wire::Datagram &wire)
 {
     wire.mutable_ping()->set_nonce(ping.nonce);
     wire.mutable_ping()->set_want_digest(ping.digestRequested);
-    wire.mutable_ping()->set_version(ping.position);
+    encodeState(ping.state, *wire.mutable_ping());
 }
 
 void encodeBody(const Ack &ack, Wire::Datagram &wire)
 {
     Wire::Ack &body = *wire.mutable_ack();
     body.set_nonce(ack.nonce);
-    body.set_version(ack.position);
+    encodeState(ack.state, body);
     if (ack.digest) {
         body.set_digest(*ack.digest);
     }
@@ -144,7 +156,7 @@
 
 Ack decodeAck(const Wire::Ack &wire)
 {
-    Ack ack {wire.nonce(), wire.version(), {}};
+    Ack ack {wire.nonce(), decodeState(wire), {}};
     if (wire.has_digest()) {
         ack.digest = wire.digest();
     }
@@ -156,7 +168,7 @@
     switch (wire.body_case()) {
     case Wire::Datagram::kPing:
         datagram.body
-            = Ping {wire.ping().nonce(), wire.ping().want_digest(), wire.ping().version()};
+            = Ping {wire.ping().nonce(), wire.ping().want_digest(), decodeState(wire.ping())};
         return;
     case Wire::Datagram::kAck:
         datagram.body = decodeAck(wire.ack());
--- a/test/ConfigurationSimulation.h
+++ b/test/ConfigurationSimulation.h
@@ -432,19 +432,18 @@
             });
         }
 
-        void apply(const PositionReported &report)
+        void apply(const ControlStateReported &report)
         {
-            configuration.send(
-                PeerPositionReported {report.peer, report.endpoint, report.position});
+            configuration.send(PeerStateReported {report.peer, report.endpoint, report.state});
         }
 
         void apply(const IncarnationConflict &) { }
 
         void handle(const MembershipMessage &message)
         {
-            if (const auto *changed = std::get_if<ConfigurationPositionChanged>(&message)) {
+            if (const auto *changed = std::get_if<ControlStateChanged>(&message)) {
                 applyOutputs(
-                    membership->advancePosition(changed->position, simulation.executor.now()));
+                    membership->setControlState(changed->state, simulation.executor.now()));
             } else if (const auto *access = std::get_if<StoreAccessChanged>(&message)) {
                 applyOutputs(membership->setStoreLost(access->lost, simulation.executor.now()));
             } else if (const auto *subscribe = std::get_if<SubscribeMembers>(&message)) {
--- a/test/MembershipSimulation.h
+++ b/test/MembershipSimulation.h
@@ -44,7 +44,7 @@
     std::deque<std::function<void()>> pendingTasks;
     std::vector<IncarnationConflict> conflicts;
     /// The last 100 outputs of this type.
-    std::vector<PositionReported> positionReports;
+    std::vector<ControlStateReported> stateReports;
 };
 
 /// \brief A message in transit between two processes.
@@ -160,7 +160,7 @@
     /// \brief Sets the position of a process's control state, as after a read from the store.
     void advancePosition(std::size_t index, std::uint64_t position)
     {
-        applyOutputs(index, m_processes[index].membership->advancePosition(position, m_now));
+        applyOutputs(index, m_processes[index].membership->setControlState({position, 0}, m_now));
     }
 
     /// \brief Suspends a process, as SIGSTOP does.
@@ -317,9 +317,9 @@
         });
     }
 
-    void apply(std::size_t index, const PositionReported &report)
+    void apply(std::size_t index, const ControlStateReported &report)
     {
-        appendBounded(m_processes[index].positionReports, report);
+        appendBounded(m_processes[index].stateReports, report);
     }
 
     /// Appends an output and keeps only the last 100.
--- a/test/correctness/MembershipPositionNotPropagated.cpp
+++ b/test/correctness/MembershipPositionNotPropagated.cpp
@@ -21,10 +21,10 @@
     simulation.run(20s);
     simulation.resume(simulation.processes()[0]);
     simulation.run(5s);
-    REQUIRE(!simulation.processes()[0].positionReports.empty());
-    CHECK(simulation.processes()[0].positionReports.back().position == 8);
-    for (const PositionReported &report : simulation.processes()[0].positionReports) {
-        CHECK((report.position == 0 || report.position == 8));
+    REQUIRE(!simulation.processes()[0].stateReports.empty());
+    CHECK(simulation.processes()[0].stateReports.back().state.position == 8);
+    for (const ControlStateReported &report : simulation.processes()[0].stateReports) {
+        CHECK((report.state.position == 0 || report.state.position == 8));
     }
 }
 
@@ -44,9 +44,10 @@
         for (std::size_t i = 0; i < reached.size(); ++i) {
             const Process &process = simulation.processes()[i];
             if (!reached[i]
-                && std::ranges::any_of(process.positionReports, [](const PositionReported &report) {
-                       return report.position == Newest;
-                   })) {
+                && std::ranges::any_of(process.stateReports,
+                                       [](const ControlStateReported &report) {
+                                           return report.state.position == Newest;
+                                       })) {
                 reached[i] = true;
                 simulation.advancePosition(i, Newest);
             }
--- a/test/error/MembershipDecoding.cpp
+++ b/test/error/MembershipDecoding.cpp
@@ -38,7 +38,7 @@
     MemberRecord lost = record("recife-a-3");
     lost.member.state = MemberState::Unreachable;
     lost.downFor = 1500ms;
-    return {record("recife-a-1"), Ack {9, 4, 11}, {suspect, lost}};
+    return {record("recife-a-1"), Ack {9, {4, 7}, 11}, {suspect, lost}};
 }
 
 std::error_code decodingErrorOf(const Wire::Datagram &wire)
@@ -186,10 +186,10 @@
     };
     for (unsigned n = 0; n < 200; ++n) {
         Datagram datagram {randomRecord(),
-                           Ping {random.next(), true, random.next()},
+                           Ping {random.next(), true, {random.next(), random.next()}},
                            {randomRecord(), randomRecord()}};
         if (n % 4 == 1) {
-            datagram.body = Ack {random.next(), random.next(), random.next()};
+            datagram.body = Ack {random.next(), {random.next(), random.next()}, random.next()};
         } else if (n % 4 == 2) {
             datagram.body = IndirectPing {random.next(), "target", {"10.0.0.1", 7600}};
         } else if (n % 4 == 3) {
--- a/test/error/StoreStopsAnswering.cpp
+++ b/test/error/StoreStopsAnswering.cpp
@@ -278,7 +278,7 @@
     fixture.store->publish(9);
     fixture.executor.advance(1s);
     CHECK(fixture.version() == 3);
-    fixture.configuration.send(PeerPositionReported {{"other", 1}, {"127.0.0.1", 1}, 2});
+    fixture.configuration.send(PeerStateReported {{"other", 1}, {"127.0.0.1", 1}, 2});
     fixture.executor.advance(300ms);
     CHECK(fixture.version() == 9);
 }
@@ -293,7 +293,7 @@
     fixture.store->unresponsive = true;
     fixture.store->publish(9);
     fixture.store->receivingBody = true;
-    fixture.configuration.send(PeerPositionReported {{"other", 1}, {"127.0.0.1", 1}, 2});
+    fixture.configuration.send(PeerStateReported {{"other", 1}, {"127.0.0.1", 1}, 2});
     fixture.executor.advance(2s);
     CHECK(fixture.store->cancellations == 0);
     CHECK(fixture.peerRequests.empty());
@@ -331,7 +331,7 @@
     fixture.store->available = false;
     fixture.start();
     CHECK(fixture.version() == 0);
-    fixture.configuration.send(PeerPositionReported {{"other", 1}, {"127.0.0.1", 1}, 4});
+    fixture.configuration.send(PeerStateReported {{"other", 1}, {"127.0.0.1", 1}, 4});
     fixture.executor.advance(300ms);
     REQUIRE(fixture.peerRequests.size() == 1);
     fixture.peerRequests[0].reply(peerAnswer(4, {"klang-a"}, 6));
@@ -359,7 +359,7 @@
         const TimePoint end = fixture.executor.now() + time;
         while (fixture.executor.now() < end) {
             fixture.configuration.send(
-                PeerPositionReported {{"other", 1}, {"127.0.0.1", 1}, position});
+                PeerStateReported {{"other", 1}, {"127.0.0.1", 1}, position});
             fixture.executor.advance(100ms);
         }
     };
