Stand-in store: return from an older copy with a new epoch, and counted calls

The stand-in store had no such fault, named no epoch, and held a read from beyond its end as a long poll instead of refusing it.

- POST /fault takes a copy ("takeCopy") and returns from it ("restoreCopy" with "awayMs" and "how").
Offsets go back and are given out again, the epoch rises by one, and reads that wait end: with a reset, or without an answer.
Other faults do not end the time away.
A copy stays until the next one, so that drills can follow each other.
- Every answer but those to /fault names the epoch (Store-Era).
- A read from beyond the end is answered with 410 and the first offset.
- GET /fault tells the epoch and the number of calls by kind, for bounds on the calls of all daemons.

--- a/standin/StoreModel.cpp
+++ b/standin/StoreModel.cpp
@@ -53,6 +53,16 @@
     target.firstOffset = std::clamp(before, target.firstOffset, target.end());
 }
 
+bool StoreModel::restoreCopy()
+{
+    if (!m_copy) {
+        return false;
+    }
+    m_topics = *m_copy;
+    ++m_epoch;
+    return true;
+}
+
 std::string StoreModel::keyOf(std::string_view content)
 {
     const std::size_t bytes = static_cast<unsigned char>(content.front());
--- a/standin/StoreModel.h
+++ b/standin/StoreModel.h
@@ -24,9 +24,16 @@
 
     /// \return offset of the next record to be appended.
     std::uint64_t end() const { return records.size(); }
+
+    /// \return true if the history can be read from the offset on; it may be the end.
+    bool canReadFrom(std::uint64_t offset) const
+    {
+        return firstOffset <= offset && offset <= end();
+    }
 };
 
-/// \brief All topics of the store. The newest record of each key is never discarded.
+/// \brief All topics of the store. The newest record of each key is never discarded, except when
+/// the store comes back from a copy.
 class StoreModel
 {
 public:
@@ -45,6 +52,17 @@
     /// record of each key stays available.
     void trim(const std::string &topic, std::uint64_t before);
 
+    /// \brief Takes a copy of all topics, in place of an earlier one.
+    void takeCopy() { m_copy = m_topics; }
+
+    /// \brief Replaces all topics with those of the copy, which is kept, and starts a new epoch.
+    /// The offsets of the records that were appended since are given out again. \return false if no
+    /// copy was taken; nothing changes in this case.
+    bool restoreCopy();
+
+    /// \return number of the epoch, from 1 on.
+    std::uint64_t epoch() const { return m_epoch; }
+
     /// \return the topic, which is created if it is missing.
     Topic &topic(const std::string &name) { return m_topics[name]; }
 
@@ -56,6 +74,8 @@
 
 private:
     std::map<std::string, Topic> m_topics;
+    std::optional<std::map<std::string, Topic>> m_copy;
+    std::uint64_t m_epoch = 1;
 };
 
 } // namespace Coltsfootwell::Standin
--- a/standin/StoreServer.cpp
+++ b/standin/StoreServer.cpp
@@ -34,6 +34,10 @@
 constexpr unsigned StatusPreconditionFailed = 412;
 constexpr unsigned StatusTooManyRequests = 429;
 constexpr unsigned StatusServiceUnavailable = 503;
+/// Names the epoch of the store in all its answers.
+constexpr std::string_view EpochHeader = "Store-Era";
+constexpr std::string_view FaultPath = "/fault";
+constexpr std::string_view NewestPath = "/log-newest";
 
 /// Injected faults.
 struct StoreFaults
@@ -54,6 +58,74 @@
     std::set<std::string> refusedAddresses;
 };
 
+/// \return the faults that an object names; the others are switched off.
+StoreFaults decodeFaults(const json::object &object)
+{
+    StoreFaults faults;
+    boost::system::error_code ec;
+    if (const json::value *outage = object.if_contains("down"); outage && outage->is_string()) {
+        faults.outage = std::string_view(outage->get_string());
+    }
+    if (const json::value *delay = object.if_contains("delayMs")) {
+        faults.delay = std::chrono::milliseconds(delay->to_number<std::int64_t>(ec));
+    }
+    if (const json::value *answersToDrop = object.if_contains("loseAnswers")) {
+        faults.answersToDrop = answersToDrop->to_number<unsigned>(ec);
+    }
+    if (const json::value *writes = object.if_contains("writesPerSecond")) {
+        faults.writesPerSecond = writes->to_number<unsigned>(ec);
+    }
+    if (const json::value *reads = object.if_contains("readsPerSecond")) {
+        faults.readsPerSecond = reads->to_number<unsigned>(ec);
+    }
+    if (const json::value *addresses = object.if_contains("refuseAt");
+        addresses && addresses->is_array()) {
+        for (const json::value &address : addresses->get_array()) {
+            if (address.is_string()) {
+                faults.refusedAddresses.emplace(std::string_view(address.get_string()));
+            }
+        }
+    }
+    return faults;
+}
+
+/// How the store returns from its copy.
+struct Return
+{
+    /// Time for which the store is away before.
+    std::chrono::milliseconds away {0};
+    /// True if calls are not answered while the store is away; false if connections are reset.
+    bool isSilent = false;
+};
+
+/// \return the return that an object describes; std::nullopt if it is malformed.
+std::optional<Return> decodeReturn(const json::value &value)
+{
+    const json::object *object = value.if_object();
+    const json::value *away = object ? object->if_contains("awayMs") : nullptr;
+    const json::value *how = object ? object->if_contains("how") : nullptr;
+    if (!away || !how || !how->is_string()) {
+        return std::nullopt;
+    }
+    boost::system::error_code ec;
+    const std::chrono::milliseconds duration(away->to_number<std::uint32_t>(ec));
+    const bool isSilent = how->get_string() == "silent";
+    if (ec || !(isSilent || how->get_string() == "reset")) {
+        return std::nullopt;
+    }
+    return Return {duration, isSilent};
+}
+
+/// Calls that the store has received, including those that it has not answered.
+struct CallCounts
+{
+    /// Reads of records from an offset on.
+    std::uint64_t reads = 0;
+    /// Reads of the newest records.
+    std::uint64_t newestReads = 0;
+    std::uint64_t writes = 0;
+};
+
 /// Counts calls of one kind against a limit per second.
 class CallRate
 {
@@ -143,6 +215,7 @@
         beast::flat_buffer buffer;
         boost::system::error_code ec;
         bool open = true;
+        m_sockets.insert(&socket);
         while (open) {
             Request request;
             co_await http::async_read(socket, buffer, request,
@@ -152,6 +225,7 @@
             }
             open = co_await handleRequest(socket, request);
         }
+        m_sockets.erase(&socket);
         socket.close(ec);
     }
 
@@ -159,17 +233,16 @@
     {
         const std::string_view target = stdView(request.target());
         const std::string_view path = target.substr(0, target.find('?'));
-        if (path != "/fault") {
+        if (path != FaultPath) {
+            countCall(request.method(), path);
             if (m_faults.delay.count() > 0) {
                 co_await sleepFor(m_faults.delay);
             }
-            if (m_faults.outage == "reset") {
-                resetSocket(socket);
-                co_return false;
+            if (std::chrono::steady_clock::now() < m_awayUntil) {
+                co_return co_await drop(socket, m_isAwaySilent);
             }
-            if (m_faults.outage == "silent") {
-                co_await sleepFor(MaxLongPollTimeout);
-                co_return false;
+            if (m_faults.outage == "reset" || m_faults.outage == "silent") {
+                co_return co_await drop(socket, m_faults.outage == "silent");
             }
             if (m_faults.outage == "busy") {
                 co_return co_await write(socket, request, StatusServiceUnavailable, "");
@@ -185,7 +258,10 @@
         }
         const auto query = parseQuery(target);
         const auto topic = query.find("topic");
-        if (path == "/fault") {
+        if (path == FaultPath) {
+            if (request.method() == http::verb::get) {
+                co_return co_await write(socket, request, 200, statusJson());
+            }
             co_return co_await setFaults(socket, request);
         }
         if (topic == query.end()) {
@@ -204,7 +280,7 @@
             m_model.trim(topic->second, *offset);
             co_return co_await write(socket, request, 200, "{}");
         }
-        if (path == "/log-newest") {
+        if (path == NewestPath) {
             co_return co_await write(socket, request, 200, newestRecordsJson(topic->second));
         }
         if (path == "/log-read") {
@@ -213,6 +289,35 @@
         co_return co_await write(socket, request, 404, "");
     }
 
+    void countCall(http::verb method, std::string_view path)
+    {
+        if (method == http::verb::post) {
+            ++m_calls.writes;
+        } else {
+            ++(path == NewestPath ? m_calls.newestReads : m_calls.reads);
+        }
+    }
+
+    /// \return the epoch and the calls so far.
+    std::string statusJson() const
+    {
+        return json::serialize(json::object {{"epoch", m_model.epoch()},
+                                             {"reads", m_calls.reads},
+                                             {"newestReads", m_calls.newestReads},
+                                             {"writes", m_calls.writes}});
+    }
+
+    /// Ends a call without an answer: resets its connection, or leaves it open for some time.
+    asio::awaitable<bool> drop(tcp::socket &socket, bool silently)
+    {
+        if (silently) {
+            co_await sleepFor(MaxLongPollTimeout);
+        } else {
+            resetSocket(socket);
+        }
+        co_return false;
+    }
+
     bool isRefused(const tcp::socket &socket) const
     {
         boost::system::error_code ec;
@@ -272,18 +377,21 @@
         const std::chrono::milliseconds longPollTimeout
             = std::min(MaxLongPollTimeout, std::chrono::milliseconds(number("waitMs")));
         const auto expiry = std::chrono::steady_clock::now() + longPollTimeout;
+        const std::uint64_t epoch = m_model.epoch();
         // The topic can change during a wait, so it is looked up again afterwards.
-        while (m_model.topic(topicName).end() <= from
-               && m_model.topic(topicName).firstOffset <= from
+        while (m_model.topic(topicName).end() == from && m_model.topic(topicName).canReadFrom(from)
                && std::chrono::steady_clock::now() < expiry) {
             asio::steady_timer timer(m_context, expiry);
             m_longPollTimers.insert(&timer);
             boost::system::error_code ec;
             co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
             m_longPollTimers.erase(&timer);
+            if (m_model.epoch() != epoch) {
+                co_return co_await drop(socket, m_isAwaySilent);
+            }
         }
         const Topic &topic = m_model.topic(topicName);
-        if (from < topic.firstOffset) {
+        if (!topic.canReadFrom(from)) {
             co_return co_await write(socket, request, StatusGone,
                                      numberJson("first", topic.firstOffset));
         }
@@ -307,30 +415,17 @@
         if (!object) {
             co_return co_await write(socket, request, StatusBadRequest, "must be an object");
         }
-        m_faults = {};
-        if (const json::value *outage = object->if_contains("down");
-            outage && outage->is_string()) {
-            m_faults.outage = std::string_view(outage->get_string());
-        }
-        if (const json::value *delay = object->if_contains("delayMs")) {
-            m_faults.delay = std::chrono::milliseconds(delay->to_number<std::int64_t>(ec));
-        }
-        if (const json::value *answersToDrop = object->if_contains("loseAnswers")) {
-            m_faults.answersToDrop = answersToDrop->to_number<unsigned>(ec);
-        }
-        if (const json::value *writes = object->if_contains("writesPerSecond")) {
-            m_faults.writesPerSecond = writes->to_number<unsigned>(ec);
-        }
-        if (const json::value *reads = object->if_contains("readsPerSecond")) {
-            m_faults.readsPerSecond = reads->to_number<unsigned>(ec);
-        }
-        if (const json::value *addresses = object->if_contains("refuseAt");
-            addresses && addresses->is_array()) {
-            for (const json::value &address : addresses->get_array()) {
-                if (address.is_string()) {
-                    m_faults.refusedAddresses.emplace(std::string_view(address.get_string()));
-                }
+        if (const json::value *restoration = object->if_contains("restoreCopy")) {
+            const auto wanted = decodeReturn(*restoration);
+            if (!wanted || !m_model.restoreCopy()) {
+                co_return co_await write(socket, request, StatusBadRequest,
+                                         "restoreCopy needs awayMs, how and a copy");
             }
+            leave(*wanted, socket);
+        }
+        m_faults = decodeFaults(*object);
+        if (object->contains("takeCopy")) {
+            m_model.takeCopy();
         }
         if (object->contains("forgetHistory")) {
             m_model.discardHistory();
@@ -339,6 +434,19 @@
         co_return co_await write(socket, request, 200, "{}");
     }
 
+    /// Is away for some time. Calls that wait for records end without an answer.
+    /// \param caller socket that is not reset.
+    void leave(const Return &wanted, const tcp::socket &caller)
+    {
+        m_awayUntil = std::chrono::steady_clock::now() + wanted.away;
+        m_isAwaySilent = wanted.isSilent;
+        for (tcp::socket *socket : m_sockets) {
+            if (!wanted.isSilent && socket != &caller) {
+                resetSocket(*socket);
+            }
+        }
+    }
+
     void wakeLongPolls()
     {
         for (asio::steady_timer *timer : m_longPollTimers) {
@@ -352,11 +460,14 @@
         co_await timer.async_wait(asio::use_awaitable);
     }
 
-    static asio::awaitable<bool> write(tcp::socket &socket, const Request &request, unsigned status,
-                                       std::string body)
+    asio::awaitable<bool> write(tcp::socket &socket, const Request &request, unsigned status,
+                                std::string body)
     {
         Response response(http::int_to_status(status), 11);
         response.keep_alive(request.keep_alive());
+        if (!request.target().starts_with(FaultPath)) {
+            response.set(EpochHeader, std::to_string(m_model.epoch()));
+        }
         response.body() = std::move(body);
         response.prepare_payload();
         boost::system::error_code ec;
@@ -367,10 +478,15 @@
     asio::io_context &m_context;
     StoreModel m_model;
     StoreFaults m_faults;
+    /// End of the time for which the store is away before it returns from its copy.
+    std::chrono::steady_clock::time_point m_awayUntil;
+    bool m_isAwaySilent = false;
+    CallCounts m_calls;
     CallRate m_writeRate;
     CallRate m_readRate;
     /// Timers of the pending long polls.
     std::set<asio::steady_timer *> m_longPollTimers;
+    std::set<tcp::socket *> m_sockets;
 };
 
 } // namespace
@@ -382,6 +498,12 @@
                "\"loseAnswers\": N, \"writesPerSecond\": N, \"readsPerSecond\": N,\n"
                "\"refuseAt\": [IP, ...], \"forgetHistory\": true}; omitted faults are\n"
                "switched off.\n"
+               "{\"takeCopy\": true} takes a copy of all topics, which stays until the next one.\n"
+               "{\"restoreCopy\": {\"awayMs\": N, \"how\": \"reset\"|\"silent\"}} replaces all\n"
+               "topics with it and starts a new epoch (header Store-Era), after which the store\n"
+               "is away for N ms: it resets connections, or does not answer. Other faults do\n"
+               "not end this time. Reads beyond the end are answered with 410.\n"
+               "GET /fault returns the epoch and the number of calls so far by kind.\n"
                "Exit codes: 0 stopped, 2 cannot listen or invalid address, 100-199 invalid\n"
                "command line.");
     app.set_version_flag("--version", COLTSFOOTWELL_VERSION);
--- a/test/fault/standins.py
+++ b/test/fault/standins.py
@@ -1,8 +1,8 @@
 """Tests that the stand-ins keep what other tests rest on.
 
 Store: appends with conditions, reads that wait, the newest records, trimmed and forgotten history, rate limits, outage,
-slowness, lost answers, and calls that are refused at one address and served at another. Backend server: each answer
-repeats the id of its request, by which the daemon tells answers apart.
+slowness, lost answers, calls that are refused at one address and served at another, and the return from a copy. Backend
+server: each answer repeats the id of its request, by which the daemon tells answers apart.
 """
 
 import base64
@@ -12,6 +12,7 @@
 import pathlib
 import subprocess
 import sys
+import threading
 import time
 
 BUILD = pathlib.Path(os.environ.get("BUILD_DIR", "build"))
@@ -115,6 +116,103 @@
     check("the append was slow", time.monotonic() - start >= 0.2, True)
 
 
+def epoch(address=FIRST):
+    """Returns the epoch that an answer of the store names."""
+    connection = http.client.HTTPConnection(address, PORT, timeout=3)
+    try:
+        connection.request("GET", "/log-newest" + TOPIC)
+        return connection.getresponse().getheader("Store-Era")
+    finally:
+        connection.close()
+
+
+def restore_copy(away_ms, how):
+    set_faults(restoreCopy={"awayMs": away_ms, "how": how})
+
+
+def wait_until_back():
+    """Waits until the store answers; returns the time that passed."""
+    start = time.monotonic()
+    while call("GET", "/log-newest" + TOPIC, timeout=0.2)[0] != 200 and time.monotonic() < start + 5:
+        time.sleep(0.01)
+    return time.monotonic() - start
+
+
+def long_poll(offset, wait_ms, timeout):
+    """Starts a read that waits; returns a function that waits for its status and for the time that it took."""
+    result = []
+
+    def run():
+        start = time.monotonic()
+        status = call("GET", f"/log-read{TOPIC}&from={offset}&waitMs={wait_ms}", timeout=timeout)[0]
+        result.extend((status, time.monotonic() - start))
+    thread = threading.Thread(target=run)
+    thread.start()
+    time.sleep(0.2)
+
+    def finish():
+        thread.join()
+        return result
+    return finish
+
+
+def check_copy():
+    check("return without a copy", call("POST", "/fault", b'{"restoreCopy": {"awayMs": 0, "how": "reset"}}')[0], 400)
+    check("first epoch", epoch(), "1")
+    end = append("c", "kept")[1]["end"]
+    set_faults(takeCopy=True)
+    append("c", "lost")
+    append("d", "lost")
+    wait = long_poll(end + 2, 3000, timeout=4)
+    kept = http.client.HTTPConnection(FIRST, PORT, timeout=3)
+    kept.request("GET", "/log-newest" + TOPIC)
+    kept.getresponse().read()
+    restore_copy(300, "reset")
+    set_faults()
+    check("append while the store is away", append("c", "away")[0], 0)
+    check("the store is away for its time", 0.2 <= wait_until_back() <= 1.0, True)
+    status, waited = wait()
+    check("a read that waited is reset", (status, waited < 2), (0, True))
+    try:
+        kept.request("GET", "/log-newest" + TOPIC)
+        check("a kept connection is reset", kept.getresponse().status, 0)
+    except (OSError, http.client.HTTPException):
+        pass
+    check("epoch after the return", epoch(), "2")
+    check("newest records after the return", (newest()["c"], newest().get("d")), ("kept", None))
+    check("read beyond the end", call("GET", f"/log-read{TOPIC}&from={end + 1}&waitMs=3000"),
+          (410, b'{"first":%d}' % read(end)[2]))
+    start = time.monotonic()
+    check("read from the end", read(end, 300)[:2], (200, end))
+    check("the read from the end has waited", time.monotonic() - start >= 0.3, True)
+    check("an offset is given out again", append("c", "again"), (200, {"offset": end, "end": end + 1}))
+    wait = long_poll(end + 1, 3000, timeout=1)
+    restore_copy(300, "silent")
+    check("append to the silent store", call("POST", "/log-append" + TOPIC, record("c", "away"), timeout=0.1)[0], 0)
+    check("the store is silent for its time", 0.1 <= wait_until_back() <= 1.0, True)
+    check("a read that waited gets no answer", wait()[1] >= 1, True)
+    check("epoch after the second return", epoch(), "3")
+    check("the copy stays", newest()["c"], "kept")
+
+
+def counts():
+    return json.loads(call("GET", "/fault")[1])
+
+
+def check_counts():
+    before = counts()
+    append("n", "1")
+    read(0)
+    read(0)
+    newest()
+    after = counts()
+    check("counted calls", [after[kind] - before[kind] for kind in ("writes", "reads", "newestReads")], [1, 2, 1])
+    set_faults(down="reset")
+    append("n", "1")
+    set_faults()
+    check("a call without an answer is counted", counts()["writes"] - after["writes"], 1)
+
+
 def check_request_ids():
     command = [BUILD / "coltsfoot-backend", "--port", str(BACKEND_PORT), "--service-ms", "1", "--daemon", f"{FIRST}:{PORT}"]
     with subprocess.Popen(command, stdout=subprocess.PIPE) as backend:
@@ -144,6 +242,8 @@
             check_calls()
             check_history()
             check_faults()
+            check_copy()
+            check_counts()
             check_request_ids()
         finally:
             store.terminate()
