Store reader: no repetition without a pause when the store lacks the records of the position

Cause: an answer that the records are gone (410) starts a read of the newest records at once, and that one a read from the position, which is answered in the same way. The retry had no pause since reading the newest records was expected to lead on.

Change: from the second answer in a row on that does not lead on from its offset, TopicReader waits as after a failed call, 0.1 to 1 s. The first one is still followed at once, so that forgotten history costs no time.

Class: a retry without a pause because it "cannot fail twice". Searched for the like: the pages of newest records, DaemonRecords and LeftProcessRecords (each repeats after a delay).

--- a/src/services/TopicReader.cpp
+++ b/src/services/TopicReader.cpp
@@ -56,10 +56,33 @@
             return;
         }
         callSucceeded(read.transfer.bytes);
+        if (isFruitless(read)) {
+            pause();
+        }
         m_handlers.onRecords(read);
     });
 }
 
+/// \return true from the second answer in a row on that has no record although there are some. The
+/// owner reads the newest records then, and the next read may be answered in the same way.
+bool TopicReader::isFruitless(const RecordsRead &read)
+{
+    const bool leadsOn = !read.ec && (read.next >= read.end || !read.records.empty());
+    m_fruitlessReads = leadsOn ? 0 : m_fruitlessReads + 1;
+    if (leadsOn) {
+        m_retryDelay = MinRetryDelay;
+    }
+    return m_fruitlessReads > 1;
+}
+
+void TopicReader::pause()
+{
+    if (m_state == State::Idle) {
+        m_state = State::BackingOff;
+        scheduleRetry();
+    }
+}
+
 void TopicReader::cancelCall()
 {
     if (m_state == State::Calling) {
@@ -111,7 +134,6 @@
 void TopicReader::callSucceeded(std::size_t bytes)
 {
     m_state = State::Idle;
-    m_retryDelay = MinRetryDelay;
     m_telemetry.send(
         IncrementCounter {"configuration_bytes_total", "store", static_cast<double>(bytes)});
     if (!std::exchange(m_storeAvailable, true)) {
@@ -126,15 +148,20 @@
     if (std::exchange(m_storeAvailable, false)) {
         m_telemetry.send(LogEvent {"store.lost", "", "error=" + ec.message()});
     }
+    scheduleRetry();
+    const bool timedOut
+        = m_kernel.executor().now() - m_callStart >= m_longPollTimeout + TimedOutMargin;
+    m_handlers.onFailure(timedOut ? StoreCallFailure::TimedOut : StoreCallFailure::Refused);
+}
+
+void TopicReader::scheduleRetry()
+{
     m_timer = m_kernel.executor().scheduleAfter(
         m_retryDelay + milliseconds(m_kernel.random().below(MinRetryDelay.count())), [this] {
             m_state = State::Idle;
             m_handlers.onRetry();
         });
     m_retryDelay = std::min(m_retryDelay * 2, MaxRetryDelay);
-    const bool timedOut
-        = m_kernel.executor().now() - m_callStart >= m_longPollTimeout + TimedOutMargin;
-    m_handlers.onFailure(timedOut ? StoreCallFailure::TimedOut : StoreCallFailure::Refused);
 }
 
 } // namespace Coltsfootwell
--- a/src/services/TopicReader.h
+++ b/src/services/TopicReader.h
@@ -68,6 +68,10 @@
     /// \param longPollTimeout how long the store waits for a record if there is none yet.
     void read(std::uint64_t offset, std::chrono::milliseconds longPollTimeout);
 
+    /// \brief Delays the next call as after a failed one. For an answer that cannot be used, since
+    /// a repetition of the call may be answered in the same way at once.
+    void pause();
+
     /// \brief Cancels the call in flight, so that the next one can start at once.
     void cancelCall();
 
@@ -82,10 +86,12 @@
         Stopped,
     };
 
+    bool isFruitless(const RecordsRead &read);
     void readPage(const std::string &after);
     void handlePage(NewestRecords page);
     void callSucceeded(std::size_t bytes);
     void backOff(std::error_code ec);
+    void scheduleRetry();
 
     Kernel &m_kernel;
     std::shared_ptr<StoreClient> m_store;
@@ -101,6 +107,8 @@
     /// Long-poll timeout of the call in flight; the store may take this long before it answers.
     Duration m_longPollTimeout {};
     bool m_storeAvailable = false;
+    /// Answers in a row that did not lead on from the offset.
+    unsigned m_fruitlessReads = 0;
     std::chrono::milliseconds m_retryDelay;
     TimerId m_timer = 0;
 };
