Control state: a position names the epoch of the store, and versions count besides it

Cause: the position of the control state was a bare offset that never goes back. A store that comes back from an older copy gives offsets out again. Readers then got 410 or skipped what lay below their position, and other daemons did not fetch a state whose offset was not higher, until the end of the topic had passed the old position. Class: one number is compared as if it measured what is held, though something else decides what the number means.

Ruled out: that the readers are cut off or slow (they had each version within 2 ms of each other); malformed records (no line); a daemon that starts on the old state explains only itself, for 0.35 s.

An answer of a later epoch makes a reader read the newest records again, one of an earlier epoch is not used. Pages of newest records of different epochs are not joined. A read that does not continue from the position counts as lost history. - isAhead() decides what is fetched: a higher version counts whatever the positions say. This needs no cause: two daemons that hold different versions find that out from each other. What the store cannot deliver is fetched without delay. - AvailabilityTable keeps for each data centre which record has decided on it, so that neither a record that the copy lacks nor one that it still has changes what was acknowledged. A daemon that first read the store in the present epoch cannot tell these apart and follows those that knew an earlier one (origin).

--- /dev/null
+++ b/src/decisions/AvailabilityTable.cpp
@@ -0,0 +1,138 @@
+#include "decisions/AvailabilityTable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Coltsfootwell {
+
+namespace {
+
+/// \return true if a record comes after the decision of a state on a data centre. A data centre
+/// without an entry is in service since the origin of the state.
+bool isLater(const StorePosition &record, const AvailabilityState &state,
+             const std::string &dataCentre)
+{
+    const auto it = state.dataCentres.find(dataCentre);
+    return it != state.dataCentres.end() ? record > it->second.decidedAt : record >= state.origin;
+}
+
+} // namespace
+
+void AvailabilityTable::decide(const std::string &dataCentre, bool isOut, const StorePosition &at)
+{
+    DataCentreAvailability &entry = m_state.dataCentres[dataCentre];
+    entry.isOut = isOut;
+    entry.decidedAt = at;
+    entry.takenOutAt = isOut ? at.offset : entry.takenOutAt;
+    m_state.lastDecision = std::max(m_state.lastDecision, at);
+}
+
+bool AvailabilityTable::applyRecord(const std::string &dataCentre, bool isOut,
+                                    const StorePosition &at)
+{
+    if (hasState() && !isLater(at, m_state, dataCentre)) {
+        return false;
+    }
+    const auto before = outOfService();
+    decide(dataCentre, isOut, at);
+    return outOfService() != before;
+}
+
+/// \return true if operators have removed the record in an earlier epoch, so that it is part of the
+/// copy that the store has come back from.
+bool AvailabilityTable::wasRemoved(const ListedDataCentre &listed, const StorePosition &end) const
+{
+    const auto it = m_state.dataCentres.find(listed.name);
+    return it != m_state.dataCentres.end() && !it->second.isOut
+        && it->second.takenOutAt == listed.offset && it->second.decidedAt.epoch < end.epoch;
+}
+
+/// Returns data centres to service whose records have been removed in the epoch of the end. Where
+/// an earlier epoch has decided, the record may be missing in the copy, so that the decision stays.
+void AvailabilityTable::returnUnlisted(std::span<const ListedDataCentre> listed,
+                                       const StorePosition &end)
+{
+    for (auto &[name, entry] : m_state.dataCentres) {
+        const bool isListed
+            = std::ranges::find(listed, name, &ListedDataCentre::name) != listed.end();
+        if (entry.isOut && !isListed && entry.decidedAt.epoch == end.epoch
+            && entry.decidedAt < end) {
+            decide(name, false, {end.offset - 1, end.epoch});
+        }
+    }
+}
+
+bool AvailabilityTable::applyNewest(std::span<const ListedDataCentre> listed,
+                                    const StorePosition &end)
+{
+    const auto before = outOfService();
+    const bool isFirst = !hasState();
+    for (const ListedDataCentre &entry : listed) {
+        const StorePosition at {entry.offset, end.epoch};
+        if (isFirst || (isLater(at, m_state, entry.name) && !wasRemoved(entry, end))) {
+            decide(entry.name, true, at);
+        }
+    }
+    if (isFirst) {
+        m_state.origin = end;
+    } else if (end >= m_state.position) {
+        returnUnlisted(listed, end);
+    }
+    advancePosition(end);
+    return outOfService() != before;
+}
+
+bool AvailabilityTable::merge(const AvailabilityState &other)
+{
+    const auto before = outOfService();
+    if (!hasState() || other.origin.epoch < m_state.origin.epoch) {
+        adopt(other);
+        return outOfService() != before;
+    }
+    if (other.origin.epoch > m_state.origin.epoch) {
+        return false;
+    }
+    for (const auto &[name, entry] : other.dataCentres) {
+        if (isLater(entry.decidedAt, m_state, name)) {
+            m_state.dataCentres[name] = entry;
+        }
+    }
+    std::erase_if(m_state.dataCentres, [&other](const auto &entry) {
+        return !other.dataCentres.contains(entry.first) && entry.second.decidedAt < other.origin;
+    });
+    m_state.origin = std::max(m_state.origin, other.origin);
+    m_state.lastDecision = std::max(m_state.lastDecision, other.lastDecision);
+    advancePosition(other.position);
+    return outOfService() != before;
+}
+
+/// Takes over the state of a daemon that knew an earlier epoch, with its position, so that the
+/// records after that position are applied again. Decisions since the own origin stay.
+void AvailabilityTable::adopt(AvailabilityState other)
+{
+    const AvailabilityState own = std::exchange(m_state, std::move(other));
+    for (const auto &[name, entry] : own.dataCentres) {
+        if (entry.decidedAt >= own.origin && isLater(entry.decidedAt, m_state, name)) {
+            m_state.dataCentres[name] = entry;
+        }
+    }
+    m_state.lastDecision = std::max(m_state.lastDecision, own.lastDecision);
+}
+
+void AvailabilityTable::advancePosition(const StorePosition &end)
+{
+    m_state.position = std::max(m_state.position, end);
+}
+
+std::set<std::string> AvailabilityTable::outOfService() const
+{
+    std::set<std::string> names;
+    for (const auto &[name, entry] : m_state.dataCentres) {
+        if (entry.isOut) {
+            names.insert(name);
+        }
+    }
+    return names;
+}
+
+} // namespace Coltsfootwell
--- a/src/decisions/ControlState.cpp
+++ b/src/decisions/ControlState.cpp
@@ -1,6 +1,5 @@
 #include "decisions/ControlState.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace Coltsfootwell {
@@ -19,19 +18,10 @@
     return true;
 }
 
-bool ControlState::setOutOfService(const std::string &dataCentre, bool isOut)
+ControlStateSummary ControlState::summary() const
 {
-    return isOut ? m_outOfService.insert(dataCentre).second : m_outOfService.erase(dataCentre) > 0;
-}
-
-bool ControlState::replaceOutOfService(std::set<std::string> dataCentres)
-{
-    return std::exchange(m_outOfService, dataCentres) != dataCentres;
-}
-
-void ControlState::advancePosition(std::uint64_t end)
-{
-    m_position = std::max(m_position, end);
+    const AvailabilityState &state = m_availability.state();
+    return {state.position, version(), state.origin.epoch, state.lastDecision};
 }
 
 ConfigurationPtr ControlState::activeConfiguration() const
@@ -43,7 +33,7 @@
     for (const auto &[name, region] : m_dataCentres) {
         configuration->dataCentres.try_emplace(name, DataCentreRules {region, true});
     }
-    for (const std::string &name : m_outOfService) {
+    for (const std::string &name : m_availability.outOfService()) {
         if (const auto it = configuration->dataCentres.find(name);
             it != configuration->dataCentres.end()) {
             it->second.inService = false;
--- a/src/decisions/Membership.cpp
+++ b/src/decisions/Membership.cpp
@@ -94,7 +94,7 @@
     if (ping.digestRequested) {
         ack.digest = m_table.digest();
     }
-    if (ping.state.position > m_state.position || ping.state.version > m_state.version) {
+    if (isAhead(ping.state, m_state)) {
         m_outputs.emplace_back(ControlStateReported {datagram.from.member.id,
                                                      datagram.from.member.endpoint, ping.state});
     }
--- a/src/decisions/Membership.h
+++ b/src/decisions/Membership.h
@@ -32,8 +32,8 @@
     Endpoint peer;
 };
 
-/// \brief Output: another daemon has reported its control state, in an Ack, or in a Ping when its
-/// position is ahead of this daemon's or its version is higher.
+/// \brief Output: another daemon has reported its control state, in an Ack, or in a Ping when it is
+/// ahead of this daemon; see isAhead().
 struct ControlStateReported
 {
     DaemonId peer;
@@ -187,8 +187,7 @@
     void seedsDiscovered(std::span<const Endpoint> seeds);
 
     /// \brief Sets the summary of this daemon's control state. If it has changed, some random
-    /// members are notified immediately, the others with further pings and Acks. \param state the
-    /// control state, which never goes back.
+    /// members are notified immediately, the others with further pings and Acks.
     Outputs setControlState(const ControlStateSummary &state, TimePoint now);
 
     /// \brief Starts a full sync.
--- a/src/decisions/StateFetch.h
+++ b/src/decisions/StateFetch.h
@@ -6,9 +6,9 @@
 // answered.
 #pragma once
 
+#include "decisions/ControlStateSummary.h"
 #include "decisions/Member.h"
 
-#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -18,26 +18,27 @@
 class StateFetch
 {
 public:
-    /// Maximum number of peers that are remembered; the one with the lowest position is replaced.
+    /// Maximum number of peers that are remembered; the one with the lowest version is replaced, or
+    /// with the lowest position of those that hold the same version.
     static constexpr std::size_t MaxPeers = 8;
 
-    /// \brief A peer has reported the position of its control state; see ControlState::position().
-    void positionReported(const Endpoint &peer, std::uint64_t position);
+    /// \brief A peer has reported its control state.
+    void stateReported(const Endpoint &peer, const ControlStateSummary &state);
 
-    /// \param position position of this daemon's control state.
-    /// \return true while a peer is ahead of it.
-    bool isBehind(std::uint64_t position) const;
+    /// \param own control state of this daemon.
+    /// \return true while a peer is ahead of it; see isAhead().
+    bool isBehind(const ControlStateSummary &own) const;
 
-    /// \param position position of this daemon's control state.
+    /// \param own control state of this daemon.
     /// \return the peer to try next; empty if all have been tried. The list of peers is then
     /// cleared, so that they are tried again after their next report.
-    std::optional<Endpoint> nextPeer(std::uint64_t position);
+    std::optional<Endpoint> nextPeer(const ControlStateSummary &own);
 
 private:
     struct Peer
     {
         Endpoint endpoint;
-        std::uint64_t position = 0;
+        ControlStateSummary state;
         bool isTried = false;
     };
 
--- a/src/decisions/StoreSchedule.cpp
+++ b/src/decisions/StoreSchedule.cpp
@@ -44,8 +44,7 @@
     return !m_role || m_role->isReader || now - m_lastPeerReport > IsolationTimeout;
 }
 
-StoreCall StoreSchedule::nextCall(std::uint64_t position, bool isFetchingFromPeer,
-                                  TimePoint now) const
+StoreCall StoreSchedule::nextCall(bool hasState, bool isFetchingFromPeer, TimePoint now) const
 {
     if (!m_readNewestFirst) {
         if (readsStore(now)) {
@@ -58,19 +57,19 @@
     const Duration uptime = now - m_started;
     const bool isSettledReader = uptime >= MembershipSettleTime && readsStore(now);
     const bool acceptAny
-        = position == 0 && !isFetchingFromPeer && (isSettledReader || uptime >= FallbackReadDelay);
+        = !hasState && !isFetchingFromPeer && (isSettledReader || uptime >= FallbackReadDelay);
     const std::size_t maxBytes
         = m_acceptLarge || acceptAny ? m_unlimitedBytes : MaxSmallAnswerBytes;
-    if (position == 0 && maxBytes <= m_newestLargerThan) {
+    if (!hasState && maxBytes <= m_newestLargerThan) {
         return NoCall {};
     }
     return ReadNewest {maxBytes};
 }
 
-void StoreSchedule::newestTooLarge(std::uint64_t position, std::size_t maxBytes)
+void StoreSchedule::newestTooLarge(bool hasState, std::size_t maxBytes)
 {
     // The records after a position are smaller than the newest records of all keys.
-    m_readNewestFirst = position == 0;
+    m_readNewestFirst = !hasState;
     m_newestLargerThan = maxBytes;
 }
 
@@ -103,12 +102,12 @@
     m_servedInRotation = m_role && m_role->rotationSize > 0;
 }
 
-void StoreSchedule::callFailed(StoreCallFailure failure, std::uint64_t position, TimePoint now)
+void StoreSchedule::callFailed(StoreCallFailure failure, bool hasState, TimePoint now)
 {
     m_failures += failure == StoreCallFailure::TimedOut ? FailuresUntilLost : 1;
     m_needsImmediateRead = false;
     m_servedInRotation = false;
-    m_readNewestFirst = m_readNewestFirst || position == 0 || readsStore(now);
+    m_readNewestFirst = m_readNewestFirst || !hasState || readsStore(now);
 }
 
 void StoreSchedule::callAbandoned()
--- a/src/decisions/StoreSchedule.h
+++ b/src/decisions/StoreSchedule.h
@@ -98,14 +98,15 @@
     bool mayLongPoll(TimePoint now) const { return readsStore(now) || m_servedInRotation; }
 
     /// \brief Chooses the next call.
-    /// \param position position of this daemon's control state; 0 if it has none.
+    /// \param hasState true if this daemon has a control state.
     /// \param isFetchingFromPeer true while a newer state is being fetched from a peer.
     /// \return the call to make when none is pending.
-    StoreCall nextCall(std::uint64_t position, bool isFetchingFromPeer, TimePoint now) const;
+    StoreCall nextCall(bool hasState, bool isFetchingFromPeer, TimePoint now) const;
 
     /// \brief Handles an answer to ReadNewest that exceeded its limit.
+    /// \param hasState true if this daemon has a control state.
     /// \param maxBytes the limit, in bytes.
-    void newestTooLarge(std::uint64_t position, std::size_t maxBytes);
+    void newestTooLarge(bool hasState, std::size_t maxBytes);
 
     /// \brief Handles a control state received from the store or from a peer.
     void stateReceived();
@@ -122,7 +123,7 @@
     void callAnswered();
 
     /// \brief Handles the failure of a call.
-    void callFailed(StoreCallFailure failure, std::uint64_t position, TimePoint now);
+    void callFailed(StoreCallFailure failure, bool hasState, TimePoint now);
 
     /// \brief Handles a pending call that was abandoned because peers have reported a newer state.
     void callAbandoned();
--- a/src/services/ActiveConfiguration.cpp
+++ b/src/services/ActiveConfiguration.cpp
@@ -46,9 +46,10 @@
     m_telemetry.send(LogEvent {
         "configuration.inForce", "",
         "version=" + std::to_string(m_configuration->version)
-            + " position=" + std::to_string(state.position())
-            + " out=" + commaSeparated(state.outOfService()) + " source=" + std::string(source.kind)
-            + " bytes=" + std::to_string(source.transfer.bytes)
+            + " position=" + std::to_string(state.position().offset)
+            + " epoch=" + std::to_string(state.position().epoch)
+            + " out=" + commaSeparated(state.availability().outOfService()) + " source="
+            + std::string(source.kind) + " bytes=" + std::to_string(source.transfer.bytes)
             + " arrivalMs=" + millisecondsText(source.transfer.bodyReceiveTime) + " waitedMs="
             + millisecondsText(delay) + " superseded=" + std::to_string(source.superseded)});
     m_telemetry.send(
--- a/src/services/ConfigurationFollower.cpp
+++ b/src/services/ConfigurationFollower.cpp
@@ -29,10 +29,10 @@
 /// Long-poll timeout of reads. All connections to the store may fail silently at the same moment;
 /// with this timeout, one of the store readers detects it within one to two seconds.
 constexpr milliseconds LongPollTimeout {2'000};
-/// Delay before a store reader requests a later control state from a peer, since the store usually
+/// Delay before a store reader requests a newer control state from a peer, since the store usually
 /// delivers the same records within this time.
 constexpr milliseconds PeerFetchDelay {250};
-/// Age at which a call of a store reader is cancelled if a peer has reported a later position.
+/// Age at which a call of a store reader is cancelled if a peer is ahead.
 constexpr milliseconds StoreCallTimeout {500};
 /// Delay after a state request before the next peer is tried.
 constexpr milliseconds PeerRetryDelay {300};
@@ -42,6 +42,12 @@
 /// Interval of the periodic check, and of state requests to peers before the first configuration.
 constexpr milliseconds CheckInterval {300};
 
+std::string positionText(const StorePosition &position)
+{
+    return "position=" + std::to_string(position.offset)
+        + " epoch=" + std::to_string(position.epoch);
+}
+
 std::string numberText(std::optional<std::uint64_t> number)
 {
     return number ? std::to_string(*number) : "unknown";
@@ -144,16 +150,16 @@
     {
         const Duration delay
             = m_behindSince ? now() - *m_behindSince : source.transfer.bodyReceiveTime;
-        reportPosition();
+        reportState();
         m_activeConfiguration.activate(m_replica.state(), source, delay);
     }
 
-    void reportPosition()
+    void reportState()
     {
-        if (!m_stateFetch.isBehind(m_replica.position())) {
+        if (!m_stateFetch.isBehind(m_replica.state().summary())) {
             m_behindSince.reset();
         }
-        m_membership.send(ControlStateChanged {m_replica.summary()});
+        m_membership.send(ControlStateChanged {m_replica.state().summary()});
     }
 
     // Configuration file.
@@ -183,37 +189,49 @@
         if (m_stopped || !m_reader || m_reader->isBusy()) {
             return;
         }
-        const StoreCall call = m_schedule.nextCall(m_replica.position(), m_fetchPending, now());
+        const StoreCall call = m_schedule.nextCall(hasState(), m_fetchPending, now());
         if (const auto *newest = std::get_if<ReadNewest>(&call)) {
             m_newestMaxBytes = newest->maxBytes;
             m_reader->readNewest(m_newestMaxBytes);
         } else if (const auto *fromPosition = std::get_if<ReadFromPosition>(&call)) {
-            m_reader->read(m_replica.position(),
+            m_reader->read(m_replica.position().offset,
                            fromPosition->longPoll ? LongPollTimeout : milliseconds(0));
         }
     }
 
     void handleNewest(const NewestRecords &newest)
     {
-        noteEpoch(newest.epoch, newest.end);
         m_schedule.callAnswered();
         reportStoreAccess();
+        const StorePosition end {newest.end, epochOf(newest.epoch, newest.end)};
+        if (isOutdated(end)) {
+            m_reader->pause();
+            return;
+        }
         if (newest.ec == ServiceError::AnswerTooLarge) {
             logEvent("configuration.long");
-            m_schedule.newestTooLarge(m_replica.position(), m_newestMaxBytes);
+            m_schedule.newestTooLarge(hasState(), m_newestMaxBytes);
         } else {
             m_schedule.stateReceived();
-            m_replica.applyNewest(newest) ? activate({"store", newest.transfer}) : reportPosition();
+            if (end < m_replica.position()) {
+                logEvent("store.endBelowPosition", " end=" + std::to_string(end.offset));
+            }
+            m_replica.applyNewest(newest, end.epoch) ? activate({"store", newest.transfer})
+                                                     : reportState();
         }
         startStoreCall();
     }
 
     void handleRecords(const RecordsRead &read)
     {
-        noteEpoch(read.epoch, read.end);
         m_schedule.callAnswered();
         reportStoreAccess();
-        if (read.ec == ServiceError::HistoryLost) {
+        const StorePosition end {read.end, epochOf(read.epoch, read.end)};
+        if (isOutdated(end)) {
+            m_reader->pause();
+            return;
+        }
+        if (read.ec == ServiceError::HistoryLost || !continuesPosition(read, end.epoch)) {
             logHistoryLost(read);
             m_schedule.historyLost();
             startStoreCall();
@@ -222,9 +240,9 @@
         if (const unsigned changes = m_replica.applyRecords(read); changes > 0) {
             activate({"store", read.transfer, changes - 1});
         } else {
-            reportPosition();
+            reportState();
         }
-        if (read.end > m_replica.position()) {
+        if (end > m_replica.position()) {
             m_schedule.moreRecordsAvailable(read.records.size(), read.transfer.bytes);
         }
         startStoreCall();
@@ -232,7 +250,7 @@
 
     void handleReadFailure(StoreCallFailure failure)
     {
-        m_schedule.callFailed(failure, m_replica.position(), now());
+        m_schedule.callFailed(failure, hasState(), now());
         reportStoreAccess();
     }
 
@@ -259,25 +277,52 @@
     /// Logs an event with the current position and further fields.
     void logEvent(std::string_view event, const std::string &fields = "")
     {
-        m_telemetry.send(
-            LogEvent {event, "", "position=" + std::to_string(m_replica.position()) + fields});
+        m_telemetry.send(LogEvent {event, "", positionText(m_replica.position()) + fields});
     }
 
     void logHistoryLost(const RecordsRead &read)
     {
         logEvent("store.historyLost",
                  " firstRetained=" + numberText(read.firstRetained)
-                     + " epoch=" + numberText(read.epoch)
+                     + " storeEpoch=" + numberText(read.epoch)
                      + " version=" + std::to_string(m_replica.state().version()));
     }
 
-    /// Notes the epoch that an answer of the store names, and logs its changes.
+    bool hasState() const { return m_replica.state().hasPosition(); }
+
+    /// \param named epoch that an answer of the store names.
     /// \param end end offset that the answer names.
-    void noteEpoch(std::optional<StoreEpoch> epoch, std::uint64_t end)
+    /// \return epoch of the answer; if it names none, that of the position. Logs each new epoch.
+    StoreEpoch epochOf(std::optional<StoreEpoch> named, std::uint64_t end)
     {
-        if (epoch && std::exchange(m_storeEpoch, epoch) != epoch) {
-            logEvent("store.epoch", " epoch=" + numberText(epoch) + " end=" + std::to_string(end));
+        if (named && named > m_storeEpoch) {
+            logEvent("store.epoch",
+                     " storeEpoch=" + numberText(named) + " end=" + std::to_string(end));
+            m_storeEpoch = named;
+            m_telemetry.send(SetGauge {"store_epoch", "", static_cast<double>(*named)});
+        } else if (!named && m_storeEpoch) {
+            logEvent("store.epochMissing");
+        }
+        return named.value_or(m_replica.position().epoch);
+    }
+
+    /// \return true if an answer of the store is of an earlier epoch than the position, such as one
+    /// that was under way when the store came back from a copy.
+    bool isOutdated(const StorePosition &end)
+    {
+        if (end.epoch >= m_replica.position().epoch) {
+            return false;
         }
+        logEvent("store.answerOutdated", " storeEpoch=" + std::to_string(end.epoch));
+        return true;
+    }
+
+    /// \return true if the records follow the position. In a later epoch, other records have the
+    /// same offsets; and the position has gone back if the state of an earlier origin was adopted.
+    bool continuesPosition(const RecordsRead &read, StoreEpoch epoch) const
+    {
+        const StorePosition &position = m_replica.position();
+        return epoch == position.epoch && read.next - read.records.size() <= position.offset;
     }
 
     /// Logs that a peer holds a higher version than this daemon, once for each version.
@@ -287,12 +332,11 @@
             return;
         }
         m_loggedPeerVersion = report.state.version;
-        const bool isAhead = report.state.position > m_replica.position();
         logEvent("configuration.newerAtPeer",
                  " version=" + std::to_string(m_replica.state().version()) + " peer="
                      + report.peer.name + " peerVersion=" + std::to_string(report.state.version)
-                     + " peerPosition=" + std::to_string(report.state.position)
-                     + " fetched=" + (isAhead ? "yes" : "no"));
+                     + " peerPosition=" + std::to_string(report.state.position.offset)
+                     + " peerEpoch=" + std::to_string(report.state.position.epoch));
     }
 
     // Peers.
@@ -313,7 +357,7 @@
     {
         m_schedule.peerReported(now());
         logNewerAtPeer(report);
-        if (report.state.position <= m_replica.position()) {
+        if (!isAhead(report.state, m_replica.state().summary())) {
             return;
         }
         if (!m_behindSince) {
@@ -321,11 +365,13 @@
             m_fallbackDelay = MinFallbackDelay
                 + milliseconds(m_kernel.random().below(MinFallbackDelay.count() / 2));
         }
-        m_stateFetch.positionReported(report.endpoint, report.state.position);
+        m_stateFetch.stateReported(report.endpoint, report.state);
         if (!std::exchange(m_fetchPending, true)) {
-            // A store reader usually gets the same records from the store shortly afterwards.
-            scheduleFetch(m_reader && m_schedule.readsStore(now()) ? Duration(PeerFetchDelay)
-                                                                   : Duration());
+            // A store reader usually gets later records from the store shortly afterwards. What a
+            // peer holds beyond its position may be lost there.
+            const bool isDelivered = m_reader && m_schedule.readsStore(now())
+                && report.state.position > m_replica.position();
+            scheduleFetch(isDelivered ? Duration(PeerFetchDelay) : Duration());
         }
     }
 
@@ -333,14 +379,13 @@
     {
         m_fetchTimer = m_kernel.executor().scheduleAfter(delay, [this] {
             m_fetchPending = false;
-            if (!m_stopped && m_stateFetch.isBehind(m_replica.position())) {
+            if (!m_stopped && m_stateFetch.isBehind(m_replica.state().summary())) {
                 fetchFromPeer();
             }
         });
     }
 
-    /// Requests the control state from a peer with a later position, and detects a store call that
-    /// hangs.
+    /// Requests the control state from a peer that is ahead, and detects a store call that hangs.
     void fetchFromPeer()
     {
         m_fetchPending = true;
@@ -350,7 +395,7 @@
             // A request would transfer the same bytes a second time over the same links.
             return;
         }
-        const auto endpoint = m_stateFetch.nextPeer(m_replica.position());
+        const auto endpoint = m_stateFetch.nextPeer(m_replica.state().summary());
         if (endpoint) {
             requestState(*endpoint);
         }
@@ -365,7 +410,7 @@
         } else if (m_reader && !endpoint && !m_reader->isBusy()
                    && now() - m_behindSince.value_or(now()) >= m_fallbackDelay) {
             logEvent("configuration.unanswered");
-            m_reader->read(m_replica.position(), milliseconds(0));
+            m_reader->read(m_replica.position().offset, milliseconds(0));
         }
     }
 
@@ -418,20 +463,24 @@
         m_telemetry.send(IncrementCounter {"configuration_bytes_total", "peer",
                                            static_cast<double>(bytes.size())});
         const auto answer = decodeStateAnswer(bytes);
+        const StorePosition before = m_replica.position();
         const auto result
             = answer ? m_replica.applyAnswer(*answer) : ControlStateReplica::ApplyResult::Ignored;
         if (result == ControlStateReplica::ApplyResult::Ignored
             || result == ControlStateReplica::ApplyResult::Unusable) {
             return;
         }
-        m_schedule.stateReceived();
         if (result == ControlStateReplica::ApplyResult::Changed) {
             activate({"peer", {bytes.size(), {}}});
         } else {
-            reportPosition();
+            reportState();
+        }
+        if (m_replica.position() == before) {
+            return;
         }
+        m_schedule.stateReceived();
         if (m_reader && !m_reader->isReceiving()) {
-            // The read in flight would deliver records that are already applied.
+            // The read in flight does not continue from the position.
             m_reader->cancelCall();
             startStoreCall();
         }
@@ -439,7 +488,8 @@
 
     void handleSnapshotRequest(const ControlRequest &request)
     {
-        ControlSnapshot snapshot {m_replica.position(), m_replica.state().outOfService(),
+        ControlSnapshot snapshot {m_replica.position(),
+                                  m_replica.state().availability().outOfService(),
                                   m_replica.state().activeConfiguration()};
         request.reply(ControlAnswer {m_activeConfiguration.configuration() ? 200U : 404U,
                                      "application/json", encodeSnapshot(snapshot)});
@@ -456,13 +506,13 @@
     std::unique_ptr<TopicReader> m_reader;
     /// Maximum answer size of the last read of newest records, in bytes.
     std::size_t m_newestMaxBytes = 0;
-    /// When a peer first reported a later position; std::nullopt while up to date.
+    /// When a peer was first ahead; std::nullopt while up to date.
     std::optional<TimePoint> m_behindSince;
     /// Time since m_behindSince after which this daemon reads the store itself.
     Duration m_fallbackDelay {};
     /// Value of the last StoreAccessChanged message.
     bool m_reportedStoreLost = false;
-    /// Epoch that the store has named last; std::nullopt if it has named none.
+    /// Latest epoch that the store has named; std::nullopt if it has named none.
     std::optional<StoreEpoch> m_storeEpoch;
     /// Highest version of a peer that was logged.
     ConfigurationVersion m_loggedPeerVersion = 0;
--- a/src/services/ConfigurationFollower.h
+++ b/src/services/ConfigurationFollower.h
@@ -1,5 +1,5 @@
 // The service "configuration": follows the configuration that operators publish in the store, and
-// fetches it from other daemons while the store is unavailable or when they have a later position.
+// fetches it from other daemons while the store is unavailable or when they are ahead.
 #pragma once
 
 #include "decisions/Configuration.h"
--- a/src/services/ControlStateReplica.cpp
+++ b/src/services/ControlStateReplica.cpp
@@ -1,6 +1,7 @@
 #include "services/ControlStateReplica.h"
 
 #include <utility>
+#include <vector>
 
 namespace Coltsfootwell {
 
@@ -10,54 +11,52 @@
 {
 }
 
-bool ControlStateReplica::applyNewest(const NewestRecords &newest)
+bool ControlStateReplica::applyNewest(const NewestRecords &newest, StoreEpoch epoch)
 {
-    std::set<std::string> outOfService;
+    std::vector<ListedDataCentre> outOfService;
     bool changed = false;
     for (const StoreRecord &record : newest.records) {
         const ControlRecord decoded = m_format.decode(record.key, record.value);
         if (const auto *dataCentre = std::get_if<DataCentreAvailabilityChanged>(&decoded)) {
             if (dataCentre->outOfService) {
-                outOfService.insert(dataCentre->dataCentre);
+                outOfService.push_back({dataCentre->dataCentre, record.offset});
             }
         } else {
-            changed = apply(record.key, record.value, "store") || changed;
+            changed = apply(record.key, record.value, "store", {record.offset, epoch}) || changed;
         }
     }
-    if (newest.end >= m_state.position()) {
-        changed = m_state.replaceOutOfService(std::move(outOfService)) || changed;
-    }
-    m_state.advancePosition(newest.end);
-    return changed;
+    return m_state.availability().applyNewest(outOfService, {newest.end, epoch}) || changed;
 }
 
 unsigned ControlStateReplica::applyRecords(const RecordsRead &read)
 {
     unsigned changes = 0;
+    const StorePosition position = m_state.position();
     for (const StoreRecord &record : read.records) {
         // The record may already be part of a state received from another daemon.
-        if (record.offset >= m_state.position() && apply(record.key, record.value, "store")) {
+        const StorePosition at {record.offset, position.epoch};
+        if (at >= position && apply(record.key, record.value, "store", at)) {
             ++changes;
         }
     }
-    m_state.advancePosition(read.next);
+    m_state.availability().advancePosition({read.next, position.epoch});
     return changes;
 }
 
 bool ControlStateReplica::applyFile(const std::string &text)
 {
-    return apply(OwnConfigurationKey, text, "file");
+    return apply(OwnConfigurationKey, text, "file", {});
 }
 
 ControlStateReplica::ApplyResult ControlStateReplica::applyAnswer(const StateAnswer &answer)
 {
-    if (answer.position <= m_state.position() || answer.version == 0) {
+    if (answer.version == 0 || !isAhead(answer.summary(), m_state.summary())) {
         return ApplyResult::Ignored;
     }
     bool isNewer = false;
     if (answer.version > m_state.version()) {
         const auto text = m_textCache.decodeContent(answer);
-        isNewer = text && apply(answer.key, *text, "peer");
+        isNewer = text && apply(answer.key, *text, "peer", {});
         m_needsFullText = !isNewer;
         if (!isNewer || m_state.version() < answer.version) {
             m_telemetry.send(LogEvent {"configuration.unusable", "",
@@ -67,9 +66,8 @@
         }
         m_textCache.reuseContent(answer);
     }
-    const bool outOfServiceChanged = m_state.replaceOutOfService(answer.outOfService);
-    m_state.advancePosition(answer.position);
-    return isNewer || outOfServiceChanged ? ApplyResult::Changed : ApplyResult::PositionAdvanced;
+    const bool availabilityChanged = m_state.availability().merge(answer.availability);
+    return isNewer || availabilityChanged ? ApplyResult::Changed : ApplyResult::SummaryChanged;
 }
 
 StateRequest ControlStateReplica::makeRequest() const
@@ -80,8 +78,7 @@
 StateAnswer ControlStateReplica::answerRequest(const StateRequest &request)
 {
     StateAnswer answer;
-    answer.position = m_state.position();
-    answer.outOfService = m_state.outOfService();
+    answer.availability = m_state.availability().state();
     m_textCache.fillAnswer(answer, request.heldVersion);
     return answer;
 }
@@ -89,9 +86,10 @@
 /// Decodes and applies one record.
 /// \param value text of the record; a configuration is cached for other daemons.
 /// \param source "store", "peer" or "file", for the log.
+/// \param at position of the record; ignored for a configuration.
 /// \return true if the control state has changed.
 bool ControlStateReplica::apply(std::string_view key, const std::optional<std::string> &value,
-                                std::string_view source)
+                                std::string_view source, const StorePosition &at)
 {
     const ControlFormat &format = key == OwnConfigurationKey ? ownControlFormat() : m_format;
     ControlRecord record = format.decode(key, value);
@@ -108,7 +106,8 @@
         return isNewer;
     }
     if (const auto *outOfService = std::get_if<DataCentreAvailabilityChanged>(&record)) {
-        return m_state.setOutOfService(outOfService->dataCentre, outOfService->outOfService);
+        return m_state.availability().applyRecord(outOfService->dataCentre,
+                                                  outOfService->outOfService, at);
     }
     if (const auto *malformed = std::get_if<MalformedRecord>(&record)) {
         m_telemetry.send(LogEvent {"configuration.malformed", "",
--- a/src/services/ControlStateReplica.h
+++ b/src/services/ControlStateReplica.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include "decisions/ControlState.h"
-#include "decisions/ControlStateSummary.h"
 #include "kernel/Mailbox.h"
 #include "services/StoreClient.h"
 #include "services/TelemetryMessages.h"
@@ -11,7 +10,6 @@
 #include "wire/ControlFormat.h"
 
 #include <map>
-#include <set>
 #include <string>
 #include <string_view>
 
@@ -23,12 +21,12 @@
 public:
     /// \brief Effect of applying another daemon's answer.
     enum class ApplyResult {
-        /// The answer has no configuration, or no later position than this replica.
+        /// The answer has no configuration, or is not ahead of this replica.
         Ignored,
         /// The configuration in the answer could not be decoded or applied.
         Unusable,
-        /// The state is unchanged, but is valid up to a later position.
-        PositionAdvanced,
+        /// Configuration and availability are unchanged, but the summary has changed.
+        SummaryChanged,
         /// The configuration version or the set of data centres out of service has changed.
         Changed,
     };
@@ -45,10 +43,11 @@
     }
 
     /// \brief Applies the newest record of each key.
+    /// \param epoch epoch of the store, not earlier than that of the position.
     /// \return true if the control state has changed.
-    bool applyNewest(const NewestRecords &newest);
+    bool applyNewest(const NewestRecords &newest, StoreEpoch epoch);
 
-    /// \brief Applies the records that follow the position.
+    /// \brief Applies the records that follow the position, in the epoch of the position.
     /// \return number of records that have changed the control state.
     unsigned applyRecords(const RecordsRead &read);
 
@@ -57,7 +56,7 @@
     /// \return true if the control state has changed.
     bool applyFile(const std::string &text);
 
-    /// \brief Applies the answer of another daemon, unless it is older than this replica.
+    /// \brief Applies the answer of another daemon if it is ahead of this replica.
     ApplyResult applyAnswer(const StateAnswer &answer);
 
     /// \return the request to send to another daemon.
@@ -68,14 +67,11 @@
     StateAnswer answerRequest(const StateRequest &request);
 
     const ControlState &state() const { return m_state; }
-    std::uint64_t position() const { return m_state.position(); }
-
-    /// \return what other daemons are told of this state.
-    ControlStateSummary summary() const { return {m_state.position(), m_state.version()}; }
+    const StorePosition &position() const { return m_state.position(); }
 
 private:
     bool apply(std::string_view key, const std::optional<std::string> &value,
-               std::string_view source);
+               std::string_view source, const StorePosition &at);
 
     const ControlFormat &m_format;
     ControlState m_state;
--- a/src/services/StoreClient.h
+++ b/src/services/StoreClient.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "decisions/AnswerBudget.h"
+#include "decisions/StorePosition.h"
 #include "kernel/Time.h"
 
 #include <cstdint>
@@ -15,11 +16,6 @@
 
 namespace Coltsfootwell {
 
-/// Number of times that the store has come back from an older copy of its content. Offsets of
-/// different epochs cannot be compared: what was appended since the copy is lost, and its offsets
-/// are given out again.
-using StoreEpoch = std::uint64_t;
-
 /// \brief Record of a topic.
 struct StoreRecord
 {
--- a/src/services/TopicReader.cpp
+++ b/src/services/TopicReader.cpp
@@ -115,7 +115,13 @@
     }
     const bool hasMore = page.hasMore && !page.records.empty();
     const std::string lastKey = hasMore ? page.records.back().key : "";
+    if (!m_firstPage && page.epoch != m_newest.epoch) {
+        // The pages are of different copies of the topic.
+        backOff(ServiceError::StoreUnavailable);
+        return;
+    }
     m_newest.ec = page.ec;
+    m_newest.epoch = page.epoch;
     // Pages are not a consistent snapshot: records appended between two reads may be missing from
     // the earlier pages. The lowest end offset is safe to continue from.
     m_newest.end = m_firstPage ? page.end : std::min(m_newest.end, page.end);
--- a/src/wire/ControlSnapshot.cpp
+++ b/src/wire/ControlSnapshot.cpp
@@ -11,7 +11,8 @@
 std::string encodeSnapshot(const ControlSnapshot &snapshot)
 {
     json::object object;
-    object["position"] = snapshot.position;
+    object["position"] = snapshot.position.offset;
+    object["epoch"] = snapshot.position.epoch;
     json::array &out = object["out"].emplace_array();
     for (const std::string &dataCentre : snapshot.outOfService) {
         out.emplace_back(dataCentre);
--- a/src/wire/ControlSnapshot.h
+++ b/src/wire/ControlSnapshot.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "decisions/Configuration.h"
+#include "decisions/StorePosition.h"
 
-#include <cstdint>
 #include <set>
 #include <string>
 
@@ -12,14 +12,14 @@
 /// \brief Control state up to a position; see ControlState.
 struct ControlSnapshot
 {
-    std::uint64_t position = 0;
+    StorePosition position;
     /// Names of data centres.
     std::set<std::string> outOfService;
     /// Null if no configuration has been published.
     ConfigurationPtr configuration;
 };
 
-/// \return JSON text of an object with the members "position", "out" and "configuration".
+/// \return JSON text of an object with the members "position", "epoch", "out" and "configuration".
 std::string encodeSnapshot(const ControlSnapshot &snapshot);
 
 } // namespace Coltsfootwell
--- a/src/wire/MembershipCodec.cpp
+++ b/src/wire/MembershipCodec.cpp
@@ -113,13 +113,20 @@
 /// \param body a Ping or Ack.
 void encodeState(const ControlStateSummary &state, auto &body)
 {
-    body.set_version(state.position);
+    body.set_version(state.position.offset);
+    body.set_epoch(state.position.epoch);
     body.set_configuration(state.version);
+    body.set_origin_epoch(state.originEpoch);
+    body.set_decision_offset(state.lastDecision.offset);
+    body.set_decision_epoch(state.lastDecision.epoch);
 }
 
 ControlStateSummary decodeState(const auto &body)
 {
-    return {body.version(), body.configuration()};
+    return {{body.version(), body.epoch()},
+            body.configuration(),
+            body.origin_epoch(),
+            {body.decision_offset(), body.decision_epoch()}};
 }
 
 void encodeBody(const Ping &ping, Wire::Datagram &wire)
--- a/src/wire/StateExchange.cpp
+++ b/src/wire/StateExchange.cpp
@@ -5,6 +5,48 @@
 
 namespace Coltsfootwell {
 
+namespace {
+
+void encodePosition(const StorePosition &position, Wire::StorePosition &wire)
+{
+    wire.set_offset(position.offset);
+    wire.set_epoch(position.epoch);
+}
+
+StorePosition decodePosition(const Wire::StorePosition &wire)
+{
+    return {wire.offset(), wire.epoch()};
+}
+
+void encodeAvailability(const AvailabilityState &state, Wire::StateAnswer &wire)
+{
+    encodePosition(state.position, *wire.mutable_position());
+    encodePosition(state.origin, *wire.mutable_origin());
+    encodePosition(state.lastDecision, *wire.mutable_last_decision());
+    for (const auto &[name, entry] : state.dataCentres) {
+        Wire::DataCentreAvailability &encoded = *wire.add_data_centres();
+        encoded.set_name(name);
+        encoded.set_out(entry.isOut);
+        encodePosition(entry.decidedAt, *encoded.mutable_decided_at());
+        encoded.set_taken_out_at(entry.takenOutAt);
+    }
+}
+
+AvailabilityState decodeAvailability(const Wire::StateAnswer &wire)
+{
+    AvailabilityState state;
+    state.position = decodePosition(wire.position());
+    state.origin = decodePosition(wire.origin());
+    state.lastDecision = decodePosition(wire.last_decision());
+    for (const Wire::DataCentreAvailability &entry : wire.data_centres()) {
+        state.dataCentres[entry.name()]
+            = {entry.out(), decodePosition(entry.decided_at()), entry.taken_out_at()};
+    }
+    return state;
+}
+
+} // namespace
+
 std::string encodeStateRequest(const StateRequest &request)
 {
     Wire::StateQuestion wire;
@@ -22,26 +64,27 @@
 std::string encodeStateAnswer(const StateAnswer &answer)
 {
     Wire::StateAnswer wire;
-    for (const std::string &dataCentre : answer.outOfService) {
-        wire.add_out(dataCentre);
-    }
+    encodeAvailability(answer.availability, wire);
     wire.set_version(answer.version);
     wire.set_base(answer.base);
     wire.set_key(answer.key);
     wire.set_content(answer.content);
-    wire.set_position(answer.position);
+    wire.set_complete(true);
     return wire.SerializeAsString();
 }
 
 std::optional<StateAnswer> decodeStateAnswer(std::string_view bytes)
 {
     Wire::StateAnswer wire;
-    if (!Internal::parseMessage(bytes, wire) || wire.position() == 0) {
+    if (!Internal::parseMessage(bytes, wire) || !wire.complete()) {
+        return std::nullopt;
+    }
+    AvailabilityState availability = decodeAvailability(wire);
+    if (availability.position == StorePosition {}) {
         return std::nullopt;
     }
-    return StateAnswer {wire.position(), {wire.out().begin(), wire.out().end()},
-                        wire.version(),  wire.base(),
-                        wire.key(),      wire.content()};
+    return StateAnswer {std::move(availability), wire.version(), wire.base(), wire.key(),
+                        wire.content()};
 }
 
 } // namespace Coltsfootwell
--- a/src/wire/StateExchange.h
+++ b/src/wire/StateExchange.h
@@ -1,12 +1,11 @@
 // Messages with which daemons exchange the control state.
 #pragma once
 
-#include "decisions/Configuration.h"
+#include "decisions/AvailabilityTable.h"
+#include "decisions/ControlStateSummary.h"
 #include "decisions/Ids.h"
 
-#include <cstdint>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 
@@ -21,13 +20,10 @@
     bool operator==(const StateRequest &) const = default;
 };
 
-/// \brief Control state up to a position; see ControlState.
+/// \brief Control state of a daemon; see ControlState.
 struct StateAnswer
 {
-    /// Position of the control state; never 0.
-    std::uint64_t position = 0;
-    /// Data centres that are out of service.
-    std::set<std::string> outOfService;
+    AvailabilityState availability;
     /// Newest configuration version that the sender has; 0 for none.
     ConfigurationVersion version = 0;
     /// Configuration version whose text is the base of the compressed content; 0 for none.
@@ -37,6 +33,13 @@
     /// Value of the record, compressed; empty if the requester has the version already.
     std::string content;
 
+    /// \return the summary of the state in this answer.
+    ControlStateSummary summary() const
+    {
+        return {availability.position, version, availability.origin.epoch,
+                availability.lastDecision};
+    }
+
     bool operator==(const StateAnswer &) const = default;
 };
 
