Data centres out of service: removals between the return of the store and the first read count

Cause: the newest records do not list a removal, so that it looks like a record that the copy lacks.

Change: in a new epoch, the last eight records before the end are read as well if a data centre is out that the store does not list. An entry keeps the offsets of its last four records, so that those of the copy are told from those written since.

Evidence: CopyRevertsAvailability, "a data centre returns to service if operators remove its record before the first read", fails without the change (the position is 14, so that the removal at 13 is never read).

--- a/src/decisions/AvailabilityTable.cpp
+++ b/src/decisions/AvailabilityTable.cpp
@@ -23,14 +23,34 @@
     DataCentreAvailability &entry = m_state.dataCentres[dataCentre];
     entry.isOut = isOut;
     entry.decidedAt = at;
-    entry.takenOutAt = isOut ? at.offset : entry.takenOutAt;
+    const AvailabilityRecord record {at.offset, isOut};
+    if (entry.recentRecords.empty() || entry.recentRecords.back() != record) {
+        entry.recentRecords.push_back(record);
+    }
+    if (entry.recentRecords.size() > DataCentreAvailability::MaxRecentRecords) {
+        entry.recentRecords.erase(entry.recentRecords.begin());
+    }
     m_state.lastDecision = std::max(m_state.lastDecision, at);
 }
 
+/// \return true if a record contradicts the decision on its data centre and was applied before, so
+/// that it is one of the copy that the store has come back from.
+bool AvailabilityTable::isCopy(const std::string &dataCentre,
+                               const AvailabilityRecord &record) const
+{
+    const auto it = m_state.dataCentres.find(dataCentre);
+    if (it == m_state.dataCentres.end() || it->second.isOut == record.isOut) {
+        return false;
+    }
+    const auto &recent = it->second.recentRecords;
+    return std::ranges::find(recent, record) != recent.end();
+}
+
 bool AvailabilityTable::applyRecord(const std::string &dataCentre, bool isOut,
                                     const StorePosition &at)
 {
-    if (hasState() && !isLater(at, m_state, dataCentre)) {
+    if (hasState()
+        && (!isLater(at, m_state, dataCentre) || isCopy(dataCentre, {at.offset, isOut}))) {
         return false;
     }
     const auto before = outOfService();
@@ -38,13 +58,13 @@
     return outOfService() != before;
 }
 
-/// \return true if operators have removed the record in an earlier epoch, so that it is part of the
-/// copy that the store has come back from.
-bool AvailabilityTable::wasRemoved(const ListedDataCentre &listed, const StorePosition &end) const
+/// \return true if a data centre is out of service that the store does not list.
+bool AvailabilityTable::isUnlisted(std::span<const ListedDataCentre> listed) const
 {
-    const auto it = m_state.dataCentres.find(listed.name);
-    return it != m_state.dataCentres.end() && !it->second.isOut
-        && it->second.takenOutAt == listed.offset && it->second.decidedAt.epoch < end.epoch;
+    return std::ranges::any_of(m_state.dataCentres, [listed](const auto &entry) {
+        return entry.second.isOut
+            && std::ranges::find(listed, entry.first, &ListedDataCentre::name) == listed.end();
+    });
 }
 
 /// Returns data centres to service whose records have been removed in the epoch of the end. Where
@@ -67,9 +87,11 @@
 {
     const auto before = outOfService();
     const bool isFirst = !hasState();
+    const bool isNewEpoch = !isFirst && end.epoch > m_state.position.epoch;
     for (const ListedDataCentre &entry : listed) {
         const StorePosition at {entry.offset, end.epoch};
-        if (isFirst || (isLater(at, m_state, entry.name) && !wasRemoved(entry, end))) {
+        if (isFirst
+            || (isLater(at, m_state, entry.name) && !isCopy(entry.name, {at.offset, true}))) {
             decide(entry.name, true, at);
         }
     }
@@ -78,7 +100,9 @@
     } else if (end >= m_state.position) {
         returnUnlisted(listed, end);
     }
-    advancePosition(end);
+    const std::uint64_t repeated
+        = isNewEpoch && isUnlisted(listed) ? std::min(end.offset, MaxRepeatedRecords) : 0;
+    advancePosition({end.offset - repeated, end.epoch});
     return outOfService() != before;
 }
 
--- a/src/decisions/AvailabilityTable.h
+++ b/src/decisions/AvailabilityTable.h
@@ -12,18 +12,31 @@
 #include <set>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace Coltsfootwell {
 
+/// \brief An operators' record that takes a data centre out of service or returns it.
+struct AvailabilityRecord
+{
+    std::uint64_t offset = 0;
+    bool isOut = false;
+
+    bool operator==(const AvailabilityRecord &) const = default;
+};
+
 /// \brief Whether a data centre is in service, and what has decided it.
 struct DataCentreAvailability
 {
+    /// Maximum number of recent records.
+    static constexpr std::size_t MaxRecentRecords = 4;
+
     bool isOut = false;
     /// Position of the operators' record that has decided it. For a record that was removed unseen,
     /// the last position that it can have had.
     StorePosition decidedAt;
-    /// Offset of the record that took the data centre out of service last.
-    std::uint64_t takenOutAt = 0;
+    /// The last records that were applied, the newest one at the end. A copy may contain them.
+    std::vector<AvailabilityRecord> recentRecords;
 
     bool operator==(const DataCentreAvailability &) const = default;
 };
@@ -57,13 +70,19 @@
 class AvailabilityTable
 {
 public:
+    /// Maximum number of records before the end that are read again in a new epoch. Operators may
+    /// have written them between the return of the store and the first read.
+    static constexpr std::uint64_t MaxRepeatedRecords = 8;
+
     /// \brief Applies a record of the history.
     /// \param isOut true if the record takes the data centre out of service.
     /// \param at position of the record; records before the last decision are ignored.
     /// \return true if the data centre has left or entered service.
     bool applyRecord(const std::string &dataCentre, bool isOut, const StorePosition &at);
 
-    /// \brief Applies the newest records of all data centres and advances the position.
+    /// \brief Applies the newest records of all data centres and advances the position. In a new
+    /// epoch, the position is before the end if the last records have to be read as well, since the
+    /// newest ones do not tell whether a missing record was lost or removed.
     /// \param listed data centres that are out of service according to the store.
     /// \param end end of the topic; earlier epochs must not be passed.
     /// \return true if a data centre has left or entered service.
@@ -85,7 +104,8 @@
 
 private:
     bool hasState() const { return m_state.position != StorePosition {}; }
-    bool wasRemoved(const ListedDataCentre &listed, const StorePosition &end) const;
+    bool isCopy(const std::string &dataCentre, const AvailabilityRecord &record) const;
+    bool isUnlisted(std::span<const ListedDataCentre> listed) const;
     void decide(const std::string &dataCentre, bool isOut, const StorePosition &at);
     void returnUnlisted(std::span<const ListedDataCentre> listed, const StorePosition &end);
     void adopt(AvailabilityState other);
--- a/src/wire/StateExchange.cpp
+++ b/src/wire/StateExchange.cpp
@@ -28,7 +28,11 @@
         encoded.set_name(name);
         encoded.set_out(entry.isOut);
         encodePosition(entry.decidedAt, *encoded.mutable_decided_at());
-        encoded.set_taken_out_at(entry.takenOutAt);
+        for (const AvailabilityRecord &record : entry.recentRecords) {
+            Wire::AvailabilityRecord &encodedRecord = *encoded.add_recent_records();
+            encodedRecord.set_offset(record.offset);
+            encodedRecord.set_out(record.isOut);
+        }
     }
 }
 
@@ -39,8 +43,12 @@
     state.origin = decodePosition(wire.origin());
     state.lastDecision = decodePosition(wire.last_decision());
     for (const Wire::DataCentreAvailability &entry : wire.data_centres()) {
-        state.dataCentres[entry.name()]
-            = {entry.out(), decodePosition(entry.decided_at()), entry.taken_out_at()};
+        DataCentreAvailability &decoded = state.dataCentres[entry.name()];
+        decoded.isOut = entry.out();
+        decoded.decidedAt = decodePosition(entry.decided_at());
+        for (const Wire::AvailabilityRecord &record : entry.recent_records()) {
+            decoded.recentRecords.push_back({record.offset(), record.out()});
+        }
     }
     return state;
 }
--- a/test/correctness/CopyRevertsAvailability.cpp
+++ b/test/correctness/CopyRevertsAvailability.cpp
@@ -29,13 +29,29 @@
     table.advancePosition({13, 1});
     CHECK_FALSE(table.applyNewest({}, {11, 2}));
     CHECK(table.outOfService() == Names {"a"});
-    CHECK(table.state().position == StorePosition {11, 2});
+    CHECK(table.state().position == StorePosition {3, 2});
     // The record is written again, with another offset, and removed later.
     CHECK_FALSE(table.applyRecord("a", true, {11, 2}));
     CHECK(table.applyRecord("a", false, {12, 2}));
     CHECK(table.outOfService().empty());
 }
 
+TEST_CASE("a data centre returns to service if operators remove its record before the first read")
+{
+    AvailabilityTable table = tableFrom({10, 1});
+    table.applyRecord("a", true, {11, 1});
+    table.applyRecord("a", false, {12, 1});
+    table.applyRecord("a", true, {14, 1});
+    table.advancePosition({15, 1});
+    // The copy ends at 13, operators have removed the record at 13.
+    CHECK_FALSE(table.applyNewest({}, {14, 2}));
+    REQUIRE(table.state().position == StorePosition {6, 2});
+    CHECK_FALSE(table.applyRecord("a", true, {11, 2}));
+    CHECK_FALSE(table.applyRecord("a", false, {12, 2}));
+    CHECK(table.applyRecord("a", false, {13, 2}));
+    CHECK(table.outOfService().empty());
+}
+
 TEST_CASE("a data centre stays in service when the copy still has the record that took it out")
 {
     AvailabilityTable table = tableFrom({10, 1});
@@ -112,6 +128,7 @@
 {
     AvailabilityTable longRunning = tableFrom({10, 1});
     longRunning.applyNewest({}, {8, 2});
+    REQUIRE(longRunning.state().position == StorePosition {8, 2});
     // Operators have taken "a" out of service at 9 and "b" at 11.
     AvailabilityTable restarted = tableFrom({10, 2}, {{"a", 9}});
     restarted.applyRecord("b", true, {11, 2});
@@ -131,6 +148,7 @@
     first.advancePosition({13, 1});
     first.applyNewest({}, {11, 2});
     second.applyNewest({}, {11, 2});
+    first.advancePosition({11, 2});
     REQUIRE(first.state().position == second.state().position);
     CHECK(second.merge(first.state()));
     CHECK_FALSE(first.merge(second.state()));
--- a/test/error/SharedStateFaults.cpp
+++ b/test/error/SharedStateFaults.cpp
@@ -120,7 +120,7 @@
                             std::string(random.below(100), char(random.next()))};
         for (std::uint64_t i = random.below(4); i > 0; --i) {
             answer.availability.dataCentres["data-centre-" + std::to_string(i)]
-                = {random.below(2) == 0, randomPosition(), random.next()};
+                = {random.below(2) == 0, randomPosition(), {{random.next(), true}}};
         }
         CHECK(decodeStateAnswer(encodeStateAnswer(answer)) == answer);
     }
@@ -132,7 +132,7 @@
     cache.add(1, Key, "first text");
     cache.add(2, Key, "second text");
     StateAnswer valid = makeAnswer(cache, 1);
-    valid.availability.dataCentres["klang-a"] = {true, {5, 1}, 5};
+    valid.availability.dataCentres["klang-a"] = {true, {5, 1}, {{5, true}}};
     MalformedInput input([](std::string_view bytes) {
         decodeStateRequest(bytes);
         const auto answer = decodeStateAnswer(bytes);
--- a/test/error/StoreStopsAnswering.cpp
+++ b/test/error/StoreStopsAnswering.cpp
@@ -34,7 +34,7 @@
     StateAnswer answer;
     answer.availability.position = {position, 0};
     for (const std::string &name : outOfService) {
-        answer.availability.dataCentres[name] = {true, {position - 1, 0}, position - 1};
+        answer.availability.dataCentres[name] = {true, {position - 1, 0}, {}};
     }
     cache.fillAnswer(answer, 0);
     return encodeStateAnswer(answer);
