Data centres out of service: a record at the offset of a lost one counts if it was written after the first read

Cause: the record was taken for one of the copy, since offset and content are those of a record that had been applied.

Change: only records before the end of the topic that was seen first in the epoch may belong to the copy (possibleCopyEnd).

Evidence: CopyRevertsAvailability, "a record that is written after the first read counts, also at the offset of a lost one", fails without the change: isCopy() answers true for (10, epoch 2).

--- a/src/decisions/AvailabilityTable.cpp
+++ b/src/decisions/AvailabilityTable.cpp
@@ -35,22 +35,22 @@
 
 /// \return true if a record contradicts the decision on its data centre and was applied before, so
 /// that it is one of the copy that the store has come back from.
-bool AvailabilityTable::isCopy(const std::string &dataCentre,
-                               const AvailabilityRecord &record) const
+bool AvailabilityTable::isCopy(const std::string &dataCentre, bool isOut,
+                               const StorePosition &at) const
 {
     const auto it = m_state.dataCentres.find(dataCentre);
-    if (it == m_state.dataCentres.end() || it->second.isOut == record.isOut) {
+    if (at >= m_state.possibleCopyEnd || it == m_state.dataCentres.end()
+        || it->second.isOut == isOut) {
         return false;
     }
     const auto &recent = it->second.recentRecords;
-    return std::ranges::find(recent, record) != recent.end();
+    return std::ranges::find(recent, AvailabilityRecord {at.offset, isOut}) != recent.end();
 }
 
 bool AvailabilityTable::applyRecord(const std::string &dataCentre, bool isOut,
                                     const StorePosition &at)
 {
-    if (hasState()
-        && (!isLater(at, m_state, dataCentre) || isCopy(dataCentre, {at.offset, isOut}))) {
+    if (hasState() && (!isLater(at, m_state, dataCentre) || isCopy(dataCentre, isOut, at))) {
         return false;
     }
     const auto before = outOfService();
@@ -88,10 +88,10 @@
     const auto before = outOfService();
     const bool isFirst = !hasState();
     const bool isNewEpoch = !isFirst && end.epoch > m_state.position.epoch;
+    m_state.possibleCopyEnd = isNewEpoch ? end : m_state.possibleCopyEnd;
     for (const ListedDataCentre &entry : listed) {
         const StorePosition at {entry.offset, end.epoch};
-        if (isFirst
-            || (isLater(at, m_state, entry.name) && !isCopy(entry.name, {at.offset, true}))) {
+        if (isFirst || (isLater(at, m_state, entry.name) && !isCopy(entry.name, true, at))) {
             decide(entry.name, true, at);
         }
     }
@@ -124,6 +124,9 @@
     std::erase_if(m_state.dataCentres, [&other](const auto &entry) {
         return !other.dataCentres.contains(entry.first) && entry.second.decidedAt < other.origin;
     });
+    if (other.position.epoch > m_state.position.epoch) {
+        m_state.possibleCopyEnd = other.possibleCopyEnd;
+    }
     m_state.origin = std::max(m_state.origin, other.origin);
     m_state.lastDecision = std::max(m_state.lastDecision, other.lastDecision);
     advancePosition(other.position);
--- a/src/decisions/AvailabilityTable.h
+++ b/src/decisions/AvailabilityTable.h
@@ -50,6 +50,9 @@
     /// Position at which this state was first read from the store, by this daemon or by the one
     /// that it got the state from.
     StorePosition origin;
+    /// End of the topic at the first read in the epoch of the position, if the state is of an
+    /// earlier origin. Records before it may belong to the copy that the store has come back from.
+    StorePosition possibleCopyEnd;
     /// Highest position of a decision in this state or in one that was merged into it.
     StorePosition lastDecision;
     /// Entries by the name of the data centre.
@@ -104,7 +107,7 @@
 
 private:
     bool hasState() const { return m_state.position != StorePosition {}; }
-    bool isCopy(const std::string &dataCentre, const AvailabilityRecord &record) const;
+    bool isCopy(const std::string &dataCentre, bool isOut, const StorePosition &at) const;
     bool isUnlisted(std::span<const ListedDataCentre> listed) const;
     void decide(const std::string &dataCentre, bool isOut, const StorePosition &at);
     void returnUnlisted(std::span<const ListedDataCentre> listed, const StorePosition &end);
--- a/src/wire/StateExchange.cpp
+++ b/src/wire/StateExchange.cpp
@@ -22,6 +22,7 @@
 {
     encodePosition(state.position, *wire.mutable_position());
     encodePosition(state.origin, *wire.mutable_origin());
+    encodePosition(state.possibleCopyEnd, *wire.mutable_possible_copy_end());
     encodePosition(state.lastDecision, *wire.mutable_last_decision());
     for (const auto &[name, entry] : state.dataCentres) {
         Wire::DataCentreAvailability &encoded = *wire.add_data_centres();
@@ -41,6 +42,7 @@
     AvailabilityState state;
     state.position = decodePosition(wire.position());
     state.origin = decodePosition(wire.origin());
+    state.possibleCopyEnd = decodePosition(wire.possible_copy_end());
     state.lastDecision = decodePosition(wire.last_decision());
     for (const Wire::DataCentreAvailability &entry : wire.data_centres()) {
         DataCentreAvailability &decoded = state.dataCentres[entry.name()];
--- a/test/correctness/CopyRevertsAvailability.cpp
+++ b/test/correctness/CopyRevertsAvailability.cpp
@@ -87,6 +87,25 @@
     CHECK(table.outOfService() == Names {"a", "b"});
 }
 
+TEST_CASE("a record that is written after the first read counts, also at the offset of a lost one")
+{
+    AvailabilityTable table = tableFrom({10, 1});
+    table.applyRecord("a", true, {10, 1});
+    table.applyRecord("a", false, {11, 1});
+    table.advancePosition({12, 1});
+    CHECK_FALSE(table.applyNewest({}, {10, 2}));
+    CHECK(table.applyRecord("a", true, {10, 2}));
+    CHECK(table.outOfService() == Names {"a"});
+
+    AvailabilityTable other = tableFrom({10, 1});
+    other.applyRecord("a", true, {10, 1});
+    other.applyRecord("a", false, {11, 1});
+    other.advancePosition({12, 1});
+    other.applyNewest({}, {10, 2});
+    CHECK(other.applyNewest(std::vector<ListedDataCentre> {{"a", 10}}, {11, 2}));
+    CHECK(other.outOfService() == Names {"a"});
+}
+
 TEST_CASE("newest records of the same epoch return a data centre that they do not list")
 {
     AvailabilityTable table = tableFrom({10, 1}, {{"a", 4}, {"b", 6}});
--- a/test/error/SharedStateFaults.cpp
+++ b/test/error/SharedStateFaults.cpp
@@ -113,11 +113,12 @@
         const auto randomPosition = [&random] {
             return StorePosition {1 + random.below(1'000'000), random.next()};
         };
-        StateAnswer answer {{randomPosition(), randomPosition(), randomPosition(), {}},
-                            random.next(),
-                            random.next(),
-                            "config",
-                            std::string(random.below(100), char(random.next()))};
+        StateAnswer answer {
+            {randomPosition(), randomPosition(), randomPosition(), randomPosition(), {}},
+            random.next(),
+            random.next(),
+            "config",
+            std::string(random.below(100), char(random.next()))};
         for (std::uint64_t i = random.below(4); i > 0; --i) {
             answer.availability.dataCentres["data-centre-" + std::to_string(i)]
                 = {random.below(2) == 0, randomPosition(), {{random.next(), true}}};
