Services can subscribe to the epoch of the store

Services that keep records in the store never heard that it had come back from an older copy: only the service "configuration" reads it all the time, or learns the epoch of the position from other daemons.

SubscribeStoreEpoch is answered with StoreEpochChanged once there is a state, and again each time the epoch of the position rises.

--- a/src/services/ConfigurationFollower.cpp
+++ b/src/services/ConfigurationFollower.cpp
@@ -145,6 +145,26 @@
 
     void handle(const ReloadConfiguration &) { readFile(); }
 
+    void handle(const SubscribeStoreEpoch &subscribe)
+    {
+        if (m_announcedEpoch) {
+            subscribe.subscriber.send({*m_announcedEpoch});
+        }
+        m_epochSubscribers.push_back(subscribe.subscriber);
+    }
+
+    void announceEpoch()
+    {
+        const StoreEpoch epoch = m_replica.position().epoch;
+        if (!hasState() || epoch <= m_announcedEpoch) {
+            return;
+        }
+        m_announcedEpoch = epoch;
+        for (const Address<StoreEpochChanged> &subscriber : m_epochSubscribers) {
+            subscriber.send({epoch});
+        }
+    }
+
     /// Activates the current control state.
     void activate(const ConfigurationSource &source)
     {
@@ -160,6 +180,7 @@
             m_behindSince.reset();
         }
         m_membership.send(ControlStateChanged {m_replica.state().summary()});
+        announceEpoch();
     }
 
     // Configuration file.
@@ -514,6 +535,9 @@
     bool m_reportedStoreLost = false;
     /// Latest epoch that the store has named; std::nullopt if it has named none.
     std::optional<StoreEpoch> m_storeEpoch;
+    /// Epoch that the subscribers know; std::nullopt before the first state.
+    std::optional<StoreEpoch> m_announcedEpoch;
+    std::vector<Address<StoreEpochChanged>> m_epochSubscribers;
     /// Highest version of a peer that was logged.
     ConfigurationVersion m_loggedPeerVersion = 0;
     /// Role that was logged last: true for a store reader.
--- a/src/services/ConfigurationMessages.h
+++ b/src/services/ConfigurationMessages.h
@@ -4,6 +4,7 @@
 #include "decisions/ControlStateSummary.h"
 #include "decisions/Ids.h"
 #include "decisions/Member.h"
+#include "decisions/StorePosition.h"
 #include "kernel/Mailbox.h"
 
 #include <optional>
@@ -27,6 +28,20 @@
     Address<ConfigurationChanged> subscriber;
 };
 
+/// \brief To subscribers: the store is known to be in this epoch. What it acknowledged in an
+/// earlier one may be lost.
+struct StoreEpochChanged
+{
+    StoreEpoch epoch = 0;
+};
+
+/// \brief Subscribes an address to the epoch of the store. It is sent immediately if it is known,
+/// and each time it rises.
+struct SubscribeStoreEpoch
+{
+    Address<StoreEpochChanged> subscriber;
+};
+
 /// \brief From "membership": another daemon has reported its control state.
 struct PeerStateReported
 {
@@ -40,7 +55,7 @@
 {
 };
 
-using ConfigurationMessage
-    = std::variant<SubscribeConfiguration, PeerStateReported, ReloadConfiguration>;
+using ConfigurationMessage = std::variant<SubscribeConfiguration, SubscribeStoreEpoch,
+                                          PeerStateReported, ReloadConfiguration>;
 
 } // namespace Coltsfootwell
