Addresses of daemons are appended again when the store has lost them

After the store had come back from an older copy, the addresses that it no longer had were missing until their next renewal, 15 to 30 minutes later. A daemon that started meanwhile found only those of the copy.

Cause: DaemonRecords appends its record at the start, and counts it as stored whatever the store loses.

RecordRewrite holds the latest known epoch and the one in which the store had the record. When the first is later, the record is appended again after a random delay of up to two seconds, or of the time in which all daemons together make 150 appends a second: the store accepts 400 writes a second, and processes that have left are records of a second topic. The epoch comes from "configuration" and from all answers. An append whose answer is of an earlier epoch, or names none and was sent before the epoch rose, does not count. A rewrite that is scheduled serves a further return, too. A failed one is repeated after 0.5 s, doubling up to 60 s, and the random delay, so that the repeats of all daemons stay apart; that also bounds the calls to a store which names an earlier epoch than another daemon does.

The fixtures of AddressesReadByAll and DeadDaemonsHideLivingOnes get a mailbox "configuration", which the service now finds in the directory; their checks are unchanged.

--- a/src/services/DaemonRecords.cpp
+++ b/src/services/DaemonRecords.cpp
@@ -1,6 +1,8 @@
 #include "services/DaemonRecords.h"
 
+#include "decisions/RecordRewrite.h"
 #include "decisions/StoreReaders.h"
+#include "services/ConfigurationMessages.h"
 #include "services/DaemonRecordExpiry.h"
 #include "services/MembershipMessages.h"
 #include "services/ServiceError.h"
@@ -12,6 +14,7 @@
 #include <array>
 #include <functional>
 #include <iterator>
+#include <utility>
 
 namespace Coltsfootwell {
 
@@ -32,7 +35,7 @@
 
 /// Maximum interval between appends of the daemon's own record, which show that it is in use.
 constexpr milliseconds RenewalInterval = milliseconds(DaemonRecordExpiry::Lifetime) / 6;
-/// Delay before a failed renewal is repeated.
+/// Delay before a failed renewal is repeated, and maximum delay before a failed rewrite is.
 constexpr seconds RenewalRetryDelay {60};
 
 class DaemonRecords final : public Service
@@ -42,9 +45,11 @@
                   DaemonAddresses addresses)
         : m_kernel(kernel), m_store(std::move(store)), m_self(std::move(self)),
           m_addresses(std::move(addresses)),
-          m_membersMailbox(kernel.executor(), [this](MembersChanged message) {
-              m_members = std::move(message.members);
-          })
+          m_membersMailbox(
+              kernel.executor(),
+              [this](MembersChanged message) { m_members = std::move(message.members); }),
+          m_epochMailbox(kernel.executor(),
+                         [this](const StoreEpochChanged &message) { epochSeen(message.epoch); })
     {
     }
 
@@ -57,67 +62,113 @@
         if (!ec) {
             m_telemetry = m_kernel.directory().find<TelemetryMessage>(ServiceName::Telemetry, ec);
         }
+        if (!ec) {
+            m_kernel.directory()
+                .find<ConfigurationMessage>(ServiceName::Configuration, ec)
+                .send(SubscribeStoreEpoch {m_epochMailbox.address()});
+        }
         m_membership.send(SubscribeMembers {m_membersMailbox.address()});
-        const auto startDelay = milliseconds(m_kernel.random().below(MaxStartDelay.count()));
-        schedule(startDelay, [this] { appendRecord(); });
+        scheduleAppend(milliseconds(m_kernel.random().below(MaxStartDelay.count())));
         return ec ? make_error_code(ServiceError::MissingService) : std::error_code();
     }
 
     void stop(Task done) override
     {
         m_stopped = true;
-        m_kernel.executor().cancel(m_timer);
-        m_kernel.executor().cancel(m_renewalTimer);
+        m_kernel.executor().cancel(m_readTimer);
+        m_kernel.executor().cancel(m_appendTimer);
         m_store->cancelAll();
         done();
     }
 
 private:
-    void schedule(Duration delay, Task task)
+    // The record of this daemon. One append at a time is scheduled or in flight.
+
+    StoreRecord ownRecord() const { return {m_self.name, encodeAddresses(m_addresses), 0}; }
+
+    void scheduleAppend(Duration delay)
     {
-        m_timer = m_kernel.executor().scheduleAfter(delay, std::move(task));
+        m_kernel.executor().cancel(m_appendTimer);
+        m_appendTimer = m_kernel.executor().scheduleAfter(delay, [this] { appendRecord(); });
     }
 
     void appendRecord()
     {
+        m_rewritePending = false;
+        m_appendInFlight = true;
         m_store->append(DaemonRecordsTopic, ownRecord(), std::nullopt,
-                        [this](const RecordAppended &appended) {
-                            if (m_stopped) {
-                                return;
-                            }
-                            if (appended.ec) {
-                                schedule(RetryDelay, [this] { appendRecord(); });
-                                return;
+                        [this, epoch = m_rewrite.epoch()](const RecordAppended &appended) {
+                            if (!m_stopped) {
+                                recordAppended(appended, epoch);
                             }
-                            scheduleRenewal();
-                            schedule(ReadDelays[0], [this] { readPage(""); });
                         });
     }
 
-    StoreRecord ownRecord() const { return {m_self.name, encodeAddresses(m_addresses), 0}; }
+    /// \param epochAtCall latest known epoch at the time of the call, which an answer without an
+    /// epoch counts for.
+    void recordAppended(const RecordAppended &appended, StoreEpoch epochAtCall)
+    {
+        m_appendInFlight = false;
+        const bool wasRewrite = m_rewrite.isDue();
+        m_rewrite.epochSeen(appended.epoch);
+        if (!appended.ec) {
+            m_rewrite.stored(appended.epoch.value_or(epochAtCall));
+            startReading();
+        }
+        if (m_rewrite.isDue()) {
+            retryRewrite();
+        } else if (appended.ec) {
+            scheduleAppend(m_hasAppended ? Duration(RenewalRetryDelay) : Duration(RetryDelay));
+        } else {
+            if (wasRewrite) {
+                m_telemetry.send(LogEvent {"daemons.rewritten", "",
+                                           "epoch=" + std::to_string(m_rewrite.epoch())});
+            }
+            m_rewriteRetryDelay = RetryDelay;
+            scheduleRenewal();
+        }
+    }
 
     void scheduleRenewal()
     {
         // A random part of the interval spreads the renewals of daemons that started together.
-        const auto delay
-            = RenewalInterval - milliseconds(m_kernel.random().below(RenewalInterval.count() / 2));
-        m_renewalTimer = m_kernel.executor().scheduleAfter(delay, [this] { renewRecord(); });
+        scheduleAppend(RenewalInterval
+                       - milliseconds(m_kernel.random().below(RenewalInterval.count() / 2)));
     }
 
-    void renewRecord()
+    void epochSeen(std::optional<StoreEpoch> epoch)
     {
-        m_store->append(DaemonRecordsTopic, ownRecord(), std::nullopt,
-                        [this](const RecordAppended &appended) {
-                            if (m_stopped) {
-                                return;
-                            }
-                            if (!appended.ec) {
-                                scheduleRenewal();
-                                return;
-                            }
-                            m_renewalTimer = m_kernel.executor().scheduleAfter(
-                                RenewalRetryDelay, [this] { renewRecord(); });
-                        });
+        m_rewrite.epochSeen(epoch);
+        if (!m_stopped && m_rewrite.isDue() && !m_rewritePending && !m_appendInFlight) {
+            scheduleRewrite({});
+        }
+    }
+
+    void scheduleRewrite(Duration minDelay)
+    {
+        m_rewritePending = true;
+        const std::size_t daemons = m_members ? m_members->size() : 1;
+        scheduleAppend(minDelay + RecordRewrite::randomDelay(daemons, m_kernel.random()));
+    }
+
+    void retryRewrite()
+    {
+        scheduleRewrite(m_rewriteRetryDelay);
+        m_rewriteRetryDelay = std::min(2 * m_rewriteRetryDelay, milliseconds(RenewalRetryDelay));
+    }
+
+    // The records of all daemons.
+
+    void startReading()
+    {
+        if (!std::exchange(m_hasAppended, true)) {
+            scheduleRead(ReadDelays[0], [this] { readPage(""); });
+        }
+    }
+
+    void scheduleRead(Duration delay, Task task)
+    {
+        m_readTimer = m_kernel.executor().scheduleAfter(delay, std::move(task));
     }
 
     void readPage(const std::string &after)
@@ -130,8 +181,9 @@
                                 if (m_stopped) {
                                     return;
                                 }
+                                epochSeen(newest.epoch);
                                 if (newest.ec) {
-                                    schedule(RetryDelay, [this] { readPage(""); });
+                                    scheduleRead(RetryDelay, [this] { readPage(""); });
                                     return;
                                 }
                                 std::ranges::copy(newest.records, std::back_inserter(m_records));
@@ -155,7 +207,7 @@
     void scheduleNextRead()
     {
         m_readDelayIndex = std::min(m_readDelayIndex + 1, ReadDelays.size() - 1);
-        schedule(ReadDelays[m_readDelayIndex], [this] {
+        scheduleRead(ReadDelays[m_readDelayIndex], [this] {
             const bool shouldRead = !m_members || isStoreReader(m_self.name, *m_members);
             shouldRead ? readPage("") : scheduleNextRead();
         });
@@ -208,12 +260,21 @@
     std::vector<StoreRecord> m_records;
     DaemonRecordExpiry m_expiry;
     std::size_t m_readDelayIndex = 0;
+    RecordRewrite m_rewrite;
+    /// Minimum delay before a rewrite is repeated; it doubles with each failure.
+    milliseconds m_rewriteRetryDelay = RetryDelay;
+    /// True once an append has succeeded.
+    bool m_hasAppended = false;
+    bool m_appendInFlight = false;
+    /// True if the scheduled append is a rewrite.
+    bool m_rewritePending = false;
     bool m_stopped = false;
-    TimerId m_timer = 0;
-    TimerId m_renewalTimer = 0;
+    TimerId m_appendTimer = 0;
+    TimerId m_readTimer = 0;
     Address<MembershipMessage> m_membership;
     Address<TelemetryMessage> m_telemetry;
     Mailbox<MembersChanged> m_membersMailbox;
+    Mailbox<StoreEpochChanged> m_epochMailbox;
 };
 
 } // namespace
--- a/test/correctness/AddressesReadByAll.cpp
+++ b/test/correctness/AddressesReadByAll.cpp
@@ -1,6 +1,7 @@
 // Guards against all daemons periodically reading the addresses of all others from the store: with
 // 1,000 daemons each round of reads transferred 100 MB over shared links.
 #include "kernel/ManualExecutor.h"
+#include "services/ConfigurationMessages.h"
 #include "services/DaemonRecords.h"
 #include "services/MembershipMessages.h"
 #include "services/ServiceNames.h"
@@ -71,6 +72,9 @@
                         MembersChanged {std::make_shared<const std::vector<Member>>(members)});
                 }
             });
+        const Mailbox<ConfigurationMessage> configuration(executor,
+                                                          [](const ConfigurationMessage &) {});
+        kernel.directory().publish(ServiceName::Configuration, configuration.address());
         kernel.directory().publish(ServiceName::Telemetry, telemetry.address());
         kernel.directory().publish(ServiceName::Membership, membership.address());
         kernel.add(makeDaemonRecords(kernel, store, self.id, {}));
--- a/test/correctness/DeadDaemonsHideLivingOnes.cpp
+++ b/test/correctness/DeadDaemonsHideLivingOnes.cpp
@@ -2,6 +2,7 @@
 // hosts that are gone, and against records of living daemons that are removed.
 #include "MembershipSimulation.h"
 #include "kernel/ManualExecutor.h"
+#include "services/ConfigurationMessages.h"
 #include "services/DaemonRecordExpiry.h"
 #include "services/DaemonRecords.h"
 #include "services/MembershipMessages.h"
@@ -51,6 +52,7 @@
     {
         kernel.directory().publish(ServiceName::Telemetry, telemetry.address());
         kernel.directory().publish(ServiceName::Membership, membership.address());
+        kernel.directory().publish(ServiceName::Configuration, configuration.address());
         members.resize(1);
         members[0].id = {"h1", 1};
         store->records = {{"gone", "10.0.0.9:7600 10.0.0.9:8629", 0}};
@@ -76,6 +78,7 @@
     std::vector<Member> members;
     std::vector<Endpoint> seeds;
     Mailbox<TelemetryMessage> telemetry {executor, [](const TelemetryMessage &) {}};
+    Mailbox<ConfigurationMessage> configuration {executor, [](const ConfigurationMessage &) {}};
     Mailbox<MembershipMessage> membership {
         executor, [this](const MembershipMessage &message) {
             if (const auto *subscribe = std::get_if<SubscribeMembers>(&message)) {
