--- a/src/decisions/AvailabilityTable.cpp
+++ b/src/decisions/AvailabilityTable.cpp
@@ -16,41 +16,74 @@
     return it != state.dataCentres.end() ? record > it->second.decidedAt : record >= state.origin;
 }
 
+/// Adds a record in the order of the positions; the first ones are dropped if there are too many.
+void addRecord(const AvailabilityRecord &record, std::vector<AvailabilityRecord> &records)
+{
+    const auto it = std::ranges::lower_bound(records, record.at, {}, &AvailabilityRecord::at);
+    if (it == records.end() || it->at != record.at) {
+        records.insert(it, record);
+    }
+    if (records.size() > DataCentreAvailability::MaxRecentRecords) {
+        records.erase(records.begin());
+    }
+}
+
 } // namespace
 
+std::uint64_t AvailabilityState::digest() const
+{
+    std::uint64_t hash = 0;
+    // FNV-1a over words of 64 bits.
+    const auto mix = [&hash](std::uint64_t value) {
+        constexpr std::uint64_t Prime = 0x100000001b3;
+        hash = (hash ^ value) * Prime;
+    };
+    for (const auto &[name, entry] : dataCentres) {
+        std::ranges::for_each(name, mix);
+        mix(entry.isOut ? 1 : 0);
+        mix(entry.decidedAt.offset);
+        mix(entry.decidedAt.epoch);
+        for (const AvailabilityRecord &record : entry.recentRecords) {
+            mix(record.at.offset);
+            mix(record.at.epoch);
+        }
+    }
+    return hash;
+}
+
 void AvailabilityTable::decide(const std::string &dataCentre, bool isOut, const StorePosition &at)
 {
     DataCentreAvailability &entry = m_state.dataCentres[dataCentre];
     entry.isOut = isOut;
     entry.decidedAt = at;
-    const AvailabilityRecord record {at.offset, isOut};
-    if (entry.recentRecords.empty() || entry.recentRecords.back() != record) {
-        entry.recentRecords.push_back(record);
-    }
-    if (entry.recentRecords.size() > DataCentreAvailability::MaxRecentRecords) {
-        entry.recentRecords.erase(entry.recentRecords.begin());
-    }
-    m_state.lastDecision = std::max(m_state.lastDecision, at);
+    addRecord({at, isOut}, entry.recentRecords);
 }
 
-/// \return true if a record contradicts the decision on its data centre and was applied before, so
-/// that it is one of the copy that the store has come back from.
-bool AvailabilityTable::isCopy(const std::string &dataCentre, bool isOut,
-                               const StorePosition &at) const
+/// \return true if a record contradicts the decision on its data centre and may be one of the copy
+/// that the store has come back from: it was applied before, or it is a removal from a time that
+/// this daemon does not know. An unknown record that takes a data centre out counts.
+bool AvailabilityTable::isOfCopy(const std::string &dataCentre,
+                                 const AvailabilityRecord &record) const
 {
     const auto it = m_state.dataCentres.find(dataCentre);
-    if (at >= m_state.possibleCopyEnd || it == m_state.dataCentres.end()
-        || it->second.isOut == isOut) {
+    if (record.at >= m_state.possibleCopyEnd || it == m_state.dataCentres.end()
+        || it->second.isOut == record.isOut) {
         return false;
     }
     const auto &recent = it->second.recentRecords;
-    return std::ranges::find(recent, AvailabilityRecord {at.offset, isOut}) != recent.end();
+    const auto isSame = [&record](const AvailabilityRecord &other) {
+        return other.at.offset == record.at.offset && other.isOut == record.isOut;
+    };
+    const bool isOverfull = recent.size() == DataCentreAvailability::MaxRecentRecords;
+    const StorePosition &knownSince = isOverfull ? recent.front().at : m_state.origin;
+    return std::ranges::any_of(recent, isSame)
+        || (!record.isOut && record.at.offset < knownSince.offset);
 }
 
 bool AvailabilityTable::applyRecord(const std::string &dataCentre, bool isOut,
                                     const StorePosition &at)
 {
-    if (hasState() && (!isLater(at, m_state, dataCentre) || isCopy(dataCentre, isOut, at))) {
+    if (hasState() && (!isLater(at, m_state, dataCentre) || isOfCopy(dataCentre, {at, isOut}))) {
         return false;
     }
     const auto before = outOfService();
@@ -91,7 +124,7 @@
     m_state.possibleCopyEnd = isNewEpoch ? end : m_state.possibleCopyEnd;
     for (const ListedDataCentre &entry : listed) {
         const StorePosition at {entry.offset, end.epoch};
-        if (isFirst || (isLater(at, m_state, entry.name) && !isCopy(entry.name, true, at))) {
+        if (isFirst || (isLater(at, m_state, entry.name) && !isOfCopy(entry.name, {at, true}))) {
             decide(entry.name, true, at);
         }
     }
@@ -109,41 +142,74 @@
 bool AvailabilityTable::merge(const AvailabilityState &other)
 {
     const auto before = outOfService();
-    if (!hasState() || other.origin.epoch < m_state.origin.epoch) {
+    if (!hasState()) {
+        m_state = other;
+    } else if (other.origin.epoch < m_state.origin.epoch) {
         adopt(other);
-        return outOfService() != before;
-    }
-    if (other.origin.epoch > m_state.origin.epoch) {
-        return false;
+    } else if (other.origin.epoch == m_state.origin.epoch) {
+        for (auto &[name, entry] : m_state.dataCentres) {
+            // Without an entry, the data centre is in service at the origin of the other state.
+            if (entry.isOut && !other.dataCentres.contains(name)
+                && entry.decidedAt < other.origin) {
+                entry.isOut = false;
+                entry.decidedAt = {other.origin.offset - 1, other.origin.epoch};
+            }
+        }
+        for (const auto &[name, entry] : other.dataCentres) {
+            mergeEntry(name, entry);
+        }
+        if (other.position.epoch > m_state.position.epoch) {
+            m_state.possibleCopyEnd = other.possibleCopyEnd;
+        }
+        m_state.origin = std::max(m_state.origin, other.origin);
+        advancePosition(other.position);
     }
-    for (const auto &[name, entry] : other.dataCentres) {
-        if (isLater(entry.decidedAt, m_state, name)) {
-            m_state.dataCentres[name] = entry;
+    return outOfService() != before;
+}
+
+/// Takes over the later decision, and the recent records of both.
+void AvailabilityTable::mergeEntry(const std::string &dataCentre,
+                                   const DataCentreAvailability &other)
+{
+    const auto it = m_state.dataCentres.find(dataCentre);
+    if (it == m_state.dataCentres.end()) {
+        DataCentreAvailability &entry = m_state.dataCentres[dataCentre] = other;
+        if (entry.isOut && entry.decidedAt < m_state.origin) {
+            entry.isOut = false;
+            entry.decidedAt = {m_state.origin.offset - 1, m_state.origin.epoch};
         }
+        return;
     }
-    std::erase_if(m_state.dataCentres, [&other](const auto &entry) {
-        return !other.dataCentres.contains(entry.first) && entry.second.decidedAt < other.origin;
-    });
-    if (other.position.epoch > m_state.position.epoch) {
-        m_state.possibleCopyEnd = other.possibleCopyEnd;
+    DataCentreAvailability &entry = it->second;
+    if (other.decidedAt > entry.decidedAt) {
+        entry.isOut = other.isOut;
+        entry.decidedAt = other.decidedAt;
+    }
+    for (const AvailabilityRecord &record : other.recentRecords) {
+        addRecord(record, entry.recentRecords);
     }
-    m_state.origin = std::max(m_state.origin, other.origin);
-    m_state.lastDecision = std::max(m_state.lastDecision, other.lastDecision);
-    advancePosition(other.position);
-    return outOfService() != before;
 }
 
-/// Takes over the state of a daemon that knew an earlier epoch, with its position, so that the
-/// records after that position are applied again. Decisions since the own origin stay.
-void AvailabilityTable::adopt(AvailabilityState other)
+/// Takes over the state of a daemon that knew an earlier epoch, and applies to it what this daemon
+/// has read, as the other one would have.
+void AvailabilityTable::adopt(const AvailabilityState &other)
 {
-    const AvailabilityState own = std::exchange(m_state, std::move(other));
+    const AvailabilityState own = std::exchange(m_state, other);
+    std::vector<ListedDataCentre> listed;
+    for (const auto &[name, entry] : own.dataCentres) {
+        if (entry.isOut) {
+            listed.push_back({name, entry.decidedAt.offset});
+        }
+    }
+    if (own.position >= m_state.position) {
+        applyNewest(listed, own.position);
+    }
     for (const auto &[name, entry] : own.dataCentres) {
-        if (entry.decidedAt >= own.origin && isLater(entry.decidedAt, m_state, name)) {
-            m_state.dataCentres[name] = entry;
+        if (!entry.isOut && entry.decidedAt >= own.origin
+            && isLater(entry.decidedAt, m_state, name)) {
+            decide(name, false, entry.decidedAt);
         }
     }
-    m_state.lastDecision = std::max(m_state.lastDecision, own.lastDecision);
 }
 
 void AvailabilityTable::advancePosition(const StorePosition &end)
--- a/src/decisions/AvailabilityTable.h
+++ b/src/decisions/AvailabilityTable.h
@@ -19,7 +19,7 @@
 /// \brief An operators' record that takes a data centre out of service or returns it.
 struct AvailabilityRecord
 {
-    std::uint64_t offset = 0;
+    StorePosition at;
     bool isOut = false;
 
     bool operator==(const AvailabilityRecord &) const = default;
@@ -35,7 +35,8 @@
     /// Position of the operators' record that has decided it. For a record that was removed unseen,
     /// the last position that it can have had.
     StorePosition decidedAt;
-    /// The last records that were applied, the newest one at the end. A copy may contain them.
+    /// The last records that were applied here or at a daemon that this one got the state from, by
+    /// ascending position. A copy may contain them.
     std::vector<AvailabilityRecord> recentRecords;
 
     bool operator==(const DataCentreAvailability &) const = default;
@@ -53,11 +54,12 @@
     /// End of the topic at the first read in the epoch of the position, if the state is of an
     /// earlier origin. Records before it may belong to the copy that the store has come back from.
     StorePosition possibleCopyEnd;
-    /// Highest position of a decision in this state or in one that was merged into it.
-    StorePosition lastDecision;
     /// Entries by the name of the data centre.
     std::map<std::string, DataCentreAvailability, std::less<>> dataCentres;
 
+    /// \return hash of the entries, which is equal at daemons that have decided alike.
+    std::uint64_t digest() const;
+
     bool operator==(const AvailabilityState &) const = default;
 };
 
@@ -92,7 +94,8 @@
     bool applyNewest(std::span<const ListedDataCentre> listed, const StorePosition &end);
 
     /// \brief Merges the state of another daemon. A state that originates in a later epoch is
-    /// ignored: it cannot tell the records of the copy from those written since.
+    /// ignored: it cannot tell the records of the copy from those written since. Daemons that merge
+    /// each other's states have the same entries afterwards.
     /// \return true if a data centre has left or entered service.
     bool merge(const AvailabilityState &other);
 
@@ -107,11 +110,12 @@
 
 private:
     bool hasState() const { return m_state.position != StorePosition {}; }
-    bool isCopy(const std::string &dataCentre, bool isOut, const StorePosition &at) const;
+    bool isOfCopy(const std::string &dataCentre, const AvailabilityRecord &record) const;
     bool isUnlisted(std::span<const ListedDataCentre> listed) const;
     void decide(const std::string &dataCentre, bool isOut, const StorePosition &at);
     void returnUnlisted(std::span<const ListedDataCentre> listed, const StorePosition &end);
-    void adopt(AvailabilityState other);
+    void mergeEntry(const std::string &dataCentre, const DataCentreAvailability &other);
+    void adopt(const AvailabilityState &other);
 
     AvailabilityState m_state;
 };
--- a/src/decisions/ControlState.cpp
+++ b/src/decisions/ControlState.cpp
@@ -21,7 +21,7 @@
 ControlStateSummary ControlState::summary() const
 {
     const AvailabilityState &state = m_availability.state();
-    return {state.position, version(), state.origin.epoch, state.lastDecision};
+    return {state.position, version(), state.origin.epoch, state.digest()};
 }
 
 ConfigurationPtr ControlState::activeConfiguration() const
--- a/src/decisions/ControlStateSummary.h
+++ b/src/decisions/ControlStateSummary.h
@@ -16,17 +16,18 @@
     ConfigurationVersion version = 0;
     /// Epoch in which the state was first read from the store; see AvailabilityState::origin.
     StoreEpoch originEpoch = 0;
-    /// See AvailabilityState::lastDecision.
-    StorePosition lastDecision;
+    /// See AvailabilityState::digest().
+    std::uint64_t availabilityDigest = 0;
 
     bool operator==(const ControlStateSummary &) const = default;
 };
 
 /// \brief Decides whether a daemon should fetch the control state of another one.
 ///
-/// The version decides besides the position, since two daemons may hold different versions up to
-/// the same position: what one of them has read may be lost in the store. \return true if a peer
-/// holds something that is missing in the own state.
+/// The version and the decisions on data centres count besides the position, since two daemons may
+/// hold different ones up to the same position: what one of them has read may be lost in the store.
+/// A peer without a version is not asked: it has none, or it is of a build that does not tell it.
+/// \return true if a peer may hold something that is missing in the own state.
 bool isAhead(const ControlStateSummary &peer, const ControlStateSummary &own);
 
 } // namespace Coltsfootwell
--- a/src/wire/MembershipCodec.cpp
+++ b/src/wire/MembershipCodec.cpp
@@ -117,8 +117,7 @@
     body.set_epoch(state.position.epoch);
     body.set_configuration(state.version);
     body.set_origin_epoch(state.originEpoch);
-    body.set_decision_offset(state.lastDecision.offset);
-    body.set_decision_epoch(state.lastDecision.epoch);
+    body.set_availability(state.availabilityDigest);
 }
 
 ControlStateSummary decodeState(const auto &body)
@@ -126,7 +125,7 @@
     return {{body.version(), body.epoch()},
             body.configuration(),
             body.origin_epoch(),
-            {body.decision_offset(), body.decision_epoch()}};
+            body.availability()};
 }
 
 void encodeBody(const Ping &ping, Wire::Datagram &wire)
--- a/src/wire/StateExchange.cpp
+++ b/src/wire/StateExchange.cpp
@@ -23,7 +23,6 @@
     encodePosition(state.position, *wire.mutable_position());
     encodePosition(state.origin, *wire.mutable_origin());
     encodePosition(state.possibleCopyEnd, *wire.mutable_possible_copy_end());
-    encodePosition(state.lastDecision, *wire.mutable_last_decision());
     for (const auto &[name, entry] : state.dataCentres) {
         Wire::DataCentreAvailability &encoded = *wire.add_data_centres();
         encoded.set_name(name);
@@ -31,7 +30,7 @@
         encodePosition(entry.decidedAt, *encoded.mutable_decided_at());
         for (const AvailabilityRecord &record : entry.recentRecords) {
             Wire::AvailabilityRecord &encodedRecord = *encoded.add_recent_records();
-            encodedRecord.set_offset(record.offset);
+            encodePosition(record.at, *encodedRecord.mutable_at());
             encodedRecord.set_out(record.isOut);
         }
     }
@@ -43,13 +42,12 @@
     state.position = decodePosition(wire.position());
     state.origin = decodePosition(wire.origin());
     state.possibleCopyEnd = decodePosition(wire.possible_copy_end());
-    state.lastDecision = decodePosition(wire.last_decision());
     for (const Wire::DataCentreAvailability &entry : wire.data_centres()) {
         DataCentreAvailability &decoded = state.dataCentres[entry.name()];
         decoded.isOut = entry.out();
         decoded.decidedAt = decodePosition(entry.decided_at());
         for (const Wire::AvailabilityRecord &record : entry.recent_records()) {
-            decoded.recentRecords.push_back({record.offset(), record.out()});
+            decoded.recentRecords.push_back({decodePosition(record.at()), record.out()});
         }
     }
     return state;
--- a/src/wire/StateExchange.h
+++ b/src/wire/StateExchange.h
@@ -36,8 +36,7 @@
     /// \return the summary of the state in this answer.
     ControlStateSummary summary() const
     {
-        return {availability.position, version, availability.origin.epoch,
-                availability.lastDecision};
+        return {availability.position, version, availability.origin.epoch, availability.digest()};
     }
 
     bool operator==(const StateAnswer &) const = default;
