Records of left processes are appended again when the store has lost them

An acknowledged shutdown stays acknowledged for the process of the daemon, but a daemon that restarted after the store had come back from an older copy found no record of it, and could take the leaving server back. An append under way across the return was acknowledged as recorded although the store had lost it.

Cause: LeftProcessRecords took its last acknowledged append for the content of the store, whatever the store lost.

The service uses RecordRewrite as the addresses do: a record that was read or acknowledged in an earlier epoch is appended again after the random delay. A request for the same processes is answered with true only once that is done, and does it at once. The answer to an append counts only in the latest known epoch. A daemon without a record appends nothing. What was requested before the predecessor's record had been read is merged with it, so that a rewrite keeps both. A repeated call replaces the scheduled one: the timer of the append after MaxLateAppend was overwritten by that of a repetition and stayed armed after the stop of the service.

What stays unknown: a daemon that restarts and reads the copy right after the return cannot tell a missing record from none.

--- a/src/services/LeftProcessRecords.cpp
+++ b/src/services/LeftProcessRecords.cpp
@@ -1,6 +1,9 @@
 #include "services/LeftProcessRecords.h"
 
+#include "decisions/RecordRewrite.h"
 #include "services/BackendMessages.h"
+#include "services/ConfigurationMessages.h"
+#include "services/MembershipMessages.h"
 #include "services/ServiceError.h"
 #include "services/ServiceNames.h"
 #include "services/TelemetryMessages.h"
@@ -9,6 +12,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace Coltsfootwell {
 
@@ -38,7 +42,12 @@
     LeftProcessRecords(Kernel &kernel, std::shared_ptr<StoreClient> store, std::string daemonName)
         : m_kernel(kernel), m_store(std::move(store)), m_daemonName(std::move(daemonName)),
           m_mailbox(kernel.executor(),
-                    [this](RecordLeftProcesses message) { handle(std::move(message)); })
+                    [this](RecordLeftProcesses message) { handle(std::move(message)); }),
+          m_membersMailbox(
+              kernel.executor(),
+              [this](const MembersChanged &message) { m_daemons = message.members->size(); }),
+          m_epochMailbox(kernel.executor(),
+                         [this](const StoreEpochChanged &message) { epochSeen(message.epoch); })
     {
         kernel.directory().publish(name(), m_mailbox.address());
     }
@@ -53,6 +62,14 @@
         if (!ec) {
             m_telemetry = directory.find<TelemetryMessage>(ServiceName::Telemetry, ec);
         }
+        if (!ec) {
+            directory.find<MembershipMessage>(ServiceName::Membership, ec)
+                .send(SubscribeMembers {m_membersMailbox.address()});
+        }
+        if (!ec) {
+            directory.find<ConfigurationMessage>(ServiceName::Configuration, ec)
+                .send(SubscribeStoreEpoch {m_epochMailbox.address()});
+        }
         readPage("");
         return ec ? make_error_code(ServiceError::MissingService) : std::error_code();
     }
@@ -62,6 +79,7 @@
         m_stopped = true;
         m_kernel.executor().cancel(m_callTimer);
         m_kernel.executor().cancel(m_replyTimer);
+        m_kernel.executor().cancel(m_rewriteTimer);
         m_store->cancelAll();
         m_waiting.clear();
         done();
@@ -80,7 +98,7 @@
     void handle(RecordLeftProcesses message)
     {
         m_wanted = std::move(message.processes);
-        if (m_recorded == m_wanted) {
+        if (m_recorded == m_wanted && !m_rewrite.isDue()) {
             message.recorded(true);
             return;
         }
@@ -119,30 +137,61 @@
         }
     }
 
-    void repeatAfterFailure(Task call)
+    /// Replaces a call that is already scheduled.
+    void scheduleCall(Duration delay, Task call)
+    {
+        m_kernel.executor().cancel(m_callTimer);
+        m_callTimer = m_kernel.executor().scheduleAfter(delay, std::move(call));
+    }
+
+    Duration nextRetryDelay()
+    {
+        return std::exchange(m_retryDelay, std::min(2 * m_retryDelay, MaxRetryDelay));
+    }
+
+    void epochSeen(std::optional<StoreEpoch> epoch)
+    {
+        m_rewrite.epochSeen(epoch);
+        if (!m_stopped && m_rewrite.isDue() && !m_rewritePending) {
+            scheduleRewrite({});
+        }
+    }
+
+    void scheduleRewrite(Duration minDelay)
     {
-        m_callTimer = m_kernel.executor().scheduleAfter(m_retryDelay, std::move(call));
-        m_retryDelay = std::min(2 * m_retryDelay, MaxRetryDelay);
+        m_rewritePending = true;
+        m_rewriteTimer = m_kernel.executor().scheduleAfter(
+            minDelay + RecordRewrite::randomDelay(m_daemons, m_kernel.random()), [this] {
+                m_rewritePending = false;
+                // An append in flight that the store may have lost is repeated when it ends.
+                if (m_rewrite.isDue() && !m_callPending) {
+                    appendRecord();
+                }
+            });
     }
 
     void readPage(const std::string &after)
     {
         m_callPending = true;
         m_store->readNewest(LeftProcessesTopic, after, StoreClient::MaxAnswerBytes,
-                            [this](const NewestRecords &newest) {
+                            [this, epoch = m_rewrite.epoch()](const NewestRecords &newest) {
                                 if (!m_stopped) {
-                                    pageRead(newest);
+                                    pageRead(newest, newest.epoch.value_or(epoch));
                                 }
                             });
     }
 
-    void pageRead(const NewestRecords &newest)
+    void pageRead(const NewestRecords &newest, StoreEpoch epoch)
     {
+        m_rewrite.epochSeen(epoch);
         if (newest.ec) {
             m_records.clear();
-            repeatAfterFailure([this] { readPage(""); });
+            m_readEpoch.reset();
+            scheduleCall(nextRetryDelay(), [this] { readPage(""); });
             return;
         }
+        // The store may return between two pages.
+        m_readEpoch = std::min(m_readEpoch.value_or(epoch), epoch);
         std::ranges::copy(newest.records, std::back_inserter(m_records));
         if (newest.hasMore && !newest.records.empty()) {
             readPage(newest.records.back().key);
@@ -150,25 +199,28 @@
         }
         m_callPending = false;
         m_retryDelay = FirstRetryDelay;
-        recordsRead(std::exchange(m_records, {}), newest.end);
+        recordsRead(std::exchange(m_records, {}), {newest.end, *m_readEpoch});
     }
 
-    void recordsRead(const std::vector<StoreRecord> &records, std::uint64_t end)
+    void recordsRead(const std::vector<StoreRecord> &records, const StorePosition &end)
     {
         m_recorded.emplace();
         for (const StoreRecord &record : records) {
             std::vector<LeftProcess> processes = decodeRecord(record);
             if (record.key == m_daemonName) {
                 m_recorded = std::move(processes);
+                m_rewrite.stored(end.epoch);
             } else if (record.value && isExpired(processes)) {
                 m_expired.push_back(record.key);
             }
         }
+        m_wanted = mergedLeftProcesses(*m_recorded, m_wanted);
         m_telemetry.send(LogEvent {"backend.leftRead", "",
                                    "processes=" + std::to_string(m_recorded->size())
                                        + " records=" + std::to_string(records.size())});
         m_registration.send(PredecessorRecordRead {*m_recorded});
-        removeExpired(end, MaxRemovals);
+        epochSeen(end.epoch);
+        removeExpired(end.offset, MaxRemovals);
     }
 
     std::vector<LeftProcess> decodeRecord(const StoreRecord &record)
@@ -213,31 +265,45 @@
     {
         m_callPending = true;
         const StoreRecord record {m_daemonName, encodeLeftProcesses(m_wanted), 0};
-        m_store->append(LeftProcessesTopic, record, std::nullopt,
-                        [this, appended = m_wanted](const RecordAppended &result) {
-                            if (!m_stopped) {
-                                recordAppended(appended, result.ec);
-                            }
-                        });
+        m_store->append(
+            LeftProcessesTopic, record, std::nullopt,
+            [this, appended = m_wanted, epoch = m_rewrite.epoch()](const RecordAppended &result) {
+                if (!m_stopped) {
+                    recordAppended(appended, result, result.epoch.value_or(epoch));
+                }
+            });
     }
 
-    void recordAppended(const std::vector<LeftProcess> &appended, std::error_code ec)
+    /// \param epoch epoch of the result.
+    void recordAppended(const std::vector<LeftProcess> &appended, const RecordAppended &result,
+                        StoreEpoch epoch)
     {
-        if (ec) {
+        const bool wasRewrite = m_rewrite.isDue();
+        m_rewrite.epochSeen(epoch);
+        if (result.ec) {
             m_lateAppendUntil = now() + MaxLateAppend;
-            repeatAfterFailure([this] { appendRecord(); });
+        } else {
+            m_rewrite.stored(epoch);
+        }
+        if (result.ec || m_rewrite.isDue()) {
+            repeatAppend();
             return;
         }
         m_callPending = false;
         m_retryDelay = FirstRetryDelay;
         m_recorded = appended;
+        if (wasRewrite) {
+            m_telemetry.send(LogEvent {"backend.leftRewritten", "",
+                                       "processes=" + std::to_string(appended.size())
+                                           + " epoch=" + std::to_string(epoch)});
+        }
         if (m_wanted != appended) {
             appendRecord();
             return;
         }
         replyToAll();
         if (m_lateAppendUntil > now()) {
-            m_callTimer = m_kernel.executor().scheduleAfter(m_lateAppendUntil - now(), [this] {
+            scheduleCall(m_lateAppendUntil - now(), [this] {
                 if (!m_callPending) {
                     appendRecord();
                 }
@@ -245,6 +311,20 @@
         }
     }
 
+    /// Repeats an append that has failed or that the store has lost.
+    void repeatAppend()
+    {
+        if (m_rewrite.isDue() && m_recorded == m_wanted && m_waiting.empty()) {
+            // No request depends on it, and all daemons may have to repeat theirs at once.
+            m_callPending = false;
+            if (!m_rewritePending) {
+                scheduleRewrite(nextRetryDelay());
+            }
+            return;
+        }
+        scheduleCall(nextRetryDelay(), [this] { appendRecord(); });
+    }
+
     Kernel &m_kernel;
     std::shared_ptr<StoreClient> m_store;
     std::string m_daemonName;
@@ -252,6 +332,8 @@
     std::optional<std::vector<LeftProcess>> m_recorded;
     /// Records of the pages that have been read so far.
     std::vector<StoreRecord> m_records;
+    /// Earliest epoch of these pages; std::nullopt before the first one.
+    std::optional<StoreEpoch> m_readEpoch;
     /// Keys of expired records of other daemons.
     std::vector<std::string> m_expired;
     /// Content that the record should have.
@@ -260,14 +342,22 @@
     std::vector<WaitingReply> m_waiting;
     /// True while a call is in flight or will be repeated.
     bool m_callPending = false;
+    RecordRewrite m_rewrite;
+    /// True while a rewrite is scheduled.
+    bool m_rewritePending = false;
+    /// Number of daemons in the member list.
+    std::size_t m_daemons = 1;
     bool m_stopped = false;
     milliseconds m_retryDelay = FirstRetryDelay;
     TimePoint m_lateAppendUntil {};
     TimerId m_callTimer = 0;
     TimerId m_replyTimer = 0;
+    TimerId m_rewriteTimer = 0;
     Address<RegistrationMessage> m_registration;
     Address<TelemetryMessage> m_telemetry;
     Mailbox<RecordLeftProcesses> m_mailbox;
+    Mailbox<MembersChanged> m_membersMailbox;
+    Mailbox<StoreEpochChanged> m_epochMailbox;
 };
 
 } // namespace
--- a/src/services/LeftProcessRecords.h
+++ b/src/services/LeftProcessRecords.h
@@ -15,7 +15,8 @@
 constexpr std::string_view LeftProcessesTopic = "keyed.left";
 
 /// \brief Creates the service "left-processes". It reads the record of the daemon once and sends it
-/// to "registration", and removes records of daemons that have not changed theirs for a long time.
+/// to "registration", appends it again when the store has come back from an older copy, and removes
+/// records of daemons that have not changed theirs for a long time.
 /// \param kernel provides the executor and the service directory.
 /// \param store client of the store that holds the records; no other object may use it.
 /// \param daemonName name of this daemon.
--- a/test/error/AcknowledgementLost.cpp
+++ b/test/error/AcknowledgementLost.cpp
@@ -4,7 +4,9 @@
 #include "kernel/Kernel.h"
 #include "kernel/ManualExecutor.h"
 #include "services/BackendMessages.h"
+#include "services/ConfigurationMessages.h"
 #include "services/LeftProcessRecords.h"
+#include "services/MembershipMessages.h"
 #include "services/ServiceNames.h"
 #include "services/TelemetryMessages.h"
 #include "services/UnixTime.h"
@@ -30,6 +32,8 @@
     {
         kernel.directory().publish(ServiceName::Registration, registration.address());
         kernel.directory().publish(ServiceName::Telemetry, telemetry.address());
+        kernel.directory().publish(ServiceName::Membership, membership.address());
+        kernel.directory().publish(ServiceName::Configuration, configuration.address());
     }
 
     void start()
@@ -74,6 +78,8 @@
                 predecessors = read->processes;
             }
         }};
+    Mailbox<MembershipMessage> membership {executor, [](const MembershipMessage &) {}};
+    Mailbox<ConfigurationMessage> configuration {executor, [](const ConfigurationMessage &) {}};
     Mailbox<TelemetryMessage> telemetry {executor, [this](TelemetryMessage message) {
                                              if (auto *event = std::get_if<LogEvent>(&message)) {
                                                  events.emplace_back(event->event);
--- a/test/support/FakeKeyedStore.h
+++ b/test/support/FakeKeyedStore.h
@@ -47,6 +47,9 @@
                 std::function<void(RecordAppended)> done) override
     {
         appendTimes.push_back(m_executor.now());
+        if (beforeAppend) {
+            beforeAppend(record);
+        }
         RecordAppended appended;
         if (!available) {
             appended.ec = ServiceError::StoreUnavailable;
@@ -96,6 +99,8 @@
     bool available = true;
     /// True while calls are executed, but not answered.
     bool holdsAnswers = false;
+    /// Called before the store executes an append.
+    std::function<void(const StoreRecord &)> beforeAppend;
     /// Epoch that the answers name; std::nullopt to name none.
     std::optional<StoreEpoch> epoch;
     /// Newest record of each key.
