Offsets of records are not compared across a return of the store

After the store had come back from an older copy, the records of living daemons could be removed.

Cause: DaemonRecordExpiry takes a record at an unchanged offset for one that nobody renews; after a return a renewed record may get the offset of the lost one. The removals of both topics are conditional on the end of the topic, and a topic with other content may have the same end after a return.

The watch of DaemonRecordExpiry starts anew when the epoch of the reads changes. Removals are sent only while the latest known epoch is that of the read that they rest on, and stop when an answer names another. A read whose pages are of two epochs counts as one of the earlier, so that nothing is removed by it. One removal that is already under way can still meet the end by chance; whoever owns the record appends it again (RecordRewrite, or the next renewal).

--- a/src/services/DaemonRecordExpiry.cpp
+++ b/src/services/DaemonRecordExpiry.cpp
@@ -9,6 +9,7 @@
 namespace Coltsfootwell {
 
 std::vector<std::string> DaemonRecordExpiry::recordsRead(std::span<const StoreRecord> records,
+                                                         StoreEpoch epoch,
                                                          std::span<const Member> members,
                                                          TimePoint now)
 {
@@ -19,7 +20,8 @@
         }
     }
     auto earlier = std::exchange(m_observations, {});
-    if (now - std::exchange(m_lastReadAt, now) > MaxReadGap) {
+    const bool isOtherEpoch = std::exchange(m_lastEpoch, epoch) != epoch;
+    if (now - std::exchange(m_lastReadAt, now) > MaxReadGap || isOtherEpoch) {
         earlier.clear();
     }
     std::vector<std::string> expired;
--- a/src/services/DaemonRecordExpiry.h
+++ b/src/services/DaemonRecordExpiry.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include "decisions/Member.h"
+#include "decisions/StorePosition.h"
 #include "kernel/Time.h"
 #include "services/StoreClient.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -32,9 +34,11 @@
 
     /// \brief Records a complete read.
     /// \param records newest records of all daemons.
+    /// \param epoch epoch of the store in the read. When it changes, the watch starts anew, since
+    /// a renewed record may have the offset of one that the store has lost.
     /// \param members all members; the record of one that is not down never expires.
     /// \return names of the daemons whose records have expired.
-    std::vector<std::string> recordsRead(std::span<const StoreRecord> records,
+    std::vector<std::string> recordsRead(std::span<const StoreRecord> records, StoreEpoch epoch,
                                          std::span<const Member> members, TimePoint now);
 
 private:
@@ -47,6 +51,7 @@
 
     std::map<std::string, Observation> m_observations;
     TimePoint m_lastReadAt {};
+    std::optional<StoreEpoch> m_lastEpoch;
 };
 
 } // namespace Coltsfootwell
--- a/src/services/DaemonRecords.cpp
+++ b/src/services/DaemonRecords.cpp
@@ -175,33 +175,42 @@
     {
         if (after.empty()) {
             m_records.clear();
+            m_readEpoch.reset();
         }
         m_store->readNewest(DaemonRecordsTopic, after, StoreClient::MaxAnswerBytes,
-                            [this](const NewestRecords &newest) {
-                                if (m_stopped) {
-                                    return;
+                            [this, epoch = m_rewrite.epoch()](const NewestRecords &newest) {
+                                if (!m_stopped) {
+                                    pageRead(newest, newest.epoch.value_or(epoch));
                                 }
-                                epochSeen(newest.epoch);
-                                if (newest.ec) {
-                                    scheduleRead(RetryDelay, [this] { readPage(""); });
-                                    return;
-                                }
-                                std::ranges::copy(newest.records, std::back_inserter(m_records));
-                                if (newest.hasMore && !newest.records.empty()) {
-                                    readPage(newest.records.back().key);
-                                    return;
-                                }
-                                publishSeeds();
-                                removeExpired(expiredRecords(), newest.end);
-                                scheduleNextRead();
                             });
     }
 
+    /// \param epoch epoch of the page.
+    void pageRead(const NewestRecords &newest, StoreEpoch epoch)
+    {
+        epochSeen(epoch);
+        if (newest.ec) {
+            scheduleRead(RetryDelay, [this] { readPage(""); });
+            return;
+        }
+        // The store may return between two pages.
+        m_readEpoch = std::min(m_readEpoch.value_or(epoch), epoch);
+        std::ranges::copy(newest.records, std::back_inserter(m_records));
+        if (newest.hasMore && !newest.records.empty()) {
+            readPage(newest.records.back().key);
+            return;
+        }
+        publishSeeds();
+        removeExpired(expiredRecords(), {newest.end, *m_readEpoch});
+        scheduleNextRead();
+    }
+
     std::vector<std::string> expiredRecords()
     {
         // Without the member list, no daemon is known to be down.
-        return m_members ? m_expiry.recordsRead(m_records, *m_members, m_kernel.executor().now())
-                         : std::vector<std::string>();
+        return m_members
+            ? m_expiry.recordsRead(m_records, *m_readEpoch, *m_members, m_kernel.executor().now())
+            : std::vector<std::string>();
     }
 
     void scheduleNextRead()
@@ -232,22 +241,28 @@
     }
 
     /// Removes records one after the other, and stops when the topic changes meanwhile, since the
-    /// change may be a renewal of the next one.
-    void removeExpired(std::vector<std::string> names, std::uint64_t end)
+    /// change may be a renewal of the next one. After a return of the store, a topic with other
+    /// content may have the same end.
+    /// \param end end of the topic to which the names refer.
+    void removeExpired(std::vector<std::string> names, const StorePosition &end)
     {
-        if (names.empty()) {
+        if (names.empty() || end.epoch != m_rewrite.epoch()) {
             return;
         }
         const StoreRecord removal {names.back(), std::nullopt, 0};
         names.pop_back();
         m_store->append(
-            DaemonRecordsTopic, removal, end,
-            [this, names = std::move(names), name = removal.key](const RecordAppended &appended) {
-                if (m_stopped || appended.ec) {
+            DaemonRecordsTopic, removal, end.offset,
+            [this, names = std::move(names), name = removal.key,
+             epoch = end.epoch](const RecordAppended &appended) {
+                if (m_stopped) {
                     return;
                 }
-                m_telemetry.send(LogEvent {"daemons.removed", "", "daemon=" + name});
-                removeExpired(names, appended.end);
+                epochSeen(appended.epoch);
+                if (!appended.ec) {
+                    m_telemetry.send(LogEvent {"daemons.removed", "", "daemon=" + name});
+                    removeExpired(names, {appended.end, epoch});
+                }
             });
     }
 
@@ -258,6 +273,8 @@
     std::shared_ptr<const std::vector<Member>> m_members;
     /// Records of the pages that have been read so far.
     std::vector<StoreRecord> m_records;
+    /// Earliest epoch of these pages; std::nullopt before the first one.
+    std::optional<StoreEpoch> m_readEpoch;
     DaemonRecordExpiry m_expiry;
     std::size_t m_readDelayIndex = 0;
     RecordRewrite m_rewrite;
--- a/src/services/LeftProcessRecords.cpp
+++ b/src/services/LeftProcessRecords.cpp
@@ -220,7 +220,7 @@
                                        + " records=" + std::to_string(records.size())});
         m_registration.send(PredecessorRecordRead {*m_recorded});
         epochSeen(end.epoch);
-        removeExpired(end.offset, MaxRemovals);
+        removeExpired(end, MaxRemovals);
     }
 
     std::vector<LeftProcess> decodeRecord(const StoreRecord &record)
@@ -244,19 +244,24 @@
     }
 
     /// Removes expired records one after the other, and stops when the topic changes meanwhile,
-    /// since the change may be a new record of the same daemon.
-    void removeExpired(std::uint64_t end, unsigned remaining)
+    /// since the change may be a new record of the same daemon. After a return of the store, a
+    /// topic with other content may have the same end.
+    void removeExpired(const StorePosition &end, unsigned remaining)
     {
-        if (m_expired.empty() || remaining == 0) {
+        if (m_expired.empty() || remaining == 0 || end.epoch != m_rewrite.epoch()) {
             m_expired.clear();
             return;
         }
         const StoreRecord removal {m_expired.back(), std::nullopt, 0};
         m_expired.pop_back();
-        m_store->append(LeftProcessesTopic, removal, end,
-                        [this, remaining](const RecordAppended &result) {
-                            if (!m_stopped && !result.ec) {
-                                removeExpired(result.end, remaining - 1);
+        m_store->append(LeftProcessesTopic, removal, end.offset,
+                        [this, remaining, epoch = end.epoch](const RecordAppended &result) {
+                            if (m_stopped) {
+                                return;
+                            }
+                            epochSeen(result.epoch);
+                            if (!result.ec) {
+                                removeExpired({result.end, epoch}, remaining - 1);
                             }
                         });
     }
