coltsfootctl tells when the store has returned from a copy during a publish

When the store came back from an older copy in between, the operator read 'accepted version N' although other content may have had the same end, or 'another operator has published' although nobody had.

PublishedState holds the epoch of the read. An answer to the append, or to the read after a refused or lost one, of another epoch gives PublishOutcome::StoreReturned: exit code 3 and a message of its own. Reading again and comparing is not enough there: the own record is the newest of its key even if it has replaced a version that nobody has read. Without an epoch in the answers nothing changes.

--- a/src/programs/OperatorCommands.cpp
+++ b/src/programs/OperatorCommands.cpp
@@ -1,7 +1,6 @@
 #include "programs/OperatorCommands.h"
 
 #include "programs/ConfigurationFile.h"
-#include "services/ServiceError.h"
 #include "wire/ConfigurationJson.h"
 #include "wire/EndpointText.h"
 #include "wire/JsonDiff.h"
@@ -166,14 +165,19 @@
 OperatorExit OperatorCommands::publishNextVersion(Configuration next)
 {
     next.version = (m_state.configuration ? m_state.configuration->version : 0) + 1;
-    std::error_code ec;
-    m_session.publish(next, m_state.end, ec);
-    if (ec == ServiceError::Conflict) {
+    switch (m_session.publish(next, m_state)) {
+    case PublishOutcome::Published:
+        break;
+    case PublishOutcome::Conflict:
         m_error << "conflict: another operator has published a version after version "
                 << next.version - 1 << " was read\n";
         return OperatorExit::Conflict;
-    }
-    if (ec) {
+    case PublishOutcome::StoreReturned:
+        m_error << "conflict: the store has come back from an older copy after version "
+                << next.version - 1 << " was read; version " << next.version
+                << " may be lost or may have replaced another one\n";
+        return OperatorExit::Conflict;
+    case PublishOutcome::Unknown:
         m_error << "unknown whether version " << next.version << " was published\n";
         return reportStoreUnavailable();
     }
--- a/src/programs/OperatorSession.cpp
+++ b/src/programs/OperatorSession.cpp
@@ -21,6 +21,12 @@
 constexpr std::chrono::milliseconds StatusTimeout {1000};
 constexpr unsigned StatusOk = 200;
 
+/// \return true if an answer of the store is known to be of another epoch than a state.
+bool isOtherEpoch(std::optional<StoreEpoch> named, const PublishedState &state)
+{
+    return named && state.epoch && named != state.epoch;
+}
+
 } // namespace
 
 struct OperatorSession::Runtime
@@ -67,6 +73,7 @@
     ec = newest.ec;
     PublishedState state;
     state.end = newest.end;
+    state.epoch = newest.epoch;
     for (const StoreRecord &record : newest.records) {
         ControlRecord decoded = ownControlFormat().decode(record.key, record.value);
         if (auto *published = std::get_if<ConfigurationPublished>(&decoded)) {
@@ -76,26 +83,33 @@
     return state;
 }
 
-void OperatorSession::publish(const Configuration &configuration, std::uint64_t end,
-                              std::error_code &ec)
+PublishOutcome OperatorSession::publish(const Configuration &configuration,
+                                        const PublishedState &state)
 {
     const StoreRecord record {std::string(OwnConfigurationKey), encodeConfiguration(configuration),
                               0};
-    ec = m_runtime
-             ->wait<RecordAppended>([&](std::function<void(RecordAppended)> done) {
-                 m_runtime->store->append(OwnControlTopic, record, end, std::move(done));
-             })
-             .ec;
-    if (ec != ServiceError::Conflict && ec != ServiceError::StoreUnavailable) {
-        return;
+    const auto appended
+        = m_runtime->wait<RecordAppended>([&](std::function<void(RecordAppended)> done) {
+              m_runtime->store->append(OwnControlTopic, record, state.end, std::move(done));
+          });
+    if (isOtherEpoch(appended.epoch, state)) {
+        return PublishOutcome::StoreReturned;
+    }
+    if (!appended.ec) {
+        return PublishOutcome::Published;
     }
     // The append may have succeeded although its answer was lost.
     std::error_code readError;
     const PublishedState current = read(readError);
+    if (!readError && isOtherEpoch(current.epoch, state)) {
+        return PublishOutcome::StoreReturned;
+    }
     if (!readError && current.configuration
         && encodeConfiguration(*current.configuration) == *record.value) {
-        ec.clear();
+        return PublishOutcome::Published;
     }
+    return appended.ec == ServiceError::Conflict ? PublishOutcome::Conflict
+                                                 : PublishOutcome::Unknown;
 }
 
 std::vector<Endpoint> OperatorSession::readRegisteredDaemons(std::error_code &ec)
--- a/src/programs/OperatorSession.h
+++ b/src/programs/OperatorSession.h
@@ -3,6 +3,7 @@
 
 #include "decisions/Configuration.h"
 #include "decisions/Member.h"
+#include "decisions/StorePosition.h"
 #include "kernel/Time.h"
 #include "wire/StatusJson.h"
 
@@ -23,6 +24,20 @@
     /// Offset of the end of the topic when it was read. A publish is conditional on it, so that it
     /// never overwrites a concurrent one.
     std::uint64_t end = 0;
+    /// Epoch in which the topic had this end; std::nullopt if the store does not name it.
+    std::optional<StoreEpoch> epoch;
+};
+
+/// \brief Result of a publish.
+enum class PublishOutcome {
+    Published,
+    /// Something was published since the state was read.
+    Conflict,
+    /// The store has come back from an older copy since the state was read. The configuration may
+    /// be lost, or may have replaced one that was never read.
+    StoreReturned,
+    /// The store has not answered.
+    Unknown,
 };
 
 /// \brief A daemon and its status.
@@ -48,10 +63,8 @@
 
     /// \brief Publishes a configuration unless something was published since the state was read.
     /// \param configuration configuration to publish.
-    /// \param end PublishedState::end of the state.
-    /// \param ec set to ServiceError::StoreUnavailable if it is unknown whether the configuration
-    /// was published, to ServiceError::Conflict if another operator published first, or cleared.
-    void publish(const Configuration &configuration, std::uint64_t end, std::error_code &ec);
+    /// \param state state from which it was made.
+    PublishOutcome publish(const Configuration &configuration, const PublishedState &state);
 
     /// \param ec set to the error of the store, or cleared.
     /// \return endpoints for callers of the daemons that are registered in the store.
