Data centres out of service: daemons that have decided differently agree

An acknowledged change of a data centre was undone, or two daemons disagreed until operators wrote again: - a removal among the records that are read again, which a daemon started later had not seen, returned a data centre; - a daemon that started after the end of an outage took it from the copy, and all others from that daemon; - a merge with a daemon of a later origin dropped the records by which a copy is told from news; - two daemons with the same position, version and latest decision, of which one had missed an earlier one, never compared; - adopting the state of a daemon that had been frozen dropped records of the present epoch; - a record of the copy that agreed with the decision counted as a decision of the present epoch.

Cause: the highest position of a decision was taken for a measure of all decisions, and a record that a daemon did not know for one that did not exist.

--- a/src/decisions/AvailabilityTable.cpp
+++ b/src/decisions/AvailabilityTable.cpp
@@ -86,6 +86,13 @@
     if (hasState() && (!isLater(at, m_state, dataCentre) || isOfCopy(dataCentre, {at, isOut}))) {
         return false;
     }
+    const auto it = m_state.dataCentres.find(dataCentre);
+    if (it != m_state.dataCentres.end() && it->second.isOut == isOut
+        && at < m_state.possibleCopyEnd) {
+        // A record of the copy that agrees may have been replaced in the copy, so that it is no
+        // decision of the present epoch.
+        return false;
+    }
     const auto before = outOfService();
     decide(dataCentre, isOut, at);
     return outOfService() != before;
--- a/test/ConfigurationSimulation.h
+++ b/test/ConfigurationSimulation.h
@@ -1,22 +1,11 @@
-// Simulates daemons that read the configuration from one store, under a manual clock. Each daemon
-// has the service "configuration" and the membership protocol. There are two regions with one link
-// between them, and each host has a link of limited bandwidth.
+// Simulates daemons that read the configuration from one store, under a manual clock. There are two
+// regions with one link between them, and each host has a link of limited bandwidth. The store can
+// come back from an older copy, and daemons can be frozen, killed and disconnected.
 #pragma once
 
-#include "BandwidthLimitedLink.h"
 #include "PublishedConfigurationJson.h"
-#include "decisions/Membership.h"
+#include "SimulatedDaemon.h"
 #include "decisions/StoreReaders.h"
-#include "kernel/Kernel.h"
-#include "kernel/ManualExecutor.h"
-#include "platform/PlatformConfiguration.h"
-#include "services/CallMessages.h"
-#include "services/ConfigurationFollower.h"
-#include "services/ConfigurationMessages.h"
-#include "services/MembershipMessages.h"
-#include "services/ServiceError.h"
-#include "services/ServiceNames.h"
-#include "services/TelemetryMessages.h"
 
 #include <algorithm>
 #include <deque>
@@ -27,8 +16,6 @@
 
 namespace Coltsfootwell::Testing {
 
-using std::chrono::milliseconds;
-
 /// Bandwidth of the link between the regions that is left for configurations: half of 60 Mbit/s;
 /// calls use the other half.
 constexpr double LinkBytesPerSecond = 3.75e6;
@@ -36,33 +23,46 @@
 constexpr std::size_t ManyRoutes = 1'600;
 /// Maximum time from the acknowledgement of a change until it is active at every daemon.
 constexpr std::chrono::seconds PropagationLimit {3};
+/// The users' bound for the same, configApplyS.
+constexpr milliseconds ApplyLimit {2'500};
 
 /// \brief A simulation of the daemons, the store and the links.
-class ConfigurationSimulation
+class ConfigurationSimulation final : private DaemonNetwork
 {
 public:
-    /// One-way latency within a region.
-    static constexpr milliseconds NearLatency {1};
-    /// One-way latency between the regions.
-    static constexpr milliseconds FarLatency {30};
-    /// Bandwidth of the link of a host: 10 Mbit/s.
-    static constexpr double HostBytesPerSecond = 1.25e6;
-    /// Timeout of a request to a peer in the service "links".
-    static constexpr milliseconds RequestTimeout {800};
-
     /// \param near number of daemons in the region of the store, in two data centres.
     /// \param far number of daemons in the other region, in two data centres.
-    ConfigurationSimulation(std::size_t near, std::size_t far)
-        : m_toFar(LinkBytesPerSecond), m_toNear(LinkBytesPerSecond)
+    /// \param seed seed of the daemons' random numbers.
+    ConfigurationSimulation(std::size_t near, std::size_t far, std::uint64_t seed = 0)
+        : m_toFar(LinkBytesPerSecond), m_toNear(LinkBytesPerSecond), m_seed(seed)
     {
         for (std::size_t i = 0; i < near + far; ++i) {
-            const bool isFar = i >= near;
-            const std::string region = isFar ? "far" : "near";
-            m_daemons.push_back(std::make_unique<Daemon>(
-                *this, i, region, region + (i % 2 == 0 ? "-a" : "-b"), isFar));
+            SimulatedHost &host = m_hosts.emplace_back();
+            host.name = "daemon-" + std::to_string(i);
+            host.endpoint
+                = {"10.0." + std::to_string(i / 250) + "." + std::to_string(i % 250 + 1), 7000};
+            host.isFar = i >= near;
+            host.region = host.isFar ? "far" : "near";
+            host.dataCentre = host.region + (i % 2 == 0 ? "-a" : "-b");
+            m_indices[host.endpoint] = i;
+            m_dataCentres[host.dataCentre] = host.region;
+        }
+        for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+            m_daemons.push_back(makeDaemon(i, 1));
         }
     }
 
+    ~ConfigurationSimulation() override
+    {
+        // Pending messages must not be sent to destroyed daemons.
+        for (ProcessExecutor &process : m_executors) {
+            process.kill();
+        }
+    }
+
+    ConfigurationSimulation(const ConfigurationSimulation &) = delete;
+    ConfigurationSimulation &operator=(const ConfigurationSimulation &) = delete;
+
     /// \brief Starts all daemons and waits until they have discovered each other.
     void start()
     {
@@ -78,28 +78,71 @@
         }
     }
 
+    /// \brief Advances the clock.
+    void run(Duration time) { executor.advance(time); }
+
+    // The operator.
+
     /// \brief Publishes a configuration, which the store acknowledges immediately.
     void publish(ConfigurationVersion version, std::size_t routes)
     {
-        m_records.push_back(
-            {"config", publishedConfigurationJson(version, routes), m_records.size()});
+        write("config", publishedConfigurationJson(version, routes));
         m_published[version] = executor.now();
+    }
+
+    /// \brief Takes a data centre out of service or returns it.
+    void setOutOfService(const std::string &dataCentre, bool isOut)
+    {
+        write("evacuate/" + dataCentre, isOut ? std::optional<std::string>("{}") : std::nullopt);
+    }
+
+    /// \brief Writes records again that the store has lost.
+    void rewrite(const std::vector<StoreRecord> &lost)
+    {
+        for (const StoreRecord &record : lost) {
+            write(record.key, record.value);
+        }
+    }
+
+    // Faults of the store.
+
+    /// \brief Sets how the store treats all daemons. Connections with pending reads are reset when
+    /// it starts to reject them, and hang when it becomes silent.
+    void setStoreMode(StoreMode mode)
+    {
+        store.mode = mode;
         for (const auto &daemon : m_daemons) {
-            daemon->store->answerPendingRead();
+            if (mode == StoreMode::Rejecting) {
+                daemon->store().rejectPendingRead();
+            } else if (mode == StoreMode::Silent) {
+                daemon->store().dropPendingRead();
+            }
         }
     }
 
-    /// \brief Advances the clock.
-    void run(Duration time) { executor.advance(time); }
+    /// \brief Makes the store come back from the copy that was taken last.
+    /// \param away time for which it is silent or rejects all calls before; the simulation advances
+    /// by it. Zero keeps pending reads.
+    /// \return the newest lost record of each key.
+    std::vector<StoreRecord> restoreCopy(Duration away, StoreMode mode)
+    {
+        if (away > Duration()) {
+            setStoreMode(mode);
+            run(away);
+        }
+        auto lost = store.restoreCopy();
+        setStoreMode(StoreMode::Serving);
+        return lost;
+    }
 
     /// \brief Drops all traffic from and to the store readers of a region. Their connections stay
     /// open.
     void disconnectReaders(std::string_view region)
     {
         for (const auto &daemon : m_daemons) {
-            if (daemon->self.region == region
-                && isStoreReader(daemon->self.id.name, daemon->membership->members())) {
-                daemon->isDisconnected = true;
+            if (daemon->host().region == region && isReader(*daemon)) {
+                daemon->host().isCutFromStore = true;
+                daemon->host().isCutFromPeers = true;
             }
         }
     }
@@ -108,7 +151,7 @@
     void rejectReaders()
     {
         for (const auto &daemon : m_daemons) {
-            reject(*daemon, isStoreReader(daemon->self.id.name, daemon->membership->members()));
+            setRejected(*daemon, isReader(*daemon));
         }
     }
 
@@ -116,7 +159,7 @@
     void setRejectAll(bool rejected)
     {
         for (const auto &daemon : m_daemons) {
-            reject(*daemon, rejected);
+            setRejected(*daemon, rejected);
         }
     }
 
@@ -125,22 +168,88 @@
     {
         for (const auto &daemon : m_daemons) {
             const auto candidates
-                = storeReaderCandidates(daemon->self.dataCentre, daemon->membership->members());
-            reject(*daemon, std::ranges::any_of(candidates, [&daemon](const Member *member) {
-                return member->id.name == daemon->self.id.name;
+                = storeReaderCandidates(daemon->host().dataCentre, daemon->members());
+            setRejected(*daemon, std::ranges::any_of(candidates, [&daemon](const Member *member) {
+                return member->id.name == daemon->host().name;
             }));
         }
     }
 
+    /// \brief Makes the store reject a daemon, or serve it again.
+    static void setRejected(SimulatedDaemon &daemon, bool rejected)
+    {
+        daemon.host().isRejected = rejected;
+        if (rejected) {
+            daemon.store().rejectPendingRead();
+        }
+    }
+
+    /// \brief Drops all traffic between a daemon and the store, or ends that. Its connections stay
+    /// open, but a pending read is lost.
+    static void setCutFromStore(SimulatedDaemon &daemon, bool isCut)
+    {
+        daemon.host().isCutFromStore = isCut;
+        daemon.store().dropPendingRead();
+    }
+
+    // Daemons.
+
+    std::size_t size() const { return m_daemons.size(); }
+    SimulatedDaemon &daemon(std::size_t index) { return *m_daemons[index]; }
+    const SimulatedDaemon &daemon(std::size_t index) const { return *m_daemons[index]; }
+
+    /// \return true if a daemon is a store reader according to its own member list.
+    static bool isReader(const SimulatedDaemon &daemon)
+    {
+        return isStoreReader(daemon.host().name, daemon.members());
+    }
+
+    /// \return indices of the store readers of a data centre; all data centres if empty.
+    std::vector<std::size_t> readers(std::string_view dataCentre = "") const
+    {
+        std::vector<std::size_t> indices;
+        for (std::size_t i = 0; i < m_daemons.size(); ++i) {
+            if (isReader(*m_daemons[i])
+                && (dataCentre.empty() || m_hosts[i].dataCentre == dataCentre)) {
+                indices.push_back(i);
+            }
+        }
+        return indices;
+    }
+
+    /// \brief Ends the process of a daemon, as SIGKILL does.
+    void kill(std::size_t index)
+    {
+        m_daemons[index]->executor().kill();
+        m_daemons[index]->store().cancelAll();
+    }
+
+    /// \brief Starts a killed daemon again, with a higher incarnation and without any state.
+    void restart(std::size_t index)
+    {
+        auto next = makeDaemon(index, m_daemons[index]->incarnation() + 1);
+        m_ended.push_back(std::exchange(m_daemons[index], std::move(next)));
+        m_daemons[index]->start();
+    }
+
+    // Results.
+
     /// \return number of daemons with a long poll pending at the store.
     std::size_t pendingReads() const
     {
         return std::ranges::count_if(
-            m_daemons, [](const auto &daemon) { return daemon->store->hasPendingRead(); });
+            m_daemons, [](const auto &daemon) { return daemon->store().hasPendingRead(); });
     }
 
     /// \return number of calls that the store has rejected.
-    std::size_t rejectedCalls() const { return m_rejectedCalls; }
+    std::size_t rejectedCalls() const
+    {
+        return std::ranges::count(store.calls(), StoreCallRecord::Kind::Rejected,
+                                  &StoreCallRecord::kind);
+    }
+
+    /// \return when a version was published last.
+    TimePoint publishedAt(ConfigurationVersion version) const { return m_published.at(version); }
 
     /// \return maximum time from the acknowledgement of a version until it, or a later one, was
     /// active at a connected daemon; empty while a connected daemon still lacks it.
@@ -148,10 +257,10 @@
     {
         Duration maxTime {};
         for (const auto &daemon : m_daemons) {
-            const auto at = daemon->appliedAt(version);
-            if (daemon->isDisconnected) {
+            if (daemon->host().isCutFromPeers) {
                 continue;
             }
+            const auto at = daemon->appliedAt(version);
             if (!at) {
                 return std::nullopt;
             }
@@ -160,406 +269,141 @@
         return maxTime;
     }
 
-    /// \return true if a version, or a later one, was active at every connected daemon within
-    /// PropagationLimit.
-    bool isPropagatedInTime(ConfigurationVersion version) const
+    /// \return true if a version, or a later one, was active at every connected daemon within a
+    /// limit.
+    bool isPropagatedInTime(ConfigurationVersion version, Duration limit = PropagationLimit) const
     {
         const auto maxTime = maxPropagationTime(version);
-        return maxTime && *maxTime <= PropagationLimit;
+        return maxTime && *maxTime <= limit;
     }
 
-    /// \return true if no daemon has replaced a version by an older one.
+    /// \return true if no process has replaced a version by an older one.
     bool neverRolledBack() const
     {
-        return std::ranges::all_of(m_daemons, [](const auto &daemon) {
-            return std::ranges::is_sorted(daemon->applied, {}, &AppliedVersion::version);
-        });
+        const auto isSorted = [](const auto &daemon) {
+            return std::ranges::is_sorted(daemon->applied(), {}, &AppliedVersion::version);
+        };
+        return std::ranges::all_of(m_daemons, isSorted) && std::ranges::all_of(m_ended, isSorted);
     }
 
-    /// \return bytes of configurations sent over the link to the far region.
-    std::uint64_t bytesToFar() const { return m_toFar.bytes(); }
-
-    ManualExecutor executor;
-    /// While true, the store answers no daemon.
-    bool isStoreUnresponsive = false;
-
-private:
-    struct Daemon;
-
-    /// A version and the time from which it was active.
-    struct AppliedVersion
+    /// \return true if exactly these data centres are out of service at every running daemon.
+    bool allHaveOutOfService(const std::set<std::string> &dataCentres) const
     {
-        ConfigurationVersion version = 0;
-        TimePoint at;
-    };
+        return std::ranges::all_of(m_daemons, [&dataCentres](const auto &daemon) {
+            return daemon->executor().isKilled() || daemon->outOfService() == dataCentres;
+        });
+    }
 
-    /// The store as one daemon reaches it.
-    class SimulatedStore final : public StoreClient
+    /// \return one line for each daemon that lacks a version.
+    std::string describeLacking(ConfigurationVersion version) const
     {
-    public:
-        SimulatedStore(ConfigurationSimulation &simulation, Daemon &daemon)
-            : m_simulation(simulation), m_daemon(daemon)
-        {
-        }
-
-        void readNewest(std::string_view, std::string_view, std::size_t maxBytes,
-                        std::function<void(NewestRecords)> done) override
-        {
-            if (reject(done)) {
-                return;
-            }
-            // A client cancels a large answer when its header arrives; one TCP window has been sent
-            // by then.
-            constexpr std::size_t WindowBytes = 64 * 1024;
-            NewestRecords newest;
-            newest.end = m_simulation.m_records.size();
-            if (!m_simulation.m_records.empty()) {
-                newest.records.push_back(m_simulation.m_records.back());
-                // The value is encoded in base64.
-                newest.transfer.bytes = m_simulation.m_records.back().value->size() / 3 * 4;
-            }
-            if (newest.transfer.bytes > maxBytes) {
-                NewestRecords tooLarge;
-                tooLarge.ec = ServiceError::AnswerTooLarge;
-                answer(WindowBytes, [done, tooLarge] { done(tooLarge); });
-                return;
-            }
-            answer(newest.transfer.bytes, [done, newest] { done(newest); });
-        }
-
-        void read(std::string_view, std::uint64_t from, milliseconds wait,
-                  std::function<void(RecordsRead)> done) override
-        {
-            if (reject(done)) {
-                return;
-            }
-            m_pendingRead = std::move(done);
-            m_from = from;
-            m_timer = m_simulation.executor.scheduleAfter(wait, [this] {
-                if (const auto done = std::exchange(m_pendingRead, nullptr)) {
-                    RecordsRead read;
-                    read.next = m_from;
-                    answer(0, [done, read] { done(read); });
-                }
-            });
-            answerPendingRead();
-        }
-
-        void append(std::string_view, const StoreRecord &, std::optional<std::uint64_t>,
-                    std::function<void(RecordAppended)>) override
-        {
-        }
-
-        bool isReceiving() const override
-        {
-            const TimePoint now = m_simulation.executor.now();
-            return now >= m_transferStart && now < m_transferEnd;
-        }
-
-        void cancelAll() override
-        {
-            m_pendingRead = nullptr;
-            m_transferEnd = {};
-            ++m_generation;
-        }
-
-        bool hasPendingRead() const { return m_pendingRead != nullptr; }
-
-        /// Rejects the pending read.
-        void rejectPendingRead()
-        {
-            if (const auto done = std::exchange(m_pendingRead, nullptr)) {
-                m_simulation.executor.cancel(m_timer);
-                reject(done);
-            }
-        }
-
-        /// Answers the pending read if there are records.
-        void answerPendingRead()
-        {
-            if (!m_pendingRead || m_from >= m_simulation.m_records.size()) {
-                return;
-            }
-            m_simulation.executor.cancel(m_timer);
-            RecordsRead read;
-            constexpr std::size_t MaxReadBytes = 64 * 1024;
-            read.end = m_simulation.m_records.size();
-            read.next = m_from;
-            while (read.next < read.end && read.transfer.bytes < MaxReadBytes) {
-                read.records.push_back(m_simulation.m_records[read.next++]);
-                read.transfer.bytes += read.records.back().value->size();
-            }
-            answer(read.transfer.bytes,
-                   [done = std::exchange(m_pendingRead, nullptr), read] { done(read); });
-        }
-
-    private:
-        template <typename Answer>
-        bool reject(const std::function<void(Answer)> &done)
-        {
-            if (!m_daemon.isRejected) {
-                return false;
-            }
-            Answer refusal;
-            refusal.ec = ServiceError::StoreUnavailable;
-            ++m_simulation.m_rejectedCalls;
-            answer(0, [done, refusal] { done(refusal); });
-            return true;
-        }
-
-        void answer(std::size_t bytes, std::function<void()> deliver)
-        {
-            if (m_daemon.isDisconnected || m_simulation.isStoreUnresponsive) {
-                return;
-            }
-            const TimePoint now = m_simulation.executor.now();
-            TimePoint end = m_daemon.host.send(now, bytes);
-            if (m_daemon.isFar) {
-                end = std::max(end, m_simulation.m_toFar.send(now, bytes));
+        std::string text;
+        for (const auto &daemon : m_daemons) {
+            if (daemon->version() < version) {
+                text += daemon->host().name + " (" + daemon->host().dataCentre
+                    + (isReader(*daemon) ? ", reader" : "") + ") holds "
+                    + std::to_string(daemon->version()) + "\n";
             }
-            const std::chrono::duration<double> duration(static_cast<double>(bytes)
-                                                         / HostBytesPerSecond);
-            m_transferEnd = end + latency();
-            m_transferStart = m_transferEnd - std::chrono::duration_cast<Duration>(duration);
-            m_simulation.executor.scheduleAfter(
-                m_transferEnd - now, [this, generation = m_generation, deliver] {
-                    if (generation == m_generation && !m_daemon.isDisconnected) {
-                        deliver();
-                    }
-                });
         }
+        return text;
+    }
 
-        Duration latency() const { return m_daemon.isFar ? FarLatency : NearLatency; }
-
-        ConfigurationSimulation &m_simulation;
-        Daemon &m_daemon;
-        std::function<void(RecordsRead)> m_pendingRead;
-        std::uint64_t m_from = 0;
-        TimerId m_timer = 0;
-        TimePoint m_transferStart {};
-        TimePoint m_transferEnd {};
-        /// Incremented by cancelAll(); answers to calls of earlier generations are dropped.
-        unsigned m_generation = 0;
-    };
-
-    struct Daemon
-    {
-        Daemon(ConfigurationSimulation &owner, std::size_t index, const std::string &region,
-               const std::string &dataCentre, bool far)
-            : simulation(owner), isFar(far), random(index + 1), kernel(owner.executor, random),
-              store(std::make_shared<SimulatedStore>(owner, *this))
-        {
-            self.id = {"daemon-" + std::to_string(index), 1};
-            self.endpoint = endpointOf(index);
-            self.region = region;
-            self.dataCentre = dataCentre;
-            membership = std::make_unique<Membership>(self, std::vector<Endpoint> {}, random);
-            kernel.directory().publish(ServiceName::Telemetry, telemetry.address());
-            kernel.directory().publish(ServiceName::Membership, membershipMailbox.address());
-            kernel.directory().publish(ServiceName::Links, links.address());
-            kernel.add(makeConfigurationFollower(kernel, store, settings()));
-        }
+    /// \return bytes of configurations sent over the link to the far region.
+    std::uint64_t bytesToFar() const { return m_toFar.bytes(); }
 
-        static Endpoint endpointOf(std::size_t index)
-        {
-            return {"10.0.0." + std::to_string(index + 1), 7000};
-        }
+private:
+    /// Declared before the executor of all processes, whose pending tasks refer to them.
+    std::deque<ProcessExecutor> m_executors;
 
-        ConfigurationFollowerSettings settings() const
-        {
-            return {&platformControlFormat(), {}, "", nullptr, self.id.name};
-        }
+public:
+    ManualExecutor executor;
+    SimulatedStore store;
 
-        void start()
-        {
-            std::error_code ec = kernel.start();
-            configuration
-                = kernel.directory().find<ConfigurationMessage>(ServiceName::Configuration, ec);
-            exchange = kernel.directory().find<PeerRequestReceived>(
-                ServiceName::exchange(ExchangeSubject::ControlState), ec);
-            configuration.send(SubscribeConfiguration {subscriber.address()});
-            tick();
-            // The addresses of other daemons are read from the store shortly after the start.
-            simulation.executor.scheduleAfter(milliseconds(200 + random.below(300)), [this] {
-                std::vector<Endpoint> seeds;
-                for (std::size_t i = 0; i < simulation.m_daemons.size(); ++i) {
-                    seeds.push_back(endpointOf(i));
-                }
-                membership->seedsDiscovered(seeds);
-            });
-        }
+private:
+    std::unique_ptr<SimulatedDaemon> makeDaemon(std::size_t index, Incarnation incarnation)
+    {
+        SimulatedHost &host = m_hosts[index];
+        ProcessExecutor &process = m_executors.emplace_back(executor);
+        auto client
+            = std::make_shared<SimulatedStoreClient>(store, host, m_toFar, executor, process);
+        const std::uint64_t seed = m_seed * 1'000'003 + incarnation * 10'007 + index;
+        DaemonNetwork &network = *this;
+        return std::make_unique<SimulatedDaemon>(network, host, process, std::move(client),
+                                                 m_dataCentres, incarnation, seed);
+    }
 
-        void tick()
-        {
-            applyOutputs(membership->tick(simulation.executor.now()));
-            simulation.executor.scheduleAfter(Membership::TickInterval, [this] { tick(); });
+    /// Appends a record and answers the pending reads.
+    void write(const std::string &key, const std::optional<std::string> &value)
+    {
+        store.append(key, value);
+        for (const auto &daemon : m_daemons) {
+            daemon->store().answerPendingRead();
         }
+    }
 
-        void applyOutputs(Membership::Outputs outputs)
-        {
-            const std::vector<MembershipOutput> copy(outputs.begin(), outputs.end());
-            for (const MembershipOutput &output : copy) {
-                std::visit([this](const auto &body) { apply(body); }, output);
-            }
-            if (membersAddress && membership->revision() != publishedRevision) {
-                publishedRevision = membership->revision();
-                const auto members = membership->members();
-                membersAddress->send(MembersChanged {
-                    std::make_shared<const std::vector<Member>>(members.begin(), members.end())});
-            }
+    void deliver(const SimulatedHost &from, const Endpoint &to, Handler handler) override
+    {
+        if (const auto it = m_indices.find(to); it != m_indices.end()) {
+            const SimulatedHost &target = m_hosts[it->second];
+            deliverAfter(from, it->second, from.latencyTo(target), std::move(handler));
         }
+    }
 
-        void apply(const SendDatagram &out)
-        {
-            simulation.deliver(
-                *this, out.to, [sender = self.endpoint, datagram = out.datagram](Daemon &to) {
-                    to.applyOutputs(
-                        to.membership->handle(datagram, sender, to.simulation.executor.now()));
-                });
+    void deliverBytes(SimulatedHost &from, const Endpoint &to, std::size_t bytes,
+                      Handler handler) override
+    {
+        const std::size_t index = m_indices.at(to);
+        SimulatedHost &target = m_hosts[index];
+        if (from.isCutFromPeers) {
+            return;
         }
-
-        void apply(const StartSync &sync)
-        {
-            const SyncRequest request = membership->startSync(simulation.executor.now());
-            simulation.deliver(*this, sync.peer, [requester = self.endpoint, request](Daemon &to) {
-                SyncAnswer answer;
-                to.applyOutputs(to.membership->handleSyncRequest(request, answer,
-                                                                 to.simulation.executor.now()));
-                to.simulation.deliver(to, requester, [answer](Daemon &requesting) {
-                    requesting.applyOutputs(requesting.membership->handleSyncAnswer(
-                        answer.records, requesting.simulation.executor.now(), answer.partial));
-                });
-            });
+        const TimePoint now = executor.now();
+        TimePoint end = std::max(from.link.send(now, bytes), target.link.send(now, bytes));
+        if (from.isFar != target.isFar) {
+            end = std::max(end, (target.isFar ? m_toFar : m_toNear).send(now, bytes));
         }
+        deliverAfter(from, index, end - now + from.latencyTo(target), std::move(handler));
+    }
 
-        void apply(const ControlStateReported &report)
-        {
-            configuration.send(PeerStateReported {report.peer, report.endpoint, report.state});
+    void deliverAfter(const SimulatedHost &from, std::size_t index, Duration delay, Handler handler)
+    {
+        if (from.isCutFromPeers || m_hosts[index].isCutFromPeers) {
+            return;
         }
-
-        void apply(const IncarnationConflict &) { }
-
-        void handle(const MembershipMessage &message)
-        {
-            if (const auto *changed = std::get_if<ControlStateChanged>(&message)) {
-                applyOutputs(
-                    membership->setControlState(changed->state, simulation.executor.now()));
-            } else if (const auto *access = std::get_if<StoreAccessChanged>(&message)) {
-                applyOutputs(membership->setStoreLost(access->lost, simulation.executor.now()));
-            } else if (const auto *subscribe = std::get_if<SubscribeMembers>(&message)) {
-                membersAddress = subscribe->subscriber;
+        executor.scheduleAfter(delay, [this, index, handler = std::move(handler)] {
+            if (!m_hosts[index].isCutFromPeers) {
+                // A frozen process handles the message when it is resumed.
+                SimulatedDaemon &daemon = *m_daemons[index];
+                daemon.executor().post([&daemon, handler] { handler(daemon); });
             }
-        }
-
-        void sendRequest(const SendPeerRequest &request)
-        {
-            // Keeps the reply alive until the timeout of "links".
-            simulation.executor.scheduleAfter(RequestTimeout, [reply = request.reply] {});
-            simulation.deliver(*this, request.endpoint, [this, request](Daemon &to) {
-                PeerRequestReceived received;
-                received.bytes = request.bytes;
-                received.reply = Reply<std::string>(
-                    simulation.executor,
-                    [this, &to, reply = request.reply](const std::optional<std::string> &bytes) {
-                        if (bytes) {
-                            simulation.send(to, *this, *bytes, reply);
-                        }
-                    });
-                to.exchange.send(std::move(received));
-            });
-        }
-
-        std::optional<TimePoint> appliedAt(ConfigurationVersion version) const
-        {
-            const auto it = std::ranges::find_if(applied, [version](const AppliedVersion &entry) {
-                return entry.version >= version;
-            });
-            return it == applied.end() ? std::nullopt : std::optional(it->at);
-        }
-
-        ConfigurationSimulation &simulation;
-        bool isFar;
-        bool isDisconnected = false;
-        bool isRejected = false;
-        BandwidthLimitedLink host {HostBytesPerSecond};
-        SeededRandom random;
-        Kernel kernel;
-        std::shared_ptr<SimulatedStore> store;
-        Member self;
-        std::unique_ptr<Membership> membership;
-        std::uint64_t publishedRevision = 0;
-        std::vector<AppliedVersion> applied;
-        Address<ConfigurationMessage> configuration;
-        Address<PeerRequestReceived> exchange;
-        std::optional<Address<MembersChanged>> membersAddress;
-        Mailbox<TelemetryMessage> telemetry {simulation.executor, [](const TelemetryMessage &) {}};
-        Mailbox<MembershipMessage> membershipMailbox {
-            simulation.executor, [this](const MembershipMessage &message) { handle(message); }};
-        Mailbox<LinksMessage> links {simulation.executor, [this](LinksMessage message) {
-                                         if (const auto *request
-                                             = std::get_if<SendPeerRequest>(&message)) {
-                                             sendRequest(*request);
-                                         }
-                                     }};
-        Mailbox<ConfigurationChanged> subscriber {
-            simulation.executor, [this](const ConfigurationChanged &changed) {
-                if (changed.configuration) {
-                    applied.push_back({changed.configuration->version, simulation.executor.now()});
-                }
-            }};
-    };
-
-    static void reject(Daemon &daemon, bool rejected)
-    {
-        daemon.isRejected = rejected;
-        if (rejected) {
-            daemon.store->rejectPendingRead();
-        }
+        });
     }
 
-    /// Delivers a message whose transfer time is negligible.
-    void deliver(const Daemon &from, const Endpoint &to, std::function<void(Daemon &)> handler)
+    bool isListening(const Endpoint &endpoint) const override
     {
-        const auto it = std::ranges::find_if(
-            m_daemons, [&to](const auto &daemon) { return daemon->self.endpoint == to; });
-        if (it == m_daemons.end() || from.isDisconnected || (*it)->isDisconnected) {
-            return;
-        }
-        Daemon &target = **it;
-        executor.scheduleAfter(from.isFar == target.isFar ? NearLatency : FarLatency,
-                               [&target, handler = std::move(handler)] {
-                                   if (!target.isDisconnected) {
-                                       handler(target);
-                                   }
-                               });
+        const auto it = m_indices.find(endpoint);
+        return it != m_indices.end() && !m_daemons[it->second]->executor().isKilled();
     }
 
-    /// Delivers a large answer after its transfer time on the links.
-    void send(Daemon &from, Daemon &to, const std::string &bytes, const Reply<std::string> &reply)
+    std::vector<Endpoint> seeds() const override
     {
-        if (from.isDisconnected) {
-            return;
-        }
-        const TimePoint now = executor.now();
-        TimePoint end
-            = std::max(from.host.send(now, bytes.size()), to.host.send(now, bytes.size()));
-        if (from.isFar != to.isFar) {
-            end = std::max(end, (to.isFar ? m_toFar : m_toNear).send(now, bytes.size()));
+        std::vector<Endpoint> endpoints;
+        for (const SimulatedHost &host : m_hosts) {
+            endpoints.push_back(host.endpoint);
         }
-        executor.scheduleAfter(end - now + (from.isFar == to.isFar ? NearLatency : FarLatency),
-                               [&to, reply, bytes] {
-                                   if (!to.isDisconnected) {
-                                       reply(bytes);
-                                   }
-                               });
+        return endpoints;
     }
 
     BandwidthLimitedLink m_toFar;
     BandwidthLimitedLink m_toNear;
-    std::size_t m_rejectedCalls = 0;
-    std::vector<StoreRecord> m_records;
+    std::uint64_t m_seed;
     std::map<ConfigurationVersion, TimePoint> m_published;
-    std::vector<std::unique_ptr<Daemon>> m_daemons;
+    std::deque<SimulatedHost> m_hosts;
+    std::map<Endpoint, std::size_t> m_indices;
+    std::map<std::string, std::string, std::less<>> m_dataCentres;
+    std::vector<std::unique_ptr<SimulatedDaemon>> m_daemons;
+    /// Killed processes, which pending messages may refer to.
+    std::vector<std::unique_ptr<SimulatedDaemon>> m_ended;
 };
 
 } // namespace Coltsfootwell::Testing
