--- a/src/decisions/AvailabilityTable.cpp
+++ b/src/decisions/AvailabilityTable.cpp
@@ -62,8 +62,8 @@
 /// \return true if a record contradicts the decision on its data centre and may be one of the copy
 /// that the store has come back from: it was applied before, or it is a removal from a time that
 /// this daemon does not know. An unknown record that takes a data centre out counts.
-bool AvailabilityTable::isOfCopy(const std::string &dataCentre,
-                                 const AvailabilityRecord &record) const
+bool AvailabilityTable::isRecordOfCopy(const std::string &dataCentre,
+                                       const AvailabilityRecord &record) const
 {
     const auto it = m_state.dataCentres.find(dataCentre);
     if (record.at >= m_state.possibleCopyEnd || it == m_state.dataCentres.end()
@@ -83,7 +83,8 @@
 bool AvailabilityTable::applyRecord(const std::string &dataCentre, bool isOut,
                                     const StorePosition &at)
 {
-    if (hasState() && (!isLater(at, m_state, dataCentre) || isOfCopy(dataCentre, {at, isOut}))) {
+    if (hasState()
+        && (!isLater(at, m_state, dataCentre) || isRecordOfCopy(dataCentre, {at, isOut}))) {
         return false;
     }
     const auto it = m_state.dataCentres.find(dataCentre);
@@ -131,7 +132,8 @@
     m_state.possibleCopyEnd = isNewEpoch ? end : m_state.possibleCopyEnd;
     for (const ListedDataCentre &entry : listed) {
         const StorePosition at {entry.offset, end.epoch};
-        if (isFirst || (isLater(at, m_state, entry.name) && !isOfCopy(entry.name, {at, true}))) {
+        if (isFirst
+            || (isLater(at, m_state, entry.name) && !isRecordOfCopy(entry.name, {at, true}))) {
             decide(entry.name, true, at);
         }
     }
--- a/src/decisions/AvailabilityTable.h
+++ b/src/decisions/AvailabilityTable.h
@@ -110,7 +110,7 @@
 
 private:
     bool hasState() const { return m_state.position != StorePosition {}; }
-    bool isOfCopy(const std::string &dataCentre, const AvailabilityRecord &record) const;
+    bool isRecordOfCopy(const std::string &dataCentre, const AvailabilityRecord &record) const;
     bool isUnlisted(std::span<const ListedDataCentre> listed) const;
     void decide(const std::string &dataCentre, bool isOut, const StorePosition &at);
     void returnUnlisted(std::span<const ListedDataCentre> listed, const StorePosition &end);
--- a/src/services/TopicReader.cpp
+++ b/src/services/TopicReader.cpp
@@ -56,23 +56,24 @@
             return;
         }
         callSucceeded(read.transfer.bytes);
-        if (isFruitless(read)) {
+        if (isRepeatedWithoutProgress(read)) {
             pause();
         }
         m_handlers.onRecords(read);
     });
 }
 
-/// \return true from the second answer in a row on that has no record although there are some. The
-/// owner reads the newest records then, and the next read may be answered in the same way.
-bool TopicReader::isFruitless(const RecordsRead &read)
+/// \return true from the second read in a row on that has brought no record although there are
+/// some. The owner reads the newest records then, and the next read may be answered in the same
+/// way.
+bool TopicReader::isRepeatedWithoutProgress(const RecordsRead &read)
 {
-    const bool leadsOn = !read.ec && (read.next >= read.end || !read.records.empty());
-    m_fruitlessReads = leadsOn ? 0 : m_fruitlessReads + 1;
-    if (leadsOn) {
+    if (!read.ec && (read.next >= read.end || !read.records.empty())) {
+        m_readsWithoutProgress = 0;
         m_retryDelay = MinRetryDelay;
+        return false;
     }
-    return m_fruitlessReads > 1;
+    return ++m_readsWithoutProgress > 1;
 }
 
 void TopicReader::pause()
--- a/src/services/TopicReader.h
+++ b/src/services/TopicReader.h
@@ -86,7 +86,7 @@
         Stopped,
     };
 
-    bool isFruitless(const RecordsRead &read);
+    bool isRepeatedWithoutProgress(const RecordsRead &read);
     void readPage(const std::string &after);
     void handlePage(NewestRecords page);
     void callSucceeded(std::size_t bytes);
@@ -107,8 +107,8 @@
     /// Long-poll timeout of the call in flight; the store may take this long before it answers.
     Duration m_longPollTimeout {};
     bool m_storeAvailable = false;
-    /// Answers in a row that did not lead on from the offset.
-    unsigned m_fruitlessReads = 0;
+    /// Number of reads in a row that made no progress.
+    unsigned m_readsWithoutProgress = 0;
     std::chrono::milliseconds m_retryDelay;
     TimerId m_timer = 0;
 };
--- a/test/error/FruitlessReadsRepeatedWithoutPause.cpp
+++ b/test/error/ReadsWithoutProgressRepeatedAtOnce.cpp
@@ -12,11 +12,11 @@
 
 namespace {
 
-/// A store that answers after a millisecond. No read leads on from its offset.
-class FruitlessStore final : public StoreClient
+/// A store that answers after a millisecond. No read makes progress.
+class StoreWithoutProgress final : public StoreClient
 {
 public:
-    FruitlessStore(Executor &executor, RecordsRead answer)
+    StoreWithoutProgress(Executor &executor, RecordsRead answer)
         : m_executor(executor), m_answer(std::move(answer))
     {
     }
@@ -51,14 +51,14 @@
 };
 
 /// \return calls in ten seconds of a reader that reads the newest records after each answer which
-/// does not lead on.
+/// makes no progress.
 unsigned callsInTenSeconds(const RecordsRead &answer)
 {
     ManualExecutor executor;
     SeededRandom random {1};
     Kernel kernel {executor, random};
     Mailbox<TelemetryMessage> telemetry {executor, [](const TelemetryMessage &) {}};
-    const auto store = std::make_shared<FruitlessStore>(executor, answer);
+    const auto store = std::make_shared<StoreWithoutProgress>(executor, answer);
     TopicReader *reader = nullptr;
     bool isNewestNext = true;
     const auto startCall = [&] {
--- a/test/fault/store_restored.py
+++ b/test/fault/store_restored.py
@@ -292,7 +292,12 @@
     """Each version is in force at every daemon within APPLY_S of its acknowledgement, and no proper request is refused later.
     Otherwise confirmed changes have no effect (CONFIG), and proper requests are refused (DENIED)."""
     violations = []
+    newest = max(site.operator.acknowledged_at)
+    in_force_at = site.operator.acknowledged_at[newest] + APPLY_S
     for name in site.daemons:
+        served = any(answer.status == 200 and answer.version == newest and answer.sent_at > in_force_at
+                     for answer in site.callers[name].answers)
+        violations += expect(served, f"{name} did not serve the route of version {newest} after {APPLY_S} s")
         late = collections.defaultdict(list)
         for answer in refusals(site, name):
             if not was_restarted(site, name, answer):
