Soak and fault matrix: the store returns from an older copy

The soak could not show it: its store never came back from a copy, and with six hosts every daemon read the store itself, so that none depended on positions that others tell.

Soak: - One more series of faults takes copies and lets the store return from them 0.2 to 3 s later, once or twice in a row, after 0.2 to 3 s away, beside all other faults. The operator (store_return.py) writes again what was lost up to 3 s later. While the store lacks something, changes are based on what he wrote himself: coltsfootctl would base them on the copy and use a version number again. A number that is used twice fails the soak, since checks by version would not notice. - After recovery, two returns in calm under calls, with a data centre out: what is published before and after is in force everywhere within 3 s, or 4 s after the store is back if that is later (RULES.md "In touch", "Core"); no run in that data centre. - No call is refused with 404 (new checker). - A removal of a data centre is excused for a return that begins before it is due, and until 4 s after that, and for no other; a planned stop is excused by none ("LOST": disruption of the store alone excuses nothing). - publish_version() named random versions, which coltsfootctl refuses unless they are the newest or the next one. It now publishes a change of the newest version, and keeps data centres out. - Nine hosts instead of six: one daemon of each data centre does not read the store.

Matrix: cells publish, take and admit: three versions are lost with the return; for take and admit, the entry or the serving daemon starts again while the store holds the older ones only. The operator writes them again and publishes one more, which must be in force everywhere within the bound. All cells also demand that no call is refused with 404.

--- a/test/fault/checkers.py
+++ b/test/fault/checkers.py
@@ -126,6 +126,12 @@
     return violations
 
 
+def routes_stay_known(calls):
+    """Promise 10: a daemon refuses no route that every published version has; one that knows no version answers 503."""
+    return [f"order {call['order']} at port {call['port']} was answered with 404 {call['reason']}"
+            for call in calls if call["status"] == 404]
+
+
 def planned_stop_interrupts_no_call(calls, port, stop_ns):
     """Promise 9: a planned stop neither interrupts a call that reached the stopping daemon nor makes its outcome unknown.
 
--- a/test/fault/matrix.py
+++ b/test/fault/matrix.py
@@ -21,6 +21,7 @@
 import callers
 import checkers
 import fleet
+import store_return
 
 DAEMONS = (("a1", "klang", "klang-a", "bookings"), ("a2", "klang", "klang-a", "bookings"),
            ("b1", "klang", "klang-b", "bookings"), ("e1", "klang", "klang-b", None))
@@ -28,6 +29,9 @@
 PORTS_PER_CELL = 256
 # Duration of the phases of a cell: calls before the fault, calls with the fault, calls after its removal.
 WARM_UP_S, FAULT_S, RECOVERY_S = 0.8, 1.2, 1.0
+# Changes that a return of the store loses, more than are published after it; and the time for which it is away before.
+LOST_CHANGES = 3
+AWAY_S = 0.5
 
 
 # Each of the following functions returns a pair of functions that take a fleet: the first one injects a fault, the
@@ -98,6 +102,46 @@
             return
 
 
+def add_route(document):
+    document["routes"].append({"prefix": f"/more-{document['version']}", "service": "bookings", "idempotentMethods": ["GET"]})
+
+
+def return_of_store(how, other_fault=(lambda test_fleet: None, lambda test_fleet: None)):
+    """The store comes back from a copy that lacks versions; another fault follows at once.
+
+    The recovery removes the other fault, writes again what was lost and publishes a version, which must be in force in time.
+    """
+    inject_other, recover_other = other_fault
+
+    def inject(test_fleet):
+        operator = test_fleet.operator = store_return.Operator(test_fleet)
+        path = test_fleet.directory / "change.json"
+        require(store_return.take_copy(test_fleet), "the store takes a copy")
+        for _ in range(LOST_CHANGES):
+            require(operator.publish(add_route, path) == 0, "a version is accepted before the return of the store")
+        version = max(version for _, version in test_fleet.accepted_versions)
+        late = store_return.late_daemons(test_fleet, version, time.monotonic_ns() + checkers.PROPAGATION_LIMIT_NS)
+        require(not late, f"the versions are in force before the return of the store: {late}")
+        require(operator.return_from_copy(AWAY_S, how), "the store returns from its copy")
+        inject_other(test_fleet)
+
+    def recover(test_fleet):
+        recover_other(test_fleet)
+        operator = test_fleet.operator
+        require(operator.write_again(), "the store takes again what it lacks")
+        require(operator.publish(add_route, test_fleet.directory / "change.json") == 0, "a version is accepted after the return")
+        accepted_ns, version = test_fleet.accepted_versions[-1]
+        late = store_return.late_daemons(test_fleet, version, operator.due_ns(accepted_ns))
+        require(not late, f"the version after the return is in force: {late}")
+    return inject, recover
+
+
+def require(condition, what):
+    """Fails the cell unless a condition holds."""
+    if not condition:
+        raise RuntimeError(f"required: {what}")
+
+
 # Steps of the path of a call, and the distribution of a configuration.
 PATH_STEPS = {
     "take": "the entry daemon accepts the call",
@@ -108,8 +152,8 @@
     "publish": "a configuration is published and propagated",
 }
 
-FAULT_NAMES = ("kill", "freeze", "cut", "one-way cut", "silent", "answer lost", "store down", "store slow", "straggler",
-               "fail-fast", "cold turn", "operators race")
+FAULT_NAMES = ("kill", "freeze", "cut", "one-way cut", "silent", "answer lost", "store down", "store slow", "store restored",
+               "straggler", "fail-fast", "cold turn", "operators race")
 
 # Functions that inject and remove the fault, by step and fault.
 CELLS = {
@@ -133,6 +177,10 @@
     ("publish", "store down"): freeze_store(),
     ("publish", "store slow"): store_fault(delayMs=300),
     ("publish", "answer lost"): store_fault(loseAnswers=3),
+    # A daemon that starts while the store holds older versions only.
+    ("take", "store restored"): return_of_store("reset", kill_daemon("e1")),
+    ("admit", "store restored"): return_of_store("silent", kill_daemon("a1")),
+    ("publish", "store restored"): return_of_store("reset"),
     ("publish", "operators race"): operators_race(),
     ("publish", "one-way cut"): link_fault("b1", "drop-from"),
     ("publish", "kill"): kill_daemon("b1"),
@@ -140,14 +188,15 @@
 
 # Combinations in which the step does not depend on the part that the fault affects.
 NOT_APPLICABLE = {(step, fault) for step in ("take", "send", "admit", "run", "answer")
-                  for fault in ("store down", "store slow", "operators race")} | {
+                  for fault in ("store down", "store slow", "store restored", "operators race")} | {
     (step, fault) for step in ("take", "send", "admit", "publish")
     for fault in ("straggler", "fail-fast", "cold turn")} | {
     ("send", "kill"), ("send", "freeze"), ("answer", "kill"), ("answer", "fail-fast"),
     ("answer", "cold turn")}
 
 SHORT_CELLS = (("send", "one-way cut"), ("send", "silent"), ("admit", "kill"), ("admit", "freeze"), ("run", "kill"),
-               ("answer", "answer lost"), ("answer", "cut"), ("publish", "operators race"))
+               ("answer", "answer lost"), ("answer", "cut"), ("publish", "operators race"),
+               ("publish", "store restored"), ("take", "store restored"))
 
 
 class VersionSampler:
@@ -208,6 +257,7 @@
         "true not-run refusals": checkers.not_run_refusals_are_true(calls, events),
         "at most once": checkers.at_most_once(calls, events),
         "versions never revert": checkers.versions_in_force(samples, []),
+        "routes stay known": checkers.routes_stay_known(calls),
         "calls were served": [] if sum(c["status"] == 200 for c in calls) > 20 else
         [f"only {sum(c['status'] == 200 for c in calls)} of {len(calls)} calls were served"],
     }
--- a/test/fault/soak.py
+++ b/test/fault/soak.py
@@ -26,6 +26,7 @@
 import checkers
 import fleet
 import matrix
+import store_return
 
 # Below the ephemeral port range of the system, and outside the ranges of the other tests.
 FIRST_PORT = 14_000
@@ -34,6 +35,8 @@
 HOME_REGION = "klang"
 SERVICES = ("bookings", "catalogue")
 DEFAULT_SECONDS = 12
+# Three hosts in each data centre: two daemons of it read the store, and the third one learns of versions from others only.
+DEFAULT_HOSTS = 9
 SETTLE_S = 3.0
 # Maximum time that restart() waits for the end of a planned stop before it kills the process.
 STOP_TIMEOUT_S = 8
@@ -46,6 +49,15 @@
 EXTRA_ROUTES = 1_500
 # Maximum time from the removal of all faults until the newest version is in force in all daemons.
 CATCH_UP_S = 3.0
+# Time from a copy until the store goes away, for which it is away, and until the operator writes again what it lacks.
+MIN_COPY_AGE_S, MAX_COPY_AGE_S = 0.2, 3.0
+MIN_AWAY_S, MAX_AWAY_S = 0.2, 3.0
+MAX_REWRITING_DELAY_S = 3.0
+# The store goes back to the same copy up to this number of times in a row.
+MAX_RETURNS_IN_SERIES = 2
+CALM_RETURNS = 2
+# Changes after the copy, and after the return; more get lost than are written, so that the end of the topic stays lower.
+LOST_CHANGES, NEW_CHANGES = 3, 1
 # Records of hosts that are gone in the store at the start; daemons once kept the first 64 addresses only.
 DEAD_RECORDS = 100
 # Fleet has ports for 49 hosts.
@@ -137,7 +149,6 @@
         self.peaks_mb = {}
         # Records of the calls that faults make.
         self.records = []
-        self.version = 1
         self.lock = threading.Lock()
         # (start, end, description) of each fault; times in ns.
         self.injected_faults = []
@@ -148,6 +159,9 @@
         self.stopping_children = {}
         # Serializes the restarts of each process.
         self.restart_locks = collections.defaultdict(threading.Lock)
+        self.operator = store_return.Operator(self.fleet)
+        # Data centres that a thread has taken out of service, so that no other one brings them back.
+        self.out = set()
         # [removal in ns, return in ns or None, data centre] of each data centre that was taken out of service.
         self.removals = []
 
@@ -298,31 +312,25 @@
         return f"{daemon.name} backend {fault}", lambda: self.fleet.post_to_backend(daemon, "/fault", normal)
 
     def publish_version(self):
-        with self.lock:
-            self.version += self.random.randint(1, 5)
-            document = dict(self.fleet.configuration, version=self.version)
-            if self.version % 2:
-                # So large that only the store readers read it from the store; the other daemons get it from them.
-                document["routes"] = document["routes"] + [
-                    {"prefix": f"/more-{n}", "service": SERVICES[0], "idempotentMethods": ["GET"]}
-                    for n in range(EXTRA_ROUTES)]
-            path = self.fleet.directory / f"version-{self.version}.json"
-        path.write_text(json.dumps(document))
-        code = self.run_coltsfootctl("publish", path)
-        if code == 0:
-            self.fleet.accepted_versions.append((time.monotonic_ns(), self.version))
-        return f"publish {self.version}: {code}", lambda: None
+        code = self.operator.publish(self.change_routes, self.fleet.directory / f"version-{time.monotonic_ns()}.json")
+        return f"publish: {code}", lambda: None
 
-    def run_coltsfootctl(self, *arguments):
-        """Runs coltsfootctl; returns its exit code, or -1 if it does not end because the store does not answer."""
-        try:
-            return self.fleet.run_coltsfootctl(*arguments)[0]
-        except subprocess.TimeoutExpired:
-            return -1
+    def change_routes(self, document):
+        """Gives every second version so many routes that only the store readers read it from the store; the other daemons get
+        it from them."""
+        routes = self.fleet.configuration["routes"]
+        document["routes"] = routes if len(document["routes"]) > len(routes) else routes + [
+            {"prefix": f"/more-{document['version']}-{n}", "service": SERVICES[0], "idempotentMethods": ["GET"]}
+            for n in range(EXTRA_ROUTES)]
 
     def remove_data_centre(self):
-        name = self.random.choice(list(REGIONS))
-        code = self.run_coltsfootctl("out", name)
+        with self.lock:
+            names = [name for name in REGIONS if name not in self.out]
+            if not names:
+                return "all data centres are out", lambda: None
+            name = self.random.choice(names)
+            self.out.add(name)
+        code = self.operator.set_in_service(name, False)
         if code == 0:
             self.removals.append([time.monotonic_ns(), None, name])
         removal = self.removals[-1] if code == 0 else None
@@ -330,15 +338,33 @@
         def restore():
             if removal:
                 removal[1] = time.monotonic_ns()
-            self.run_coltsfootctl("back", name)
+            self.operator.set_in_service(name, True)
+            with self.lock:
+                self.out.remove(name)
         return f"out {name}: {code}", restore
 
-    # Methods that are listed twice are chosen with double probability.
+    def return_from_copy(self):
+        """The store comes back from a copy, and the operator writes again what it lacks."""
+        has_copy = store_return.take_copy(self.fleet)
+        returns = []
+        for _ in range(self.random.randint(1, MAX_RETURNS_IN_SERIES) if has_copy else 0):
+            self.finished.wait(self.random.uniform(MIN_COPY_AGE_S, MAX_COPY_AGE_S))
+            away_s, how = self.random.uniform(MIN_AWAY_S, MAX_AWAY_S), self.random.choice(("reset", "silent"))
+            returns.append(f"{away_s:.1f} s {how}: {self.operator.return_from_copy(away_s, how)}")
+        delay_s = self.random.uniform(0, MAX_REWRITING_DELAY_S)
+
+        def write_again():
+            self.finished.wait(delay_s)
+            if not self.operator.write_again():
+                self.errors.append("the store did not take again what it lacked")
+        return f"return from a copy {returns}", write_again
+
     FAULTS = (link_fault, link_fault, pause_process, kill_process, kill_half_of_daemons, kill_all_daemons, planned_stop,
               reload_settings, store_fault, cut_store_links, backend_fault, backend_fault, publish_version, remove_data_centre,
               replace_host)
     # Each of them is injected before one is injected again, so that also a short run has them all.
     FAULTS_IN_TURN = (stop_during_answer, burst_of_bodies, cut_long_answers, stop_log_reader, close_log_reader, replace_host)
+    RETURNS = (return_from_copy,)
 
     def read_long_answer(self, daemon, order, rng):
         length = rng.randint(MIN_ANSWER_BYTES, MAX_ANSWER_BYTES)
@@ -399,7 +425,7 @@
         caller_threads = [KeepAliveCaller(self, f"k{i}", self.random.random()) for i in range(8)]
         caller_threads += [LongAnswerCaller(self, f"l{i}", self.random.random()) for i in range(2)]
         fault_threads = [threading.Thread(target=self.inject_faults, args=(self.random.random(), faults, in_turn))
-                         for faults, in_turn in [(self.FAULTS, False)] * 3 + [(self.FAULTS_IN_TURN, True)]]
+                         for faults, in_turn in [(self.FAULTS, False)] * 3 + [(self.FAULTS_IN_TURN, True), (self.RETURNS, False)]]
         memory_thread = threading.Thread(target=self.sample_memory)
         for thread in [*caller_threads, *fault_threads, memory_thread]:
             thread.start()
@@ -408,6 +434,7 @@
         for thread in [*caller_threads, *fault_threads, memory_thread]:
             thread.join()
         violations_by_promise = {"recovery": self.recover_all(), "newest version in force": self.outdated_daemons()}
+        violations_by_promise["changes after a return of the store"] = self.return_in_calm()
         # The bursts before may all have met daemons that were killed.
         self.burst_of_bodies()
         self.note_memory()
@@ -429,8 +456,9 @@
             for process in (daemon.process, daemon.backend):
                 process.send_signal(signal.SIGCONT)
                 self.restart(process)
+        is_written = self.operator.write_again()
         for name in REGIONS:
-            self.run_coltsfootctl("back", name)
+            self.operator.set_in_service(name, True)
         self.stop_log_reader()
         self.close_log_reader()
         end = time.monotonic() + fleet.START_TIMEOUT_S
@@ -439,6 +467,8 @@
                           if not self.fleet.reaches_service(daemon, service)]
             violations += checkers.daemons_list_each_other(
                 {f"127.0.0.1:{daemon.port}": self.listed_daemons(daemon) for daemon in self.daemons()})
+            if not is_written:
+                violations.append("the store did not take again what it lacked")
             if not violations or time.monotonic() > end:
                 return violations
             time.sleep(0.2)
@@ -476,27 +506,65 @@
     def outdated_daemons(self):
         """Returns a violation for each daemon that lacks the newest accepted version CATCH_UP_S after all faults ended."""
         newest_version = max((version for _, version in self.fleet.accepted_versions), default=0)
-        end = time.monotonic() + CATCH_UP_S
-        while True:
-            in_force = {daemon: version for _, daemon, _, version in self.fleet.sample_versions()}
-            violations = [f"{daemon.name} has version {in_force.get(daemon.name)} in force, "
-                          f"newest accepted version: {newest_version}"
-                          for daemon in self.daemons() if in_force.get(daemon.name, 0) < newest_version]
-            if not violations or time.monotonic() > end:
-                return violations
-            time.sleep(0.1)
+        return store_return.late_daemons(self.fleet, newest_version, time.monotonic_ns() + int(CATCH_UP_S * 1e9))
+
+    def return_in_calm(self):
+        """Lets the store of the recovered fleet come back from a copy several times, while a data centre is out of service.
+
+        Returns the violations if a change is not in force in all daemons within the bound, whether it is made before the
+        store goes away or after its return. The runs are checked with those of the soak.
+        """
+        name = self.random.choice(list(REGIONS))
+        code = self.operator.set_in_service(name, False)
+        if code:
+            return [f"out {name} ended with {code}"]
+        removal = [time.monotonic_ns(), None, name]
+        self.removals.append(removal)
+        violations = self.late_daemons_of_newest()
+        # From here on, no return of the store excuses a run in this data centre.
+        time.sleep(max(0, (self.operator.due_ns(removal[0]) - time.monotonic_ns()) / 1e9))
+        traffic = callers.Callers([daemon.port for daemon in self.daemons()], ["read", "order"], 4, self.seed)
+        for _ in range(CALM_RETURNS):
+            violations += self.change_around_return()
+        removal[1] = time.monotonic_ns()
+        self.records += traffic.stop()
+        if self.operator.set_in_service(name, True):
+            violations.append(f"back {name} failed")
+        return violations + self.late_daemons_of_newest()
+
+    def change_around_return(self):
+        path = self.fleet.directory / "calm.json"
+        codes = [store_return.take_copy(self.fleet)]
+        codes += [self.operator.publish(self.change_routes, path) for _ in range(LOST_CHANGES)]
+        violations = self.late_daemons_of_newest()
+        away_s, how = self.random.uniform(MIN_AWAY_S, MAX_AWAY_S), self.random.choice(("reset", "silent"))
+        codes.append(self.operator.return_from_copy(away_s, how))
+        time.sleep(away_s + self.random.uniform(0, MAX_REWRITING_DELAY_S))
+        # A change before what was lost is written again makes that superfluous.
+        if self.random.random() < 0.5:
+            codes.append(self.operator.write_again())
+        codes += [self.operator.publish(self.change_routes, path) for _ in range(NEW_CHANGES)]
+        if codes != [True] + [0] * LOST_CHANGES + [True] * (len(codes) - 1 - LOST_CHANGES - NEW_CHANGES) + [0] * NEW_CHANGES:
+            violations.append(f"a copy, changes and a return of the store in calm ended with {codes}")
+        return violations + [f"{violation}, after a return of {away_s:.1f} s with {how}"
+                             for violation in self.late_daemons_of_newest()]
+
+    def late_daemons_of_newest(self):
+        accepted_ns, version = max(self.fleet.accepted_versions, key=lambda accepted: (accepted[1], -accepted[0]))
+        return store_return.late_daemons(self.fleet, version, self.operator.due_ns(accepted_ns))
 
     def check_promises(self, calls, events, expected):
         home_daemons = {d.name for d in [*self.daemons(), *self.fleet.replaced] if d.region == HOME_REGION}
         return {
             "complete answers": checkers.answers_match_requests(calls, events, expected),
             "whole long answers": checkers.long_answers_are_whole(calls),
+            "routes stay known": checkers.routes_stay_known(calls),
             "true not-run refusals": checkers.not_run_refusals_are_true(calls, events),
             "at most once": checkers.at_most_once(calls, events),
             "home regions": checkers.runs_stay_in_home_regions("home-", home_daemons, events, {}),
             "out of service": self.out_of_service_violations(events),
             "planned stop": self.planned_stop_violations(calls),
-            "soak": self.errors,
+            "soak": self.errors + self.operator.errors,
             "calls were served": [] if sum(c["status"] == 200 for c in calls) > 20 else
             ["at most 20 calls were served, minimum: 21"],
         }
@@ -508,23 +576,31 @@
 
     def out_of_service_violations(self, events):
         """Checks promise 3 for removals during which, and QUIET_S before which, no daemon was disconnected, paused, killed
-        or stopped and the store had no fault."""
+        or stopped and the store had no fault.
+
+        A return of the store from a copy excuses nothing that was due before it, and delays other removals (due_ns()).
+        """
         violations = []
         for removed_ns, restored_ns, name in self.removals:
             end_ns = restored_ns or time.monotonic_ns()
             if not self.overlaps_fault(removed_ns - int(QUIET_S * 1e9), end_ns,
                                        ("cut", "drop", "silent", "delay", "pause", "kill", "stop", "store")):
-                violations += checkers.no_run_after_removal(events, "dataCentre", name, removed_ns, end_ns)
+                due_ns = self.operator.due_ns(removed_ns)
+                violations += checkers.no_run_after_removal(events, "dataCentre", name,
+                                                            due_ns - checkers.PROPAGATION_LIMIT_NS, end_ns)
         return violations
 
     def planned_stop_violations(self, calls):
-        """Checks promise 9 for planned stops during which, and QUIET_S before which, there was no other fault."""
+        """Checks promise 9 for planned stops during which, and QUIET_S before which, there was no other fault.
+
+        RULES.md, "LOST": disruption of the store alone excuses nothing.
+        """
         violations = []
         for stop_ns, port in self.stop_signals:
             end_ns = stop_ns + int(8e9)
             other_faults = [fault for fault in self.injected_faults if fault[0] < end_ns
                             and fault[1] > stop_ns - int(QUIET_S * 1e9)
-                            and not fault[2].startswith(("stop", "reload", "logs"))]
+                            and not fault[2].startswith(("stop", "reload", "logs", "return"))]
             if not other_faults:
                 violations += checkers.planned_stop_interrupts_no_call([c for c in calls if c["end"] < end_ns], port, stop_ns)
         return violations
@@ -554,7 +630,7 @@
     parser.add_argument("--seeds", type=int, default=0, help="number of random seeds")
     parser.add_argument("--ci", action="store_true")
     parser.add_argument("--seconds", type=float, default=DEFAULT_SECONDS)
-    parser.add_argument("--hosts", type=int, default=6, help="number of hosts, each with a daemon and a backend server")
+    parser.add_argument("--hosts", type=int, default=DEFAULT_HOSTS, help="number of hosts, each with a daemon and a backend server")
     parser.add_argument("--parallel", type=int, default=2)
     parser.add_argument("--binary", default="coltsfootd",
                         help="daemon in the build directory; the soak must fail with a daemon that has a guard disabled")
--- a/test/fault/test_checkers.py
+++ b/test/fault/test_checkers.py
@@ -68,6 +68,10 @@
         self.assertTrue(checkers.versions_in_force([(4 * NS_PER_S, "d", 1, 1)], [(0, 2)]))
         self.assertFalse(checkers.versions_in_force([(4 * NS_PER_S, "d", 1, 2)], [(0, 2)]))
 
+    def test_known_route_refused(self):
+        self.assertTrue(checkers.routes_stay_known([call("a", "not-run", status=404)]))
+        self.assertFalse(checkers.routes_stay_known([call("a", "not-run", status=503), call("b")]))
+
     def test_call_interrupted_by_planned_stop(self):
         self.assertTrue(checkers.planned_stop_interrupts_no_call([call("a", "", error="reset", end=5)], 1, 2))
         self.assertFalse(checkers.planned_stop_interrupts_no_call([call("a", end=5)], 1, 2))
