--- a/test/fault/matrix.py
+++ b/test/fault/matrix.py
@@ -25,6 +25,9 @@
 
 DAEMONS = (("a1", "klang", "klang-a", "bookings"), ("a2", "klang", "klang-a", "bookings"),
            ("b1", "klang", "klang-b", "bookings"), ("e1", "klang", "klang-b", None))
+# Two daemons of each data centre read the store; these ones learn of versions from others only.
+DAEMONS_BESIDE_READERS = (("a3", "klang", "klang-a", None), ("a4", "klang", "klang-a", None), ("e2", "klang", "klang-b", None),
+                          ("e3", "klang", "klang-b", None))
 FIRST_PORT = 20_000
 PORTS_PER_CELL = 256
 # Duration of the phases of a cell: calls before the fault, calls with the fault, calls after its removal.
@@ -227,7 +230,8 @@
     index: number of the port range. twice: whether the fault is injected twice. binary: see Fleet.
     """
     inject, recover = CELLS[cell]
-    test_fleet = fleet.Fleet(FIRST_PORT + index * PORTS_PER_CELL, DAEMONS, ["bookings"], binary=binary)
+    daemons = DAEMONS + (DAEMONS_BESIDE_READERS if cell[1] == "store restored" else ())
+    test_fleet = fleet.Fleet(FIRST_PORT + index * PORTS_PER_CELL, daemons, ["bookings"], binary=binary)
     try:
         test_fleet.start()
         expected = test_fleet.body_digests(callers.REQUEST_BODIES)
